--- /dev/null
+++ b/crates/core/main.rs
@@ -0,0 +1,3 @@
+//! The command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/proto/examples/generate.rs
@@ -0,0 +1,17 @@
+//! Writes the Rust types for `proto/*.proto` to `src/gen`, or to the folder given as argument.
+
+use std::path::{Path, PathBuf};
+
+fn main() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let out = std::env::args().nth(1).map_or_else(|| root.join("src/gen"), PathBuf::from);
+    generate(root, &out);
+}
+
+fn generate(root: &Path, out: &Path) {
+    let files = ["agreement.proto", "ledger.proto", "peer.proto"];
+    let set = protox::compile(files, [root.join("proto")]).expect("the .proto files compile");
+    let mut cfg = prost_build::Config::new();
+    cfg.bytes(["."]).out_dir(out);
+    cfg.compile_fds(set).expect("the types are written");
+}
