--- a/crates/proto/tests/generated_code.rs
+++ b/crates/proto/tests/generated_code.rs
@@ -12,7 +12,11 @@
     for package in ["agreement", "ledger", "peer"] {
         let name = format!("poplarspan.{package}.v1.rs");
         let fresh = std::fs::read_to_string(out.path().join(&name)).expect("generated file");
-        let committed = std::fs::read_to_string(root.join("src/gen").join(&name)).expect("committed file");
-        assert!(fresh == committed, "{name} is stale: run `cargo run -p poplarspan-proto --example generate`");
+        let committed =
+            std::fs::read_to_string(root.join("src/gen").join(&name)).expect("committed file");
+        assert!(
+            fresh == committed,
+            "{name} is stale: run `cargo run -p poplarspan-proto --example generate`"
+        );
     }
 }
