--- /dev/null
+++ b/crates/server/src/admission/mod.rs
@@ -0,0 +1,19 @@
+//! Holds each team to its rate and burst over the whole fleet.
+
+mod local;
+
+use futures::future::BoxFuture;
+use poplarspan_objects::Name;
+use tokio::time::Instant;
+
+use crate::entry::Refusal;
+
+pub(crate) use local::LocalAdmission;
+
+/// Lets a call in once its team has a token for it.
+pub(crate) trait Admission: Send + Sync {
+    /// Waits for a token, at most until `deadline`.
+    ///
+    /// Refuses at once when no token can be had in time, and says when to come back.
+    fn admit<'a>(&'a self, team: &'a Name, deadline: Instant) -> BoxFuture<'a, Result<(), Refusal>>;
+}
--- /dev/null
+++ b/crates/server/src/control/publish.rs
@@ -0,0 +1,101 @@
+//! Publications: checked as a whole, then committed by compare-and-set on the generation.
+
+use poplarspan_objects::{Change, ObjectSet, Record};
+use poplarspan_proto::{
+    ledger::{self, catalog_answer, catalog_command},
+    peer::{self, FailureCode},
+};
+
+use super::{Control, failed};
+use crate::membership::{read_change, write_change};
+
+impl Control {
+    /// Carries out a publication. The checks run again here, since the sender may be older.
+    pub(crate) async fn publish(
+        &self,
+        publish: peer::Publish,
+    ) -> Result<peer::PublishResult, peer::Failure> {
+        if !self.leads() {
+            return Err(self.not_leader(&*self.catalog_log));
+        }
+        let operator = self.operator(&publish.operator_key)?;
+        if publish.request_id.is_empty() {
+            return Err(failed(FailureCode::Invalid, "the request id is empty"));
+        }
+        let wanted = read_set(&publish.objects)?;
+        let (generation, current) = self.current_objects()?;
+        // With another expected generation the publication fails, or it is the resend of an earlier
+        // one: in both cases the changes are not used.
+        let changes = if generation == publish.expected_generation {
+            current.diff(&wanted).iter().map(catalog_change).collect()
+        } else {
+            Vec::new()
+        };
+        let command = ledger::Publish {
+            expected_generation: publish.expected_generation,
+            request_id: publish.request_id,
+            operator,
+            changes,
+            content_digest: wanted.content_digest().to_vec().into(),
+        };
+        let answer = self.commit(catalog_command::Command::Publish(command)).await?;
+        self.publish_result(answer)
+    }
+
+    fn publish_result(
+        &self,
+        answer: catalog_answer::Answer,
+    ) -> Result<peer::PublishResult, peer::Failure> {
+        match answer {
+            catalog_answer::Answer::Published(published) => Ok(peer::PublishResult {
+                accepted: true,
+                generation: published.generation,
+                winner: String::new(),
+                in_force: self.leases().in_force(published.generation),
+            }),
+            catalog_answer::Answer::Conflict(conflict) => Ok(peer::PublishResult {
+                accepted: false,
+                generation: conflict.current_generation,
+                winner: conflict.operator,
+                in_force: false,
+            }),
+            catalog_answer::Answer::RequestMismatch(_) => Err(failed(
+                FailureCode::Invalid,
+                "the request id was used before for another publication",
+            )),
+            catalog_answer::Answer::Invalid(invalid) => {
+                Err(failed(FailureCode::Invalid, &invalid.message))
+            }
+            _ => Err(failed(FailureCode::Invalid, "unexpected answer of the state machine")),
+        }
+    }
+
+    /// The current objects, for an operator.
+    pub(crate) async fn objects(&self, key: &str) -> Result<peer::ObjectsReply, peer::Failure> {
+        if !self.leads() {
+            return Err(self.not_leader(&*self.catalog_log));
+        }
+        self.operator(key)?;
+        let (generation, objects) = self.current_objects()?;
+        let all = ObjectSet::default().diff(&objects);
+        Ok(peer::ObjectsReply { generation, objects: all.iter().map(write_change).collect() })
+    }
+}
+
+fn read_set(objects: &[peer::Change]) -> Result<ObjectSet, peer::Failure> {
+    let records = objects
+        .iter()
+        .map(|change| match read_change(change)? {
+            Change::Upsert(record) => Ok(record),
+            Change::Remove { .. } => anyhow::bail!("a published set holds no removals"),
+        })
+        .collect::<anyhow::Result<Vec<Record>>>()
+        .map_err(|e| failed(FailureCode::Invalid, &e.to_string()))?;
+    ObjectSet::from_records(&records)
+        .map_err(|findings| failed(FailureCode::Invalid, &findings.to_string()))
+}
+
+fn catalog_change(change: &Change) -> ledger::ObjectChange {
+    let peer::Change { kind, name, body } = write_change(change);
+    ledger::ObjectChange { kind, name, body }
+}
--- /dev/null
+++ b/crates/server/src/entry/attempt.rs
@@ -0,0 +1,276 @@
+//! Tries a call at one endpoint after another, as far as it may run again.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use poplarspan_objects::{Endpoint, Name, ZoneState};
+use tokio::time::Instant;
+
+use super::{
+    auth::{self, Credential},
+    handler::Entry,
+    refusal::{Code, Ran, Refusal},
+};
+use crate::{
+    dispatch::{AnswerError, Exchange, REQUEST_ID_HEADER, Reuse, SendError, collect},
+    membership::Known,
+    schedule::{CallSpec, DispatchOutcome, Slot},
+};
+
+/// Endpoints that one call may be sent to.
+const MAX_ATTEMPTS: usize = 3;
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Headers that belong to one connection, or that only concern this system.
+const NOT_FORWARDED: [&str; 12] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-poplarspan-deadline",
+    "x-poplarspan-parent",
+    "x-request-id",
+];
+
+/// A request as it goes to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Parts {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Parts {
+    /// Prepares a caller's request: without the key and the headers of the caller's connection.
+    pub(crate) fn new(method: Method, path: String, mut headers: HeaderMap, body: Bytes) -> Self {
+        auth::strip(&mut headers);
+        for name in NOT_FORWARDED {
+            headers.remove(name);
+        }
+        Self { method, path, headers, body }
+    }
+
+    fn request(&self, endpoint: &Endpoint, id: &HeaderValue) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.parse().unwrap_or_default();
+        *request.headers_mut() = self.headers.clone();
+        let host = HeaderValue::from_str(&endpoint.address.to_string()).expect("plain ASCII");
+        request.headers_mut().insert(header::HOST, host);
+        request.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+        request
+    }
+}
+
+/// A call that is ready to be sent.
+pub(crate) struct Prepared {
+    pub(crate) parts: Parts,
+    /// None on open routes.
+    pub(crate) credential: Option<Credential>,
+    pub(crate) spec: Arc<CallSpec>,
+    /// Whether the call may run more than once.
+    pub(crate) idempotent: bool,
+    pub(crate) request_id: HeaderValue,
+    pub(crate) deadline: Instant,
+}
+
+/// A whole answer.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// An answer whose head has arrived, at an endpoint that keeps the place of the call.
+pub(crate) struct Begun {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) reuse: Reuse,
+    pub(crate) slot: Slot,
+}
+
+/// How one attempt went wrong.
+struct Failed {
+    ran: Ran,
+    cause: String,
+    outcome: DispatchOutcome,
+}
+
+impl Failed {
+    fn from_send(error: &SendError) -> Self {
+        let (ran, outcome) = match error {
+            SendError::NotSent(_) => (Ran::No, DispatchOutcome::Failed),
+            SendError::Lost(_) | SendError::Silent => (Ran::Unknown, DispatchOutcome::Failed),
+            SendError::Crossed => (Ran::Unknown, DispatchOutcome::Failed),
+        };
+        Self { ran, cause: error.to_string(), outcome }
+    }
+
+    fn from_answer(error: &AnswerError) -> Self {
+        Self { ran: Ran::Yes, cause: error.to_string(), outcome: DispatchOutcome::Failed }
+    }
+}
+
+/// The attempts of one call so far.
+pub(crate) struct Attempts<'a> {
+    entry: &'a Entry,
+    call: &'a Prepared,
+    tried: Vec<Name>,
+    /// What is known of all attempts together.
+    ran: Ran,
+    last_cause: String,
+}
+
+impl<'a> Attempts<'a> {
+    pub(crate) fn new(entry: &'a Entry, call: &'a Prepared) -> Self {
+        Self { entry, call, tried: Vec::new(), ran: Ran::No, last_cause: String::new() }
+    }
+
+    /// Waits for a place at an endpoint that was not tried yet.
+    pub(crate) async fn place(&self) -> Result<Slot, Refusal> {
+        self.entry.scheduler.acquire(&self.call.spec, &self.tried).await.map_err(|mut refusal| {
+            refusal.ran = self.ran;
+            if self.ran != Ran::No {
+                refusal.code = Code::EndpointFailed;
+                refusal.message = self.last_cause.clone().into();
+            }
+            refusal
+        })
+    }
+
+    /// Sends the call to the endpoint of `slot`. `Ok(None)` means that it may be tried elsewhere.
+    pub(crate) async fn send(&mut self, slot: Slot) -> Result<Option<Begun>, Refusal> {
+        self.entry.may_dispatch(self.call, &slot.endpoint)?;
+        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id);
+        let fresh = !self.call.idempotent;
+        let address = slot.endpoint.address;
+        let sent = self.entry.pool.send(address, request, fresh, self.call.deadline).await;
+        match sent {
+            Ok(exchange) => self.head(exchange, slot),
+            Err(e) => self.failed(slot, Failed::from_send(&e)).map(|()| None),
+        }
+    }
+
+    fn head(&mut self, exchange: Exchange, slot: Slot) -> Result<Option<Begun>, Refusal> {
+        let (response, reuse) = exchange.into_parts();
+        let (head, body) = response.into_parts();
+        let refused = matches!(
+            head.status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+        if refused && self.call.idempotent {
+            let failed = Failed {
+                ran: Ran::Unknown,
+                cause: format!("the endpoint refused with status {}", head.status),
+                outcome: DispatchOutcome::Refused,
+            };
+            return self.failed(slot, failed).map(|()| None);
+        }
+        let mut headers = head.headers;
+        for name in NOT_FORWARDED {
+            headers.remove(name);
+        }
+        Ok(Some(Begun { status: head.status, headers, body, reuse, slot }))
+    }
+
+    /// Reads the answer whole. `Ok(None)` means that the call may be tried elsewhere.
+    pub(crate) async fn collect(&mut self, begun: Begun) -> Result<Option<Answer>, Refusal> {
+        let max = self.entry.limits.max_answer;
+        match collect(begun.body, max, self.call.deadline).await {
+            Ok(body) => {
+                begun.reuse.finish();
+                begun.slot.finish(DispatchOutcome::Answered);
+                Ok(Some(Answer { status: begun.status, headers: begun.headers, body }))
+            }
+            Err(e) => self.failed(begun.slot, Failed::from_answer(&e)).map(|()| None),
+        }
+    }
+
+    /// Notes a failure; an error when the call may not be tried again.
+    fn failed(&mut self, slot: Slot, failed: Failed) -> Result<(), Refusal> {
+        let endpoint = slot.endpoint.name.clone();
+        log::warn!(
+            endpoint = &*endpoint,
+            request_id = self.call.request_id.to_str().unwrap_or_default(),
+            cause = failed.cause.as_str();
+            "attempt failed"
+        );
+        metrics::counter!("poplarspan_failed_attempts_total", "endpoint" => endpoint.to_string())
+            .increment(1);
+        slot.finish(failed.outcome);
+        self.tried.push(endpoint);
+        if failed.ran != Ran::No {
+            self.ran = failed.ran;
+        }
+        self.last_cause = failed.cause;
+        let may_repeat = failed.ran == Ran::No || self.call.idempotent;
+        let in_time = Instant::now() < self.call.deadline;
+        if may_repeat && in_time && self.tried.len() < MAX_ATTEMPTS {
+            return Ok(());
+        }
+        Err(self.refusal())
+    }
+
+    /// The final answer after the last failure.
+    fn refusal(&self) -> Refusal {
+        let cause = self.last_cause.clone();
+        let in_time = Instant::now() < self.call.deadline;
+        let code = match (self.call.idempotent, self.ran) {
+            (false, Ran::Unknown | Ran::Yes) => Code::OutcomeUnknown,
+            _ if !in_time => Code::Deadline,
+            _ => Code::EndpointFailed,
+        };
+        let refusal = Refusal::with_ran(code, self.ran, cause);
+        if self.ran == Ran::No || self.call.idempotent {
+            return refusal.retry_after(COME_BACK);
+        }
+        refusal
+    }
+}
+
+impl Entry {
+    /// Checks, at the last moment, that the call may still go to this endpoint.
+    ///
+    /// The call may have waited, and the process may have been frozen, since it was accepted.
+    fn may_dispatch(&self, call: &Prepared, endpoint: &Endpoint) -> Result<(), Refusal> {
+        let known = self.membership.load();
+        if let Some(credential) = &call.credential {
+            check_lease(&known)?;
+            if !credential.holds(&known.objects) {
+                return Err(Refusal::not_run(Code::Unauthorized, "the key was withdrawn"));
+            }
+        }
+        let usable = known.objects.endpoint(&endpoint.name).is_some_and(|e| {
+            let zone_in =
+                known.objects.zone(&e.zone).is_some_and(|z| z.state == ZoneState::In);
+            !e.leaving && zone_in && e.address == endpoint.address
+        });
+        if !usable {
+            return Err(Refusal::not_run(Code::Unavailable, "the endpoint has left")
+                .retry_after(COME_BACK));
+        }
+        Ok(())
+    }
+}
+
+/// Refuses when this instance may not act on its objects.
+pub(crate) fn check_lease(known: &Known) -> Result<(), Refusal> {
+    if known.lease_valid() {
+        return Ok(());
+    }
+    Err(Refusal::not_run(Code::NoLease, "this instance is cut off from the control replicas")
+        .retry_after(COME_BACK))
+}
+
+/// Header of requests to engines that names the program, for its memory to be released later.
+pub(crate) const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
--- /dev/null
+++ b/crates/server/src/entry/auth.rs
@@ -0,0 +1,55 @@
+//! Finds the team of a call by its key.
+
+use http::{HeaderMap, header};
+use poplarspan_objects::{Digest, Name, ObjectSet};
+
+use super::refusal::{Code, Refusal};
+
+/// Header that may carry the key instead of `authorization`.
+pub(crate) const KEY_HEADER: &str = "x-api-key";
+const MAX_KEY_BYTES: usize = 256;
+
+/// The team that a call runs for, and the digest of the key that said so.
+///
+/// The digest is looked up again before each dispatch, since the key may be withdrawn meanwhile.
+#[derive(Clone, Debug)]
+pub(crate) struct Credential {
+    pub(crate) team: Name,
+    digest: Digest,
+}
+
+impl Credential {
+    /// Finds the team whose key the call carries.
+    pub(crate) fn find(headers: &HeaderMap, objects: &ObjectSet) -> Result<Self, Refusal> {
+        let refused = || Refusal::not_run(Code::Unauthorized, "a valid key is required");
+        let secret = secret(headers).ok_or_else(refused)?;
+        if secret.len() > MAX_KEY_BYTES {
+            return Err(refused());
+        }
+        let digest = Digest::of_secret(secret);
+        let key = objects.key_by_digest(&digest).ok_or_else(refused)?;
+        Ok(Self { team: key.team.clone(), digest })
+    }
+
+    /// Whether the key still belongs to the same team.
+    pub(crate) fn holds(&self, objects: &ObjectSet) -> bool {
+        objects.key_by_digest(&self.digest).is_some_and(|key| key.team == self.team)
+    }
+}
+
+/// The key in the headers, if any.
+fn secret(headers: &HeaderMap) -> Option<&str> {
+    if let Some(value) = headers.get(header::AUTHORIZATION) {
+        let (scheme, secret) = value.to_str().ok()?.split_once(' ')?;
+        return scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim());
+    }
+    headers.get(KEY_HEADER)?.to_str().ok()
+}
+
+/// Removes everything that could tell an endpoint the key.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(KEY_HEADER);
+    headers.remove(header::PROXY_AUTHORIZATION);
+    headers.remove(header::COOKIE);
+}
--- /dev/null
+++ b/crates/server/src/entry/body.rs
@@ -0,0 +1,105 @@
+//! Bodies of requests and answers.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::mpsc;
+
+use super::refusal::{Code, Refusal};
+
+/// Body of an answer: known whole, or relayed as it arrives.
+pub(crate) type AnswerBody = Either<Full<Bytes>, RelayBody>;
+
+/// Chunks that a slow caller may leave waiting before the endpoint is no longer read.
+const RELAY_QUEUE: usize = 16;
+
+/// An answer was cut short. The connection to the caller is closed without the final chunk, so that
+/// the caller cannot take the answer for whole.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer of the endpoint ended early")]
+pub(crate) struct Truncated;
+
+/// The receiving half of a relayed answer.
+pub(crate) struct RelayBody {
+    rx: mpsc::Receiver<Result<Bytes, Truncated>>,
+}
+
+/// The sending half of a relayed answer.
+pub(crate) type RelaySender = mpsc::Sender<Result<Bytes, Truncated>>;
+
+/// Creates a relayed answer.
+pub(crate) fn relay() -> (RelaySender, AnswerBody) {
+    let (tx, rx) = mpsc::channel(RELAY_QUEUE);
+    (tx, Either::Right(RelayBody { rx }))
+}
+
+/// Creates an answer that is known whole.
+pub(crate) fn full(buf: impl Into<Bytes>) -> AnswerBody {
+    Either::Left(Full::new(buf.into()))
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        self.rx.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+///
+/// Refuses bodies above `max` bytes, and senders that take longer than `timeout`.
+pub(crate) async fn read(
+    mut body: Incoming,
+    max: usize,
+    timeout: Duration,
+) -> Result<Bytes, Refusal> {
+    let too_large = || {
+        Refusal::not_run(Code::TooLarge, format!("the body is larger than the limit of {max} bytes"))
+    };
+    if body.size_hint().lower() > max as u64 {
+        return Err(too_large());
+    }
+    let collect = async {
+        let mut whole = BytesMut::new();
+        let mut first: Option<Bytes> = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| {
+                Refusal::not_run(Code::BadRequest, format!("the body cannot be read: {e}"))
+            })?;
+            let Ok(chunk) = frame.into_data() else { continue };
+            if first.as_ref().map_or(whole.len(), Bytes::len) + chunk.len() > max {
+                return Err(too_large());
+            }
+            match first.take() {
+                // Most bodies come in one chunk, which needs no copy.
+                None if whole.is_empty() => first = Some(chunk),
+                None => whole.extend_from_slice(&chunk),
+                Some(start) => {
+                    whole.extend_from_slice(&start);
+                    whole.extend_from_slice(&chunk);
+                }
+            }
+        }
+        Ok(first.unwrap_or_else(|| whole.freeze()))
+    };
+    tokio::time::timeout(timeout, collect).await.unwrap_or_else(|_| {
+        Err(Refusal::not_run(Code::BadRequest, "the body did not arrive in time"))
+    })
+}
--- /dev/null
+++ b/crates/server/src/entry/call.rs
@@ -0,0 +1,124 @@
+//! A call as its caller described it: program, turn, deadline, idempotency key.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Method};
+use poplarspan_objects::Name;
+use tokio::time::Instant;
+
+use super::refusal::{Code, Refusal};
+
+const PROGRAM_HEADER: &str = "x-poplarspan-program";
+const PARENT_HEADER: &str = "x-poplarspan-parent";
+const TURN_HEADER: &str = "x-poplarspan-turn";
+const DEADLINE_HEADER: &str = "x-poplarspan-deadline";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// Parts of a program id, from the root to the sub-agent.
+const MAX_PROGRAM_DEPTH: usize = 8;
+const MAX_PART_BYTES: usize = 64;
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3600);
+
+/// The place of a call in its program.
+#[derive(Clone, Debug)]
+pub(crate) struct ProgramCall {
+    /// Path from the root program, parts separated by `/`.
+    pub(crate) program: Name,
+    /// Turn that the caller expects to be next, if it says.
+    pub(crate) turn: Option<u32>,
+}
+
+/// What the headers say about a call.
+#[derive(Clone, Debug)]
+pub(crate) struct CallHead {
+    pub(crate) method: Method,
+    pub(crate) program: Option<ProgramCall>,
+    pub(crate) idempotency_key: Option<String>,
+    pub(crate) deadline: Instant,
+}
+
+impl CallHead {
+    /// Reads the headers of a call; without a deadline of its own it gets the route's timeout.
+    pub(crate) fn read(
+        method: &Method,
+        headers: &HeaderMap,
+        timeout: Duration,
+    ) -> Result<Self, Refusal> {
+        let wait = match text(headers, DEADLINE_HEADER)? {
+            Some(value) => Duration::from_millis(number(DEADLINE_HEADER, value)?).min(MAX_DEADLINE),
+            None => timeout,
+        };
+        Ok(Self {
+            method: method.clone(),
+            program: program(headers)?,
+            idempotency_key: idempotency_key(headers)?,
+            deadline: Instant::now() + wait,
+        })
+    }
+}
+
+fn program(headers: &HeaderMap) -> Result<Option<ProgramCall>, Refusal> {
+    let Some(program) = text(headers, PROGRAM_HEADER)? else {
+        if headers.contains_key(TURN_HEADER) || headers.contains_key(PARENT_HEADER) {
+            return Err(bad(PROGRAM_HEADER, "is missing"));
+        }
+        return Ok(None);
+    };
+    let path = match text(headers, PARENT_HEADER)? {
+        Some(parent) => format!("{parent}/{program}"),
+        None => program.to_owned(),
+    };
+    check_program(&path)?;
+    let turn = match text(headers, TURN_HEADER)? {
+        Some(value) => Some(
+            u32::try_from(number(TURN_HEADER, value)?)
+                .map_err(|_| bad(TURN_HEADER, "is out of range"))?,
+        ),
+        None => None,
+    };
+    Ok(Some(ProgramCall { program: path.into(), turn }))
+}
+
+/// Checks the path of a program.
+pub(crate) fn check_program(path: &str) -> Result<(), Refusal> {
+    let parts = path.split('/');
+    if parts.clone().count() > MAX_PROGRAM_DEPTH {
+        return Err(bad(PROGRAM_HEADER, "has more than 8 levels"));
+    }
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':');
+    for part in parts {
+        if part.is_empty() || part.len() > MAX_PART_BYTES || !part.bytes().all(allowed) {
+            return Err(bad(
+                PROGRAM_HEADER,
+                "needs parts of 1 to 64 letters, digits, '-', '_', '.' or ':'",
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let Some(key) = text(headers, IDEMPOTENCY_HEADER)? else { return Ok(None) };
+    if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        return Err(bad(IDEMPOTENCY_HEADER, "must have 1 to 255 characters"));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(bad(name, "occurs more than once"));
+    }
+    value.to_str().map(Some).map_err(|_| bad(name, "must be plain ASCII"))
+}
+
+fn number(name: &'static str, value: &str) -> Result<u64, Refusal> {
+    value.parse().map_err(|_| bad(name, "must be a whole number"))
+}
+
+fn bad(name: &str, problem: &str) -> Refusal {
+    Refusal::not_run(Code::BadRequest, format!("header {name} {problem}"))
+}
--- /dev/null
+++ b/crates/server/src/entry/handler.rs
@@ -0,0 +1,271 @@
+//! From a request to its answer.
+
+use std::{
+    borrow::Cow,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use hyper::body::Incoming;
+use poplarspan_objects::{ObjectSet, Route, RouteKind};
+use rand::Rng;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::Instant,
+};
+
+use super::{
+    attempt::{Attempts, Parts, Prepared, check_lease},
+    auth::Credential,
+    body::{self, AnswerBody},
+    call::CallHead,
+    chat::ChatRequest,
+    refusal::{Code, Ran, Refusal},
+};
+use crate::{
+    admission::Admission,
+    config::Limits,
+    dispatch::{Pool, REQUEST_ID_HEADER},
+    membership::Membership,
+    programs::Ledger,
+    schedule::{CallSpec, Scheduler, Target},
+    telemetry,
+};
+
+/// Unit in which the memory of open calls is counted.
+pub(crate) const HELD_UNIT_BYTES: usize = 1024;
+
+/// Everything that serving a call needs.
+pub(crate) struct Entry {
+    pub(crate) instance: poplarspan_objects::Name,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) limits: Limits,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) admission: Arc<dyn Admission>,
+    pub(crate) scheduler: Arc<dyn Scheduler>,
+    pub(crate) ledger: Arc<dyn Ledger>,
+    pub(crate) incarnation: Arc<std::sync::atomic::AtomicU64>,
+    pub(crate) attempts: std::sync::atomic::AtomicU64,
+    pub(crate) held: Arc<Semaphore>,
+    pub(crate) draining: Arc<AtomicBool>,
+}
+
+/// A call whose caller, route and body have been checked.
+pub(crate) struct Accepted {
+    pub(crate) prepared: Prepared,
+    pub(crate) head: CallHead,
+    pub(crate) stream: bool,
+    pub(crate) route: poplarspan_objects::Name,
+    /// Memory that the call holds.
+    pub(crate) held: OwnedSemaphorePermit,
+}
+
+impl Accepted {
+    pub(crate) fn team(&self) -> Option<&poplarspan_objects::Name> {
+        self.prepared.credential.as_ref().map(|c| &c.team)
+    }
+}
+
+impl Entry {
+    /// Answers a request; never fails.
+    pub(crate) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let started = Instant::now();
+        let id = request_id();
+        let mut response = match self.clone().answer(&id, request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                self.note_refusal(&id, &refusal);
+                refusal.into_response()
+            }
+        };
+        telemetry::answered(response.status(), started.elapsed());
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
+        if self.draining.load(Ordering::Relaxed) && response.version() < http::Version::HTTP_2 {
+            // Makes callers on kept connections go to another instance.
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        id: &HeaderValue,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if let Some(own) = OwnPath::find(request.uri().path()) {
+            return self.answer_own(own, request).await;
+        }
+        let accepted = self.accept(id, request).await?;
+        if let Some(team) = accepted.team() {
+            self.admission.admit(team, accepted.prepared.deadline).await?;
+        }
+        let needs_ledger = accepted.head.program.is_some() || !accepted.prepared.idempotent;
+        match (needs_ledger, accepted.stream) {
+            (true, stream) => self.run_recorded(accepted, stream).await,
+            (false, true) => self.run_stream(accepted).await,
+            (false, false) => self.run_plain(&accepted).await,
+        }
+    }
+
+    /// Checks the caller, the route and the body.
+    async fn accept(
+        &self,
+        id: &HeaderValue,
+        request: Request<Incoming>,
+    ) -> Result<Accepted, Refusal> {
+        let known = self.membership.load();
+        let (head, incoming) = request.into_parts();
+        let route = known
+            .objects
+            .route_for(head.uri.path())
+            .ok_or_else(|| Refusal::not_run(Code::NotFound, "no route for this path"))?;
+        let credential = if route.open {
+            None
+        } else {
+            check_lease(&known)?;
+            Some(Credential::find(&head.headers, &known.objects)?)
+        };
+        let call = CallHead::read(&head.method, &head.headers, route.timeout)?;
+        let max = (route.max_body.bytes() as usize).min(self.limits.max_body);
+        let body = body::read(incoming, max, self.limits.body_timeout).await?;
+        let held = self.hold(body.len())?;
+        let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        let (spec, stream) = spec(&known.objects, route, &call, credential.as_ref(), &body)?;
+        let idempotent = !route.is_non_idempotent(head.method.as_str());
+        if call.program.is_some() && credential.is_none() {
+            let message = "a program needs a route with a key";
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        let prepared = Prepared {
+            parts: Parts::new(head.method, path, head.headers, body),
+            credential,
+            spec: Arc::new(spec),
+            idempotent,
+            request_id: id.clone(),
+            deadline: call.deadline,
+        };
+        Ok(Accepted { prepared, head: call, stream, route: route.name.clone(), held })
+    }
+
+    /// Counts the memory of a call; refuses when all calls together hold too much.
+    fn hold(&self, bytes: usize) -> Result<OwnedSemaphorePermit, Refusal> {
+        let units = bytes.div_ceil(HELD_UNIT_BYTES).max(1) as u32;
+        self.held.clone().try_acquire_many_owned(units).map_err(|_| {
+            Refusal::not_run(Code::Overloaded, "the instance holds too many bodies")
+                .retry_after(std::time::Duration::from_secs(1))
+        })
+    }
+
+    /// Runs an idempotent call that belongs to no program and whose answer is not streamed.
+    async fn run_plain(&self, accepted: &Accepted) -> Result<Response<AnswerBody>, Refusal> {
+        let mut attempts = Attempts::new(self, &accepted.prepared);
+        loop {
+            let slot = attempts.place().await?;
+            let Some(begun) = attempts.send(slot).await? else { continue };
+            if let Some(answer) = attempts.collect(begun).await? {
+                return Ok(whole_response(answer.status, answer.headers, answer.body));
+            }
+        }
+    }
+
+    fn note_refusal(&self, id: &HeaderValue, refusal: &Refusal) {
+        telemetry::refused(refusal.code.as_str());
+        let quiet = matches!(refusal.code, Code::Unauthorized | Code::NotFound | Code::BadRequest);
+        let level = if quiet || refusal.ran == Ran::No { log::Level::Debug } else { log::Level::Warn };
+        log::log!(
+            level,
+            request_id = id.to_str().unwrap_or_default(),
+            code = refusal.code.as_str(),
+            ran:? = refusal.ran,
+            message = &*refusal.message;
+            "call refused"
+        );
+    }
+}
+
+/// Builds the answer to the caller from a whole answer of an endpoint.
+pub(crate) fn whole_response(
+    status: http::StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body::full(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Paths that this system answers itself.
+pub(crate) enum OwnPath<'a> {
+    /// `GET /v1/models`
+    Models,
+    /// `POST /v1/programs/{id}/finish`
+    Finish(Cow<'a, str>),
+    /// `GET /v1/programs/{id}/history`
+    History(Cow<'a, str>),
+}
+
+impl<'a> OwnPath<'a> {
+    fn find(path: &'a str) -> Option<Self> {
+        if path == "/v1/models" {
+            return Some(Self::Models);
+        }
+        let rest = path.strip_prefix("/v1/programs/")?;
+        if let Some(program) = rest.strip_suffix("/finish") {
+            return Some(Self::Finish(program.into()));
+        }
+        rest.strip_suffix("/history").map(|program| Self::History(program.into()))
+    }
+}
+
+/// What the scheduler needs to know of the call, and whether its answer is streamed.
+fn spec(
+    objects: &ObjectSet,
+    route: &Route,
+    call: &CallHead,
+    credential: Option<&Credential>,
+    body: &Bytes,
+) -> Result<(CallSpec, bool), Refusal> {
+    let root = |p: &super::call::ProgramCall| p.program.split('/').next().unwrap_or("").into();
+    let mut spec = CallSpec {
+        target: Target::Service(route.service.clone().unwrap_or_else(|| "".into())),
+        team: credential.map(|c| c.team.clone()),
+        program: call.program.as_ref().map(root),
+        prefixes: Arc::default(),
+        prompt_tokens: 0,
+        max_output_tokens: 0,
+        max_queue: route.max_queue,
+        deadline: call.deadline,
+    };
+    if route.kind == RouteKind::Service {
+        return Ok((spec, false));
+    }
+    if call.method != Method::POST {
+        return Err(Refusal::not_run(Code::BadRequest, "chat routes take POST only"));
+    }
+    let chat = ChatRequest::read(body)?;
+    let name = route.model.as_deref().or(chat.model.as_deref());
+    let name = name.ok_or_else(|| Refusal::not_run(Code::BadRequest, "`model` is missing"))?;
+    let model = objects
+        .model(name)
+        .or_else(|| objects.models().iter().find(|m| m.aliases.iter().any(|a| **a == *name)))
+        .ok_or_else(|| Refusal::not_run(Code::NotFound, "unknown model"))?;
+    if chat.prompt_tokens > u64::from(model.max_context) {
+        return Err(Refusal::not_run(Code::TooLarge, "the prompt is longer than the model allows"));
+    }
+    let most = u64::from(model.max_output);
+    spec.target = Target::Model(model.name.clone());
+    spec.prompt_tokens = chat.prompt_tokens;
+    spec.max_output_tokens = chat.max_output_tokens.map_or(most, |tokens| tokens.min(most));
+    spec.prefixes = chat.prefixes;
+    Ok((spec, chat.stream))
+}
+
+fn request_id() -> HeaderValue {
+    let id = format!("{:032x}", rand::rng().random::<u128>());
+    HeaderValue::from_maybe_shared(Bytes::from(id)).expect("hexadecimal digits")
+}
--- /dev/null
+++ b/crates/server/src/entry/mod.rs
@@ -0,0 +1,21 @@
+//! The callers' side: HTTP/1.1 and HTTP/2.
+//!
+//! Owns the open calls of this instance. When the instance dies its callers see a closed
+//! connection; the ledger of programs says what became of their calls.
+
+mod attempt;
+mod auth;
+mod body;
+mod call;
+mod chat;
+mod handler;
+mod listener;
+mod program;
+mod refusal;
+mod stream;
+
+pub(crate) use attempt::Parts;
+pub(crate) use body::{RelaySender, Truncated};
+pub(crate) use handler::Entry;
+pub(crate) use listener::Listener;
+pub(crate) use refusal::{Code, Ran, Refusal};
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! One instance of Poplarspan: the HTTP side towards callers, the dispatch to endpoints, the peer
+//! port between instances, and the control duties of instances with a data folder.
+
+mod config;
+mod control;
+mod dispatch;
+mod entry;
+mod instance;
+mod membership;
+mod peer;
+mod supervisor;
+mod telemetry;
+
+pub use config::{ConfigError, InstanceConfig, Limits, TlsFiles};
+pub use instance::{Instance, Running};
+pub use peer::{CallError, Credentials, PeerClient};
--- /dev/null
+++ b/crates/server/src/membership/heartbeat.rs
@@ -0,0 +1,178 @@
+//! Keeps the lease of this instance alive and finds the leader of group 0.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use poplarspan_objects::Name;
+use poplarspan_proto::peer::{self, FailureCode, request, response};
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::{HEARTBEAT_INTERVAL, Membership, SavedObjects};
+use crate::peer::{CallError, PeerClient};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Spread of the heartbeat interval, so that instances started together do not stay in step.
+const JITTER: f64 = 0.1;
+
+/// Where the control replicas are, as far as this instance knows.
+pub(crate) struct Directory {
+    inner: Mutex<DirectoryInner>,
+}
+
+#[derive(Default)]
+struct DirectoryInner {
+    leader: Option<SocketAddr>,
+    candidates: Vec<SocketAddr>,
+    next: usize,
+}
+
+impl Directory {
+    pub(crate) fn new(candidates: Vec<SocketAddr>) -> Self {
+        Self { inner: Mutex::new(DirectoryInner { candidates, ..Default::default() }) }
+    }
+
+    /// The believed leader of group 0, or the next candidate in turn.
+    pub(crate) fn target(&self) -> Option<SocketAddr> {
+        let mut inner = self.inner.lock().expect("no panic while locked");
+        if let Some(leader) = inner.leader {
+            return Some(leader);
+        }
+        let count = inner.candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let i = inner.next % count;
+        inner.next = i + 1;
+        Some(inner.candidates[i])
+    }
+
+    pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
+        self.inner.lock().expect("no panic while locked").leader = leader;
+    }
+
+    /// Control replicas that are known, in no order.
+    pub(crate) fn candidates(&self) -> Vec<SocketAddr> {
+        self.inner.lock().expect("no panic while locked").candidates.clone()
+    }
+
+    /// Adds control replicas that a peer named.
+    pub(crate) fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut inner = self.inner.lock().expect("no panic while locked");
+        for address in addresses {
+            if !inner.candidates.contains(&address) {
+                inner.candidates.push(address);
+            }
+        }
+    }
+
+    /// Notes what a failed call tells about the leader.
+    pub(crate) fn note_failure(&self, error: &CallError) {
+        match error {
+            CallError::Failed(failure) if failure.code() == FailureCode::NotLeader => {
+                self.set_leader(failure.leader_address.parse().ok());
+            }
+            CallError::Failed(_) => {}
+            CallError::Unreachable { .. } | CallError::Unknown { .. } => self.set_leader(None),
+        }
+    }
+}
+
+/// Who this instance is, as told in each heartbeat.
+#[derive(Clone)]
+pub(crate) struct Identity {
+    pub(crate) name: Name,
+    pub(crate) incarnation: u64,
+    pub(crate) zone: Name,
+    pub(crate) peer_address: SocketAddr,
+}
+
+/// The heartbeat task.
+pub(crate) struct Heartbeats {
+    pub(crate) identity: Identity,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) client: PeerClient,
+    pub(crate) saved: Option<SavedObjects>,
+    pub(crate) draining: Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Heartbeats {
+    /// Sends heartbeats until the task is ended.
+    pub(crate) async fn run(self: Arc<Self>) -> anyhow::Result<()> {
+        let mut failures = 0u32;
+        loop {
+            match self.beat().await {
+                Ok(true) => continue,
+                Ok(false) => failures = 0,
+                Err(e) => {
+                    failures += 1;
+                    self.report(failures, &e);
+                }
+            }
+            let spread = rand::rng().random_range(-JITTER..JITTER);
+            // The first retries are quick: most failures are a leader that just changed.
+            let wait = if (1..4).contains(&failures) { HEARTBEAT_INTERVAL / 6 } else { HEARTBEAT_INTERVAL };
+            tokio::time::sleep(wait.mul_f64(1.0 + spread)).await;
+        }
+    }
+
+    /// Sends one heartbeat; true when the leader has more changes ready.
+    async fn beat(&self) -> anyhow::Result<bool> {
+        let Some(target) = self.directory.target() else {
+            anyhow::bail!("no control replica is known");
+        };
+        let sent = Instant::now();
+        let known = self.membership.load();
+        let body = request::Body::Heartbeat(peer::Heartbeat {
+            instance: self.identity.name.to_string(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.to_string(),
+            peer_address: self.identity.peer_address.to_string(),
+            generation: known.generation,
+            epoch: known.view.epoch,
+            crashes: Vec::new(),
+            crash_sequence: 0,
+            draining: self.draining.load(std::sync::atomic::Ordering::Relaxed),
+        });
+        let grant = match self.client.call(target, body, CALL_TIMEOUT).await {
+            Ok(response::Body::Lease(grant)) => grant,
+            Ok(_) => anyhow::bail!("unexpected answer to a heartbeat from {target}"),
+            Err(e) => {
+                self.directory.note_failure(&e);
+                return Err(e.into());
+            }
+        };
+        self.directory.set_leader(Some(target));
+        let more = grant.more;
+        let before = known.generation;
+        self.membership.accept(sent, grant)?;
+        self.save_if_newer(before).await?;
+        Ok(more)
+    }
+
+    async fn save_if_newer(&self, before: u64) -> anyhow::Result<()> {
+        let known = self.membership.load();
+        if known.generation == before {
+            return Ok(());
+        }
+        log::info!(generation = known.generation; "objects in force");
+        metrics::gauge!("poplarspan_generation").set(known.generation as f64);
+        match &self.saved {
+            Some(saved) => saved.save(known.generation, known.objects.clone()).await,
+            None => Ok(()),
+        }
+    }
+
+    fn report(&self, failures: u32, error: &anyhow::Error) {
+        metrics::counter!("poplarspan_heartbeat_failures_total").increment(1);
+        // One line for each outage and one a while after, not three a second.
+        if failures == 4 || failures.is_multiple_of(100) {
+            let error = format!("{error:#}");
+            log::warn!(error = error.as_str(), failures; "heartbeats fail");
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/peer/server.rs
@@ -0,0 +1,114 @@
+//! The peer port: accepts connections and hands calls to the instance.
+
+use std::sync::Arc;
+
+use anyhow::Result;
+use futures::future::BoxFuture;
+use poplarspan_proto::peer::{self, AgreementBatch, FailureCode, request, response};
+
+use super::{frame, tls};
+
+/// What the certificate of a peer allows it to ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// Another instance of the fleet.
+    Instance,
+    /// An operator; each call carries the operator's key as well.
+    Operator,
+}
+
+/// Answers the calls of peers.
+pub(crate) trait PeerService: Send + Sync {
+    /// Carries out one call.
+    fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body>;
+}
+
+/// Receives messages of the replicated log.
+pub(crate) trait AgreementSink: Send + Sync {
+    /// Takes one batch; it may be dropped.
+    fn deliver(&self, batch: AgreementBatch);
+}
+
+/// Accepts the connections of peers.
+pub(crate) struct PeerServer {
+    endpoint: quinn::Endpoint,
+    service: Arc<dyn PeerService>,
+    agreement: Option<Arc<dyn AgreementSink>>,
+}
+
+impl PeerServer {
+    pub(crate) fn new(
+        endpoint: quinn::Endpoint,
+        service: Arc<dyn PeerService>,
+        agreement: Option<Arc<dyn AgreementSink>>,
+    ) -> Self {
+        Self { endpoint, service, agreement }
+    }
+
+    /// Accepts connections until the endpoint is closed.
+    pub(crate) async fn run(self: Arc<Self>) -> Result<()> {
+        while let Some(incoming) = self.endpoint.accept().await {
+            tokio::spawn(self.clone().serve(incoming));
+        }
+        Ok(())
+    }
+
+    async fn serve(self: Arc<Self>, incoming: quinn::Incoming) {
+        let remote = incoming.remote_address();
+        let connection = match incoming.await {
+            Ok(connection) => connection,
+            Err(e) => {
+                let (error, remote) = (e.to_string(), remote.to_string());
+                log::warn!(remote = remote.as_str(), error = error.as_str(); "peer handshake failed");
+                return;
+            }
+        };
+        let role = if tls::is_instance(&connection) { Role::Instance } else { Role::Operator };
+        if role == Role::Instance
+            && let Some(sink) = self.agreement.clone()
+        {
+            tokio::spawn(receive_agreement(connection.clone(), sink));
+        }
+        while let Ok((tx, rx)) = connection.accept_bi().await {
+            tokio::spawn(answer(self.service.clone(), role, tx, rx));
+        }
+    }
+}
+
+async fn answer(
+    service: Arc<dyn PeerService>,
+    role: Role,
+    mut tx: quinn::SendStream,
+    mut rx: quinn::RecvStream,
+) {
+    let body = match frame::read::<peer::Request>(&mut rx).await {
+        Ok(peer::Request { body: Some(body) }) => service.call(role, body).await,
+        Ok(_) => failure(FailureCode::Invalid, "the request has no body known to this version"),
+        Err(e) => failure(FailureCode::Invalid, &e.to_string()),
+    };
+    let sent = frame::write(&mut tx, &peer::Response { body: Some(body) }).await;
+    if sent.is_ok() {
+        // Fails only when the peer has reset the stream and no longer waits.
+        let _ = tx.finish();
+    }
+}
+
+async fn receive_agreement(connection: quinn::Connection, sink: Arc<dyn AgreementSink>) {
+    while let Ok(mut rx) = connection.accept_uni().await {
+        let sink = sink.clone();
+        tokio::spawn(async move {
+            while let Ok(batch) = frame::read::<AgreementBatch>(&mut rx).await {
+                sink.deliver(batch);
+            }
+        });
+    }
+}
+
+/// Builds the answer to a call that could not be carried out.
+pub(crate) fn failure(code: FailureCode, message: &str) -> response::Body {
+    response::Body::Failure(peer::Failure {
+        code: code.into(),
+        message: message.to_owned(),
+        leader_address: String::new(),
+    })
+}
--- /dev/null
+++ b/crates/server/src/peer/tls.rs
@@ -0,0 +1,109 @@
+//! TLS settings of the peer port.
+//!
+//! One authority signs every certificate. The name in a certificate says whether its holder is an
+//! instance or an operator.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::{Context, Result};
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rustls::{
+    RootCertStore,
+    pki_types::{CertificateDer, PrivateKeyDer, ServerName, pem::PemObject},
+    server::WebPkiClientVerifier,
+};
+
+use crate::config::TlsFiles;
+
+/// Version of the protocol between instances, agreed in the TLS handshake.
+const PROTOCOL: &[u8] = b"poplarspan/1";
+/// Subject name in the certificates of instances.
+pub(crate) const INSTANCE_NAME: &str = "instance.poplarspan.internal";
+/// A connection on which nothing arrives for this long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+const KEEP_ALIVE: Duration = Duration::from_millis(800);
+/// Calls that a peer may have open on one connection.
+const MAX_OPEN_CALLS: u32 = 1024;
+const MAX_OPEN_ONE_WAY: u32 = 16;
+
+/// Certificates and key of one process, read from files.
+pub struct Credentials {
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Credentials {
+    /// Reads the files.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be read or holds no certificate or key; the error names the file.
+    pub fn load(files: &TlsFiles) -> Result<Self> {
+        let mut roots = RootCertStore::empty();
+        for certificate in read_certificates(&files.authority)? {
+            roots.add(certificate).with_context(|| format!("{}", files.authority.display()))?;
+        }
+        let chain = read_certificates(&files.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(&files.key)
+            .with_context(|| format!("cannot read a private key from {}", files.key.display()))?;
+        Ok(Self { roots: Arc::new(roots), chain, key })
+    }
+
+    pub(crate) fn server_config(&self) -> Result<quinn::ServerConfig> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(self.roots.clone(), provider.clone())
+                .build()?;
+        let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())?;
+        tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let mut cfg =
+            quinn::ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+        cfg.transport_config(transport());
+        Ok(cfg)
+    }
+
+    pub(crate) fn client_config(&self) -> Result<quinn::ClientConfig> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(self.roots.clone())
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())?;
+        tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let mut cfg = quinn::ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+        cfg.transport_config(transport());
+        Ok(cfg)
+    }
+}
+
+fn read_certificates(path: &std::path::Path) -> Result<Vec<CertificateDer<'static>>> {
+    let read = || -> Result<Vec<_>> {
+        Ok(CertificateDer::pem_file_iter(path)?.collect::<Result<Vec<_>, _>>()?)
+    };
+    let chain =
+        read().with_context(|| format!("cannot read certificates from {}", path.display()))?;
+    anyhow::ensure!(!chain.is_empty(), "{} holds no certificate", path.display());
+    Ok(chain)
+}
+
+fn transport() -> Arc<quinn::TransportConfig> {
+    let mut cfg = quinn::TransportConfig::default();
+    cfg.max_idle_timeout(Some(IDLE_TIMEOUT.try_into().expect("a few seconds fit")));
+    cfg.keep_alive_interval(Some(KEEP_ALIVE));
+    cfg.max_concurrent_bidi_streams(MAX_OPEN_CALLS.into());
+    cfg.max_concurrent_uni_streams(MAX_OPEN_ONE_WAY.into());
+    Arc::new(cfg)
+}
+
+/// Whether the certificate that the peer presented belongs to an instance.
+pub(crate) fn is_instance(connection: &quinn::Connection) -> bool {
+    let Some(identity) = connection.peer_identity() else { return false };
+    let Ok(chain) = identity.downcast::<Vec<CertificateDer<'static>>>() else { return false };
+    let Some(certificate) = chain.first() else { return false };
+    let Ok(end_entity) = webpki::EndEntityCert::try_from(certificate) else { return false };
+    let name = ServerName::try_from(INSTANCE_NAME).expect("a valid name");
+    end_entity.verify_is_valid_for_subject_name(&name).is_ok()
+}
