Add typed objects, checks with positions, records and differences

The server and the ledger are written against these types, so the first version has every public type and signature: check, ObjectSet with its lookups, Record, Change, Digest and Secret.

--- /dev/null
+++ b/crates/objects/src/apply.rs
@@ -0,0 +1,164 @@
+//! Sets from records, differences between sets, and their application.
+
+use std::sync::Arc;
+
+use crate::cross::{Issue, Scope, verify};
+use crate::finding::{Finding, Findings};
+use crate::kind::{Kind, Name};
+use crate::object::{Object, Objects, for_each_kind};
+use crate::record::{Change, Record, decode, encode};
+use crate::set::ObjectSet;
+
+/// Builds a set from records.
+pub(crate) fn from_records(records: &[Record]) -> Result<ObjectSet, Findings> {
+    let mut objects = Objects::default();
+    let mut findings = Vec::new();
+    for_each_kind!(decode_kind(records, &mut objects, &mut findings));
+    // Without the malformed records, references to them would be reported as unknown.
+    Findings::into_result(findings)?;
+    finish(objects, &ObjectSet::default(), Scope::ALL, Vec::new())
+}
+
+fn decode_kind<T: Object>(records: &[Record], objects: &mut Objects, findings: &mut Vec<Finding>) {
+    let mut decoded: Vec<T> = Vec::new();
+    for record in records.iter().filter(|record| record.kind == T::KIND) {
+        match decode(record) {
+            Ok(object) => decoded.push(object),
+            Err(message) => findings.push(finding(record.kind, &record.name, message)),
+        }
+    }
+    decoded.sort_by(|a, b| a.name().cmp(b.name()));
+    *T::of_mut(objects) = Arc::new(decoded);
+}
+
+/// The changes that make `new` from `old`.
+pub(crate) fn diff(old: &Objects, new: &Objects) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for_each_kind!(diff_kind(old, new, &mut changes));
+    changes
+}
+
+fn diff_kind<T: Object>(old: &Objects, new: &Objects, changes: &mut Vec<Change>) {
+    if Arc::ptr_eq(T::of(old), T::of(new)) {
+        return;
+    }
+    let remove = |object: &T| Change::Remove { kind: T::KIND, name: object.name().clone() };
+    let mut old = T::of(old).iter().peekable();
+    for object in T::of(new).iter() {
+        while let Some(gone) = old.next_if(|o| o.name() < object.name()) {
+            changes.push(remove(gone));
+        }
+        let same = old.next_if(|o| o.name() == object.name());
+        if same != Some(object) {
+            changes.push(Change::Upsert(encode(object)));
+        }
+    }
+    changes.extend(old.map(remove));
+}
+
+/// The set after `changes`.
+pub(crate) fn apply(set: &ObjectSet, changes: &[Change]) -> Result<ObjectSet, Findings> {
+    let mut objects = set.objects().clone();
+    let mut findings = Vec::new();
+    let mut scope = Scope::NONE;
+    for_each_kind!(apply_kind(changes, &mut objects, &mut scope, &mut findings));
+    finish(objects, set, scope, findings)
+}
+
+fn apply_kind<T: Object>(
+    changes: &[Change],
+    objects: &mut Objects,
+    scope: &mut Scope,
+    findings: &mut Vec<Finding>,
+) {
+    let mut changes: Vec<_> = changes.iter().filter(|change| change.kind() == T::KIND).collect();
+    if changes.is_empty() {
+        return;
+    }
+    scope.add(T::KIND);
+    changes.sort_by(|a, b| a.name().cmp(b.name()));
+    let old = T::of(objects);
+    let mut merged = Vec::with_capacity(old.len() + changes.len());
+    let mut rest = old.as_slice();
+    for group in changes.chunk_by(|a, b| a.name() == b.name()) {
+        let name = group[0].name();
+        let before = rest.partition_point(|object| object.name() < name);
+        merged.extend_from_slice(&rest[..before]);
+        rest = &rest[before..];
+        let mut current = None;
+        if let Some((first, others)) = rest.split_first()
+            && first.name() == name
+        {
+            current = Some(first.clone());
+            rest = others;
+        }
+        let existed = current.is_some();
+        for change in group {
+            if let Err(message) = replace(change, &mut current) {
+                findings.push(finding(T::KIND, name, message));
+            }
+        }
+        // An endpoint may serve less than before; for other kinds only a removal breaks references.
+        if existed && (current.is_none() || T::KIND == Kind::Endpoint) {
+            scope.add_referrers(T::KIND);
+        }
+        merged.extend(current);
+    }
+    merged.extend_from_slice(rest);
+    *T::of_mut(objects) = Arc::new(merged);
+}
+
+/// Makes one change of an object; a malformed record leaves the object as it was.
+///
+/// # Errors
+///
+/// The message of a finding.
+fn replace<T: Object>(change: &Change, current: &mut Option<T>) -> Result<(), String> {
+    match change {
+        Change::Upsert(record) => *current = Some(decode(record)?),
+        Change::Remove { kind, name } => {
+            if current.take().is_none() {
+                return Err(format!("cannot remove unknown {kind} {name:?}"));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Checks the kinds in `scope` and derives the lookups.
+fn finish(
+    objects: Objects,
+    old: &ObjectSet,
+    scope: Scope,
+    mut findings: Vec<Finding>,
+) -> Result<ObjectSet, Findings> {
+    let index = old.index().update(old.objects(), &objects);
+    for Issue { at, mut message, earlier } in verify(&objects, &index, scope) {
+        if let Some(earlier) = earlier
+            && name_of(&objects, earlier.kind, earlier.index)
+                != name_of(&objects, at.kind, at.index)
+        {
+            let name = name_of(&objects, earlier.kind, earlier.index);
+            message = format!("{message}, see {}/{name}", earlier.kind);
+        }
+        findings.push(finding(at.kind, &name_of(&objects, at.kind, at.index), message));
+    }
+    Findings::into_result(findings)?;
+    Ok(ObjectSet::new(objects, index))
+}
+
+fn name_of(objects: &Objects, kind: Kind, index: usize) -> Name {
+    fn get<T: Object>(objects: &Objects, kind: Kind, index: usize, name: &mut Name) {
+        if T::KIND == kind {
+            name.clone_from(T::of(objects)[index].name());
+        }
+    }
+    let mut name = Name::default();
+    for_each_kind!(get(objects, kind, index, &mut name));
+    name
+}
+
+/// A finding about an object that has no position in a file.
+fn finding(kind: Kind, name: &str, message: String) -> Finding {
+    Finding { file: format!("{kind}/{name}").into(), line: 0, column: 0, message }
+}
--- /dev/null
+++ b/crates/objects/src/nearest.rs
@@ -0,0 +1,41 @@
+//! Suggestions of the name that was probably meant.
+
+/// Most edits between a name and its suggestion.
+const MAX_DISTANCE: usize = 3;
+
+/// The candidate with the fewest edits from `name`, if it is near enough to be meant.
+pub(crate) fn nearest<'a>(
+    name: &str,
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let limit = MAX_DISTANCE.min(name.len() / 2);
+    let mut best = None;
+    for candidate in candidates {
+        let bound = best.map_or(limit, |(_, distance): (&str, usize)| distance.saturating_sub(1));
+        if best.is_some_and(|(_, distance)| distance == 0) {
+            break;
+        }
+        if candidate.len().abs_diff(name.len()) <= bound
+            && let distance = edits(name.as_bytes(), candidate.as_bytes())
+            && distance <= bound
+        {
+            best = Some((candidate, distance));
+        }
+    }
+    best.map(|(candidate, _)| candidate)
+}
+
+/// Levenshtein distance in bytes.
+fn edits(a: &[u8], b: &[u8]) -> usize {
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.iter().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.iter().enumerate() {
+            let substitution = diagonal + usize::from(x != y);
+            diagonal = row[j + 1];
+            row[j + 1] = substitution.min(diagonal + 1).min(row[j] + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/crates/objects/src/read.rs
@@ -0,0 +1,257 @@
+//! Reads each kind of object from its table.
+
+use std::time::Duration;
+
+use crate::kind::{Kind, Name};
+use crate::object::{
+    Budget, Endpoint, Key, Model, NonIdempotent, Object, Operator, Rate, Route, RouteKind, Serves,
+    Team, Zone, ZoneState,
+};
+use crate::secret::Digest;
+use crate::table::Fields;
+use crate::units::{ByteSize, RequestRate, parse_duration};
+
+const DEFAULT_WEIGHT: u32 = 1;
+const DEFAULT_CHAT_TIMEOUT: Duration = Duration::from_secs(300);
+const DEFAULT_SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+const DEFAULT_CHAT_MAX_BODY: ByteSize = ByteSize::from_mib(8);
+const DEFAULT_SERVICE_MAX_BODY: ByteSize = ByteSize::from_mib(1);
+const DEFAULT_MAX_QUEUE: u32 = 1024;
+/// Methods that RFC 9110 does not define as idempotent.
+const DEFAULT_NON_IDEMPOTENT: [&str; 2] = ["PATCH", "POST"];
+
+const DURATION: &str = "a duration such as \"300ms\"";
+const SIZE: &str = "a size such as \"64KiB\"";
+
+/// Reads one kind of object. A field with a finding gets a substitute that passes every rule
+/// about other fields.
+pub(crate) trait Read: Object {
+    /// Names of the fields.
+    const FIELDS: &'static [&'static str];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self;
+}
+
+impl Read for Team {
+    const FIELDS: &'static [&'static str] = &["name", "rate", "budget", "weight"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        Self {
+            name: fields.require_text("name"),
+            rate: fields.require_text("rate"),
+            budget: fields.optional_name("budget"),
+            weight: fields.count("weight").unwrap_or(DEFAULT_WEIGHT),
+        }
+    }
+}
+
+impl Read for Key {
+    const FIELDS: &'static [&'static str] = &["name", "team", "digest"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        Self {
+            name: fields.require_text("name"),
+            team: fields.require_text("team"),
+            digest: read_digest(fields),
+        }
+    }
+}
+
+/// A digest. Whatever starts like a secret is reported as one, and never repeated.
+fn read_digest(fields: &mut Fields<'_, '_>) -> Digest {
+    if !fields.has("digest") {
+        fields.fail("digest", None, "missing field `digest`".into());
+    }
+    let text = fields.text("digest", "a string").unwrap_or_default();
+    let substitute = Digest::from_bytes([0; 32]);
+    if fields.is_bad("digest") {
+        return substitute;
+    }
+    text.parse().unwrap_or_else(|err| {
+        let message = if text.starts_with("ps_") {
+            "plaintext secret in `digest`; publish only its digest".to_owned()
+        } else {
+            format!("`digest`: {err}")
+        };
+        fields.fail("digest", None, message);
+        substitute
+    })
+}
+
+impl Read for Rate {
+    const FIELDS: &'static [&'static str] = &["name", "rate", "burst"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        Self {
+            name: fields.require_text("name"),
+            rate: fields
+                .require_parsed("rate", "a rate such as \"50/s\"")
+                .unwrap_or(RequestRate::from_milli_per_second(1000)),
+            burst: fields.require_count("burst").unwrap_or(1),
+        }
+    }
+}
+
+impl Read for Route {
+    const FIELDS: &'static [&'static str] = &[
+        "name",
+        "path",
+        "kind",
+        "model",
+        "service",
+        "open",
+        "non_idempotent",
+        "timeout",
+        "max_body",
+        "max_queue",
+    ];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        let kinds = [("chat", RouteKind::Chat), ("service", RouteKind::Service)];
+        let name = fields.require_text("name");
+        let path = fields.require_text("path");
+        let kind = fields.word("kind", &kinds).unwrap_or(if fields.has("service") {
+            RouteKind::Service
+        } else {
+            RouteKind::Chat
+        });
+        let (timeout, max_body) = match kind {
+            RouteKind::Chat => (DEFAULT_CHAT_TIMEOUT, DEFAULT_CHAT_MAX_BODY),
+            RouteKind::Service => (DEFAULT_SERVICE_TIMEOUT, DEFAULT_SERVICE_MAX_BODY),
+        };
+        Self {
+            name,
+            path,
+            kind,
+            model: fields.optional_name("model"),
+            service: fields.optional_name("service"),
+            open: fields.flag("open"),
+            non_idempotent: read_non_idempotent(fields, kind),
+            timeout: fields.parsed_with("timeout", DURATION, parse_duration).unwrap_or(timeout),
+            max_body: fields.parsed("max_body", SIZE).unwrap_or(max_body),
+            max_queue: fields.count("max_queue").unwrap_or(DEFAULT_MAX_QUEUE),
+        }
+    }
+}
+
+fn read_non_idempotent(fields: &mut Fields<'_, '_>, kind: RouteKind) -> NonIdempotent {
+    match (fields.flag_or_list("non_idempotent"), kind) {
+        (Some(Ok(true)), _) => NonIdempotent::All,
+        (Some(Ok(false)), _) | (None, RouteKind::Chat) => NonIdempotent::None,
+        (Some(Err(methods)), _) if methods.is_empty() => NonIdempotent::None,
+        (Some(Err(methods)), _) => NonIdempotent::Methods(methods),
+        (None, RouteKind::Service) => {
+            NonIdempotent::Methods(DEFAULT_NON_IDEMPOTENT.map(Into::into).into())
+        }
+    }
+}
+
+impl Read for Endpoint {
+    const FIELDS: &'static [&'static str] = &[
+        "name",
+        "zone",
+        "address",
+        "models",
+        "service",
+        "capacity",
+        "cold_capacity",
+        "ramp",
+        "fencing",
+        "leaving",
+    ];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        let name = fields.require_text("name");
+        let zone = fields.require_text("zone");
+        let address = fields
+            .require_parsed("address", "an address such as \"127.0.0.1:9000\"")
+            .unwrap_or_else(|| ([127, 0, 0, 1], 1).into());
+        let serves = read_serves(fields);
+        let capacity = fields.require_count("capacity");
+        let cold_capacity = fields.count("cold_capacity");
+        Self {
+            name,
+            zone,
+            address,
+            serves,
+            capacity: capacity.unwrap_or(u32::MAX),
+            cold_capacity: cold_capacity.or(capacity).unwrap_or(1),
+            ramp: fields.parsed_with("ramp", DURATION, parse_duration).unwrap_or_default(),
+            fencing: fields.flag("fencing"),
+            leaving: fields.flag("leaving"),
+        }
+    }
+}
+
+fn read_serves(fields: &mut Fields<'_, '_>) -> Serves {
+    let has_models = fields.has("models");
+    let models: Vec<Name> = fields.list("models").unwrap_or_default();
+    match (has_models, fields.optional_name("service")) {
+        (false, Some(service)) => Serves::Service(service),
+        (true, None) => Serves::Models(models),
+        (true, Some(_)) => {
+            let message = "an endpoint has either `models` or `service`, not both".into();
+            fields.fail("service", None, message);
+            Serves::Models(models)
+        }
+        (false, None) => {
+            fields.fail("models", None, "missing field `models` or `service`".into());
+            Serves::Models(models)
+        }
+    }
+}
+
+impl Read for Model {
+    const FIELDS: &'static [&'static str] =
+        &["name", "max_context", "max_output", "version", "aliases"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        Self {
+            name: fields.require_text("name"),
+            max_context: fields.require_count("max_context").unwrap_or(u64::MAX),
+            max_output: fields.require_count("max_output").unwrap_or(1),
+            version: fields.require_text("version"),
+            aliases: fields.list("aliases").unwrap_or_default(),
+        }
+    }
+}
+
+impl Read for Zone {
+    const FIELDS: &'static [&'static str] = &["name", "state"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        let states = [("in", ZoneState::In), ("out", ZoneState::Out)];
+        Self {
+            name: fields.require_text("name"),
+            state: fields.word("state", &states).unwrap_or(ZoneState::In),
+        }
+    }
+}
+
+impl Read for Budget {
+    const FIELDS: &'static [&'static str] = &["name", "tokens", "turns", "lifetime"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        let name = fields.require_text("name");
+        let tokens = fields.require_count("tokens").unwrap_or(1);
+        let turns = fields.require_count("turns").unwrap_or(1);
+        if !fields.has("lifetime") {
+            fields.fail("lifetime", None, "missing field `lifetime`".into());
+        }
+        let lifetime = fields.parsed_with("lifetime", DURATION, parse_duration);
+        Self { name, tokens, turns, lifetime: lifetime.unwrap_or(Duration::from_secs(1)) }
+    }
+}
+
+impl Read for Operator {
+    const FIELDS: &'static [&'static str] = &["name", "digest"];
+
+    fn read(fields: &mut Fields<'_, '_>) -> Self {
+        Self { name: fields.require_text("name"), digest: read_digest(fields) }
+    }
+}
+
+/// The kind that a top-level key names, when it is written as a table array.
+pub(crate) fn kind_of(key: &str) -> Option<Kind> {
+    key.parse().ok()
+}
--- /dev/null
+++ b/crates/objects/src/record.rs
@@ -0,0 +1,80 @@
+//! Records and changes: the form in which objects travel between instances.
+
+use bytes::Bytes;
+
+use crate::kind::{Kind, Name};
+use crate::object::Object;
+
+/// One object in its transferable form.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Record {
+    /// Kind of the object.
+    pub kind: Kind,
+    /// Name of the object.
+    pub name: Name,
+    /// The object as canonical JSON: fields in declared order, no white space, defaults written.
+    pub body: Bytes,
+}
+
+/// One difference between two sets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Change {
+    /// Adds the object or replaces the object of the same kind and name.
+    Upsert(Record),
+    /// Removes the object.
+    Remove {
+        /// Kind of the object.
+        kind: Kind,
+        /// Name of the object.
+        name: Name,
+    },
+}
+
+impl Change {
+    /// Kind of the object that changes.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Upsert(record) => record.kind,
+            Self::Remove { kind, .. } => *kind,
+        }
+    }
+
+    /// Name of the object that changes.
+    pub fn name(&self) -> &Name {
+        match self {
+            Self::Upsert(record) => &record.name,
+            Self::Remove { name, .. } => name,
+        }
+    }
+}
+
+/// Encodes an object.
+pub(crate) fn encode<T: Object>(object: &T) -> Record {
+    // Object types hold only strings, integers, booleans and sequences of them, which always
+    // have a JSON form.
+    let body = serde_json::to_vec(object).expect("an object has a JSON form");
+    Record { kind: T::KIND, name: object.name().clone(), body: body.into() }
+}
+
+/// Decodes an object and compares its name with the record's.
+///
+/// # Errors
+///
+/// The message of a finding.
+pub(crate) fn decode<T: Object>(record: &Record) -> Result<T, String> {
+    let object: T = serde_json::from_slice(&record.body)
+        .map_err(|err| format!("malformed {} record: {err}", record.kind))?;
+    if object.name() != &record.name {
+        return Err(format!("the record's body names another {}", record.kind));
+    }
+    Ok(object)
+}
+
+/// Feeds a record to a hasher. Each part is preceded by its length, so that no two sequences of
+/// records feed the same bytes.
+pub(crate) fn hash(record: &Record, hasher: &mut blake3::Hasher) {
+    for part in [record.kind.as_str().as_bytes(), record.name.as_bytes(), &record.body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+}
--- /dev/null
+++ b/crates/objects/src/set.rs
@@ -0,0 +1,205 @@
+//! The checked set and its lookups.
+
+use subtle::ConstantTimeEq;
+
+use crate::finding::Findings;
+use crate::index::{Index, positions, stem};
+use crate::kind::{Kind, Name};
+use crate::local::MAX_PATH_BYTES;
+use crate::object::{
+    Budget, Endpoint, Key, Model, Object, Objects, Operator, Rate, Route, RouteKind, Team, Zone,
+    for_each_kind,
+};
+use crate::record::{Change, Record, encode};
+use crate::secret::Digest;
+use crate::{apply, record};
+
+/// A set of objects without findings. Immutable; a clone is cheap.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ObjectSet {
+    objects: Objects,
+    index: Index,
+}
+
+macro_rules! accessors {
+    ($($ty:ident $one:ident $all:ident $what:literal),* $(,)?) => {$(
+        #[doc = concat!("The ", $what, " with this name.")]
+        pub fn $one(&self, name: &str) -> Option<&$ty> {
+            self.objects.find(name)
+        }
+
+        #[doc = concat!("All ", $what, " objects, sorted by name.")]
+        pub fn $all(&self) -> &[$ty] {
+            &self.objects.$all
+        }
+    )*};
+}
+
+impl ObjectSet {
+    accessors!(
+        Team team teams "team",
+        Key key keys "key",
+        Rate rate rates "rate",
+        Route route routes "route",
+        Endpoint endpoint endpoints "endpoint",
+        Model model models "model",
+        Zone zone zones "zone",
+        Budget budget budgets "budget",
+        Operator operator operators "operator",
+    );
+
+    pub(crate) fn new(objects: Objects, index: Index) -> Self {
+        Self { objects, index }
+    }
+
+    pub(crate) fn objects(&self) -> &Objects {
+        &self.objects
+    }
+
+    pub(crate) fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// The key with this digest.
+    ///
+    /// The search ends at the only candidate, which is compared in constant time. The search
+    /// itself depends on the digest of what the caller presented, from which neither a stored
+    /// digest nor a secret can be derived.
+    pub fn key_by_digest(&self, digest: &Digest) -> Option<&Key> {
+        find_digest(&self.index.key_digests, digest).map(|i| &self.objects.keys[i])
+    }
+
+    /// The operator with this digest; see [`Self::key_by_digest`].
+    pub fn operator_by_digest(&self, digest: &Digest) -> Option<&Operator> {
+        find_digest(&self.index.operator_digests, digest).map(|i| &self.objects.operators[i])
+    }
+
+    /// The route for a request's path, which has no query.
+    ///
+    /// A chat route matches its exact path. A service route matches its path and all paths below
+    /// it, in whole segments: `/orders` matches `/orders/7`, but not `/orders-old`. The longest
+    /// matching path wins.
+    pub fn route_for(&self, path: &str) -> Option<&Route> {
+        let paths = &self.index.route_paths;
+        let mut candidate = stem(path);
+        loop {
+            if candidate.len() <= MAX_PATH_BYTES
+                && let Ok(i) = paths.binary_search_by(|(p, _)| p.as_ref().cmp(candidate))
+            {
+                let route = &self.objects.routes[paths[i].1 as usize];
+                if route.kind == RouteKind::Service || route.path.as_ref() == path {
+                    return Some(route);
+                }
+            }
+            candidate = &candidate[..candidate.rfind('/')?];
+        }
+    }
+
+    /// The model with this name or alias.
+    pub fn resolve_model(&self, name: &str) -> Option<&Model> {
+        self.model(name).or_else(|| {
+            let i = positions(&self.index.model_aliases, name).next()?;
+            Some(&self.objects.models[i])
+        })
+    }
+
+    /// The endpoints that serve the model with this name or alias, sorted by name.
+    ///
+    /// Endpoints that are leaving or in a zone that is out are included.
+    pub fn endpoints_for_model(&self, model: &str) -> impl ExactSizeIterator<Item = &Endpoint> {
+        let name = self.resolve_model(model).map_or(model, |m| m.name.as_ref());
+        positions(&self.index.endpoint_models, name).map(|i| &self.objects.endpoints[i])
+    }
+
+    /// The endpoints that serve the service with this name, sorted by name.
+    ///
+    /// Endpoints that are leaving or in a zone that is out are included.
+    pub fn endpoints_for_service(&self, service: &str) -> impl ExactSizeIterator<Item = &Endpoint> {
+        positions(&self.index.endpoint_services, service).map(|i| &self.objects.endpoints[i])
+    }
+
+    /// Number of objects of all kinds.
+    pub fn len(&self) -> usize {
+        fn add<T: Object>(objects: &Objects, len: &mut usize) {
+            *len += T::of(objects).len();
+        }
+        let mut len = 0;
+        for_each_kind!(add(&self.objects, &mut len));
+        len
+    }
+
+    /// Whether the set has no objects.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// All objects as records, sorted by kind and name.
+    pub fn records(&self) -> Vec<Record> {
+        fn add<T: Object>(objects: &Objects, records: &mut Vec<Record>) {
+            records.extend(T::of(objects).iter().map(encode));
+        }
+        let mut records = Vec::with_capacity(self.len());
+        for_each_kind!(add(&self.objects, &mut records));
+        records
+    }
+
+    /// The record of one object.
+    pub fn record(&self, kind: Kind, name: &str) -> Option<Record> {
+        fn get<T: Object>(objects: &Objects, kind: Kind, name: &str, found: &mut Option<Record>) {
+            if T::KIND == kind {
+                *found = objects.find::<T>(name).map(encode);
+            }
+        }
+        let mut found = None;
+        for_each_kind!(get(&self.objects, kind, name, &mut found));
+        found
+    }
+
+    /// Builds a set from records in any order and checks it like files.
+    ///
+    /// # Errors
+    ///
+    /// All findings; the file of each is `kind/name` of the object.
+    pub fn from_records(records: &[Record]) -> Result<Self, Findings> {
+        apply::from_records(records)
+    }
+
+    /// The changes that make `newer` from this set, sorted by kind and name.
+    pub fn diff(&self, newer: &Self) -> Vec<Change> {
+        apply::diff(&self.objects, &newer.objects)
+    }
+
+    /// The set after `changes`, which take effect in their order.
+    ///
+    /// The cost is linear in the kinds that change and in the kinds that refer to something
+    /// removed; all other kinds are shared with this set and not checked again.
+    ///
+    /// # Errors
+    ///
+    /// All findings, among them removals of objects that do not exist. The file of each is
+    /// `kind/name` of the object.
+    pub fn apply(&self, changes: &[Change]) -> Result<Self, Findings> {
+        apply::apply(self, changes)
+    }
+
+    /// BLAKE3 digest over the records: equal sets have equal digests on every instance.
+    pub fn content_digest(&self) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new();
+        for record in self.records() {
+            record::hash(&record, &mut hasher);
+        }
+        *hasher.finalize().as_bytes()
+    }
+
+    /// The name of the team that the secret's key belongs to, if there is such a key.
+    pub fn team_of_secret(&self, secret: &str) -> Option<&Name> {
+        self.key_by_digest(&Digest::of_secret(secret)).map(|key| &key.team)
+    }
+}
+
+/// Index of the object with this digest.
+fn find_digest(table: &[(Digest, u32)], digest: &Digest) -> Option<usize> {
+    let i = table.partition_point(|(d, _)| d < digest);
+    let (found, index) = table.get(i)?;
+    bool::from(found.as_bytes().ct_eq(digest.as_bytes())).then_some(*index as usize)
+}
--- /dev/null
+++ b/crates/objects/src/source.rs
@@ -0,0 +1,187 @@
+//! Checks TOML files as one set.
+
+use std::mem;
+use std::sync::Arc;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use crate::cross::{Issue, Scope, verify};
+use crate::finding::{Finding, Findings};
+use crate::index::Index;
+use crate::kind::Kind;
+use crate::object::{Objects, for_each_kind};
+use crate::origin::{Lines, Origin};
+use crate::read::{Read, kind_of};
+use crate::set::ObjectSet;
+use crate::table::{Fields, FileFinding, hint, quote, type_name};
+
+/// Version of the format that [`check`] reads.
+const FORMAT: &str = "1";
+
+/// One file of a set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Path of the file, as findings show it.
+    pub path: Arc<str>,
+    /// Its text.
+    pub text: String,
+}
+
+impl Source {
+    /// A file with its text.
+    pub fn new(path: impl Into<Arc<str>>, text: impl Into<String>) -> Self {
+        Self { path: path.into(), text: text.into() }
+    }
+}
+
+/// Checks files as one set.
+///
+/// # Errors
+///
+/// All findings of all files, sorted by file, line and column.
+pub fn check(sources: &[Source]) -> Result<ObjectSet, Findings> {
+    let lines: Vec<_> = sources.iter().map(Lines::new).collect();
+    let mut reader = Reader::default();
+    let mut findings = Vec::new();
+    for (file, source) in sources.iter().enumerate() {
+        reader.read_file(file, &source.text);
+        let found = mem::take(&mut reader.findings);
+        findings.extend(found.into_iter().map(|(at, message)| lines[file].finding(at, message)));
+    }
+    for_each_kind!(sort_kind(&mut reader));
+    let Reader { objects, origins, .. } = reader;
+    let index = Index::build(&objects);
+    for issue in verify(&objects, &index, Scope::ALL) {
+        findings.extend(locate(issue, &origins, &lines));
+    }
+    Findings::into_result(findings)?;
+    Ok(ObjectSet::new(objects, index))
+}
+
+/// The finding for an issue; `None` if it is about a field that already has one.
+fn locate(issue: Issue, origins: &Origins, lines: &[Lines<'_>]) -> Option<Finding> {
+    let origin = &origins[issue.at.kind as usize][issue.at.index];
+    if origin.bad.contains(&issue.at.field) {
+        return None;
+    }
+    let mut message = issue.message;
+    if let Some(at) = issue.earlier {
+        let earlier = &origins[at.kind as usize][at.index];
+        if earlier.bad.contains(&at.field) {
+            return None;
+        }
+        let offset = earlier.offset(at.field, at.element);
+        message = format!("{message}, see {}", lines[earlier.file].describe(offset));
+    }
+    let offset = origin.offset(issue.at.field, issue.at.element);
+    Some(lines[origin.file].finding(offset, message))
+}
+
+/// Where the objects of each kind were written, parallel to the objects.
+type Origins = [Vec<Origin>; Kind::ALL.len()];
+
+/// Collects the objects of all files.
+#[derive(Default)]
+struct Reader {
+    objects: Objects,
+    origins: Origins,
+    /// Findings of the current file.
+    findings: Vec<FileFinding>,
+}
+
+impl Reader {
+    fn read_file(&mut self, file: usize, text: &str) {
+        let (root, errors) = DeTable::parse_recoverable(text);
+        for err in errors {
+            let at = err.span().map_or(0, |span| span.start);
+            self.findings.push((at, format!("malformed TOML: {}", err.message())));
+        }
+        let root = root.get_ref();
+        self.read_format(root);
+        for (key, value) in root {
+            let name = key.get_ref().as_ref();
+            if name == "format" {
+                continue;
+            }
+            let at = key.span().start;
+            match kind_of(name) {
+                Some(kind) => self.read_tables(kind, file, value),
+                None => {
+                    let hint = hint(name, Kind::ALL.map(Kind::as_str));
+                    self.findings.push((at, format!("unknown object kind {}{hint}", quote(name))));
+                }
+            }
+        }
+    }
+
+    fn read_format(&mut self, root: &DeTable<'_>) {
+        let Some(value) = root.get("format") else {
+            self.findings.push((0, format!("missing `format = {FORMAT}`")));
+            return;
+        };
+        let at = value.span().start;
+        match value.get_ref().as_integer() {
+            Some(integer) if integer.as_str() == FORMAT && integer.radix() == 10 => {}
+            Some(_) => {
+                let message = format!("unsupported format; this version reads format {FORMAT}");
+                self.findings.push((at, message));
+            }
+            None => {
+                let found = type_name(value.get_ref());
+                let message = format!("`format` must be the integer {FORMAT}, not {found}");
+                self.findings.push((at, message));
+            }
+        }
+    }
+
+    fn read_tables(&mut self, kind: Kind, file: usize, value: &Spanned<DeValue<'_>>) {
+        let Some(array) = value.get_ref().as_array() else {
+            let found = type_name(value.get_ref());
+            let message = format!("`{kind}` must be written as `[[{kind}]]`, not as {found}");
+            self.findings.push((value.span().start, message));
+            return;
+        };
+        for element in array.iter() {
+            let at = element.span().start;
+            match element.get_ref().as_table() {
+                Some(table) => {
+                    for_each_kind!(read_table(self, kind, file, at, table));
+                }
+                None => {
+                    let found = type_name(element.get_ref());
+                    let message = format!("`{kind}` must be a table, not {found}");
+                    self.findings.push((at, message));
+                }
+            }
+        }
+    }
+}
+
+fn read_table<T: Read>(
+    reader: &mut Reader,
+    kind: Kind,
+    file: usize,
+    at: usize,
+    table: &DeTable<'_>,
+) {
+    if T::KIND != kind {
+        return;
+    }
+    let mut fields = Fields::new(table, file, at, &mut reader.findings);
+    let object = T::read(&mut fields);
+    let origin = fields.finish(T::FIELDS);
+    Arc::make_mut(T::of_mut(&mut reader.objects)).push(object);
+    reader.origins[kind as usize].push(origin);
+}
+
+/// Sorts the objects of one kind by name, duplicates in the order in which they were written.
+fn sort_kind<T: Read>(reader: &mut Reader) {
+    let objects = mem::take(Arc::make_mut(T::of_mut(&mut reader.objects)));
+    let origins = mem::take(&mut reader.origins[T::KIND as usize]);
+    let mut pairs: Vec<_> = objects.into_iter().zip(origins).collect();
+    pairs.sort_by(|(a, _), (b, _)| a.name().cmp(b.name()));
+    let (objects, origins) = pairs.into_iter().unzip();
+    *T::of_mut(&mut reader.objects) = Arc::new(objects);
+    reader.origins[T::KIND as usize] = origins;
+}
