--- /dev/null
+++ b/crates/ledger/src/catalog.rs
@@ -0,0 +1,201 @@
+//! Group 0: the object set, the results of publications, and the registered instances.
+//!
+//! The state belongs to the replicated log of group 0. When its leader fails, another voter goes on
+//! with the same state, so that no acknowledged publication is lost.
+
+mod instances;
+mod publish;
+mod snapshot;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, OnceLock},
+};
+
+use bytes::Bytes;
+use poplarspan_proto::ledger::{
+    CatalogAnswer, CatalogCommand, Groups, Invalid, ObjectChange, catalog_answer::Answer,
+    catalog_command::Command,
+};
+use prost::Message;
+
+use self::{
+    instances::Instances,
+    publish::{Recent, Results},
+};
+use crate::error::RestoreError;
+
+pub use self::instances::View;
+
+/// One object of the set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Kind of the object, such as `team`.
+    pub kind: Arc<str>,
+    /// Name, unique within the kind.
+    pub name: Arc<str>,
+    /// Canonical form.
+    pub body: Bytes,
+}
+
+/// What an instance needs in order to reach the current generation.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Changes {
+    /// The changes since the instance's generation, at most one per object.
+    Deltas {
+        /// The current generation.
+        generation: u64,
+        /// Sorted by kind and name.
+        changes: Vec<ObjectChange>,
+    },
+    /// The whole set, because the instance's generation is too old or unknown.
+    FullSet {
+        /// The current generation.
+        generation: u64,
+        /// Sorted by kind and name.
+        objects: Arc<[Object]>,
+    },
+}
+
+type ObjectKey = (Arc<str>, Arc<str>);
+
+/// The state machine of group 0.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    index: u64,
+    now_ms: u64,
+    generation: u64,
+    objects: BTreeMap<ObjectKey, Bytes>,
+    /// The current set as a list, built when it is first asked for.
+    full_set: OnceLock<Arc<[Object]>>,
+    recent: Recent,
+    results: Results,
+    instances: Instances,
+    groups: u32,
+}
+
+impl Catalog {
+    /// An empty catalog at generation 0.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies the entry at `index`, a [`CatalogCommand`], and returns a [`CatalogAnswer`]. A
+    /// malformed command is answered as invalid and changes nothing.
+    pub fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        self.index = index;
+        let answer = match CatalogCommand::decode(data) {
+            Ok(CatalogCommand { now_ms, command: Some(command) }) => match check(&command) {
+                Ok(()) => self.execute(now_ms, command),
+                Err(message) => invalid(message),
+            },
+            Ok(_) => invalid("command is missing or unknown"),
+            Err(_) => invalid("command is not decodable"),
+        };
+        CatalogAnswer { answer: Some(answer) }.encode_to_vec().into()
+    }
+
+    fn execute(&mut self, now_ms: u64, command: Command) -> Answer {
+        self.now_ms = self.now_ms.max(now_ms);
+        match command {
+            Command::Publish(publish) => self.publish(publish),
+            Command::RegisterInstance(register) => self.instances.register(register),
+            Command::InstanceGone(gone) => self.instances.remove(gone, self.now_ms),
+            Command::FixGroups(fix) => {
+                if self.groups == 0 {
+                    self.groups = fix.groups;
+                }
+                Answer::Groups(Groups { groups: self.groups })
+            }
+        }
+    }
+
+    /// The whole state, from which [`Self::restore`] makes an equal one.
+    pub fn snapshot(&self) -> Bytes {
+        self.to_message().encode_to_vec().into()
+    }
+
+    /// Replaces the state by that of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and keeps the state, if `snapshot` is not a valid snapshot.
+    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        *self = Self::from_message(Message::decode(snapshot)?)?;
+        Ok(())
+    }
+
+    /// Index of the last entry applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// The current generation; 0 before the first publication.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Number of program groups; 0 until it is fixed.
+    pub fn groups(&self) -> u32 {
+        self.groups
+    }
+
+    /// The object of this kind and name.
+    pub fn object(&self, kind: &str, name: &str) -> Option<&Bytes> {
+        self.objects.get(&(kind.into(), name.into()))
+    }
+
+    /// The current set, sorted by kind and name.
+    pub fn objects(&self) -> Arc<[Object]> {
+        let list = || {
+            let object = |((kind, name), body): (&ObjectKey, &Bytes)| Object {
+                kind: kind.clone(),
+                name: name.clone(),
+                body: body.clone(),
+            };
+            self.objects.iter().map(object).collect()
+        };
+        self.full_set.get_or_init(list).clone()
+    }
+
+    /// What an instance at `generation` needs in order to reach the current one.
+    pub fn changes_since(&self, generation: u64) -> Changes {
+        match self.recent.since(generation, self.generation) {
+            Some(changes) if changes.is_empty() || changes.len() < self.objects.len() => {
+                Changes::Deltas { generation: self.generation, changes }
+            }
+            _ => Changes::FullSet { generation: self.generation, objects: self.objects() },
+        }
+    }
+
+    /// The registered instances and their epoch.
+    pub fn view(&self) -> View {
+        self.instances.view()
+    }
+}
+
+impl PartialEq for Catalog {
+    fn eq(&self, other: &Self) -> bool {
+        self.to_message() == other.to_message()
+    }
+}
+
+fn check(command: &Command) -> Result<(), &'static str> {
+    use crate::names::is_name;
+    let ok = match command {
+        Command::Publish(publish) => {
+            let change_ok = |change: &ObjectChange| is_name(&change.kind) && is_name(&change.name);
+            is_name(&publish.request_id)
+                && is_name(&publish.operator)
+                && publish.changes.iter().all(change_ok)
+        }
+        Command::RegisterInstance(register) => is_name(&register.instance),
+        Command::InstanceGone(gone) => is_name(&gone.instance),
+        Command::FixGroups(fix) => fix.groups > 0,
+    };
+    if ok { Ok(()) } else { Err("a name is empty or too long, or a count is 0") }
+}
+
+fn invalid(message: &str) -> Answer {
+    Answer::Invalid(Invalid { message: message.into() })
+}
--- /dev/null
+++ b/crates/ledger/src/catalog/instances.rs
@@ -0,0 +1,65 @@
+//! Registered instances. An incarnation that was declared gone never returns.
+
+use std::collections::BTreeMap;
+
+use poplarspan_proto::ledger::{
+    GoneInstance, InstanceGone, InstanceRemoved, RegisterInstance, Registered, StaleIncarnation,
+    catalog_answer::Answer,
+};
+
+/// How long a gone incarnation is remembered; no message of it is under way for so long.
+const KEPT_GONE_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// The registered instances at one epoch.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// Rises with each change of the instances.
+    pub epoch: u64,
+    /// Sorted by name.
+    pub instances: Vec<RegisterInstance>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Instances {
+    pub(super) epoch: u64,
+    pub(super) live: BTreeMap<String, RegisterInstance>,
+    pub(super) gone: BTreeMap<String, GoneInstance>,
+}
+
+impl Instances {
+    pub(super) fn register(&mut self, register: RegisterInstance) -> Answer {
+        let after_gone = self.gone.get(&register.instance).map(|g| g.incarnation.saturating_add(1));
+        let live = self.live.get(&register.instance);
+        let lowest = after_gone.max(live.map(|l| l.incarnation)).unwrap_or(0);
+        if register.incarnation < lowest {
+            return Answer::StaleIncarnation(StaleIncarnation { lowest_incarnation: lowest });
+        }
+        if live != Some(&register) {
+            self.live.insert(register.instance.clone(), register);
+            self.epoch += 1;
+        }
+        Answer::Registered(Registered { epoch: self.epoch })
+    }
+
+    pub(super) fn remove(&mut self, gone: InstanceGone, now_ms: u64) -> Answer {
+        self.gone.retain(|_, g| now_ms.saturating_sub(g.at_ms) < KEPT_GONE_MS);
+        let InstanceGone { instance, incarnation } = gone;
+        if self.live.get(&instance).is_some_and(|live| live.incarnation <= incarnation) {
+            self.live.remove(&instance);
+            self.epoch += 1;
+        }
+        let known = self.gone.get(&instance).map_or(0, |g| g.incarnation);
+        let mark = GoneInstance {
+            instance: instance.clone(),
+            incarnation: incarnation.max(known),
+            at_ms: now_ms,
+            gone: true,
+        };
+        self.gone.insert(instance, mark);
+        Answer::InstanceRemoved(InstanceRemoved { epoch: self.epoch })
+    }
+
+    pub(super) fn view(&self) -> View {
+        View { epoch: self.epoch, instances: self.live.values().cloned().collect() }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/catalog/publish.rs
@@ -0,0 +1,167 @@
+//! Publications: compare-and-set on the generation, and results kept for resends.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use poplarspan_proto::ledger::{
+    CatalogAnswer, GenerationConflict, ObjectChange, Publication, PublicationResult, Publish,
+    Published, RequestMismatch, catalog_answer::Answer,
+};
+use prost::Message;
+
+use super::Catalog;
+
+/// Results kept whatever their age.
+const KEPT_RESULTS: usize = 10_000;
+/// Results younger than this are kept whatever their number.
+const KEPT_RESULTS_MS: u64 = 24 * 60 * 60 * 1000;
+/// Publications whose changes are kept. At 3,300 a day this is about a day.
+const KEPT_PUBLICATIONS: usize = 4096;
+/// Size of all kept changes. Beyond it an instance is sent the whole set, which is of this order
+/// for 30,000 teams.
+const KEPT_CHANGES_BYTES: usize = 16 << 20;
+
+impl Catalog {
+    pub(super) fn publish(&mut self, publish: Publish) -> Answer {
+        let digest = *blake3::hash(&publish.encode_to_vec()).as_bytes();
+        if let Some(result) = self.results.get(&publish.request_id) {
+            if result.digest[..] != digest {
+                return Answer::RequestMismatch(RequestMismatch {});
+            }
+            let first = CatalogAnswer::decode(&result.answer[..]).ok().and_then(|a| a.answer);
+            return first.unwrap_or_else(|| super::invalid("stored result is not decodable"));
+        }
+        let request_id = publish.request_id.clone();
+        let answer = if publish.expected_generation == self.generation {
+            self.accept(publish)
+        } else {
+            self.conflict(publish.expected_generation)
+        };
+        let encoded = CatalogAnswer { answer: Some(answer.clone()) }.encode_to_vec();
+        self.results.add(PublicationResult {
+            request_id,
+            at_ms: self.now_ms,
+            digest: digest.to_vec().into(),
+            answer: encoded.into(),
+        });
+        self.results.trim(self.now_ms);
+        answer
+    }
+
+    fn accept(&mut self, publish: Publish) -> Answer {
+        self.generation += 1;
+        for change in &publish.changes {
+            let key = (Arc::from(change.kind.as_str()), Arc::from(change.name.as_str()));
+            match &change.body {
+                Some(body) => self.objects.insert(key, body.clone()),
+                None => self.objects.remove(&key),
+            };
+        }
+        self.full_set.take();
+        self.recent.add(Publication {
+            generation: self.generation,
+            operator: publish.operator,
+            changes: publish.changes,
+        });
+        Answer::Published(Published { generation: self.generation })
+    }
+
+    /// Names the publication that took the place of the one that was expected to come next, or the
+    /// latest one if that is no longer known.
+    fn conflict(&self, expected: u64) -> Answer {
+        let winner = self.recent.get(expected.saturating_add(1)).or(self.recent.list.back());
+        Answer::Conflict(GenerationConflict {
+            operator: winner.map(|w| w.operator.clone()).unwrap_or_default(),
+            generation: winner.map_or(0, |w| w.generation),
+            current_generation: self.generation,
+        })
+    }
+}
+
+/// Changes of the latest publications, oldest first, without a gap.
+#[derive(Debug, Default)]
+pub(super) struct Recent {
+    pub(super) list: VecDeque<Publication>,
+    bytes: usize,
+}
+
+impl Recent {
+    pub(super) fn add(&mut self, publication: Publication) {
+        self.bytes += publication.encoded_len();
+        self.list.push_back(publication);
+        // The latest is kept in any case: it names the winner of a race.
+        while self.list.len() > 1
+            && (self.list.len() > KEPT_PUBLICATIONS || self.bytes > KEPT_CHANGES_BYTES)
+        {
+            let oldest = self.list.pop_front();
+            self.bytes -= oldest.map_or(0, |p| p.encoded_len());
+        }
+    }
+
+    fn get(&self, generation: u64) -> Option<&Publication> {
+        let first = self.list.front()?.generation;
+        self.list.get(usize::try_from(generation.checked_sub(first)?).ok()?)
+    }
+
+    /// The merged changes after `generation`, or nothing if some are no longer kept.
+    pub(super) fn since(&self, generation: u64, current: u64) -> Option<Vec<ObjectChange>> {
+        if generation == current {
+            return Some(Vec::new());
+        }
+        let first = self.list.front()?.generation;
+        let skip = generation.checked_add(1)?.checked_sub(first)?;
+        if generation > current {
+            return None;
+        }
+        let newer = self.list.iter().skip(usize::try_from(skip).ok()?);
+        let mut merged = BTreeMap::new();
+        for change in newer.flat_map(|publication| &publication.changes) {
+            merged.insert((change.kind.as_str(), change.name.as_str()), &change.body);
+        }
+        let change = |((kind, name), body): ((&str, &str), &Option<Bytes>)| ObjectChange {
+            kind: kind.into(),
+            name: name.into(),
+            body: body.clone(),
+        };
+        Some(merged.into_iter().map(change).collect())
+    }
+}
+
+/// Answers to publications by request id, in the order in which they were given.
+#[derive(Debug, Default)]
+pub(super) struct Results {
+    pub(super) list: VecDeque<PublicationResult>,
+    /// Number of each result, counted from the first one ever kept.
+    numbers: BTreeMap<String, u64>,
+    first: u64,
+}
+
+impl Results {
+    fn get(&self, request_id: &str) -> Option<&PublicationResult> {
+        let number = self.numbers.get(request_id)?;
+        self.list.get((number - self.first) as usize)
+    }
+
+    /// Returns whether the request id is new.
+    pub(super) fn add(&mut self, result: PublicationResult) -> bool {
+        let number = self.first + self.list.len() as u64;
+        let is_new = self.numbers.insert(result.request_id.clone(), number).is_none();
+        self.list.push_back(result);
+        is_new
+    }
+
+    fn trim(&mut self, now_ms: u64) {
+        while self.list.len() > KEPT_RESULTS {
+            let Some(oldest) = self.list.front() else { return };
+            if now_ms.saturating_sub(oldest.at_ms) < KEPT_RESULTS_MS {
+                return;
+            }
+            self.numbers.remove(&oldest.request_id);
+            self.list.pop_front();
+            self.first += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,239 @@
+//! A program group: order of turns, budgets, claims, answers, history and release orders.
+//!
+//! The state belongs to the replicated log of the group. When its leader fails, another voter goes
+//! on with the same state, and open claims stay valid. When the instance that holds a claim fails,
+//! its idempotent calls become claimable again, and its other calls have an unknown outcome.
+
+mod begin;
+mod budget;
+mod call;
+mod check;
+mod end;
+mod program;
+mod query;
+mod snapshot;
+mod sweep;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use poplarspan_proto::ledger::{
+    Configure, Invalid, LedgerAnswer, LedgerCommand, ReleaseOrder, Swept, ledger_answer::Answer,
+    ledger_command::Command,
+};
+use prost::Message;
+
+use self::{call::Call, program::Program, sweep::InstanceMark};
+use crate::{error::RestoreError, names::Key};
+
+const HOUR_MS: u64 = 60 * 60 * 1000;
+
+/// Settings that all replicas of a group share, because they are set by an entry of its log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How long answers are kept for resends after a program has ended.
+    pub resend_window_ms: u64,
+    /// Most bytes of calls and answers kept for one team.
+    pub team_bytes: u64,
+    /// Lifetime of a program that names none.
+    pub lifetime_ms: u64,
+    /// Longest time without a call of a program that names none.
+    pub idle_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            resend_window_ms: 24 * HOUR_MS,
+            team_bytes: 1 << 30,
+            lifetime_ms: 24 * HOUR_MS,
+            idle_ms: HOUR_MS,
+        }
+    }
+}
+
+/// Where an open call is found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Place {
+    /// The last turn of this program.
+    Turn(Key),
+    /// A call without a program, by idempotency key.
+    Keyed(Key),
+}
+
+/// An open claim, indexed by its number.
+#[derive(Clone, Debug)]
+struct OpenClaim {
+    place: Place,
+    instance: Arc<str>,
+    incarnation: u64,
+    deadline_ms: u64,
+}
+
+/// The state machine of a program group.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    index: u64,
+    now_ms: u64,
+    /// Last number given to a claim or a release order.
+    last_number: u64,
+    settings: Settings,
+    programs: BTreeMap<Key, Program>,
+    /// Calls without a program.
+    calls: BTreeMap<Key, Call>,
+    orders: BTreeMap<u64, ReleaseOrder>,
+    instances: BTreeMap<Arc<str>, InstanceMark>,
+    overruns: u64,
+
+    // Derived from the fields above, and rebuilt from a snapshot.
+    open: BTreeMap<u64, OpenClaim>,
+    team_bytes: BTreeMap<Arc<str>, u64>,
+    /// For each program a time at or before the one at which it is to be ended or dropped. The
+    /// entries differ between replicas, so their order must not affect any result.
+    due: BTreeSet<(u64, Key)>,
+    calls_due: BTreeSet<(u64, Key)>,
+
+    /// Broken invariants seen by this replica since its start.
+    violations: u64,
+}
+
+impl Ledger {
+    /// An empty ledger with default settings.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies the entry at `index`, a [`LedgerCommand`], and returns a [`LedgerAnswer`]. A
+    /// malformed command is answered as invalid and changes nothing.
+    pub fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        self.index = index;
+        let answer = match LedgerCommand::decode(data) {
+            Ok(LedgerCommand { now_ms, command: Some(command) }) => {
+                match check::command(&command) {
+                    Ok(()) => self.execute(now_ms, command),
+                    Err(message) => invalid(message),
+                }
+            }
+            Ok(_) => invalid("command is missing or unknown"),
+            Err(_) => invalid("command is not decodable"),
+        };
+        LedgerAnswer { answer: Some(answer) }.encode_to_vec().into()
+    }
+
+    fn execute(&mut self, now_ms: u64, command: Command) -> Answer {
+        self.now_ms = self.now_ms.max(now_ms);
+        match command {
+            Command::Begin(begin) => self.begin(begin),
+            Command::Dispatch(dispatch) => self.dispatch(dispatch),
+            Command::End(end) => self.end(end),
+            Command::Finish(finish) => self.finish(&finish),
+            Command::Expire(_) => Answer::Swept(self.expire()),
+            Command::InstanceGone(gone) => Answer::Swept(self.instance_gone(&gone)),
+            Command::ReleaseAcknowledged(ack) => {
+                let removed = ack.numbers.iter().filter(|n| self.orders.remove(n).is_some());
+                let orders_removed = removed.count() as u64;
+                Answer::Swept(Swept { orders_removed, ..Swept::default() })
+            }
+            Command::EndpointGone(gone) => {
+                let before = self.orders.len();
+                self.orders.retain(|_, order| order.endpoint != gone.endpoint);
+                let orders_removed = (before - self.orders.len()) as u64;
+                Answer::Swept(Swept { orders_removed, ..Swept::default() })
+            }
+            Command::Configure(configure) => {
+                self.settings.configure(&configure);
+                Answer::Swept(Swept::default())
+            }
+        }
+    }
+
+    /// The whole state, from which [`Self::restore`] makes an equal one.
+    pub fn snapshot(&self) -> Bytes {
+        self.to_message().encode_to_vec().into()
+    }
+
+    /// Replaces the state by that of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and keeps the state, if `snapshot` is not a valid snapshot.
+    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        *self = Self::from_message(Message::decode(snapshot)?)?;
+        Ok(())
+    }
+
+    /// Index of the last entry applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Answers whose cost was above the call's reservation.
+    pub fn overruns(&self) -> u64 {
+        self.overruns
+    }
+
+    /// Broken invariants seen by this replica since its start; any but 0 is a fault of this crate.
+    pub fn violations(&self) -> u64 {
+        self.violations
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    fn used_bytes(&self, team: &str) -> u64 {
+        self.team_bytes.get(team).copied().unwrap_or(0)
+    }
+
+    fn add_bytes(&mut self, team: &Arc<str>, bytes: u64) {
+        let used = self.team_bytes.entry(team.clone()).or_default();
+        *used = used.saturating_add(bytes);
+    }
+
+    fn remove_bytes(&mut self, team: &Arc<str>, bytes: u64) {
+        if let Some(used) = self.team_bytes.get_mut(team) {
+            *used = used.saturating_sub(bytes);
+            if *used == 0 {
+                self.team_bytes.remove(team);
+            }
+        }
+    }
+
+    /// Reports a broken invariant: a panic in debug builds, else a log line and a count.
+    fn assert(&mut self, holds: bool, invariant: &str, key: &Key) {
+        if !holds {
+            self.violations += 1;
+            log::error!("invariant broken for {}/{}: {invariant}", key.team, key.name);
+        }
+        debug_assert!(holds, "invariant broken for {}/{}: {invariant}", key.team, key.name);
+    }
+}
+
+impl Settings {
+    fn configure(&mut self, configure: &Configure) {
+        let set = |value: &mut u64, new: Option<u64>| *value = new.unwrap_or(*value);
+        set(&mut self.resend_window_ms, configure.resend_window_ms);
+        set(&mut self.team_bytes, configure.team_bytes);
+        set(&mut self.lifetime_ms, configure.lifetime_ms);
+        set(&mut self.idle_ms, configure.idle_ms);
+    }
+}
+
+impl PartialEq for Ledger {
+    fn eq(&self, other: &Self) -> bool {
+        self.to_message() == other.to_message()
+    }
+}
+
+fn invalid(message: &str) -> Answer {
+    Answer::Invalid(Invalid { message: message.into() })
+}
--- /dev/null
+++ b/crates/ledger/src/ledger/budget.rs
@@ -0,0 +1,86 @@
+//! Budgets and turn limits. A call is charged to its program and to every ancestor, so that a
+//! program and its descendants together stay within the budget of each of them.
+
+use super::{Ledger, program::Program};
+use crate::names::Key;
+
+/// How a call's reservation is settled.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Settlement {
+    pub(super) reserved: u64,
+    pub(super) cost: u64,
+    /// Whether the call counts as a turn that was used.
+    pub(super) is_used: bool,
+}
+
+impl Program {
+    /// Tokens that are neither spent nor reserved.
+    pub(super) fn remaining(&self) -> u64 {
+        self.limits.tokens.saturating_sub(self.spent).saturating_sub(self.reserved)
+    }
+
+    fn charge(&mut self, tokens: u64, now_ms: u64) {
+        self.reserved = self.reserved.saturating_add(tokens);
+        self.turns_used = self.turns_used.saturating_add(1);
+        self.open += 1;
+        self.touched_ms = now_ms;
+    }
+
+    /// Turns a reservation into the actual cost. A cost that exceeds the reservation is spent as far
+    /// as the budget has room besides the other reservations; the rest is counted as overrun.
+    fn settle(&mut self, settlement: Settlement, now_ms: u64) {
+        self.reserved = self.reserved.saturating_sub(settlement.reserved);
+        self.open = self.open.saturating_sub(1);
+        self.turns_used = self.turns_used.saturating_sub(u32::from(!settlement.is_used));
+        self.touched_ms = now_ms;
+        let spent = settlement.cost.min(self.remaining());
+        self.spent += spent;
+        self.overrun = self.overrun.saturating_add(settlement.cost - spent);
+    }
+}
+
+impl Ledger {
+    pub(super) fn charge(&mut self, key: &Key, tokens: u64) {
+        let now_ms = self.now_ms;
+        for level in key.lineage() {
+            if let Some(program) = self.programs.get_mut(&level) {
+                program.charge(tokens, now_ms);
+            }
+            self.assert_program(&level);
+        }
+    }
+
+    pub(super) fn settle(&mut self, key: &Key, settlement: Settlement) {
+        let now_ms = self.now_ms;
+        if settlement.cost > settlement.reserved {
+            self.overruns = self.overruns.saturating_add(1);
+            let Settlement { reserved, cost, .. } = settlement;
+            log::error!("call of {}/{} cost {cost}, reserved {reserved}", key.team, key.name);
+        }
+        for level in key.lineage() {
+            if let Some(program) = self.programs.get_mut(&level) {
+                program.settle(settlement, now_ms);
+            }
+            self.assert_program(&level);
+        }
+    }
+
+    /// Gives back a turn whose abandoned call is replaced.
+    pub(super) fn return_turn(&mut self, key: &Key) {
+        for level in key.lineage() {
+            if let Some(program) = self.programs.get_mut(&level) {
+                program.turns_used = program.turns_used.saturating_sub(1);
+            }
+        }
+    }
+
+    fn assert_program(&mut self, key: &Key) {
+        let Some(program) = self.programs.get(key) else { return };
+        let within = program.spent.checked_add(program.reserved);
+        let within = within.is_some_and(|sum| sum <= program.limits.tokens);
+        let closed = &program.turns[..program.turns.len().saturating_sub(1)];
+        let single = closed.last().is_none_or(|call| !call.is_pending());
+        self.assert(within, "spent and reserved tokens stay within the budget", key);
+        self.assert(single, "only the last turn may be pending", key);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger/program.rs
@@ -0,0 +1,200 @@
+//! One program: its turns in order, its limits, and what it has used together with its descendants.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use poplarspan_proto::ledger::{
+    Begin, BodyMismatch, EndCause, Limits, OutOfOrder, ledger_answer::Answer,
+};
+
+use super::{
+    Settings,
+    call::{Call, Resend, State},
+};
+
+/// Memory of a program besides its calls.
+pub(super) const PROGRAM_OVERHEAD_BYTES: u64 = 512;
+
+#[derive(Clone, Debug)]
+pub(super) struct Program {
+    pub(super) limits: Ceilings,
+    pub(super) created_ms: u64,
+    /// Time of the last begin or end of a call, of this program or a descendant.
+    pub(super) touched_ms: u64,
+    /// Tokens spent by the program and its descendants, at most up to the budget.
+    pub(super) spent: u64,
+    /// Cost above the reservations that the budget had no room for.
+    pub(super) overrun: u64,
+    /// Turns of the program and its descendants, but for those that did not run.
+    pub(super) turns_used: u32,
+    /// Turn n is at n - 1. Only the last may be pending.
+    pub(super) turns: Vec<Call>,
+    pub(super) endpoints: BTreeSet<Arc<str>>,
+    pub(super) ended: Option<End>,
+
+    // Derived.
+    pub(super) keys: BTreeMap<Arc<str>, u32>,
+    /// Reservations of the open calls of the program and its descendants.
+    pub(super) reserved: u64,
+    /// Number of these calls.
+    pub(super) open: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct End {
+    pub(super) cause: EndCause,
+    pub(super) keep_until_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Ceilings {
+    pub(super) tokens: u64,
+    pub(super) turns: u32,
+    pub(super) lifetime_ms: u64,
+    pub(super) idle_ms: u64,
+}
+
+/// What a [`Begin`] means for a program.
+pub(super) enum Lookup {
+    /// This is the answer; nothing is run.
+    Answer(Answer),
+    /// The call takes the next turn.
+    Next,
+    /// The call takes the place of the last turn, whose claimant is gone.
+    Reclaim,
+    /// The call's turn is ahead of the one expected.
+    Ahead(OutOfOrder),
+}
+
+impl Ceilings {
+    pub(super) fn new(limits: Option<&Limits>, settings: &Settings) -> Self {
+        let limits = limits.copied().unwrap_or_default();
+        Self {
+            tokens: limits.tokens.unwrap_or(u64::MAX),
+            turns: limits.turns.unwrap_or(u32::MAX),
+            lifetime_ms: limits.lifetime_ms.unwrap_or(settings.lifetime_ms),
+            idle_ms: limits.idle_ms.unwrap_or(settings.idle_ms),
+        }
+    }
+}
+
+impl Program {
+    pub(super) fn new(limits: Ceilings, now_ms: u64) -> Self {
+        Self {
+            limits,
+            created_ms: now_ms,
+            touched_ms: now_ms,
+            spent: 0,
+            overrun: 0,
+            turns_used: 0,
+            turns: Vec::new(),
+            endpoints: BTreeSet::new(),
+            ended: None,
+            keys: BTreeMap::new(),
+            reserved: 0,
+            open: 0,
+        }
+    }
+
+    pub(super) fn lookup(&self, begin: &Begin) -> Lookup {
+        let by_key = self.keys.get(begin.idempotency_key.as_str()).copied();
+        match (begin.turn, by_key) {
+            (Some(turn), Some(known)) if turn != known => mismatch(),
+            (_, Some(known)) => self.resend(begin, known),
+            (Some(turn), None) if turn as usize <= self.turns.len() => self.same_turn(begin, turn),
+            (Some(turn), None) if turn != self.expected() || self.pending().is_some() => {
+                Lookup::Ahead(OutOfOrder { expected: self.expected() })
+            }
+            (Some(_), None) => Lookup::Next,
+            (None, None) => match self.pending().map(|call| &call.state) {
+                None => Lookup::Next,
+                Some(State::Open(open)) => Lookup::Answer(open.running(self.expected())),
+                Some(_) => Lookup::Reclaim,
+            },
+        }
+    }
+
+    fn resend(&self, begin: &Begin, turn: u32) -> Lookup {
+        match self.turns.get(turn as usize - 1).map(|call| call.resend(begin, turn)) {
+            Some(Resend::Answer(answer)) => Lookup::Answer(answer),
+            Some(Resend::Reclaim) => Lookup::Reclaim,
+            None => mismatch(),
+        }
+    }
+
+    /// Answers a `begin` that names an existing turn, but not its key. If either key was generated,
+    /// the turn identifies the call; two different keys of the caller mean two different calls.
+    fn same_turn(&self, begin: &Begin, turn: u32) -> Lookup {
+        let Some(call) = self.turns.get(turn as usize - 1) else { return mismatch() };
+        match call.state {
+            State::Claimable => Lookup::Reclaim,
+            _ if begin.key_generated || call.key_generated => self.resend(begin, turn),
+            _ => mismatch(),
+        }
+    }
+
+    /// The answer to a `begin` that names a later turn than the first of a program that does not
+    /// exist yet.
+    pub(super) fn ahead_of_first(begin: &Begin) -> Option<OutOfOrder> {
+        begin.turn.filter(|turn| *turn != 1).map(|_| OutOfOrder { expected: 1 })
+    }
+
+    /// The last call, if it still awaits an outcome.
+    pub(super) fn pending(&self) -> Option<&Call> {
+        self.turns.last().filter(|call| call.is_pending())
+    }
+
+    /// The first turn that has no outcome yet.
+    pub(super) fn expected(&self) -> u32 {
+        let closed = self.turns.len() - usize::from(self.pending().is_some());
+        closed as u32 + 1
+    }
+
+    pub(super) fn push(&mut self, call: Call) -> u32 {
+        let turn = self.turns.len() as u32 + 1;
+        self.keys.insert(call.key.clone(), turn);
+        self.turns.push(call);
+        turn
+    }
+
+    /// Removes the last call, so that its turn is free again.
+    pub(super) fn pop(&mut self) -> Option<Call> {
+        let call = self.turns.pop()?;
+        self.keys.remove(&call.key);
+        Some(call)
+    }
+
+    /// Why the program is past its limits, if it is.
+    pub(super) fn overdue(&self, now_ms: u64) -> Option<EndCause> {
+        if now_ms >= self.created_ms.saturating_add(self.limits.lifetime_ms) {
+            Some(EndCause::Lifetime)
+        } else if self.open == 0 && now_ms >= self.touched_ms.saturating_add(self.limits.idle_ms) {
+            Some(EndCause::Idle)
+        } else {
+            None
+        }
+    }
+
+    /// A time at or before the one at which the program is to be ended or dropped.
+    pub(super) fn due_ms(&self, now_ms: u64) -> u64 {
+        match self.ended {
+            Some(end) => end.keep_until_ms,
+            None => {
+                let touched_ms = if self.open == 0 { self.touched_ms } else { now_ms };
+                let idle = touched_ms.saturating_add(self.limits.idle_ms);
+                idle.min(self.created_ms.saturating_add(self.limits.lifetime_ms))
+            }
+        }
+    }
+
+    pub(super) fn bytes(&self) -> u64 {
+        let calls = self.turns.iter().map(Call::bytes);
+        calls.fold(PROGRAM_OVERHEAD_BYTES, u64::saturating_add)
+    }
+}
+
+fn mismatch() -> Lookup {
+    Lookup::Answer(Answer::BodyMismatch(BodyMismatch {}))
+}
--- /dev/null
+++ b/crates/ledger/src/names.rs
@@ -0,0 +1,79 @@
+//! Names of programs, teams and keys, and the group that each belongs to.
+
+use std::sync::Arc;
+
+/// Deepest path of a program, counted in parts.
+const MAX_LEVELS: usize = 8;
+/// Longest part of a program's path.
+const MAX_PART_CHARS: usize = 64;
+/// Longest name of a team, key, instance or endpoint.
+const MAX_NAME_BYTES: usize = 256;
+
+/// A program or key within its team.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key {
+    pub(crate) team: Arc<str>,
+    pub(crate) name: Arc<str>,
+}
+
+impl Key {
+    pub(crate) fn new(team: &str, name: &str) -> Self {
+        Self { team: team.into(), name: name.into() }
+    }
+
+    /// The program's ancestors and itself, root first.
+    pub(crate) fn lineage(&self) -> Vec<Self> {
+        let ends = self.name.match_indices('/').map(|(at, _)| at);
+        let ancestors =
+            ends.map(|end| Self { team: self.team.clone(), name: self.name[..end].into() });
+        ancestors.chain([self.clone()]).collect()
+    }
+
+    /// Where the keys of the program's descendants start.
+    pub(crate) fn first_descendant(&self) -> Self {
+        Self { team: self.team.clone(), name: format!("{}/", self.name).into() }
+    }
+}
+
+/// Whether `path` is `root` or `root/child` and so on, within the allowed sizes.
+pub(crate) fn is_path(path: &str) -> bool {
+    let part_ok = |part: &str| {
+        (1..=MAX_PART_CHARS).contains(&part.len()) && part.bytes().all(|b| b.is_ascii_graphic())
+    };
+    path.split('/').count() <= MAX_LEVELS && path.split('/').all(part_ok)
+}
+
+pub(crate) fn is_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+}
+
+/// The group that holds `program` of `team`: 1 to `groups`. A program and all its descendants are
+/// in the group of their root.
+///
+/// # Panics
+///
+/// Panics if `groups` is 0.
+pub fn group_of(team: &str, program: &str, groups: u32) -> u32 {
+    let root = program.split('/').next().unwrap_or(program);
+    bucket("program", team, root, groups)
+}
+
+/// The group that holds the call of `team` with `idempotency_key` and no program: 1 to `groups`.
+///
+/// # Panics
+///
+/// Panics if `groups` is 0.
+pub fn group_of_key(team: &str, idempotency_key: &str, groups: u32) -> u32 {
+    bucket("key", team, idempotency_key, groups)
+}
+
+fn bucket(domain: &str, team: &str, name: &str, groups: u32) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    for part in [domain, team, name] {
+        hasher.update(&(part.len() as u64).to_be_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    1 + (u64::from_be_bytes(head) % u64::from(groups)) as u32
+}
--- a/crates/proto/src/gen/poplarspan.ledger.v1.rs
+++ b/crates/proto/src/gen/poplarspan.ledger.v1.rs
@@ -4,7 +4,864 @@
 pub struct Claimant {
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
-    /// Random number chosen at each process start.
+    /// Rises with each start of the process and after each time the instance was declared gone. The
+    /// start time in microseconds serves; the catalog's answer names the lowest number still allowed.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
 }
+/// An entry of the log of group 0.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CatalogCommand {
+    /// Wall-clock time stamped by the leader of the group.
+    #[prost(uint64, tag = "1")]
+    pub now_ms: u64,
+    #[prost(oneof = "catalog_command::Command", tags = "2, 3, 4, 5")]
+    pub command: ::core::option::Option<catalog_command::Command>,
+}
+/// Nested message and enum types in `CatalogCommand`.
+pub mod catalog_command {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Command {
+        #[prost(message, tag = "2")]
+        Publish(super::Publish),
+        #[prost(message, tag = "3")]
+        RegisterInstance(super::RegisterInstance),
+        #[prost(message, tag = "4")]
+        InstanceGone(super::InstanceGone),
+        #[prost(message, tag = "5")]
+        FixGroups(super::FixGroups),
+    }
+}
+/// One object of the set, or the removal of one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ObjectChange {
+    #[prost(string, tag = "1")]
+    pub kind: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub name: ::prost::alloc::string::String,
+    /// Canonical form; absent for a removal.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub body: ::core::option::Option<::prost::bytes::Bytes>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Publish {
+    #[prost(uint64, tag = "1")]
+    pub expected_generation: u64,
+    #[prost(string, tag = "2")]
+    pub request_id: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub operator: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "4")]
+    pub changes: ::prost::alloc::vec::Vec<ObjectChange>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RegisterInstance {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    /// Number of the replica that the instance runs, if any.
+    #[prost(uint64, optional, tag = "5")]
+    pub replica: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct InstanceGone {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+/// Fixes the number of program groups; the first command wins.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FixGroups {
+    #[prost(uint32, tag = "1")]
+    pub groups: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CatalogAnswer {
+    #[prost(oneof = "catalog_answer::Answer", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    pub answer: ::core::option::Option<catalog_answer::Answer>,
+}
+/// Nested message and enum types in `CatalogAnswer`.
+pub mod catalog_answer {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Answer {
+        #[prost(message, tag = "1")]
+        Published(super::Published),
+        #[prost(message, tag = "2")]
+        Conflict(super::GenerationConflict),
+        #[prost(message, tag = "3")]
+        RequestMismatch(super::RequestMismatch),
+        #[prost(message, tag = "4")]
+        Registered(super::Registered),
+        #[prost(message, tag = "5")]
+        StaleIncarnation(super::StaleIncarnation),
+        #[prost(message, tag = "6")]
+        InstanceRemoved(super::InstanceRemoved),
+        #[prost(message, tag = "7")]
+        Groups(super::Groups),
+        #[prost(message, tag = "8")]
+        Invalid(super::Invalid),
+    }
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Published {
+    #[prost(uint64, tag = "1")]
+    pub generation: u64,
+}
+/// Another publication came first.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GenerationConflict {
+    /// Operator and generation of the publication that took the expected generation's place.
+    #[prost(string, tag = "1")]
+    pub operator: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+    #[prost(uint64, tag = "3")]
+    pub current_generation: u64,
+}
+/// The request id was used before for a publication with other content.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RequestMismatch {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Registered {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StaleIncarnation {
+    /// The lowest incarnation that would be accepted.
+    #[prost(uint64, tag = "1")]
+    pub lowest_incarnation: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct InstanceRemoved {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Groups {
+    #[prost(uint32, tag = "1")]
+    pub groups: u32,
+}
+/// The command was malformed and changed nothing.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Invalid {
+    #[prost(string, tag = "1")]
+    pub message: ::prost::alloc::string::String,
+}
+/// State of the catalog at one index of its log.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CatalogSnapshot {
+    #[prost(uint32, tag = "1")]
+    pub format: u32,
+    #[prost(uint64, tag = "2")]
+    pub now_ms: u64,
+    #[prost(uint64, tag = "3")]
+    pub generation: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub objects: ::prost::alloc::vec::Vec<ObjectChange>,
+    #[prost(message, repeated, tag = "5")]
+    pub recent: ::prost::alloc::vec::Vec<Publication>,
+    #[prost(message, repeated, tag = "6")]
+    pub results: ::prost::alloc::vec::Vec<PublicationResult>,
+    #[prost(message, repeated, tag = "7")]
+    pub instances: ::prost::alloc::vec::Vec<RegisterInstance>,
+    #[prost(uint64, tag = "8")]
+    pub epoch: u64,
+    #[prost(uint32, tag = "9")]
+    pub groups: u32,
+    #[prost(message, repeated, tag = "10")]
+    pub gone: ::prost::alloc::vec::Vec<GoneInstance>,
+    #[prost(uint64, tag = "11")]
+    pub index: u64,
+}
+/// A recent publication.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Publication {
+    #[prost(uint64, tag = "1")]
+    pub generation: u64,
+    #[prost(string, tag = "2")]
+    pub operator: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "3")]
+    pub changes: ::prost::alloc::vec::Vec<ObjectChange>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PublicationResult {
+    #[prost(string, tag = "1")]
+    pub request_id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub at_ms: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub digest: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub answer: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GoneInstance {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub at_ms: u64,
+    /// Whether the incarnation itself, or only those below it, may do nothing any more.
+    #[prost(bool, tag = "4")]
+    pub gone: bool,
+}
+/// An entry of the log of a program group.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LedgerCommand {
+    /// Wall-clock time stamped by the leader of the group.
+    #[prost(uint64, tag = "1")]
+    pub now_ms: u64,
+    #[prost(oneof = "ledger_command::Command", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub command: ::core::option::Option<ledger_command::Command>,
+}
+/// Nested message and enum types in `LedgerCommand`.
+pub mod ledger_command {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Command {
+        #[prost(message, tag = "2")]
+        Begin(super::Begin),
+        #[prost(message, tag = "3")]
+        Dispatch(super::Dispatch),
+        #[prost(message, tag = "4")]
+        End(super::End),
+        #[prost(message, tag = "5")]
+        Finish(super::Finish),
+        #[prost(message, tag = "6")]
+        Expire(super::Expire),
+        #[prost(message, tag = "7")]
+        InstanceGone(super::InstanceGone),
+        #[prost(message, tag = "8")]
+        ReleaseAcknowledged(super::ReleaseAcknowledged),
+        #[prost(message, tag = "9")]
+        EndpointGone(super::EndpointGone),
+        #[prost(message, tag = "10")]
+        Configure(super::Configure),
+    }
+}
+/// Ceilings of a program; an absent one has the group's default.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Limits {
+    #[prost(uint64, optional, tag = "1")]
+    pub tokens: ::core::option::Option<u64>,
+    #[prost(uint32, optional, tag = "2")]
+    pub turns: ::core::option::Option<u32>,
+    #[prost(uint64, optional, tag = "3")]
+    pub lifetime_ms: ::core::option::Option<u64>,
+    /// Longest time without a call.
+    #[prost(uint64, optional, tag = "4")]
+    pub idle_ms: ::core::option::Option<u64>,
+}
+/// Begins a call, or asks for the outcome of one that was begun before.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Begin {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    /// Path of the program; absent for a call without one.
+    #[prost(string, optional, tag = "2")]
+    pub program: ::core::option::Option<::prost::alloc::string::String>,
+    /// First turn is 1; absent if the caller leaves the order to the ledger.
+    #[prost(uint32, optional, tag = "3")]
+    pub turn: ::core::option::Option<u32>,
+    #[prost(string, tag = "4")]
+    pub idempotency_key: ::prost::alloc::string::String,
+    /// The instance made the key because the caller sent none.
+    #[prost(bool, tag = "5")]
+    pub key_generated: bool,
+    /// 32 bytes.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub body_digest: ::prost::bytes::Bytes,
+    #[prost(enumeration = "CallKind", tag = "7")]
+    pub kind: i32,
+    /// Worst case of the call's cost.
+    #[prost(uint64, tag = "8")]
+    pub reserve_tokens: u64,
+    /// Worst case of the answer's size.
+    #[prost(uint64, tag = "9")]
+    pub reserve_bytes: u64,
+    /// Used if this call creates the program.
+    #[prost(message, optional, tag = "10")]
+    pub limits: ::core::option::Option<Limits>,
+    #[prost(message, optional, tag = "11")]
+    pub claimant: ::core::option::Option<Claimant>,
+    /// Number of this proposal, unique within the claimant; a resent proposal carries the same one.
+    #[prost(uint64, tag = "12")]
+    pub attempt: u64,
+    /// The endpoint that the call will be sent to; empty if none is chosen yet.
+    #[prost(string, tag = "13")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(bytes = "bytes", tag = "14")]
+    pub request: ::prost::bytes::Bytes,
+    /// Time after which the call counts as abandoned by its claimant; 0 for none.
+    #[prost(uint64, tag = "15")]
+    pub timeout_ms: u64,
+}
+/// Names a further endpoint before the call is sent there.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Dispatch {
+    #[prost(message, optional, tag = "1")]
+    pub call: ::core::option::Option<CallId>,
+    #[prost(uint64, tag = "2")]
+    pub claim: u64,
+    #[prost(string, tag = "3")]
+    pub endpoint: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CallId {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, optional, tag = "2")]
+    pub program: ::core::option::Option<::prost::alloc::string::String>,
+    /// Set for a call of a program.
+    #[prost(uint32, tag = "3")]
+    pub turn: u32,
+    /// Set for a call without a program.
+    #[prost(string, tag = "4")]
+    pub idempotency_key: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct End {
+    #[prost(message, optional, tag = "1")]
+    pub call: ::core::option::Option<CallId>,
+    #[prost(uint64, tag = "2")]
+    pub claim: u64,
+    #[prost(oneof = "end::Outcome", tags = "3, 4, 5")]
+    pub outcome: ::core::option::Option<end::Outcome>,
+}
+/// Nested message and enum types in `End`.
+pub mod end {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Outcome {
+        #[prost(message, tag = "3")]
+        Answered(super::Answer),
+        #[prost(message, tag = "4")]
+        NotRun(super::NotRun),
+        #[prost(message, tag = "5")]
+        Unknown(super::Unknown),
+    }
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Answer {
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// Header fields in the instance's own encoding.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub head: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "4")]
+    pub cost_tokens: u64,
+}
+/// The call was never sent to an endpoint, and will not be under this claim.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NotRun {}
+/// The call was sent, and its outcome can't be known.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Unknown {
+    /// The reservation counts as spent if absent.
+    #[prost(uint64, optional, tag = "1")]
+    pub cost_tokens: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Finish {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub program: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Expire {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseAcknowledged {
+    #[prost(uint64, repeated, tag = "1")]
+    pub numbers: ::prost::alloc::vec::Vec<u64>,
+}
+/// The endpoint was removed, or has started again and holds nothing of earlier calls.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointGone {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+}
+/// Settings that every replica of the group must share; an absent one stays.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Configure {
+    #[prost(uint64, optional, tag = "1")]
+    pub resend_window_ms: ::core::option::Option<u64>,
+    #[prost(uint64, optional, tag = "2")]
+    pub team_bytes: ::core::option::Option<u64>,
+    #[prost(uint64, optional, tag = "3")]
+    pub lifetime_ms: ::core::option::Option<u64>,
+    #[prost(uint64, optional, tag = "4")]
+    pub idle_ms: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LedgerAnswer {
+    #[prost(
+        oneof = "ledger_answer::Answer",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+    )]
+    pub answer: ::core::option::Option<ledger_answer::Answer>,
+}
+/// Nested message and enum types in `LedgerAnswer`.
+pub mod ledger_answer {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Answer {
+        #[prost(message, tag = "1")]
+        Granted(super::Granted),
+        /// The stored answer of an earlier call.
+        #[prost(message, tag = "2")]
+        Replay(super::Answer),
+        #[prost(message, tag = "3")]
+        Running(super::Running),
+        #[prost(message, tag = "4")]
+        OutcomeUnknown(super::OutcomeUnknown),
+        #[prost(message, tag = "5")]
+        BodyMismatch(super::BodyMismatch),
+        #[prost(message, tag = "6")]
+        OutOfOrder(super::OutOfOrder),
+        #[prost(message, tag = "7")]
+        BudgetExceeded(super::BudgetExceeded),
+        #[prost(message, tag = "8")]
+        TurnLimit(super::TurnLimit),
+        #[prost(message, tag = "9")]
+        Ended(super::Ended),
+        #[prost(message, tag = "10")]
+        StoreFull(super::StoreFull),
+        #[prost(message, tag = "11")]
+        Fenced(super::Fenced),
+        #[prost(message, tag = "12")]
+        Recorded(super::Recorded),
+        #[prost(message, tag = "13")]
+        Stale(super::Stale),
+        #[prost(message, tag = "14")]
+        Finished(super::Finished),
+        #[prost(message, tag = "15")]
+        NotFound(super::NotFound),
+        #[prost(message, tag = "16")]
+        Swept(super::Swept),
+        #[prost(message, tag = "17")]
+        Invalid(super::Invalid),
+    }
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Granted {
+    #[prost(uint64, tag = "1")]
+    pub claim: u64,
+    /// 0 for a call without a program.
+    #[prost(uint32, tag = "2")]
+    pub turn: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Running {
+    #[prost(message, optional, tag = "1")]
+    pub claimant: ::core::option::Option<Claimant>,
+    #[prost(uint32, tag = "2")]
+    pub turn: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OutcomeUnknown {
+    #[prost(uint32, tag = "1")]
+    pub turn: u32,
+}
+/// The turn or the idempotency key belongs to a call with another body.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BodyMismatch {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OutOfOrder {
+    #[prost(uint32, tag = "1")]
+    pub expected: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BudgetExceeded {
+    #[prost(uint64, tag = "1")]
+    pub remaining: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnLimit {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ended {
+    #[prost(enumeration = "EndCause", tag = "1")]
+    pub cause: i32,
+}
+/// The team's answers can't all be kept for the resend window if one more is added.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoreFull {
+    #[prost(uint64, tag = "1")]
+    pub used_bytes: u64,
+    #[prost(uint64, tag = "2")]
+    pub limit_bytes: u64,
+}
+/// The claimant was declared gone, or has started again since.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Fenced {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Recorded {}
+/// The claim was taken over or fenced; nothing changed.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Stale {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Finished {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NotFound {}
+/// What a command changed that concerns any number of calls and programs.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Swept {
+    #[prost(uint64, tag = "1")]
+    pub programs_ended: u64,
+    #[prost(uint64, tag = "2")]
+    pub programs_dropped: u64,
+    #[prost(uint64, tag = "3")]
+    pub calls_claimable: u64,
+    #[prost(uint64, tag = "4")]
+    pub calls_unknown: u64,
+    #[prost(uint64, tag = "5")]
+    pub calls_dropped: u64,
+    #[prost(uint64, tag = "6")]
+    pub orders_removed: u64,
+}
+/// Tells an endpoint to release what it holds for a program or for one call.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseOrder {
+    /// Fencing number; numbers of claims and orders come from one rising sequence of the group.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(string, tag = "2")]
+    pub team: ::prost::alloc::string::String,
+    /// Absent for a call without a program.
+    #[prost(string, optional, tag = "3")]
+    pub program: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(string, tag = "4")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Set if only the stream of this claim is to be released.
+    #[prost(uint64, optional, tag = "5")]
+    pub claim: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LedgerQuery {
+    #[prost(oneof = "ledger_query::Query", tags = "1, 2, 3, 4")]
+    pub query: ::core::option::Option<ledger_query::Query>,
+}
+/// Nested message and enum types in `LedgerQuery`.
+pub mod ledger_query {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Query {
+        #[prost(message, tag = "1")]
+        History(super::HistoryQuery),
+        #[prost(message, tag = "2")]
+        Status(super::StatusQuery),
+        #[prost(message, tag = "3")]
+        Orders(super::OrdersQuery),
+        #[prost(message, tag = "4")]
+        Call(super::CallQuery),
+    }
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HistoryQuery {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub program: ::prost::alloc::string::String,
+    /// First turn of the page; 0 is the same as 1.
+    #[prost(uint32, tag = "3")]
+    pub from_turn: u32,
+    /// The page ends before this size, but holds at least one record.
+    #[prost(uint64, tag = "4")]
+    pub max_bytes: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusQuery {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub program: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrdersQuery {
+    /// Orders with a greater number only.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+    #[prost(uint32, tag = "2")]
+    pub max: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CallQuery {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, optional, tag = "2")]
+    pub program: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(string, tag = "3")]
+    pub idempotency_key: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LedgerQueryAnswer {
+    #[prost(oneof = "ledger_query_answer::Answer", tags = "1, 2, 3, 4, 5, 6")]
+    pub answer: ::core::option::Option<ledger_query_answer::Answer>,
+}
+/// Nested message and enum types in `LedgerQueryAnswer`.
+pub mod ledger_query_answer {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Answer {
+        #[prost(message, tag = "1")]
+        History(super::HistoryPage),
+        #[prost(message, tag = "2")]
+        Status(super::ProgramStatus),
+        #[prost(message, tag = "3")]
+        Orders(super::Orders),
+        #[prost(message, tag = "4")]
+        Call(super::CallStatus),
+        #[prost(message, tag = "5")]
+        NotFound(super::NotFound),
+        #[prost(message, tag = "6")]
+        Invalid(super::Invalid),
+    }
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HistoryPage {
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<HistoryRecord>,
+    /// First turn of the next page; 0 if this is the last.
+    #[prost(uint32, tag = "2")]
+    pub next_turn: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HistoryRecord {
+    #[prost(uint32, tag = "1")]
+    pub turn: u32,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub request: ::prost::bytes::Bytes,
+    /// Absent if the outcome is unknown.
+    #[prost(message, optional, tag = "3")]
+    pub answer: ::core::option::Option<Answer>,
+    #[prost(uint64, tag = "4")]
+    pub closed_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProgramStatus {
+    #[prost(uint32, tag = "1")]
+    pub next_turn: u32,
+    /// Claimant of the open call, if there is one.
+    #[prost(message, optional, tag = "2")]
+    pub running: ::core::option::Option<Claimant>,
+    #[prost(uint64, tag = "3")]
+    pub budget_tokens: u64,
+    #[prost(uint64, tag = "4")]
+    pub spent_tokens: u64,
+    #[prost(uint64, tag = "5")]
+    pub reserved_tokens: u64,
+    /// Cost above the reservations that the budget had no room for.
+    #[prost(uint64, tag = "6")]
+    pub overrun_tokens: u64,
+    #[prost(uint32, tag = "7")]
+    pub turns_used: u32,
+    #[prost(uint64, tag = "8")]
+    pub created_ms: u64,
+    #[prost(enumeration = "EndCause", optional, tag = "9")]
+    pub ended: ::core::option::Option<i32>,
+    #[prost(string, repeated, tag = "10")]
+    pub endpoints: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Orders {
+    #[prost(message, repeated, tag = "1")]
+    pub orders: ::prost::alloc::vec::Vec<ReleaseOrder>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CallStatus {
+    #[prost(uint32, tag = "1")]
+    pub turn: u32,
+    #[prost(uint64, tag = "2")]
+    pub claim: u64,
+    #[prost(oneof = "call_status::State", tags = "3, 4, 5, 6")]
+    pub state: ::core::option::Option<call_status::State>,
+}
+/// Nested message and enum types in `CallStatus`.
+pub mod call_status {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum State {
+        #[prost(message, tag = "3")]
+        Running(super::Claimant),
+        #[prost(message, tag = "4")]
+        Claimable(super::Claimable),
+        #[prost(message, tag = "5")]
+        Answered(super::Answer),
+        #[prost(message, tag = "6")]
+        OutcomeUnknown(super::OutcomeUnknown),
+    }
+}
+/// The claimant is gone; the same call may be begun again.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Claimable {}
+/// State of a program group at one index of its log.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LedgerSnapshot {
+    #[prost(uint32, tag = "1")]
+    pub format: u32,
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    #[prost(uint64, tag = "3")]
+    pub now_ms: u64,
+    /// Last number given to a claim or a release order.
+    #[prost(uint64, tag = "4")]
+    pub last_number: u64,
+    #[prost(message, optional, tag = "5")]
+    pub settings: ::core::option::Option<Configure>,
+    #[prost(message, repeated, tag = "6")]
+    pub programs: ::prost::alloc::vec::Vec<ProgramState>,
+    #[prost(message, repeated, tag = "7")]
+    pub calls: ::prost::alloc::vec::Vec<CallState>,
+    #[prost(message, repeated, tag = "8")]
+    pub orders: ::prost::alloc::vec::Vec<ReleaseOrder>,
+    #[prost(message, repeated, tag = "9")]
+    pub instances: ::prost::alloc::vec::Vec<GoneInstance>,
+    #[prost(uint64, tag = "10")]
+    pub overruns: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ProgramState {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub program: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "3")]
+    pub limits: ::core::option::Option<Limits>,
+    #[prost(uint64, tag = "4")]
+    pub created_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub touched_ms: u64,
+    #[prost(uint64, tag = "6")]
+    pub spent_tokens: u64,
+    #[prost(uint64, tag = "7")]
+    pub overrun_tokens: u64,
+    #[prost(uint32, tag = "8")]
+    pub turns_used: u32,
+    #[prost(message, repeated, tag = "9")]
+    pub turns: ::prost::alloc::vec::Vec<CallState>,
+    #[prost(string, repeated, tag = "10")]
+    pub endpoints: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(enumeration = "EndCause", tag = "11")]
+    pub ended: i32,
+    #[prost(uint64, tag = "12")]
+    pub keep_until_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CallState {
+    /// Set for a call without a program.
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(bool, tag = "3")]
+    pub key_generated: bool,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub digest: ::prost::bytes::Bytes,
+    #[prost(enumeration = "CallKind", tag = "5")]
+    pub kind: i32,
+    #[prost(bytes = "bytes", tag = "6")]
+    pub request: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "7")]
+    pub claim: u64,
+    #[prost(uint64, tag = "12")]
+    pub closed_ms: u64,
+    /// Set for a call without a program that is not open.
+    #[prost(uint64, tag = "13")]
+    pub keep_until_ms: u64,
+    #[prost(oneof = "call_state::State", tags = "8, 9, 10, 11")]
+    pub state: ::core::option::Option<call_state::State>,
+}
+/// Nested message and enum types in `CallState`.
+pub mod call_state {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum State {
+        #[prost(message, tag = "8")]
+        Open(super::OpenState),
+        #[prost(message, tag = "9")]
+        Claimable(super::Claimable),
+        #[prost(message, tag = "10")]
+        Answered(super::Answer),
+        #[prost(message, tag = "11")]
+        Unknown(super::Unknown),
+    }
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OpenState {
+    #[prost(message, optional, tag = "1")]
+    pub claimant: ::core::option::Option<Claimant>,
+    #[prost(uint64, tag = "2")]
+    pub attempt: u64,
+    #[prost(uint64, tag = "3")]
+    pub reserved_tokens: u64,
+    #[prost(uint64, tag = "4")]
+    pub reserved_bytes: u64,
+    #[prost(string, repeated, tag = "5")]
+    pub endpoints: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "6")]
+    pub deadline_ms: u64,
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum CallKind {
+    Unspecified = 0,
+    Idempotent = 1,
+    NonIdempotent = 2,
+}
+impl CallKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "CALL_KIND_UNSPECIFIED",
+            Self::Idempotent => "CALL_KIND_IDEMPOTENT",
+            Self::NonIdempotent => "CALL_KIND_NON_IDEMPOTENT",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "CALL_KIND_UNSPECIFIED" => Some(Self::Unspecified),
+            "CALL_KIND_IDEMPOTENT" => Some(Self::Idempotent),
+            "CALL_KIND_NON_IDEMPOTENT" => Some(Self::NonIdempotent),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum EndCause {
+    Unspecified = 0,
+    Finished = 1,
+    Lifetime = 2,
+    Idle = 3,
+}
+impl EndCause {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "END_CAUSE_UNSPECIFIED",
+            Self::Finished => "END_CAUSE_FINISHED",
+            Self::Lifetime => "END_CAUSE_LIFETIME",
+            Self::Idle => "END_CAUSE_IDLE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "END_CAUSE_UNSPECIFIED" => Some(Self::Unspecified),
+            "END_CAUSE_FINISHED" => Some(Self::Finished),
+            "END_CAUSE_LIFETIME" => Some(Self::Lifetime),
+            "END_CAUSE_IDLE" => Some(Self::Idle),
+            _ => None,
+        }
+    }
+}
