Serve calls end to end in one process with dev

The entry, the ledger of programs, publications and leases work together over the peer port. Each group of the log is still one replica in memory; the replicated log takes its place next. Found on the way: the terminal event of a stream was counted as a token, so that the cost exceeded the reservation.

--- /dev/null
+++ b/crates/core/commands/certs.rs
@@ -0,0 +1,67 @@
+//! Certificates for the peer port.
+
+use std::{
+    fs::{self, OpenOptions},
+    io::Write,
+    os::unix::fs::OpenOptionsExt,
+    path::Path,
+    process::ExitCode,
+};
+
+use anyhow::{Context, Result};
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+
+use crate::flags::CertsFlags;
+
+/// Names in the certificates; the peer port tells instances from operators by them.
+const NAMES: [(&str, &str); 2] =
+    [("instance", "instance.poplarspan.internal"), ("operator", "operator.poplarspan.internal")];
+
+/// `certs`
+pub(crate) fn run(flags: &CertsFlags) -> Result<ExitCode> {
+    fs::create_dir_all(&flags.out)
+        .with_context(|| format!("cannot make {}", flags.out.display()))?;
+    write_all(&flags.out)?;
+    println!("wrote authority, instance and operator certificates to {}", flags.out.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Makes an authority, and a certificate for instances and one for operators.
+pub(crate) fn write_all(folder: &Path) -> Result<()> {
+    let authority_key = KeyPair::generate()?;
+    let mut authority = CertificateParams::default();
+    authority.distinguished_name.push(DnType::CommonName, "poplarspan authority");
+    authority.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    authority.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    let certificate = authority.self_signed(&authority_key)?;
+    write(folder, "authority.pem", &certificate.pem())?;
+    write(folder, "authority.key", &authority_key.serialize_pem())?;
+    let issuer = Issuer::new(authority, authority_key);
+    for (file, name) in NAMES {
+        let key = KeyPair::generate()?;
+        let mut params = CertificateParams::new(vec![name.to_owned()])?;
+        params.distinguished_name.push(DnType::CommonName, name);
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+        let certificate = params.signed_by(&key, &issuer)?;
+        write(folder, &format!("{file}.pem"), &certificate.pem())?;
+        write(folder, &format!("{file}.key"), &key.serialize_pem())?;
+    }
+    Ok(())
+}
+
+fn write(folder: &Path, name: &str, text: &str) -> Result<()> {
+    let path = folder.join(name);
+    // Keys are for their owner only.
+    let mode = if name.ends_with(".key") { 0o600 } else { 0o644 };
+    let mut f = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(mode)
+        .open(&path)
+        .with_context(|| format!("cannot make {}", path.display()))?;
+    f.write_all(text.as_bytes()).with_context(|| format!("cannot write {}", path.display()))
+}
--- /dev/null
+++ b/crates/core/commands/dev.rs
@@ -0,0 +1,163 @@
+//! Everything in one process, to try it out.
+
+use std::{net::SocketAddr, path::Path, process::ExitCode, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result, bail};
+use poplarspan_objects::{ObjectSet, Secret, Source, generate_secret};
+use poplarspan_proto::peer::{self, request, response};
+use poplarspan_server::{
+    Credentials, Instance, InstanceConfig, Limits, PeerClient, Running, TlsFiles,
+};
+use poplarspan_standin::{Engine, EngineConfig, Service};
+use tokio::net::TcpListener;
+
+use super::{certs, serve};
+use crate::flags::DevFlags;
+
+/// The sample objects, with places for what is only known at run time.
+const OBJECTS: &str = include_str!("../../../examples/dev.toml");
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const START_ATTEMPTS: usize = 50;
+const START_PAUSE: Duration = Duration::from_millis(100);
+
+/// `dev`
+pub(crate) async fn run(flags: DevFlags) -> Result<ExitCode> {
+    let folder = tempfile::tempdir().context("cannot make a temporary folder")?;
+    let engine = start_engine().await?;
+    let orders = start_orders().await?;
+    let key = generate_secret()?;
+    let objects = sample_objects(&key, engine, orders)?;
+    let tls = make_certificates(folder.path())?;
+    let running = start_instance(folder.path(), &tls, flags.entry_address).await?;
+    publish(&running, &tls, folder.path(), &objects).await?;
+    print_help(running.entry_address, running.probe_address, &key);
+    serve::until_signal(running).await
+}
+
+async fn start_engine() -> Result<SocketAddr> {
+    let socket = TcpListener::bind(LOOPBACK).await?;
+    let address = socket.local_addr()?;
+    tokio::spawn(Arc::new(Engine::new(EngineConfig::default())).serve(socket));
+    Ok(address)
+}
+
+async fn start_orders() -> Result<SocketAddr> {
+    let socket = TcpListener::bind(LOOPBACK).await?;
+    let address = socket.local_addr()?;
+    tokio::spawn(Arc::new(Service::default()).serve(socket));
+    Ok(address)
+}
+
+/// Puts the addresses of the stand-ins and the digest of the new key into the sample objects.
+fn sample_objects(key: &Secret, engine: SocketAddr, orders: SocketAddr) -> Result<ObjectSet> {
+    let mut document: toml::Table = OBJECTS.parse().context("the sample objects")?;
+    let mut set = |kind: &str, name: &str, field: &str, value: String| -> Result<()> {
+        let objects = document.get_mut(kind).and_then(toml::Value::as_array_mut);
+        let object = objects
+            .into_iter()
+            .flatten()
+            .find(|o| o.get("name").and_then(toml::Value::as_str) == Some(name))
+            .and_then(toml::Value::as_table_mut)
+            .with_context(|| format!("the sample objects have no {kind} {name}"))?;
+        object.insert(field.to_owned(), value.into());
+        Ok(())
+    };
+    set("endpoint", "engine-1", "address", engine.to_string())?;
+    set("endpoint", "orders-1", "address", orders.to_string())?;
+    set("key", "demo-1", "digest", key.digest().to_string())?;
+    let text = toml::to_string(&document)?;
+    poplarspan_objects::check(&[Source::new("examples/dev.toml", text)])
+        .map_err(|findings| anyhow::anyhow!("{findings}"))
+}
+
+fn make_certificates(folder: &Path) -> Result<TlsFiles> {
+    let folder = folder.join("tls");
+    std::fs::create_dir(&folder)?;
+    certs::write_all(&folder)?;
+    Ok(TlsFiles {
+        authority: folder.join("authority.pem"),
+        certificate: folder.join("instance.pem"),
+        key: folder.join("instance.key"),
+    })
+}
+
+async fn start_instance(folder: &Path, tls: &TlsFiles, entry: SocketAddr) -> Result<Running> {
+    let data_dir = folder.join("data");
+    std::fs::create_dir(&data_dir)?;
+    let cfg = InstanceConfig {
+        name: "dev".into(),
+        zone: "zone-1".into(),
+        entry_address: entry,
+        peer_address: LOOPBACK,
+        probe_address: LOOPBACK,
+        seeds: Vec::new(),
+        replicas: Vec::new(),
+        data_dir: Some(data_dir),
+        tls: tls.clone(),
+        limits: Limits::default(),
+        drain_grace: Duration::ZERO,
+        drain_timeout: Duration::from_secs(5),
+    };
+    Instance::new(cfg)?.start().await
+}
+
+async fn publish(
+    running: &Running,
+    tls: &TlsFiles,
+    folder: &Path,
+    objects: &ObjectSet,
+) -> Result<()> {
+    let tls = TlsFiles {
+        certificate: folder.join("tls/operator.pem"),
+        key: folder.join("tls/operator.key"),
+        ..tls.clone()
+    };
+    let client = PeerClient::new(&Credentials::load(&tls)?, LOOPBACK)?;
+    let objects = ObjectSet::default().diff(objects);
+    let publish = peer::Publish {
+        expected_generation: 0,
+        request_id: "dev".to_owned(),
+        operator_key: String::new(),
+        objects: objects.iter().map(super::operator::write_change).collect(),
+    };
+    for _ in 0..START_ATTEMPTS {
+        let body = request::Body::Publish(publish.clone());
+        match client.call(running.peer_address, body, CALL_TIMEOUT).await {
+            Ok(response::Body::Publish(result)) if result.accepted => return Ok(()),
+            Ok(_) => bail!("the sample objects were not accepted"),
+            Err(e) => log::debug!("not published yet: {e}"),
+        }
+        tokio::time::sleep(START_PAUSE).await;
+    }
+    bail!("the instance did not start to lead in time")
+}
+
+fn print_help(entry: SocketAddr, probe: SocketAddr, key: &Secret) {
+    let key = key.expose();
+    println!(
+        r#"Poplarspan serves calls at http://{entry}. Try:
+
+  # A chat call
+  curl -s http://{entry}/v1/chat/completions -H 'authorization: Bearer {key}' \
+    -d '{{"model":"demo-chat","max_tokens":8,"messages":[{{"role":"user","content":"hello"}}]}}'
+
+  # The first turn of a program, streamed
+  curl -sN http://{entry}/v1/chat/completions -H 'authorization: Bearer {key}' \
+    -H 'x-poplarspan-program: trip-1' -H 'x-poplarspan-turn: 1' \
+    -d '{{"model":"demo-chat","stream":true,"max_tokens":8,"messages":[{{"role":"user","content":"plan a trip"}}]}}'
+
+  # What the program has done so far
+  curl -s http://{entry}/v1/programs/trip-1/history -H 'authorization: Bearer {key}'
+
+  # An order that runs once, however often it is sent
+  curl -s http://{entry}/orders/new -H 'authorization: Bearer {key}' \
+    -H 'idempotency-key: order-1' -d '{{"item":"ticket"}}'
+
+  # Metrics
+  curl -s http://{probe}/metrics
+
+Stop with Ctrl-C."#
+    );
+}
--- /dev/null
+++ b/crates/core/commands/files.rs
@@ -0,0 +1,80 @@
+//! Commands on object files, which need no fleet.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use anyhow::{Context, Result};
+use poplarspan_objects::{Change, ObjectSet, Source, generate_secret};
+
+use super::{on_runtime, operator};
+use crate::flags::{DiffFlags, FileFlags};
+
+/// Reads object files.
+pub(crate) fn read(paths: &[PathBuf]) -> Result<Vec<Source>> {
+    let read = |path: &PathBuf| -> Result<Source> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        Ok(Source::new(path.display().to_string(), text))
+    };
+    paths.iter().map(read).collect()
+}
+
+/// Checks object files; prints every finding and returns None when there is one.
+pub(crate) fn read_checked(paths: &[PathBuf]) -> Result<Option<ObjectSet>> {
+    match poplarspan_objects::check(&read(paths)?) {
+        Ok(set) => Ok(Some(set)),
+        Err(findings) => {
+            eprintln!("{findings}");
+            let count = findings.iter().count();
+            eprintln!("{count} finding{}", if count == 1 { "" } else { "s" });
+            Ok(None)
+        }
+    }
+}
+
+/// `check`
+pub(crate) fn check(flags: &FileFlags) -> Result<ExitCode> {
+    let Some(set) = read_checked(&flags.files)? else { return Ok(ExitCode::FAILURE) };
+    println!("{} objects, no findings", set.len());
+    Ok(ExitCode::SUCCESS)
+}
+
+/// `diff`
+pub(crate) fn diff(flags: &DiffFlags) -> Result<ExitCode> {
+    let Some(new) = read_checked(&flags.files.files)? else { return Ok(ExitCode::FAILURE) };
+    let old = if let Some(operator) = flags.operator() {
+        let mut fetched = None;
+        on_runtime(async {
+            fetched = Some(operator::fetch(&operator).await?.1);
+            Ok(ExitCode::SUCCESS)
+        })?;
+        fetched.context("the objects in force were not read")?
+    } else {
+        match read_checked(&flags.against)? {
+            Some(old) => old,
+            None => return Ok(ExitCode::FAILURE),
+        }
+    };
+    for change in old.diff(&new) {
+        print_change(&old, &change);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_change(old: &ObjectSet, change: &Change) {
+    let known = old.record(change.kind(), change.name()).is_some();
+    match change {
+        Change::Upsert(record) => {
+            let sign = if known { '~' } else { '+' };
+            println!("{sign} {} {}", record.kind, String::from_utf8_lossy(&record.body));
+        }
+        Change::Remove { kind, name } => println!("- {kind} {name}"),
+    }
+}
+
+/// `keygen`
+pub(crate) fn keygen() -> Result<ExitCode> {
+    let secret = generate_secret().context("no random bytes")?;
+    println!("secret: {}", secret.expose());
+    println!("digest: {}", secret.digest());
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/core/commands/serve.rs
@@ -0,0 +1,46 @@
+//! Runs one instance, and prepares data folders for control replicas.
+
+use std::process::ExitCode;
+
+use anyhow::{Result, bail};
+use poplarspan_server::{Instance, InstanceConfig, Running};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::flags::{InitFlags, ServeFlags};
+
+/// `serve`
+pub(crate) async fn run(flags: ServeFlags) -> Result<ExitCode> {
+    let cfg = InstanceConfig {
+        name: flags.name.into(),
+        zone: flags.zone.into(),
+        entry_address: flags.entry_address,
+        peer_address: flags.peer_address,
+        probe_address: flags.probe_address,
+        seeds: flags.seeds,
+        replicas: flags.replicas,
+        data_dir: flags.data_dir,
+        tls: flags.tls.files(),
+        limits: flags.limits.limits(),
+        drain_grace: flags.drain_grace,
+        drain_timeout: flags.drain_timeout,
+    };
+    let running = Instance::new(cfg)?.start().await?;
+    until_signal(running).await
+}
+
+/// Runs an instance until SIGTERM or SIGINT, then takes it down.
+pub(crate) async fn until_signal(running: Running) -> Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let cut = running.shutdown().await?;
+    Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// `init`
+pub(crate) fn init(_flags: &InitFlags) -> Result<ExitCode> {
+    bail!("data folders are not built yet")
+}
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -1,3 +1,23 @@
-//! The command line.
+//! The `poplarspan` program.
 
-fn main() {}
+mod commands;
+mod flags;
+mod logging;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::flags::Flags;
+
+fn main() -> ExitCode {
+    let flags = Flags::parse();
+    logging::install(flags.log_level);
+    match commands::run(flags.command) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("poplarspan: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/ledger/src/catalog.rs
+++ b/crates/ledger/src/catalog.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// Instances that were declared gone not long ago, with their incarnations.
+    pub fn gone(&self) -> Vec<(String, u64)> {
+        let gone = self.instances.gone.values().filter(|g| g.gone);
+        gone.map(|g| (g.instance.clone(), g.incarnation)).collect()
+    }
+
     /// The registered instances and their epoch.
     pub fn view(&self) -> View {
         self.instances.view()
--- a/crates/ledger/src/catalog/publish.rs
+++ b/crates/ledger/src/catalog/publish.rs
@@ -26,7 +26,7 @@
 
 impl Catalog {
     pub(super) fn publish(&mut self, publish: Publish) -> Answer {
-        let digest = *blake3::hash(&publish.encode_to_vec()).as_bytes();
+        let digest = request_digest(&publish);
         if let Some(result) = self.results.get(&publish.request_id) {
             if result.digest[..] != digest {
                 return Answer::RequestMismatch(RequestMismatch {});
@@ -81,6 +81,15 @@
     }
 }
 
+/// Digest by which a resend is recognised.
+fn request_digest(publish: &Publish) -> [u8; 32] {
+    let mut request = publish.clone();
+    if !request.content_digest.is_empty() {
+        request.changes.clear();
+    }
+    *blake3::hash(&request.encode_to_vec()).as_bytes()
+}
+
 /// Changes of the latest publications, oldest first, without a gap.
 #[derive(Debug, Default)]
 pub(super) struct Recent {
--- a/crates/proto/src/gen/poplarspan.ledger.v1.rs
+++ b/crates/proto/src/gen/poplarspan.ledger.v1.rs
@@ -53,6 +53,10 @@
     pub operator: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "4")]
     pub changes: ::prost::alloc::vec::Vec<ObjectChange>,
+    /// Digest of the whole new set. A resend is recognised by it, since its changes may be computed
+    /// against a later generation.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub content_digest: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RegisterInstance {
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -374,6 +374,8 @@
     /// The outcome of the call is not known.
     UnknownOutcome = 4,
     Unavailable = 5,
+    /// The incarnation was declared gone; the instance must go on under a new one.
+    Fenced = 6,
 }
 impl FailureCode {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -388,6 +390,7 @@
             Self::Invalid => "FAILURE_CODE_INVALID",
             Self::UnknownOutcome => "FAILURE_CODE_UNKNOWN_OUTCOME",
             Self::Unavailable => "FAILURE_CODE_UNAVAILABLE",
+            Self::Fenced => "FAILURE_CODE_FENCED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -399,6 +402,7 @@
             "FAILURE_CODE_INVALID" => Some(Self::Invalid),
             "FAILURE_CODE_UNKNOWN_OUTCOME" => Some(Self::UnknownOutcome),
             "FAILURE_CODE_UNAVAILABLE" => Some(Self::Unavailable),
+            "FAILURE_CODE_FENCED" => Some(Self::Fenced),
             _ => None,
         }
     }
--- a/crates/server/src/admission/local.rs
+++ b/crates/server/src/admission/local.rs
@@ -4,9 +4,10 @@
 
 use futures::future::BoxFuture;
 use poplarspan_objects::Name;
+use poplarspan_proto::peer::{self, FailureCode};
 use tokio::time::{Duration, Instant};
 
-use super::Admission;
+use super::{Admission, RateOwner};
 use crate::{
     entry::{Code, Refusal},
     membership::Membership,
@@ -52,16 +53,31 @@
         bucket.filled = now;
         let wait = Duration::from_secs_f64(((1.0 - bucket.level) / per_second).max(0.0));
         if now + wait > deadline {
-            return Err(Refusal::not_run(Code::RateLimited, "the team is above its rate")
-                .retry_after(wait));
+            return Err(
+                Refusal::not_run(Code::RateLimited, "the team is above its rate").retry_after(wait)
+            );
         }
         bucket.level -= 1.0;
         Ok(wait)
     }
 }
 
+impl RateOwner for LocalAdmission {
+    fn request(&self, _: peer::RateRequest) -> Result<peer::RateGrant, peer::Failure> {
+        Err(peer::Failure {
+            code: FailureCode::Unavailable.into(),
+            message: "this instance counts its own calls only".to_owned(),
+            leader_address: String::new(),
+        })
+    }
+}
+
 impl Admission for LocalAdmission {
-    fn admit<'a>(&'a self, team: &'a Name, deadline: Instant) -> BoxFuture<'a, Result<(), Refusal>> {
+    fn admit<'a>(
+        &'a self,
+        team: &'a Name,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<(), Refusal>> {
         Box::pin(async move {
             let wait = self.take(team, deadline)?;
             if !wait.is_zero() {
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -70,6 +70,8 @@
     pub probe_address: SocketAddr,
     /// Peer addresses of instances that may already run.
     pub seeds: Vec<SocketAddr>,
+    /// Peer addresses of all control replicas, sorted by number; needed with a data folder.
+    pub replicas: Vec<ReplicaAddress>,
     /// Data folder; only control replicas have one.
     pub data_dir: Option<PathBuf>,
     /// TLS files for the peer port.
--- a/crates/server/src/control/group.rs
+++ b/crates/server/src/control/group.rs
@@ -1,7 +1,5 @@
 //! The replicated log as control duties see it.
 
-use std::sync::{Arc, Mutex};
-
 use bytes::Bytes;
 use futures::future::BoxFuture;
 
@@ -46,5 +44,20 @@
     fn replicas(&self) -> Vec<(u64, bool)>;
 }
 
-/// A state machine that the log writes and that readers may look at.
-pub(crate) struct Shared<T>(pub(crate) Arc<Mutex<T>>);
+/// A state machine that a log drives.
+pub(crate) trait StateMachine: Send {
+    /// Applies the entry at `index`.
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes;
+}
+
+impl StateMachine for poplarspan_ledger::Catalog {
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        Self::apply(self, index, data)
+    }
+}
+
+impl StateMachine for poplarspan_ledger::Ledger {
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        Self::apply(self, index, data)
+    }
+}
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod group;
 mod leases;
+mod local;
 mod orders;
 mod publish;
 mod service;
@@ -28,8 +29,9 @@
 use prost::Message;
 
 use crate::membership::read_change;
-pub(crate) use group::{Group, Leadership, ProposeError, Shared};
+pub(crate) use group::{Group, ProposeError};
 use leases::Leases;
+pub(crate) use local::LocalGroup;
 pub(crate) use orders::ReleaseOrders;
 pub(crate) use service::Service;
 pub(crate) use sweep::Sweeper;
--- /dev/null
+++ b/crates/server/src/control/orders.rs
@@ -0,0 +1,115 @@
+//! Release orders: delivered to endpoints by the leader of each program group, and repeated until
+//! they are acknowledged, also by a later leader.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use poplarspan_proto::ledger::{ReleaseAcknowledged, ReleaseOrder, ledger_command};
+use serde::Serialize;
+use tokio::time::{Instant, MissedTickBehavior};
+
+use super::{Control, ProgramGroup, sweep};
+use crate::{
+    dispatch::{Pool, collect},
+    membership::Membership,
+};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ACKNOWLEDGEMENT_BYTES: usize = 4096;
+/// Orders in flight for one group.
+const BATCH: usize = 64;
+
+/// An order as endpoints take it at `POST /orders`.
+#[derive(Serialize)]
+struct Document<'a> {
+    kind: &'static str,
+    /// Rises with each order; an endpoint that checks it refuses lower numbers for the same program.
+    fencing: u64,
+    program: String,
+    /// Present when only the stream of one claim is to be released.
+    claim: Option<u64>,
+    team: &'a str,
+}
+
+/// The delivering task of a control replica.
+pub(crate) struct ReleaseOrders {
+    pub(crate) control: Arc<Control>,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) pool: Arc<Pool>,
+}
+
+impl ReleaseOrders {
+    /// Delivers orders until the task is ended.
+    pub(crate) async fn run(self: Arc<Self>) -> anyhow::Result<()> {
+        let mut ticks = tokio::time::interval(POLL_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            for group in &self.control.programs {
+                if group.log.leadership().is_leader {
+                    self.deliver_all(group).await;
+                }
+            }
+            self.pool.sweep();
+        }
+    }
+
+    async fn deliver_all(&self, group: &ProgramGroup) {
+        let orders: Vec<ReleaseOrder> = {
+            let state = group.state.lock().expect("no panic while locked");
+            state.orders(0).take(BATCH).cloned().collect()
+        };
+        if orders.is_empty() {
+            return;
+        }
+        let done = futures::future::join_all(orders.iter().map(|o| self.deliver(o))).await;
+        let numbers: Vec<u64> =
+            orders.iter().zip(done).filter(|(_, done)| *done).map(|(o, _)| o.number).collect();
+        if numbers.is_empty() {
+            return;
+        }
+        let acknowledged =
+            ledger_command::Command::ReleaseAcknowledged(ReleaseAcknowledged { numbers });
+        if let Err(e) = sweep::commit(group, acknowledged).await {
+            log::warn!(error = e.message.as_str(); "cannot record acknowledged orders");
+        }
+    }
+
+    /// Delivers one order; true when the endpoint took it, or is no longer part of the fleet.
+    async fn deliver(&self, order: &ReleaseOrder) -> bool {
+        let known = self.membership.load();
+        let Some(endpoint) = known.objects.endpoint(&order.endpoint) else {
+            return known.generation > 0;
+        };
+        let program = order.program.as_deref().unwrap_or_default();
+        let document = Document {
+            kind: "release",
+            fencing: order.number,
+            program: format!("{}/{program}", order.team),
+            claim: order.claim,
+            team: &order.team,
+        };
+        let buf = serde_json::to_vec(&document).expect("plain strings serialize");
+        let mut request = Request::new(Full::new(Bytes::from(buf)));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static("/orders");
+        let host = HeaderValue::from_str(&endpoint.address.to_string()).expect("plain ASCII");
+        request.headers_mut().insert(header::HOST, host);
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(header::CONTENT_TYPE, json);
+        let deadline = Instant::now() + DELIVERY_TIMEOUT;
+        let Ok(exchange) = self.pool.send(endpoint.address, request, true, deadline).await else {
+            return false;
+        };
+        let (response, reuse) = exchange.into_parts();
+        let status = response.status();
+        if collect(response.into_body(), MAX_ACKNOWLEDGEMENT_BYTES, deadline).await.is_ok() {
+            reuse.finish();
+        }
+        // An endpoint that does not know orders holds nothing that an order could release.
+        status.is_success() || status == http::StatusCode::NOT_FOUND
+    }
+}
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -28,9 +28,9 @@
 
 impl PeerService for Service {
     fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body> {
-        Box::pin(async move {
-            self.dispatch(role, body).await.unwrap_or_else(response::Body::Failure)
-        })
+        Box::pin(
+            async move { self.dispatch(role, body).await.unwrap_or_else(response::Body::Failure) },
+        )
     }
 }
 
@@ -125,11 +125,9 @@
         // The grant is made before the changes are read, so that whatever is published later finds
         // this lease in the table.
         let name: Name = hb.instance.as_str().into();
-        let granted =
-            self.leases().grant(&name, hb.incarnation, hb.generation, hb.draining);
-        let duration = granted.ok_or_else(|| {
-            failed(FailureCode::Fenced, "the instance is being declared gone")
-        })?;
+        let granted = self.leases().grant(&name, hb.incarnation, hb.generation, hb.draining);
+        let duration = granted
+            .ok_or_else(|| failed(FailureCode::Fenced, "the instance is being declared gone"))?;
         let mut grant = self.grant_for(&hb);
         // The leadership may have ended meanwhile; only a leader's grant counts.
         if !self.leads() {
--- /dev/null
+++ b/crates/server/src/control/sweep.rs
@@ -0,0 +1,133 @@
+//! Periodic duties of leaders: instances whose lease has run out, programs past their limits.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use poplarspan_proto::{
+    ledger::{self, LedgerCommand, catalog_answer, catalog_command, ledger_command},
+    peer::FailureCode,
+};
+use prost::Message;
+use tokio::time::{Instant, MissedTickBehavior};
+
+use super::{Control, ProgramGroup, failed, now_ms};
+use crate::programs::Ledger;
+
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The sweeping task of a control replica.
+pub(crate) struct Sweeper {
+    pub(crate) control: Arc<Control>,
+    pub(crate) ledger: Arc<dyn Ledger>,
+    /// Number of program groups of a fleet that has none yet.
+    pub(crate) program_groups: u32,
+}
+
+impl Sweeper {
+    /// Sweeps until the task is ended.
+    pub(crate) async fn run(self: Arc<Self>) -> anyhow::Result<()> {
+        let mut ticks = tokio::time::interval(SWEEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut expire_at = Instant::now() + EXPIRE_INTERVAL;
+        let mut told = Vec::new();
+        loop {
+            ticks.tick().await;
+            let leads = self.control.leads();
+            self.control.leases().set_leading(leads);
+            if leads {
+                self.fix_groups().await?;
+                self.declare_expired().await?;
+                self.tell_groups(&mut told).await;
+            } else {
+                told.clear();
+            }
+            if Instant::now() >= expire_at {
+                expire_at = Instant::now() + EXPIRE_INTERVAL;
+                self.expire_programs().await;
+            }
+        }
+    }
+
+    async fn fix_groups(&self) -> anyhow::Result<()> {
+        if self.control.catalog().groups() != 0 {
+            return Ok(());
+        }
+        let fix = ledger::FixGroups { groups: self.program_groups };
+        match self.control.commit(catalog_command::Command::FixGroups(fix)).await {
+            Ok(catalog_answer::Answer::Groups(_)) => Ok(()),
+            Ok(_) => anyhow::bail!("unexpected answer of the catalog"),
+            Err(e) => anyhow::bail!("cannot fix the number of program groups: {}", e.message),
+        }
+    }
+
+    async fn declare_expired(&self) -> anyhow::Result<()> {
+        let view = self.control.catalog().view();
+        let registered: Vec<(&str, u64)> =
+            view.instances.iter().map(|i| (i.instance.as_str(), i.incarnation)).collect();
+        let expired = self.control.leases().expired(&registered);
+        for (instance, incarnation) in expired {
+            log::warn!(instance, incarnation; "lease has run out");
+            metrics::counter!("poplarspan_instances_gone_total").increment(1);
+            if let Err(e) = self.control.declare_gone(instance, incarnation).await {
+                anyhow::bail!("cannot declare {instance} gone: {}", e.message);
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells every program group of the instances that are gone. A new leader of group 0 tells all
+    /// of them again, since a former one may have died in between; telling twice changes nothing.
+    async fn tell_groups(&self, told: &mut Vec<(String, u64)>) {
+        let gone = self.control.catalog().gone();
+        for (instance, incarnation) in gone {
+            let key = (instance, incarnation);
+            if told.contains(&key) {
+                continue;
+            }
+            if self.tell(&key.0, key.1).await {
+                told.push(key);
+            }
+        }
+    }
+
+    async fn tell(&self, instance: &str, incarnation: u64) -> bool {
+        let mut all = true;
+        for group in 1..=self.control.programs.len() as u32 {
+            let gone = ledger::InstanceGone { instance: instance.to_owned(), incarnation };
+            let command = ledger_command::Command::InstanceGone(gone);
+            let deadline = Instant::now() + COMMAND_TIMEOUT;
+            if let Err(e) = self.ledger.command(group, command, deadline).await {
+                let error = e.to_string();
+                log::warn!(group, instance, error = error.as_str(); "cannot release claims");
+                all = false;
+            }
+        }
+        all
+    }
+
+    /// Ends the programs that are past their limits, in the groups that this replica leads.
+    async fn expire_programs(&self) {
+        for group in &self.control.programs {
+            let busy = group.state.lock().expect("no panic while locked").program_count() > 0;
+            if group.log.leadership().is_leader
+                && busy
+                && let Err(e) =
+                    commit(group, ledger_command::Command::Expire(ledger::Expire {})).await
+            {
+                log::warn!(error = e.message.as_str(); "cannot expire programs");
+            }
+        }
+    }
+}
+
+/// Commits a command in a program group that this replica leads.
+pub(super) async fn commit(
+    group: &ProgramGroup,
+    command: ledger_command::Command,
+) -> Result<Bytes, poplarspan_proto::peer::Failure> {
+    let command = LedgerCommand { now_ms: now_ms(), command: Some(command) };
+    let answer = group.log.propose(Bytes::from(command.encode_to_vec())).await;
+    answer.map_err(|e| failed(FailureCode::Unavailable, &e.to_string()))
+}
--- a/crates/server/src/dispatch/answer.rs
+++ b/crates/server/src/dispatch/answer.rs
@@ -68,13 +68,15 @@
 pub(crate) struct RelayLimits {
     /// Longest time between two chunks.
     pub(crate) progress: Duration,
+    /// End of the time that the call may take.
+    pub(crate) deadline: Instant,
     /// Keep the whole answer, up to this many bytes; 0 keeps nothing.
     pub(crate) keep: usize,
 }
 
 /// Relays a streamed answer, all but its terminal event.
 pub(crate) async fn relay_stream(
-    mut body: Incoming,
+    body: &mut Incoming,
     tx: &RelaySender,
     limits: RelayLimits,
 ) -> Relayed {
@@ -82,7 +84,7 @@
     // Bytes since the last line end, since a chunk may split the terminal event.
     let mut line = BytesMut::new();
     loop {
-        let progress_until = Instant::now() + limits.progress;
+        let progress_until = (Instant::now() + limits.progress).min(limits.deadline);
         let frame = tokio::select! {
             () = tx.closed() => return relayed,
             frame = timeout_at(progress_until, body.frame()) => frame,
@@ -107,6 +109,8 @@
         }
         relayed.events += count_events(&chunk);
         if ends_stream(&mut line, &chunk) {
+            // The terminal event is no token.
+            relayed.events = relayed.events.saturating_sub(1);
             relayed.end = StreamEnd::Whole { last: chunk };
             return relayed;
         }
--- a/crates/server/src/dispatch/mod.rs
+++ b/crates/server/src/dispatch/mod.rs
@@ -6,5 +6,7 @@
 mod answer;
 mod pool;
 
-pub(crate) use answer::{AnswerError, StreamEnd, collect, relay_stream};
-pub(crate) use pool::{Exchange, Pool, SendError};
+pub(crate) use answer::{
+    AnswerError, RelayLimits, Relayed, StreamEnd, collect, cut_short, relay_stream,
+};
+pub(crate) use pool::{Exchange, Pool, REQUEST_ID_HEADER, Reuse, SendError};
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::{
     auth::{self, Credential},
+    call::ProgramCall,
     handler::Entry,
     refusal::{Code, Ran, Refusal},
 };
@@ -18,10 +19,13 @@
     dispatch::{AnswerError, Exchange, REQUEST_ID_HEADER, Reuse, SendError, collect},
     membership::Known,
     schedule::{CallSpec, DispatchOutcome, Slot},
+    telemetry,
 };
 
 /// Endpoints that one call may be sent to.
 const MAX_ATTEMPTS: usize = 3;
+/// Header of requests to engines that names the program, for its memory to be released later.
+const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
 const COME_BACK: Duration = Duration::from_secs(1);
 
 /// Headers that belong to one connection, or that only concern this system.
@@ -59,6 +63,21 @@
         Self { method, path, headers, body }
     }
 
+    /// Names the program to the endpoint, so that orders can refer to what it holds for it.
+    pub(crate) fn with_program(
+        mut self,
+        credential: Option<&Credential>,
+        program: Option<&ProgramCall>,
+    ) -> Self {
+        self.headers.remove(ENGINE_PROGRAM_HEADER);
+        if let (Some(credential), Some(call)) = (credential, program) {
+            let name = format!("{}/{}", credential.team, call.program);
+            let value = HeaderValue::from_str(&name).expect("checked names are plain ASCII");
+            self.headers.insert(ENGINE_PROGRAM_HEADER, value);
+        }
+        self
+    }
+
     fn request(&self, endpoint: &Endpoint, id: &HeaderValue) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -138,7 +157,10 @@
 
     /// Waits for a place at an endpoint that was not tried yet.
     pub(crate) async fn place(&self) -> Result<Slot, Refusal> {
-        self.entry.scheduler.acquire(&self.call.spec, &self.tried).await.map_err(|mut refusal| {
+        let started = Instant::now();
+        let placed = self.entry.scheduler.acquire(&self.call.spec, &self.tried).await;
+        telemetry::waited(self.call.spec.team.as_ref(), started.elapsed());
+        placed.map_err(|mut refusal| {
             refusal.ran = self.ran;
             if self.ran != Ran::No {
                 refusal.code = Code::EndpointFailed;
@@ -164,10 +186,8 @@
     fn head(&mut self, exchange: Exchange, slot: Slot) -> Result<Option<Begun>, Refusal> {
         let (response, reuse) = exchange.into_parts();
         let (head, body) = response.into_parts();
-        let refused = matches!(
-            head.status,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-        );
+        let refused =
+            matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
         if refused && self.call.idempotent {
             let failed = Failed {
                 ran: Ran::Unknown,
@@ -251,13 +271,13 @@
             }
         }
         let usable = known.objects.endpoint(&endpoint.name).is_some_and(|e| {
-            let zone_in =
-                known.objects.zone(&e.zone).is_some_and(|z| z.state == ZoneState::In);
+            let zone_in = known.objects.zone(&e.zone).is_some_and(|z| z.state == ZoneState::In);
             !e.leaving && zone_in && e.address == endpoint.address
         });
         if !usable {
-            return Err(Refusal::not_run(Code::Unavailable, "the endpoint has left")
-                .retry_after(COME_BACK));
+            return Err(
+                Refusal::not_run(Code::Unavailable, "the endpoint has left").retry_after(COME_BACK)
+            );
         }
         Ok(())
     }
@@ -271,6 +291,3 @@
     Err(Refusal::not_run(Code::NoLease, "this instance is cut off from the control replicas")
         .retry_after(COME_BACK))
 }
-
-/// Header of requests to engines that names the program, for its memory to be released later.
-pub(crate) const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
--- a/crates/server/src/entry/body.rs
+++ b/crates/server/src/entry/body.rs
@@ -71,7 +71,10 @@
     timeout: Duration,
 ) -> Result<Bytes, Refusal> {
     let too_large = || {
-        Refusal::not_run(Code::TooLarge, format!("the body is larger than the limit of {max} bytes"))
+        Refusal::not_run(
+            Code::TooLarge,
+            format!("the body is larger than the limit of {max} bytes"),
+        )
     };
     if body.size_hint().lower() > max as u64 {
         return Err(too_large());
--- a/crates/server/src/entry/handler.rs
+++ b/crates/server/src/entry/handler.rs
@@ -1,11 +1,8 @@
 //! From a request to its answer.
 
-use std::{
-    borrow::Cow,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use bytes::Bytes;
@@ -24,6 +21,7 @@
     body::{self, AnswerBody},
     call::CallHead,
     chat::ChatRequest,
+    own::OwnPath,
     refusal::{Code, Ran, Refusal},
 };
 use crate::{
@@ -59,9 +57,8 @@
     pub(crate) prepared: Prepared,
     pub(crate) head: CallHead,
     pub(crate) stream: bool,
-    pub(crate) route: poplarspan_objects::Name,
     /// Memory that the call holds.
-    pub(crate) held: OwnedSemaphorePermit,
+    pub(crate) _held: OwnedSemaphorePermit,
 }
 
 impl Accepted {
@@ -72,7 +69,10 @@
 
 impl Entry {
     /// Answers a request; never fails.
-    pub(crate) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub(crate) async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
         let started = Instant::now();
         let id = request_id();
         let mut response = match self.clone().answer(&id, request).await {
@@ -97,7 +97,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Refusal> {
         if let Some(own) = OwnPath::find(request.uri().path()) {
-            return self.answer_own(own, request).await;
+            return self.answer_own(own, &request).await;
         }
         let accepted = self.accept(id, request).await?;
         if let Some(team) = accepted.team() {
@@ -141,14 +141,15 @@
             return Err(Refusal::not_run(Code::BadRequest, message));
         }
         let prepared = Prepared {
-            parts: Parts::new(head.method, path, head.headers, body),
+            parts: Parts::new(head.method, path, head.headers, body)
+                .with_program(credential.as_ref(), call.program.as_ref()),
             credential,
             spec: Arc::new(spec),
             idempotent,
             request_id: id.clone(),
             deadline: call.deadline,
         };
-        Ok(Accepted { prepared, head: call, stream, route: route.name.clone(), held })
+        Ok(Accepted { prepared, head: call, stream, _held: held })
     }
 
     /// Counts the memory of a call; refuses when all calls together hold too much.
@@ -175,7 +176,8 @@
     fn note_refusal(&self, id: &HeaderValue, refusal: &Refusal) {
         telemetry::refused(refusal.code.as_str());
         let quiet = matches!(refusal.code, Code::Unauthorized | Code::NotFound | Code::BadRequest);
-        let level = if quiet || refusal.ran == Ran::No { log::Level::Debug } else { log::Level::Warn };
+        let level =
+            if quiet || refusal.ran == Ran::No { log::Level::Debug } else { log::Level::Warn };
         log::log!(
             level,
             request_id = id.to_str().unwrap_or_default(),
@@ -199,29 +201,6 @@
     response
 }
 
-/// Paths that this system answers itself.
-pub(crate) enum OwnPath<'a> {
-    /// `GET /v1/models`
-    Models,
-    /// `POST /v1/programs/{id}/finish`
-    Finish(Cow<'a, str>),
-    /// `GET /v1/programs/{id}/history`
-    History(Cow<'a, str>),
-}
-
-impl<'a> OwnPath<'a> {
-    fn find(path: &'a str) -> Option<Self> {
-        if path == "/v1/models" {
-            return Some(Self::Models);
-        }
-        let rest = path.strip_prefix("/v1/programs/")?;
-        if let Some(program) = rest.strip_suffix("/finish") {
-            return Some(Self::Finish(program.into()));
-        }
-        rest.strip_suffix("/history").map(|program| Self::History(program.into()))
-    }
-}
-
 /// What the scheduler needs to know of the call, and whether its answer is streamed.
 fn spec(
     objects: &ObjectSet,
--- a/crates/server/src/entry/listener.rs
+++ b/crates/server/src/entry/listener.rs
@@ -38,7 +38,11 @@
 
     /// Accepts until `stop`, then waits for the open calls, at most `drain_timeout`. Returns the
     /// number of connections that were still open then.
-    pub(crate) async fn run(self, stop: CancellationToken, drain_timeout: Duration) -> Result<usize> {
+    pub(crate) async fn run(
+        self,
+        stop: CancellationToken,
+        drain_timeout: Duration,
+    ) -> Result<usize> {
         let server = self.builder();
         let graceful = GracefulShutdown::new();
         loop {
@@ -99,8 +103,7 @@
             let entry = entry.clone();
             async move { Ok::<_, Infallible>(entry.handle(request).await) }
         });
-        let connection =
-            server.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(e) = connection.await {
--- a/crates/server/src/entry/mod.rs
+++ b/crates/server/src/entry/mod.rs
@@ -10,12 +10,13 @@
 mod chat;
 mod handler;
 mod listener;
+mod own;
 mod program;
+mod record;
 mod refusal;
 mod stream;
 
-pub(crate) use attempt::Parts;
 pub(crate) use body::{RelaySender, Truncated};
-pub(crate) use handler::Entry;
+pub(crate) use handler::{Entry, HELD_UNIT_BYTES};
 pub(crate) use listener::Listener;
-pub(crate) use refusal::{Code, Ran, Refusal};
+pub(crate) use refusal::{Code, Refusal};
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,6 +1,7 @@
 //! One instance of Poplarspan: the HTTP side towards callers, the dispatch to endpoints, the peer
 //! port between instances, and the control duties of instances with a data folder.
 
+mod admission;
 mod config;
 mod control;
 mod dispatch;
@@ -8,9 +9,11 @@
 mod instance;
 mod membership;
 mod peer;
+mod programs;
+mod schedule;
 mod supervisor;
 mod telemetry;
 
-pub use config::{ConfigError, InstanceConfig, Limits, TlsFiles};
+pub use config::{ConfigError, InstanceConfig, Limits, ReplicaAddress, TlsFiles};
 pub use instance::{Instance, Running};
 pub use peer::{CallError, Credentials, PeerClient};
--- a/crates/server/src/membership/heartbeat.rs
+++ b/crates/server/src/membership/heartbeat.rs
@@ -2,8 +2,11 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use poplarspan_objects::Name;
@@ -50,6 +53,11 @@
         Some(inner.candidates[i])
     }
 
+    /// The believed leader of group 0.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.inner.lock().expect("no panic while locked").leader
+    }
+
     pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
         self.inner.lock().expect("no panic while locked").leader = leader;
     }
@@ -81,11 +89,18 @@
     }
 }
 
+/// Number of a run of this process, higher than those of all earlier runs.
+pub(crate) fn new_incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Who this instance is, as told in each heartbeat.
 #[derive(Clone)]
 pub(crate) struct Identity {
     pub(crate) name: Name,
-    pub(crate) incarnation: u64,
+    /// Changes when the instance was declared gone while it lived on.
+    pub(crate) incarnation: Arc<AtomicU64>,
     pub(crate) zone: Name,
     pub(crate) peer_address: SocketAddr,
 }
@@ -97,7 +112,7 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) client: PeerClient,
     pub(crate) saved: Option<SavedObjects>,
-    pub(crate) draining: Arc<std::sync::atomic::AtomicBool>,
+    pub(crate) draining: Arc<AtomicBool>,
 }
 
 impl Heartbeats {
@@ -115,7 +130,11 @@
             }
             let spread = rand::rng().random_range(-JITTER..JITTER);
             // The first retries are quick: most failures are a leader that just changed.
-            let wait = if (1..4).contains(&failures) { HEARTBEAT_INTERVAL / 6 } else { HEARTBEAT_INTERVAL };
+            let wait = if (1..4).contains(&failures) {
+                HEARTBEAT_INTERVAL / 6
+            } else {
+                HEARTBEAT_INTERVAL
+            };
             tokio::time::sleep(wait.mul_f64(1.0 + spread)).await;
         }
     }
@@ -129,19 +148,20 @@
         let known = self.membership.load();
         let body = request::Body::Heartbeat(peer::Heartbeat {
             instance: self.identity.name.to_string(),
-            incarnation: self.identity.incarnation,
+            incarnation: self.identity.incarnation.load(Ordering::Relaxed),
             zone: self.identity.zone.to_string(),
             peer_address: self.identity.peer_address.to_string(),
             generation: known.generation,
             epoch: known.view.epoch,
             crashes: Vec::new(),
             crash_sequence: 0,
-            draining: self.draining.load(std::sync::atomic::Ordering::Relaxed),
+            draining: self.draining.load(Ordering::Relaxed),
         });
         let grant = match self.client.call(target, body, CALL_TIMEOUT).await {
             Ok(response::Body::Lease(grant)) => grant,
             Ok(_) => anyhow::bail!("unexpected answer to a heartbeat from {target}"),
             Err(e) => {
+                self.note_fencing(&e);
                 self.directory.note_failure(&e);
                 return Err(e.into());
             }
@@ -154,6 +174,19 @@
         Ok(more)
     }
 
+    /// Goes on under a new incarnation after the old one was declared gone. Calls that the old one
+    /// had open stay as the ledger has settled them.
+    fn note_fencing(&self, error: &CallError) {
+        if let CallError::Failed(failure) = error
+            && failure.code() == FailureCode::Fenced
+        {
+            self.membership.release();
+            let incarnation = new_incarnation();
+            self.identity.incarnation.store(incarnation, Ordering::Relaxed);
+            log::warn!(incarnation; "declared gone; continuing under a new incarnation");
+        }
+    }
+
     async fn save_if_newer(&self, before: u64) -> anyhow::Result<()> {
         let known = self.membership.load();
         if known.generation == before {
--- a/crates/server/src/membership/mod.rs
+++ b/crates/server/src/membership/mod.rs
@@ -15,7 +15,7 @@
 use poplarspan_proto::peer;
 use tokio::time::Instant;
 
-pub(crate) use heartbeat::{Directory, Heartbeats};
+pub(crate) use heartbeat::{Directory, Heartbeats, Identity, new_incarnation};
 pub(crate) use saved::SavedObjects;
 
 /// Lease that the leader of group 0 grants with each heartbeat.
@@ -114,7 +114,8 @@
             );
         }
         if grant.generation > known.generation {
-            let changes = grant.changes.iter().map(read_change).collect::<anyhow::Result<Vec<_>>>()?;
+            let changes =
+                grant.changes.iter().map(read_change).collect::<anyhow::Result<Vec<_>>>()?;
             let base = if grant.full { ObjectSet::default() } else { (*known.objects).clone() };
             let objects = base.apply(&changes).map_err(|e| anyhow::anyhow!("{e}"))?;
             known.objects = Arc::new(objects);
@@ -159,9 +160,7 @@
     let kind = change.kind.parse().map_err(|_| anyhow::anyhow!("unknown kind {}", change.kind))?;
     let name: Name = change.name.as_str().into();
     Ok(match &change.body {
-        Some(body) => {
-            Change::Upsert(poplarspan_objects::Record { kind, name, body: body.clone() })
-        }
+        Some(body) => Change::Upsert(poplarspan_objects::Record { kind, name, body: body.clone() }),
         None => Change::Remove { kind, name },
     })
 }
--- a/crates/server/src/membership/saved.rs
+++ b/crates/server/src/membership/saved.rs
@@ -53,8 +53,7 @@
         );
         let reply = peer::ObjectsReply::decode(Bytes::copy_from_slice(body))?;
         let changes = reply.objects.iter().map(read_change).collect::<Result<Vec<_>>>()?;
-        let objects =
-            ObjectSet::default().apply(&changes).map_err(|e| anyhow::anyhow!("{e}"))?;
+        let objects = ObjectSet::default().apply(&changes).map_err(|e| anyhow::anyhow!("{e}"))?;
         Ok((reply.generation, objects))
     }
 
--- a/crates/server/src/peer/client.rs
+++ b/crates/server/src/peer/client.rs
@@ -105,8 +105,10 @@
             return Ok(connection);
         }
         let unreachable = |cause: String| CallError::Unreachable { address, cause };
-        let connecting =
-            self.endpoint.connect(address, INSTANCE_NAME).map_err(|e| unreachable(e.to_string()))?;
+        let connecting = self
+            .endpoint
+            .connect(address, INSTANCE_NAME)
+            .map_err(|e| unreachable(e.to_string()))?;
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| unreachable("timed out".to_owned()))?
--- a/crates/server/src/peer/tls.rs
+++ b/crates/server/src/peer/tls.rs
@@ -60,8 +60,7 @@
             .with_client_cert_verifier(verifier)
             .with_single_cert(self.chain.clone(), self.key.clone_key())?;
         tls.alpn_protocols = vec![PROTOCOL.to_vec()];
-        let mut cfg =
-            quinn::ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+        let mut cfg = quinn::ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
         cfg.transport_config(transport());
         Ok(cfg)
     }
--- a/crates/server/src/schedule/local.rs
+++ b/crates/server/src/schedule/local.rs
@@ -151,11 +151,7 @@
                         .retry_after(COME_BACK));
                 }
                 let (tx, rx) = oneshot::channel();
-                state.waiting.push_back(Waiting {
-                    spec: spec.clone(),
-                    tried: tried.to_vec(),
-                    tx,
-                });
+                state.waiting.push_back(Waiting { spec: spec.clone(), tried: tried.to_vec(), tx });
                 rx
             };
             match tokio::time::timeout_at(spec.deadline, rx).await {
