Add rate shares of teams

One instance owns a team's token bucket; others ask it for tokens. Grants are named and reports cumulative, so that lost, repeated and reordered messages never free a token twice. The module comment proves the bound for any window.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Decisions of the scheduler as pure functions and small state machines.
+//!
+//! Nothing in this crate reads a clock, opens a socket or spawns a task. Time is an argument: a
+//! [`std::time::Duration`] since an arbitrary start that is the same for all calls on one object
+//! (for example the elapsed time of the runtime's clock since the process started). Randomness is
+//! an argument too. All state belongs to the instance that holds it and is rebuilt after a crash;
+//! the module comments say how.
+//!
+//! * [`rate`]: rate limits of teams, counted over all instances.
+
+mod check;
+pub mod rate;
+
+use std::sync::Arc;
+
+pub use check::violations;
+
+/// Name of a team, instance, program or endpoint.
+pub type Name = Arc<str>;
--- /dev/null
+++ b/crates/policy/src/rate/owner.rs
@@ -0,0 +1,282 @@
+//! Token bucket of one team at the instance that owns it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::{Ask, Grant, GrantId, Limit, NANO, Report};
+use crate::Name;
+use crate::check::invariant;
+
+/// Shortest time after which an instance is told to ask again.
+const MIN_RETRY: Duration = Duration::from_millis(1);
+
+/// How long after the announced time an instance that was told to ask again keeps its place.
+const PLACE_KEPT: Duration = Duration::from_millis(20);
+
+/// How long an instance counts as active after its last request.
+const ACTIVE_FOR: Duration = Duration::from_secs(1);
+
+/// Token bucket of one team.
+///
+/// State is in memory only. When the owner dies, its successor starts a new bucket; see
+/// [`Owners`](super::Owners). The module comment of [`rate`](super) proves the bound.
+#[derive(Clone, Debug)]
+pub struct OwnerBucket {
+    limit: Limit,
+    min_validity: Duration,
+    level_nano: u64,
+    outstanding: u64,
+    updated: Duration,
+    /// In order of grant; expiry is checked from the front, so a grant behind one with a later
+    /// expiry (after a change of the limit) stays outstanding for longer than necessary.
+    grants: VecDeque<Outstanding>,
+    askers: Vec<Asker>,
+}
+
+#[derive(Clone, Debug)]
+struct Outstanding {
+    id: GrantId,
+    tokens: u32,
+    used: u32,
+    returned: u32,
+    expires: Duration,
+}
+
+impl Outstanding {
+    fn open(&self) -> u32 {
+        self.tokens - self.used - self.returned
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Asker {
+    instance: Name,
+    /// Calls that were left without a token by the last answer.
+    waiting: u32,
+    /// Since when it has waited without receiving any token.
+    since: Duration,
+    /// When it was told to ask again.
+    due: Duration,
+    seen: Duration,
+}
+
+impl OwnerBucket {
+    /// Returns a bucket with `level` tokens at `now`, at most the burst.
+    pub fn new(limit: Limit, min_validity: Duration, level: f64, now: Duration) -> Self {
+        let level_nano = ((level.max(0.0) * NANO as f64) as u64).min(limit.burst_nano());
+        Self {
+            limit,
+            min_validity,
+            level_nano,
+            outstanding: 0,
+            updated: now,
+            grants: VecDeque::new(),
+            askers: Vec::new(),
+        }
+    }
+
+    /// Returns a bucket that takes over `level_nano` and `outstanding` tokens of a former owner;
+    /// the outstanding ones expire after `valid_for`.
+    pub(super) fn resumed(
+        limit: Limit,
+        min_validity: Duration,
+        (level_nano, outstanding): (u64, u32),
+        valid_for: Duration,
+        now: Duration,
+    ) -> Self {
+        let mut bucket = Self::new(limit, min_validity, 0.0, now);
+        let outstanding = outstanding.min(limit.burst());
+        bucket.outstanding = u64::from(outstanding);
+        bucket.level_nano = level_nano.min(bucket.room());
+        if outstanding > 0 {
+            bucket.grants.push_back(Outstanding {
+                id: GrantId { session: 0, number: 0 },
+                tokens: outstanding,
+                used: 0,
+                returned: 0,
+                expires: now + valid_for,
+            });
+        }
+        bucket
+    }
+
+    /// Tokens available now.
+    pub fn level(&self) -> f64 {
+        self.level_nano as f64 / NANO as f64
+    }
+
+    pub(super) fn level_nano(&self) -> u64 {
+        self.level_nano
+    }
+
+    /// Tokens granted that may still be used.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding as u32
+    }
+
+    /// Whether the bucket is full and nothing is outstanding, so that a new one would be equal.
+    pub fn is_idle(&mut self, now: Duration) -> bool {
+        self.advance(now);
+        self.outstanding == 0 && self.level_nano == self.limit.burst_nano()
+    }
+
+    /// Time in which an empty bucket becomes full.
+    pub(super) fn time_to_fill(&self) -> Duration {
+        self.limit.time_for(f64::from(self.limit.burst()))
+    }
+
+    /// Changes rate and burst from `now` on. Tokens above a smaller burst are dropped.
+    pub fn set_limit(&mut self, limit: Limit, now: Duration) {
+        self.advance(now);
+        self.limit = limit;
+        self.level_nano = self.level_nano.min(self.room());
+    }
+
+    /// Latest time at which an outstanding token expires.
+    pub(super) fn last_expiry(&self) -> Option<Duration> {
+        self.grants.iter().map(|g| g.expires).max()
+    }
+
+    /// Answers a request. `id` becomes the identity of the grant and must not be used again.
+    pub fn request(&mut self, id: GrantId, ask: &Ask, now: Duration) -> Grant {
+        self.advance(now);
+        for report in &ask.reports {
+            self.apply(report);
+        }
+        let ahead = self.ahead_of(&ask.instance);
+        let free = (self.level_nano / NANO).saturating_sub(u64::from(ahead));
+        let served = u64::from(ask.waiting).min(free) as u32;
+        let mut tokens = served;
+        if served == ask.waiting && ahead == 0 {
+            tokens += self.spare(ask.spare, served);
+        }
+        let valid_for = self.limit.validity(self.min_validity);
+        if tokens > 0 {
+            self.level_nano -= u64::from(tokens) * NANO;
+            self.outstanding += u64::from(tokens);
+            let expires = self.updated + valid_for;
+            self.grants.push_back(Outstanding { id, tokens, used: 0, returned: 0, expires });
+        }
+        let left = ask.waiting - served;
+        let next = ahead + left.min(self.chunk());
+        let retry_after = if left == 0 { Duration::ZERO } else { self.wait_for(next) };
+        self.note(&ask.instance, left, served > 0, retry_after);
+        self.check();
+        Grant { id, tokens, valid_for, retry_after, backlog: self.backlog() }
+    }
+
+    /// Spare tokens come only from the upper half of the burst and are divided among the active
+    /// instances, so that leases never leave the waiting calls of another instance without tokens.
+    fn spare(&self, wanted: u32, served: u32) -> u32 {
+        let level = self.level_nano / NANO - u64::from(served);
+        let above_half = level.saturating_sub(u64::from(self.limit.burst()) / 2);
+        let active = self.askers.len().max(1) as u64;
+        u64::from(wanted).min(above_half / active) as u32
+    }
+
+    /// Time until the level covers `tokens` tokens.
+    fn wait_for(&self, tokens: u32) -> Duration {
+        let missing = f64::from(tokens) - self.level();
+        self.limit.time_for(missing).max(MIN_RETRY)
+    }
+
+    fn backlog(&self) -> u32 {
+        self.askers.iter().map(|a| a.waiting).sum()
+    }
+
+    /// Tokens that are kept for an instance that waits. More would let a few instances with many
+    /// waiting calls keep all tokens from the others until the bucket is full.
+    fn chunk(&self) -> u32 {
+        (self.limit.burst() / 4 / self.askers.len().max(1) as u32).max(1)
+    }
+
+    /// Tokens kept for other instances that have waited for longer and still keep their place.
+    fn ahead_of(&self, instance: &Name) -> u32 {
+        let own = self.askers.iter().find(|a| a.instance == *instance);
+        let since = match own {
+            Some(a) if a.waiting > 0 => a.since,
+            _ => self.updated,
+        };
+        let earlier = |a: &&Asker| {
+            a.waiting > 0 && (a.since, &a.instance) < (since, instance) && a.instance != *instance
+        };
+        self.askers.iter().filter(earlier).map(|a| a.waiting.min(self.chunk())).sum()
+    }
+
+    fn note(&mut self, instance: &Name, waiting: u32, served: bool, retry_after: Duration) {
+        let now = self.updated;
+        let fresh =
+            || Asker { instance: instance.clone(), waiting: 0, since: now, due: now, seen: now };
+        let at = match self.askers.binary_search_by(|a| a.instance.cmp(instance)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.askers.insert(at, fresh());
+                at
+            }
+        };
+        let asker = &mut self.askers[at];
+        if asker.waiting == 0 || served {
+            // An instance that received tokens goes behind those that did not.
+            asker.since = now;
+        }
+        asker.waiting = waiting;
+        asker.due = now + retry_after;
+        asker.seen = now;
+    }
+
+    fn apply(&mut self, report: &Report) {
+        let Ok(at) = self.grants.binary_search_by(|g| g.id.cmp(&report.grant)) else { return };
+        let grant = &mut self.grants[at];
+        let before = grant.open();
+        grant.used = grant.used.max(report.used).min(grant.tokens - grant.returned);
+        let returned = report.returned.clamp(grant.returned, grant.tokens - grant.used);
+        let back = returned - grant.returned;
+        grant.returned = returned;
+        self.outstanding -= u64::from(before - grant.open());
+        self.level_nano = (self.level_nano + u64::from(back) * NANO).min(self.room());
+    }
+
+    /// Refills up to `now` and lets grants expire, in the order in which both happen.
+    fn advance(&mut self, now: Duration) {
+        while let Some(first) = self.grants.front() {
+            let (expires, open) = (first.expires, first.open());
+            if expires > now {
+                break;
+            }
+            self.refill(expires);
+            self.outstanding -= u64::from(open);
+            self.grants.pop_front();
+        }
+        self.refill(now);
+        let now = self.updated;
+        self.askers.retain_mut(|a| {
+            if a.due + PLACE_KEPT < now {
+                a.waiting = 0;
+            }
+            a.waiting > 0 || a.seen + ACTIVE_FOR > now
+        });
+        self.check();
+    }
+
+    fn refill(&mut self, to: Duration) {
+        if to > self.updated {
+            let accrued = self.limit.accrued_nano(to - self.updated);
+            self.level_nano = self.level_nano.saturating_add(accrued).min(self.room());
+            self.updated = to;
+        }
+    }
+
+    /// Highest level that the outstanding tokens permit.
+    fn room(&self) -> u64 {
+        self.limit.burst_nano().saturating_sub(self.outstanding * NANO)
+    }
+
+    fn check(&self) {
+        // After the burst was lowered, more than the burst may be outstanding, with level zero.
+        let total = self.level_nano + self.outstanding * NANO;
+        invariant(
+            self.level_nano == 0 || total <= self.limit.burst_nano(),
+            "rate: level + outstanding <= burst",
+        );
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rate/share.rs
@@ -0,0 +1,368 @@
+//! The part of a team's rate that one instance holds.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::{Ask, Grant, GrantId, Limit, Report};
+use crate::Name;
+use crate::check::invariant;
+
+/// Clocks of two instances may differ by this fraction in speed.
+const DRIFT: u32 = 256;
+
+/// Time constant of the demand estimate.
+const DEMAND_WINDOW: Duration = Duration::from_millis(250);
+
+/// Bursts under this report each use immediately, because they cannot refill until then.
+const PROMPT_REPORT_BURST: u32 = 16;
+
+/// Requests to the owner whose answers are still accepted.
+const MAX_ASKS: usize = 8;
+
+/// Parameters of a [`Share`].
+#[derive(Clone, Copy, Debug)]
+pub struct ShareConfig {
+    /// Time after which an unanswered request to the owner is sent again.
+    pub ask_timeout: Duration,
+    /// Calls that may wait for a token.
+    pub max_waiting: usize,
+    /// Lower bound of the validity of grants; the same value as at the owner.
+    pub min_validity: Duration,
+}
+
+impl Default for ShareConfig {
+    fn default() -> Self {
+        Self {
+            ask_timeout: Duration::from_millis(50),
+            max_waiting: 1024,
+            min_validity: super::MIN_VALIDITY,
+        }
+    }
+}
+
+/// Number of a waiting call, unique within its share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Permission to run one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// The call must be admitted before this time; a process that was suspended since checks it.
+    pub valid_until: Duration,
+}
+
+/// Answer of [`Share::acquire`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The call may run now.
+    Granted(Permit),
+    /// The call waits; its verdict comes from [`Share::on_grant`] or [`Share::expire`].
+    Wait(Ticket),
+    /// No token can be had before the call's deadline, or too many calls are waiting.
+    Refused {
+        /// When a token is expected to be available.
+        retry_after: Duration,
+    },
+}
+
+/// Outcome for a waiting call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The call may run now.
+    Granted(Permit),
+    /// No token can be had before the call's deadline.
+    Refused {
+        /// When a token is expected to be available.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    id: GrantId,
+    left: u32,
+    used: u32,
+    returned: u32,
+    /// `used + returned` of the last report that was sent.
+    reported: u32,
+    received: Duration,
+    expires: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    deadline: Duration,
+}
+
+/// Tokens of one team at one instance, and the calls that wait for them.
+///
+/// State is in memory only; when the instance dies its tokens expire at the owner.
+///
+/// Teams whose demand at this instance is under two calls per half validity ask for single tokens
+/// when a call waits. Busier teams lease the tokens for half a validity of their recent demand, and
+/// ask again when half of them are spent.
+#[derive(Debug)]
+pub struct Share {
+    instance: Name,
+    limit: Limit,
+    cfg: ShareConfig,
+    held: VecDeque<Held>,
+    waiting: VecDeque<Waiting>,
+    next_ticket: u64,
+    next_ask: u64,
+    /// Requests without an answer yet, and when each was sent.
+    asks: VecDeque<(u64, Duration)>,
+    not_before: Duration,
+    /// The owner gives no spare tokens while the bucket is low; it is not asked again before this.
+    spare_not_before: Duration,
+    /// When the team's backlog is expected to be served, if the owner has reported one.
+    clear_at: Option<Duration>,
+    demand: f64,
+    demand_at: Duration,
+}
+
+impl Share {
+    /// Returns an empty share.
+    pub fn new(instance: Name, limit: Limit, cfg: ShareConfig) -> Self {
+        Self {
+            instance,
+            limit,
+            cfg,
+            held: VecDeque::new(),
+            waiting: VecDeque::new(),
+            next_ticket: 0,
+            next_ask: 0,
+            asks: VecDeque::new(),
+            not_before: Duration::ZERO,
+            spare_not_before: Duration::ZERO,
+            clear_at: None,
+            demand: 0.0,
+            demand_at: Duration::ZERO,
+        }
+    }
+
+    /// Changes the limit that estimates are based on; the owner enforces it.
+    pub fn set_limit(&mut self, limit: Limit) {
+        self.limit = limit;
+    }
+
+    /// Admits a call, lets it wait, or refuses it when it cannot be admitted before `deadline`.
+    pub fn acquire(&mut self, deadline: Duration, now: Duration) -> Admission {
+        self.count_demand(now);
+        if self.waiting.is_empty()
+            && let Some(permit) = self.take(now)
+        {
+            return Admission::Granted(permit);
+        }
+        let wait = self.expected_wait(now);
+        if now + wait >= deadline || self.waiting.len() >= self.cfg.max_waiting {
+            return Admission::Refused { retry_after: wait.max(self.limit.time_for(1.0)) };
+        }
+        if let Some(at) = self.clear_at {
+            self.clear_at = Some(at.max(now) + self.limit.time_for(1.0));
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.waiting.push_back(Waiting { ticket, deadline });
+        Admission::Wait(ticket)
+    }
+
+    /// Removes a waiting call whose caller has gone.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let at = self.waiting.iter().position(|w| w.ticket == ticket);
+        at.and_then(|at| self.waiting.remove(at)).is_some()
+    }
+
+    /// Calls that wait for a token.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Unspent valid tokens.
+    pub fn held(&self, now: Duration) -> u32 {
+        self.held.iter().filter(|h| h.expires > now).map(|h| h.left).sum()
+    }
+
+    /// Expected wait of a call that arrives now.
+    pub fn expected_wait(&self, now: Duration) -> Duration {
+        self.clear_at.map_or(Duration::ZERO, |at| at.saturating_sub(now))
+    }
+
+    /// Returns the request to send to the owner now, if any.
+    pub fn poll(&mut self, now: Duration) -> Option<Ask> {
+        self.drop_expired(now);
+        if self.next_poll(now).is_none_or(|at| at > now) {
+            return None;
+        }
+        let (held, target) = (self.held(now), self.target(now));
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let spare = if held <= target / 2 { target - held } else { 0 };
+        if waiting == 0 && held > target {
+            self.give_back(held - target, now);
+        }
+        let reports: Vec<_> = self.held.iter_mut().filter_map(Held::report).collect();
+        if waiting == 0 && spare == 0 && reports.is_empty() {
+            return None;
+        }
+        let id = self.next_ask;
+        self.next_ask += 1;
+        self.asks.push_back((id, now));
+        if self.asks.len() > MAX_ASKS {
+            self.asks.pop_front();
+        }
+        Some(Ask { id, instance: self.instance.clone(), waiting, spare, reports })
+    }
+
+    /// When [`Share::poll`] may have a request, if no other method is called before.
+    pub fn next_poll(&self, now: Duration) -> Option<Duration> {
+        let resend = self.asks.back().map_or(Duration::ZERO, |(_, at)| *at + self.cfg.ask_timeout);
+        let earliest = self.not_before.max(resend);
+        if self.report_due(now) {
+            return Some(resend);
+        }
+        if !self.waiting.is_empty() {
+            return Some(earliest);
+        }
+        let target = self.target(now);
+        (target > 0 && self.held(now) <= target / 2).then(|| earliest.max(self.spare_not_before))
+    }
+
+    /// Takes the owner's answer to the request `ask`, and returns the calls that it decides.
+    pub fn on_grant(&mut self, ask: u64, grant: &Grant, now: Duration) -> Vec<(Ticket, Verdict)> {
+        let Some(at) = self.asks.iter().position(|(id, _)| *id == ask) else { return Vec::new() };
+        let (_, sent) = self.asks.remove(at).expect("the position is in range");
+        // Older requests are considered lost, but their answers are still accepted.
+        let expires = sent + grant.valid_for - grant.valid_for / DRIFT;
+        if grant.tokens > 0 && expires > now {
+            self.held.push_back(Held {
+                id: grant.id,
+                left: grant.tokens,
+                used: 0,
+                returned: 0,
+                reported: 0,
+                received: now,
+                expires,
+            });
+        }
+        self.not_before = now + grant.retry_after;
+        self.spare_not_before = now + grant.valid_for / 4;
+        self.clear_at =
+            (grant.backlog > 0).then(|| now + self.limit.time_for(f64::from(grant.backlog)));
+        let mut decided = self.serve(now);
+        self.refuse_until(now + grant.retry_after, now, &mut decided);
+        decided
+    }
+
+    /// Notes that the owner cannot grant before `retry_after` has passed (it is starting).
+    pub fn on_starting(&mut self, retry_after: Duration, now: Duration) -> Vec<(Ticket, Verdict)> {
+        self.asks.clear();
+        // A transfer from the former owner may end the wait early.
+        self.not_before = now + retry_after.min(self.cfg.ask_timeout);
+        self.clear_at = Some(now + retry_after);
+        let mut decided = Vec::new();
+        self.refuse_until(now + retry_after, now, &mut decided);
+        decided
+    }
+
+    /// Notes that the team has another owner, which has not heard of earlier requests.
+    pub fn on_new_owner(&mut self, now: Duration) {
+        self.asks.clear();
+        self.not_before = now;
+        self.clear_at = None;
+    }
+
+    /// Returns the calls whose deadline has passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
+        let mut decided = Vec::new();
+        self.refuse_until(now, now, &mut decided);
+        decided
+    }
+
+    /// Earliest deadline of a waiting call.
+    pub fn next_deadline(&self) -> Option<Duration> {
+        self.waiting.iter().map(|w| w.deadline).min()
+    }
+
+    fn refuse_until(
+        &mut self,
+        earliest: Duration,
+        now: Duration,
+        decided: &mut Vec<(Ticket, Verdict)>,
+    ) {
+        let retry_after = earliest.saturating_sub(now).max(self.limit.time_for(1.0));
+        self.waiting.retain(|w| {
+            let keep = w.deadline > earliest;
+            if !keep {
+                decided.push((w.ticket, Verdict::Refused { retry_after }));
+            }
+            keep
+        });
+    }
+
+    fn serve(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
+        let mut decided = Vec::new();
+        while let Some(first) = self.waiting.front().copied() {
+            let Some(permit) = self.take(now) else { break };
+            self.waiting.pop_front();
+            decided.push((first.ticket, Verdict::Granted(permit)));
+        }
+        decided
+    }
+
+    fn take(&mut self, now: Duration) -> Option<Permit> {
+        let held = self.held.iter_mut().find(|h| h.left > 0 && h.expires > now)?;
+        held.left -= 1;
+        held.used += 1;
+        let valid_until = held.expires;
+        invariant(valid_until > now, "rate: a used token is valid");
+        Some(Permit { valid_until })
+    }
+
+    fn drop_expired(&mut self, now: Duration) {
+        self.held.retain(|h| h.expires > now);
+    }
+
+    /// Gives up to `surplus` tokens back whose grants are past half of their validity.
+    fn give_back(&mut self, mut surplus: u32, now: Duration) {
+        for held in &mut self.held {
+            if now >= held.received + (held.expires - held.received) / 2 {
+                let back = surplus.min(held.left);
+                held.left -= back;
+                held.returned += back;
+                surplus -= back;
+            }
+        }
+    }
+
+    fn report_due(&self, now: Duration) -> bool {
+        let open = |h: &Held| h.expires > now && h.used + h.returned > h.reported;
+        self.limit.burst() < PROMPT_REPORT_BURST && self.held.iter().any(open)
+    }
+
+    /// Tokens to lease: half a validity of the recent demand, or none for a small team.
+    fn target(&self, now: Duration) -> u32 {
+        let validity = self.limit.validity(self.cfg.min_validity);
+        let idle = now.saturating_sub(self.demand_at).as_secs_f64();
+        let demand = self.demand * (-idle / DEMAND_WINDOW.as_secs_f64()).exp();
+        let batch = (demand * validity.as_secs_f64() / 2.0) as u32;
+        if batch < 2 || self.limit.burst() < PROMPT_REPORT_BURST { 0 } else { batch }
+    }
+
+    fn count_demand(&mut self, now: Duration) {
+        let idle = now.saturating_sub(self.demand_at).as_secs_f64();
+        let window = DEMAND_WINDOW.as_secs_f64();
+        self.demand = self.demand * (-idle / window).exp() + 1.0 / window;
+        self.demand_at = now;
+    }
+}
+
+impl Held {
+    fn report(&mut self) -> Option<Report> {
+        if self.used + self.returned == self.reported {
+            return None;
+        }
+        self.reported = self.used + self.returned;
+        Some(Report { grant: self.id, used: self.used, returned: self.returned })
+    }
+}
