Add the fair queue between teams

Start-time fair queueing between teams, with a pluggable order of programs within a team. Service is counted per root program and includes waiting calls, so that a program gains nothing by starting sub-agents.

--- /dev/null
+++ b/crates/policy/src/fair/order.rs
@@ -0,0 +1,82 @@
+//! Orderings of the calls of one team.
+
+use std::time::Duration;
+
+/// What an ordering knows of a call when it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Pending {
+    /// When it arrived.
+    pub queued_at: Duration,
+    /// When its caller gives up.
+    pub deadline: Duration,
+    /// Estimated service in tokens.
+    pub cost: u64,
+    /// Service that its root program has received, with that of its waiting calls, in tokens.
+    pub attained: u64,
+}
+
+/// Order of the calls of one team.
+pub trait ProgramOrder: Send {
+    /// Returns the key of a call; the lowest key is served first, equal keys in order of arrival.
+    fn key(&self, call: &Pending) -> u64;
+}
+
+/// First come, first served. The baseline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fcfs;
+
+impl ProgramOrder for Fcfs {
+    fn key(&self, _call: &Pending) -> u64 {
+        0
+    }
+}
+
+/// Least attained service first: programs that have used least so far go first.
+///
+/// It needs no knowledge of how long a program will run. A stream of new programs can starve a
+/// long one; [`LasDeadline`] bounds that.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Las;
+
+impl ProgramOrder for Las {
+    fn key(&self, call: &Pending) -> u64 {
+        call.attained
+    }
+}
+
+/// Least attained service with deadline and aging.
+///
+/// The key is a virtual due time: the arrival plus a delay that grows with the attained service, up
+/// to `max_delay`, brought forward if the deadline is near. A call waits only behind calls that
+/// arrived less than `max_delay` after it, so nothing starves.
+#[derive(Clone, Copy, Debug)]
+pub struct LasDeadline {
+    /// Delay per attained token.
+    pub per_token: Duration,
+    /// Longest delay.
+    pub max_delay: Duration,
+    /// Estimated run time per token of cost, used to leave time before the deadline.
+    pub service_per_token: Duration,
+}
+
+impl Default for LasDeadline {
+    fn default() -> Self {
+        Self {
+            per_token: Duration::from_micros(200),
+            max_delay: Duration::from_secs(30),
+            service_per_token: Duration::from_micros(100),
+        }
+    }
+}
+
+impl ProgramOrder for LasDeadline {
+    fn key(&self, call: &Pending) -> u64 {
+        let times = |d: Duration, n: u64| Duration::from_secs_f64(d.as_secs_f64() * n as f64);
+        let due = call.queued_at + times(self.per_token, call.attained).min(self.max_delay);
+        // Half of the remaining time is left for estimates that prove too low.
+        let needed = times(self.service_per_token, call.cost).min(self.max_delay);
+        let slack = call.deadline.saturating_sub(call.queued_at + needed) / 2;
+        let latest = call.queued_at + slack;
+        u64::try_from(due.min(latest).as_nanos()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fair/queue.rs
@@ -0,0 +1,296 @@
+//! The queue of one group of endpoints at one instance.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound::{Excluded, Unbounded};
+use std::time::Duration;
+
+use super::service::Attained;
+use super::{Call, Entry, Full, InFlight, Pending, ProgramOrder, QueueId};
+use crate::Name;
+
+/// Tag units per token at weight 1; keeps divisions by the weight exact to a thousandth of a token.
+const TAG_SCALE: u128 = 1_000_000;
+
+/// Idle teams kept before the queue looks for those it may forget.
+const MAX_IDLE_TEAMS: usize = 64;
+
+/// Bounds of a [`FairQueue`].
+#[derive(Clone, Copy, Debug)]
+pub struct QueueConfig {
+    /// Calls of one team that may wait.
+    pub max_per_team: usize,
+    /// Calls that may wait.
+    pub max_total: usize,
+    /// Longest wait of a call; its deadline may be earlier.
+    pub max_wait: Duration,
+    /// Root programs whose attained service is remembered.
+    pub max_programs: usize,
+    /// Time without calls after which a root program's attained service is forgotten.
+    pub forget_after: Duration,
+}
+
+impl Default for QueueConfig {
+    fn default() -> Self {
+        Self {
+            max_per_team: 4096,
+            max_total: 65_536,
+            max_wait: Duration::from_secs(120),
+            max_programs: 65_536,
+            forget_after: Duration::from_secs(3600),
+        }
+    }
+}
+
+/// Start-time fair queue between teams, with an ordering of programs within each.
+///
+/// See the [module comment](super) for the algorithm and its bound.
+pub struct FairQueue<T> {
+    cfg: QueueConfig,
+    order: Box<dyn ProgramOrder>,
+    teams: Vec<(Name, Team<T>)>,
+    /// Teams with waiting calls, by start tag.
+    backlog: BTreeSet<(u128, Name)>,
+    virtual_time: u128,
+    max_finish: u128,
+    index: HashMap<QueueId, (Name, u64)>,
+    expiry: BTreeSet<(Duration, QueueId)>,
+    attained: Attained,
+    next_id: u64,
+}
+
+struct Team<T> {
+    weight: u32,
+    start: u128,
+    calls: BTreeMap<(u64, QueueId), Slot<T>>,
+}
+
+struct Slot<T> {
+    entry: Entry<T>,
+    expires: Duration,
+}
+
+impl<T> FairQueue<T> {
+    /// Returns an empty queue.
+    pub fn new(cfg: QueueConfig, order: Box<dyn ProgramOrder>) -> Self {
+        Self {
+            cfg,
+            order,
+            teams: Vec::new(),
+            backlog: BTreeSet::new(),
+            virtual_time: 0,
+            max_finish: 0,
+            index: HashMap::new(),
+            expiry: BTreeSet::new(),
+            attained: Attained::new(cfg.max_programs, cfg.forget_after),
+            next_id: 0,
+        }
+    }
+
+    /// Calls that wait.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Calls of `team` that wait.
+    pub fn team_len(&self, team: &str) -> usize {
+        self.find(team).map_or(0, |at| self.teams[at].1.calls.len())
+    }
+
+    /// Service in tokens that the root of `program` has received, with that of waiting calls.
+    pub fn attained(&self, team: &Name, program: &Name) -> u64 {
+        self.attained.get(team, program)
+    }
+
+    /// Queues a call.
+    pub fn push(&mut self, call: Call<T>, now: Duration) -> Result<QueueId, Full<T>> {
+        if self.index.len() >= self.cfg.max_total {
+            return Err(Full::Queue(call));
+        }
+        if self.team_len(&call.team) >= self.cfg.max_per_team {
+            return Err(Full::Team(call));
+        }
+        let id = QueueId(self.next_id);
+        self.next_id += 1;
+        self.insert(Entry { id, call, queued_at: now }, now);
+        Ok(id)
+    }
+
+    /// Takes the next call, if `limits` has room for it. Calls whose wait has ended are left to
+    /// [`FairQueue::expire`].
+    pub fn pop(&mut self, limits: &mut dyn InFlight, now: Duration) -> Option<Entry<T>> {
+        if !limits.has_room(now) {
+            return None;
+        }
+        // At most one pass over the teams: a team whose calls have all expired is passed over.
+        let mut after = None;
+        loop {
+            let (tag, name) = match &after {
+                None => self.backlog.first()?,
+                Some(last) => self.backlog.range((Excluded(last), Unbounded)).next()?,
+            }
+            .clone();
+            let at = self.find(&name).expect("a backlogged team is in the table");
+            let calls = &self.teams[at].1.calls;
+            let Some(key) = calls.iter().find(|(_, s)| s.expires > now).map(|(key, _)| *key) else {
+                after = Some((tag, name));
+                continue;
+            };
+            let entry = self.take(at, key, true);
+            limits.began(entry.call.cost);
+            return Some(entry);
+        }
+    }
+
+    /// Puts a call back that [`FairQueue::pop`] returned but that could not be dispatched. Undoes
+    /// the charge to its team; it goes before equal calls.
+    pub fn put_back(&mut self, entry: Entry<T>, limits: &mut dyn InFlight, now: Duration) {
+        limits.ended(entry.call.cost);
+        let (team, cost) = (entry.call.team.clone(), entry.call.cost);
+        if let Some(program) = &entry.call.program {
+            self.attained.sub(&team, program, cost);
+        }
+        self.insert(entry, now);
+        self.charge(&team, -i128::from(cost));
+    }
+
+    /// Removes a call whose caller has gone.
+    pub fn remove(&mut self, id: QueueId) -> Option<Entry<T>> {
+        let (team, key) = self.index.get(&id)?.clone();
+        let at = self.find(&team)?;
+        let entry = self.take(at, (key, id), false);
+        if let Some(program) = &entry.call.program {
+            self.attained.sub(&team, program, entry.call.cost);
+        }
+        Some(entry)
+    }
+
+    /// Removes the calls whose deadline or longest wait has passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<Entry<T>> {
+        let mut expired = Vec::new();
+        while let Some((at, id)) = self.expiry.first().copied().filter(|(at, _)| *at <= now) {
+            match self.remove(id) {
+                Some(entry) => expired.push(entry),
+                None => {
+                    self.expiry.remove(&(at, id));
+                }
+            }
+        }
+        expired
+    }
+
+    /// When [`FairQueue::expire`] next has something to remove.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        self.expiry.first().map(|(at, _)| *at)
+    }
+
+    /// Removes the calls for which `gone` holds, for example those of a withdrawn key.
+    pub fn remove_where(&mut self, mut gone: impl FnMut(&Call<T>) -> bool) -> Vec<Entry<T>> {
+        let slots = self.teams.iter().flat_map(|(_, team)| team.calls.values());
+        let ids: Vec<_> = slots.filter(|s| gone(&s.entry.call)).map(|s| s.entry.id).collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Corrects the charge for a call that was estimated at `estimated` and cost `actual` tokens.
+    pub fn settle(
+        &mut self,
+        team: &Name,
+        program: Option<&Name>,
+        estimated: u64,
+        actual: u64,
+        now: Duration,
+    ) {
+        if let Some(program) = program {
+            self.attained.sub(team, program, estimated);
+            self.attained.add(team, program, actual, now);
+        }
+        self.charge(team, i128::from(actual) - i128::from(estimated));
+    }
+
+    fn insert(&mut self, entry: Entry<T>, now: Duration) {
+        let call = &entry.call;
+        let attained = call.program.as_ref().map_or(0, |p| self.attained.get(&call.team, p));
+        let key = self.order.key(&Pending {
+            queued_at: entry.queued_at,
+            deadline: call.deadline,
+            cost: call.cost,
+            attained,
+        });
+        if let Some(program) = &call.program {
+            self.attained.add(&call.team, program, call.cost, now);
+        }
+        let expires = call.deadline.min(entry.queued_at + self.cfg.max_wait);
+        let at = self.find_or_add(&call.team);
+        let (name, team) = &mut self.teams[at];
+        team.weight = call.weight.max(1);
+        if team.calls.is_empty() {
+            team.start = team.start.max(self.virtual_time);
+            self.backlog.insert((team.start, name.clone()));
+        }
+        self.index.insert(entry.id, (name.clone(), key));
+        self.expiry.insert((expires, entry.id));
+        team.calls.insert((key, entry.id), Slot { entry, expires });
+    }
+
+    /// Removes a call from its team, which is charged for it when it is `served`.
+    fn take(&mut self, at: usize, key: (u64, QueueId), served: bool) -> Entry<T> {
+        let (name, team) = &mut self.teams[at];
+        let Slot { entry, expires } = team.calls.remove(&key).expect("the call is in its team");
+        self.index.remove(&entry.id);
+        self.expiry.remove(&(expires, entry.id));
+        let old = team.start;
+        if served {
+            // A team whose calls had all expired was passed over and may be behind.
+            self.virtual_time = self.virtual_time.max(old);
+            team.start += u128::from(entry.call.cost) * TAG_SCALE / u128::from(team.weight);
+            self.max_finish = self.max_finish.max(team.start);
+        }
+        if served || team.calls.is_empty() {
+            self.backlog.remove(&(old, name.clone()));
+            if !team.calls.is_empty() {
+                self.backlog.insert((team.start, name.clone()));
+            }
+        }
+        if self.backlog.is_empty() {
+            self.virtual_time = self.max_finish.max(self.virtual_time);
+        }
+        entry
+    }
+
+    /// Moves a team's start tag by `tokens`, but not before the virtual time.
+    fn charge(&mut self, name: &Name, tokens: i128) {
+        let Some(at) = self.find(name) else { return };
+        let team = &mut self.teams[at].1;
+        let old = team.start;
+        let step = tokens.unsigned_abs() * TAG_SCALE / u128::from(team.weight);
+        team.start = if tokens < 0 { old.saturating_sub(step) } else { old + step };
+        team.start = team.start.max(self.virtual_time);
+        self.max_finish = self.max_finish.max(team.start);
+        if self.backlog.remove(&(old, name.clone())) {
+            self.backlog.insert((team.start, name.clone()));
+        }
+    }
+
+    fn find(&self, team: &str) -> Option<usize> {
+        self.teams.binary_search_by(|(name, _)| (**name).cmp(team)).ok()
+    }
+
+    fn find_or_add(&mut self, team: &Name) -> usize {
+        if let Some(at) = self.find(team) {
+            return at;
+        }
+        if self.teams.len() >= 2 * self.backlog.len() + MAX_IDLE_TEAMS {
+            // A team that is behind the virtual time would start there anyway.
+            let now = self.virtual_time;
+            self.teams.retain(|(_, team)| !team.calls.is_empty() || team.start > now);
+        }
+        let at = self.teams.partition_point(|(name, _)| name < team);
+        let new = Team { weight: 1, start: self.virtual_time, calls: BTreeMap::new() };
+        self.teams.insert(at, (team.clone(), new));
+        at
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,8 +7,10 @@
 //! the module comments say how.
 //!
 //! * [`rate`]: rate limits of teams, counted over all instances.
+//! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 
 mod check;
+pub mod fair;
 pub mod rate;
 
 use std::sync::Arc;
