Add routing by estimated wait and uncached prefill

The prefix index is bounded in blocks and imitates the least recently used order of each endpoint with a counter of stored blocks.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,10 +8,12 @@
 //!
 //! * [`rate`]: rate limits of teams, counted over all instances.
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
+//! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
 
 mod check;
 pub mod fair;
 pub mod rate;
+pub mod route;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/policy/src/route/cost.rs
@@ -0,0 +1,121 @@
+//! Choice by estimated wait and uncached prefill.
+
+use rand::{Rng, RngCore};
+
+use super::choose::none_found;
+use super::fleet::Hot;
+use super::{Choice, Chooser, Depths, EndpointId, Fleet, NoRoute, PrefixIndex, RouteRequest};
+
+/// Parameters of a [`CostChooser`].
+#[derive(Clone, Copy, Debug)]
+pub struct CostConfig {
+    /// Cost of an endpoint in another zone, in seconds.
+    pub other_zone_s: f32,
+    /// Part of the service time by which a fully occupied endpoint slows a call down.
+    pub occupancy: f32,
+    /// Endpoints take calls up to this multiple of their capacity.
+    pub max_fill: f32,
+    /// Costs this near to the best, in seconds, count as equal.
+    pub near_s: f32,
+    /// Costs this near to the best, as a part of it, count as equal.
+    pub near: f32,
+    /// A program leaves its endpoint only for a gain of this many seconds.
+    pub stay_s: f32,
+    /// A program leaves its endpoint only for a gain of this part of the best cost.
+    pub stay: f32,
+}
+
+impl Default for CostConfig {
+    fn default() -> Self {
+        Self {
+            other_zone_s: 0.006,
+            occupancy: 0.5,
+            max_fill: 1.0,
+            near_s: 0.01,
+            near: 0.1,
+            stay_s: 0.02,
+            stay: 0.1,
+        }
+    }
+}
+
+/// Chooses the endpoint of least estimated cost; see the [module comment](super).
+#[derive(Debug)]
+pub struct CostChooser {
+    cfg: CostConfig,
+    zone: crate::Name,
+    depths: Depths,
+    costs: Vec<f32>,
+}
+
+impl CostChooser {
+    /// Returns a chooser for an instance in `zone`.
+    pub fn new(zone: crate::Name, cfg: CostConfig) -> Self {
+        Self { cfg, zone, depths: Depths::default(), costs: Vec::new() }
+    }
+
+    /// Estimated cost of an endpoint in seconds, or infinity when it may not be chosen.
+    fn cost(&self, hot: &Hot, depth: u32, zone: Option<u16>, req: &RouteRequest<'_>) -> f32 {
+        let full = hot.load >= hot.capacity * self.cfg.max_fill;
+        if !hot.open || full || hot.own >= hot.cap {
+            return f32::INFINITY;
+        }
+        let cached = depth.saturating_mul(req.block_tokens).min(req.prompt_tokens);
+        let prefill = (req.prompt_tokens - cached) as f32 * hot.prefill_s;
+        let fill = (hot.load + 1.0) / hot.capacity;
+        let wait = hot.service_s * (self.cfg.occupancy * fill.min(1.0) + (fill - 1.0).max(0.0));
+        let distance = if zone == Some(hot.zone) { 0.0 } else { self.cfg.other_zone_s };
+        wait + prefill + distance
+    }
+
+    /// The cheaper of two random endpoints whose cost is at most `limit`.
+    fn pick(&self, members: &[EndpointId], limit: f32, rng: &mut dyn RngCore) -> Option<usize> {
+        let near = || (0..members.len()).filter(|at| self.costs[*at] <= limit);
+        let count = near().count();
+        let mut any = || near().nth(rng.random_range(0..count.max(1)));
+        let (one, two) = (any()?, any()?);
+        Some(if self.costs[two] < self.costs[one] { two } else { one })
+    }
+}
+
+impl Chooser for CostChooser {
+    fn choose(
+        &mut self,
+        fleet: &Fleet,
+        prefixes: &PrefixIndex,
+        req: &RouteRequest<'_>,
+        rng: &mut dyn RngCore,
+    ) -> Result<Choice, NoRoute> {
+        let Some(members) = fleet.members(req.group) else { return Err(NoRoute::NoneOpen) };
+        prefixes.lookup(req.blocks, &mut self.depths);
+        let zone = fleet.zone_of(&self.zone);
+        let hot = fleet.hot();
+        let mut costs = std::mem::take(&mut self.costs);
+        costs.clear();
+        costs.extend(
+            members
+                .iter()
+                .map(|id| self.cost(&hot[id.0 as usize], self.depths.get(*id), zone, req)),
+        );
+        self.costs = costs;
+        for avoid in req.avoid {
+            if let Some(at) = members.iter().position(|id| id == avoid) {
+                self.costs[at] = f32::INFINITY;
+            }
+        }
+        let best = self.costs.iter().copied().fold(f32::INFINITY, f32::min);
+        if best.is_infinite() {
+            return Err(none_found(fleet, req));
+        }
+        let stay = best + self.cfg.stay_s.max(self.cfg.stay * best);
+        let last = req.last.and_then(|last| members.iter().position(|id| *id == last));
+        let near = best + self.cfg.near_s.max(self.cfg.near * best);
+        let at = match last {
+            Some(at) if self.costs[at] <= stay => at,
+            _ => self.pick(members, near, rng).ok_or(NoRoute::Full)?,
+        };
+        let endpoint = members[at];
+        let cached_blocks = self.depths.get(endpoint);
+        Ok(Choice { endpoint, cost_s: f64::from(self.costs[at]), cached_blocks })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/prefix.rs
@@ -0,0 +1,328 @@
+//! Which endpoint has probably cached which prompt prefix.
+//!
+//! The index maps the hash of each prompt block, chained over all blocks before it, to the endpoints
+//! that hold it. Own dispatches and cache events feed it. Engines evict in about least recently
+//! used order; the index imitates that with one counter of stored blocks per endpoint: an entry
+//! counts as evicted once as many blocks as the cache holds have been stored after its last use.
+//! Cache events arrive late and with gaps. A removal older than the last dispatch of the block is
+//! ignored, and a gap counts as that many stored blocks, which ages all entries of the endpoint.
+
+use std::collections::{HashMap, VecDeque};
+use std::hash::{BuildHasherDefault, Hasher};
+use std::time::Duration;
+
+use super::EndpointId;
+
+/// Blocks that are checked one by one in a lookup; beyond, positions grow by a quarter each.
+const DENSE_BLOCKS: usize = 8;
+
+/// Passes the block hashes through, since they are cryptographic already.
+#[derive(Clone, Copy, Debug, Default)]
+struct Identity(u64);
+
+impl Hasher for Identity {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, n: u64) {
+        self.0 = n;
+    }
+}
+
+/// Hash chain over the blocks of a prompt. It can be extended as a history grows.
+#[derive(Clone, Debug)]
+pub struct PrefixChain {
+    block_bytes: usize,
+    last: [u8; 32],
+    tail: Vec<u8>,
+    blocks: Vec<u64>,
+}
+
+impl PrefixChain {
+    /// Returns an empty chain; `scope` separates prompts that share no cache (model and version).
+    pub fn new(scope: &str, block_bytes: usize) -> Self {
+        let last = *blake3::hash(scope.as_bytes()).as_bytes();
+        Self { block_bytes: block_bytes.max(1), last, tail: Vec::new(), blocks: Vec::new() }
+    }
+
+    /// Appends text. A block is added to the chain when it is complete.
+    pub fn extend(&mut self, mut text: &[u8]) {
+        while !text.is_empty() {
+            let (head, rest) = text.split_at(text.len().min(self.block_bytes - self.tail.len()));
+            self.tail.extend_from_slice(head);
+            text = rest;
+            if self.tail.len() == self.block_bytes {
+                let mut hasher = blake3::Hasher::new_keyed(&self.last);
+                hasher.update(&self.tail);
+                self.last = *hasher.finalize().as_bytes();
+                let first = self.last.first_chunk().expect("a digest has 32 bytes");
+                self.blocks.push(u64::from_le_bytes(*first));
+                self.tail.clear();
+            }
+        }
+    }
+
+    /// Hashes of the complete blocks.
+    pub fn blocks(&self) -> &[u64] {
+        &self.blocks
+    }
+}
+
+/// A change of an endpoint's prefix cache.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CacheChange {
+    /// These blocks were stored.
+    Stored(Vec<u64>),
+    /// These blocks were evicted.
+    Removed(Vec<u64>),
+    /// The cache was emptied, for example by a restart.
+    Cleared,
+}
+
+/// Cache event of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// Number, increasing by one; a jump shows lost events.
+    pub sequence: u64,
+    /// When it happened, by the clock of this instance (arrival less the expected lag).
+    pub taken: Duration,
+    /// What happened.
+    pub change: CacheChange,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    slot: u32,
+    /// The endpoint's count of stored blocks when the block was last used.
+    stamp: u32,
+    /// Time of the last dispatch, in milliseconds.
+    used_ms: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Cache {
+    blocks: u32,
+    /// Blocks stored so far; wraps around.
+    stored: u32,
+    sequence: Option<u64>,
+    /// Blocks per event, for the estimate of what lost events stored.
+    per_event: f32,
+    generation_start: u32,
+}
+
+impl Cache {
+    fn holds(&self, stamp: u32) -> bool {
+        let age = self.stored.wrapping_sub(stamp);
+        age < self.blocks && age < self.stored.wrapping_sub(self.generation_start)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Block {
+    holders: Vec<Holder>,
+    /// Used since the eviction scan last passed it.
+    used: bool,
+}
+
+/// Index of the prompt blocks that endpoints hold, bounded in blocks.
+#[derive(Debug)]
+pub struct PrefixIndex {
+    blocks: HashMap<u64, Block, BuildHasherDefault<Identity>>,
+    /// Order in which blocks are considered for eviction (second chance).
+    scan: VecDeque<u64>,
+    max_blocks: usize,
+    caches: Vec<Cache>,
+}
+
+/// Cached blocks per endpoint, as found by [`PrefixIndex::lookup`]. Reused between lookups.
+#[derive(Debug, Default)]
+pub struct Depths {
+    round: u32,
+    found: Vec<(u32, u32)>,
+}
+
+impl Depths {
+    /// Leading blocks that `id` has cached.
+    pub fn get(&self, id: EndpointId) -> u32 {
+        match self.found.get(id.0 as usize) {
+            Some((round, depth)) if *round == self.round => *depth,
+            _ => 0,
+        }
+    }
+
+    fn start(&mut self, endpoints: usize) {
+        self.round = self.round.wrapping_add(1);
+        if self.round == 0 {
+            self.found.clear();
+            self.round = 1;
+        }
+        self.found.resize(endpoints.max(self.found.len()), (0, 0));
+    }
+
+    fn note(&mut self, slot: u32, depth: u32) {
+        let found = &mut self.found[slot as usize];
+        if found.0 != self.round {
+            *found = (self.round, depth);
+        }
+    }
+}
+
+impl PrefixIndex {
+    /// Returns an empty index of at most `max_blocks` blocks.
+    pub fn new(max_blocks: usize) -> Self {
+        Self {
+            blocks: HashMap::default(),
+            scan: VecDeque::new(),
+            max_blocks: max_blocks.max(1),
+            caches: Vec::new(),
+        }
+    }
+
+    /// Declares an endpoint whose cache holds `blocks` blocks, and forgets what was known of it.
+    pub fn declare(&mut self, id: EndpointId, blocks: u32) {
+        let at = id.0 as usize;
+        if self.caches.len() <= at {
+            self.caches.resize(at + 1, Cache::default());
+        }
+        let stored = self.caches[at].stored.wrapping_add(1);
+        self.caches[at] = Cache { blocks, stored, generation_start: stored, ..Cache::default() };
+    }
+
+    /// Blocks in the index.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Whether the index is empty.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Notes that a prompt was dispatched to an endpoint, which caches all its blocks.
+    pub fn dispatched(&mut self, id: EndpointId, blocks: &[u64], now: Duration) {
+        // The last blocks are stored first, so that an endpoint evicts a chain from its end.
+        for hash in blocks.iter().rev() {
+            self.store(id, *hash, now);
+        }
+    }
+
+    /// Applies a cache event. Repeated and older events are ignored.
+    pub fn event(&mut self, id: EndpointId, event: &CacheEvent) {
+        let Some(cache) = self.caches.get_mut(id.0 as usize) else { return };
+        let next = cache.sequence.map_or(event.sequence, |last| last + 1);
+        if event.sequence < next {
+            return;
+        }
+        cache.sequence = Some(event.sequence);
+        let lost = (event.sequence - next).min(u64::from(cache.blocks)) as f32;
+        let aged = (lost * cache.per_event).min(cache.blocks as f32);
+        cache.stored = cache.stored.wrapping_add(aged as u32);
+        match &event.change {
+            CacheChange::Stored(blocks) => {
+                cache.per_event += 0.1 * (blocks.len() as f32 - cache.per_event);
+                for hash in blocks.iter().rev() {
+                    self.store(id, *hash, event.taken);
+                }
+            }
+            CacheChange::Removed(blocks) => {
+                cache.per_event *= 0.9;
+                for hash in blocks {
+                    self.remove(id, *hash, event.taken);
+                }
+            }
+            CacheChange::Cleared => self.clear(id),
+        }
+    }
+
+    /// Forgets what an endpoint holds, for example after a restart.
+    pub fn clear(&mut self, id: EndpointId) {
+        if let Some(cache) = self.caches.get_mut(id.0 as usize) {
+            cache.stored = cache.stored.wrapping_add(1);
+            cache.generation_start = cache.stored;
+        }
+    }
+
+    /// Finds how many leading blocks each endpoint has cached. Exact for the endpoint that holds
+    /// most, and for short prefixes; others are underestimated by at most a fifth.
+    pub fn lookup(&self, blocks: &[u64], depths: &mut Depths) {
+        depths.start(self.caches.len());
+        let mut depth = self.deepest(blocks);
+        while depth > 0 {
+            if let Some(block) = self.blocks.get(&blocks[depth - 1]) {
+                for holder in block.holders.iter().filter(|h| self.holds(h)) {
+                    depths.note(holder.slot, depth as u32);
+                }
+            }
+            depth = if depth <= DENSE_BLOCKS { depth - 1 } else { depth * 4 / 5 };
+        }
+    }
+
+    /// Number of leading blocks that any endpoint holds. If a block is held, so are those before
+    /// it, as a rule; after an exception the result is too low.
+    fn deepest(&self, blocks: &[u64]) -> usize {
+        blocks.partition_point(|hash| {
+            self.blocks.get(hash).is_some_and(|b| b.holders.iter().any(|h| self.holds(h)))
+        })
+    }
+
+    fn holds(&self, holder: &Holder) -> bool {
+        self.caches[holder.slot as usize].holds(holder.stamp)
+    }
+
+    fn store(&mut self, id: EndpointId, hash: u64, at: Duration) {
+        if self.caches.len() <= id.0 as usize {
+            return;
+        }
+        if !self.blocks.contains_key(&hash) {
+            self.make_room();
+            self.scan.push_back(hash);
+        }
+        let cache = &mut self.caches[id.0 as usize];
+        let block = self.blocks.entry(hash).or_default();
+        block.used = true;
+        let used_ms = at.as_millis() as u32;
+        match block.holders.iter_mut().find(|h| h.slot == id.0) {
+            Some(holder) if cache.holds(holder.stamp) => {
+                holder.stamp = cache.stored;
+                holder.used_ms = holder.used_ms.max(used_ms);
+            }
+            Some(holder) => {
+                cache.stored = cache.stored.wrapping_add(1);
+                *holder = Holder { slot: id.0, stamp: cache.stored, used_ms };
+            }
+            None => {
+                cache.stored = cache.stored.wrapping_add(1);
+                block.holders.push(Holder { slot: id.0, stamp: cache.stored, used_ms });
+            }
+        }
+    }
+
+    fn remove(&mut self, id: EndpointId, hash: u64, taken: Duration) {
+        if let Some(block) = self.blocks.get_mut(&hash) {
+            let taken_ms = taken.as_millis() as u32;
+            block.holders.retain(|h| h.slot != id.0 || h.used_ms > taken_ms);
+        }
+    }
+
+    fn make_room(&mut self) {
+        while self.blocks.len() >= self.max_blocks {
+            let Some(hash) = self.scan.pop_front() else { return };
+            match self.blocks.get_mut(&hash) {
+                Some(block) if block.used => {
+                    block.used = false;
+                    self.scan.push_back(hash);
+                }
+                _ => {
+                    self.blocks.remove(&hash);
+                }
+            }
+        }
+    }
+}
