--- a/crates/objects/src/apply.rs
+++ b/crates/objects/src/apply.rs
@@ -5,6 +5,7 @@
 use crate::cross::{Issue, Scope, verify};
 use crate::finding::{Finding, Findings};
 use crate::kind::{Kind, Name};
+use crate::lost::Lost;
 use crate::object::{Object, Objects, for_each_kind};
 use crate::record::{Change, Record, decode, encode};
 use crate::set::ObjectSet;
@@ -133,7 +134,7 @@
     mut findings: Vec<Finding>,
 ) -> Result<ObjectSet, Findings> {
     let index = old.index().update(old.objects(), &objects);
-    for Issue { at, mut message, earlier } in verify(&objects, &index, scope) {
+    for Issue { at, mut message, earlier } in verify(&objects, &index, &Lost::default(), scope) {
         if let Some(earlier) = earlier
             && name_of(&objects, earlier.kind, earlier.index)
                 != name_of(&objects, at.kind, at.index)
--- a/crates/objects/src/cross.rs
+++ b/crates/objects/src/cross.rs
@@ -5,6 +5,7 @@
 use crate::index::{Index, positions};
 use crate::kind::Kind;
 use crate::local::{Local, check_name};
+use crate::lost::Lost;
 use crate::nearest::nearest;
 use crate::object::{
     Budget, Model, Object, Objects, Rate, Route, RouteKind, Serves, Team, Zone, ZoneState,
@@ -12,7 +13,7 @@
 };
 
 /// Searching all names for a suggestion is linear, so only the first findings get one.
-const MAX_SUGGESTIONS: usize = 64;
+const MAX_SUGGESTIONS: usize = 32;
 
 /// Part of an object that an issue is about.
 #[derive(Clone, Copy, Debug)]
@@ -80,8 +81,9 @@
 }
 
 /// Checks the kinds in `scope`; objects are sorted, but may contain duplicates.
-pub(crate) fn verify(objects: &Objects, index: &Index, scope: Scope) -> Vec<Issue> {
-    let mut cx = Checker { objects, index, issues: Vec::new(), suggestions: MAX_SUGGESTIONS };
+pub(crate) fn verify(objects: &Objects, index: &Index, lost: &Lost, scope: Scope) -> Vec<Issue> {
+    let issues = Vec::new();
+    let mut cx = Checker { objects, index, lost, issues, suggestions: MAX_SUGGESTIONS };
     for_each_kind!(check_kind(scope, &mut cx));
     if scope.has(Kind::Team) {
         cx.check_teams();
@@ -130,6 +132,7 @@
 pub(crate) struct Checker<'a> {
     objects: &'a Objects,
     index: &'a Index,
+    lost: &'a Lost,
     issues: Vec<Issue>,
     suggestions: usize,
 }
@@ -155,7 +158,7 @@
 
     /// Reports a reference to an object that does not exist.
     fn check_reference<T: Object>(&mut self, name: &str, at: At) {
-        if self.objects.position::<T>(name).is_none() {
+        if self.objects.position::<T>(name).is_none() && !self.lost.has_name(name) {
             let names = T::of(self.objects).iter().map(|object| object.name().as_ref());
             let hint = self.hint(name, names);
             self.report(at, format!("unknown {} {name:?}{hint}", T::KIND));
@@ -236,11 +239,12 @@
     /// out count, so that operators can always take an endpoint or a zone out.
     fn check_served(&mut self, route: &Route, at: At) {
         let (objects, index) = (self.objects, self.index);
+        let is_lost = |name: &str| self.lost.has_service(name);
         match (route.kind, &route.model, &route.service) {
             (RouteKind::Chat, Some(model), _) => {
                 let at = at.field("model");
+                let exists = objects.position::<Model>(model).is_some() && !is_lost(model);
                 self.check_model(model, at);
-                let exists = objects.position::<Model>(model).is_some();
                 if exists && positions(&index.endpoint_models, model).len() == 0 {
                     self.report(at, format!("no endpoint serves model `{model}` of this route"));
                 }
@@ -249,7 +253,7 @@
                 self.report(at.field("kind"), "no endpoint serves a model for this route".into());
             }
             (RouteKind::Service, _, Some(service))
-                if positions(&index.endpoint_services, service).len() == 0 =>
+                if positions(&index.endpoint_services, service).len() == 0 && !is_lost(service) =>
             {
                 let hint = self.hint(service, index.endpoint_services.iter().map(|(s, _)| &**s));
                 let message = format!("no endpoint serves service {service:?} of this route{hint}");
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -13,6 +13,7 @@
 mod index;
 mod kind;
 mod local;
+mod lost;
 mod nearest;
 mod object;
 mod origin;
--- a/crates/objects/src/nearest.rs
+++ b/crates/objects/src/nearest.rs
@@ -1,28 +1,32 @@
 //! Suggestions of the name that was probably meant.
 
+use crate::kind::MAX_NAME_BYTES;
+
 /// Most edits between a name and its suggestion.
 const MAX_DISTANCE: usize = 3;
 
 /// The candidate with the fewest edits from `name`, if it is near enough to be meant.
+///
+/// Text longer than a name is not compared, because the cost is quadratic in the length.
 pub(crate) fn nearest<'a>(
     name: &str,
     candidates: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    let limit = MAX_DISTANCE.min(name.len() / 2);
+    if name.len() > MAX_NAME_BYTES {
+        return None;
+    }
+    let mut bound = MAX_DISTANCE.min(name.len() / 2);
     let mut best = None;
     for candidate in candidates {
-        let bound = best.map_or(limit, |(_, distance): (&str, usize)| distance.saturating_sub(1));
-        if best.is_some_and(|(_, distance)| distance == 0) {
-            break;
+        if candidate.len().abs_diff(name.len()) > bound {
+            continue;
         }
-        if candidate.len().abs_diff(name.len()) <= bound
-            && let distance = edits(name.as_bytes(), candidate.as_bytes())
-            && distance <= bound
-        {
-            best = Some((candidate, distance));
+        let distance = edits(name.as_bytes(), candidate.as_bytes());
+        if distance < bound || (distance == bound && best.is_none()) {
+            (best, bound) = (Some(candidate), distance);
         }
     }
-    best.map(|(candidate, _)| candidate)
+    best
 }
 
 /// Levenshtein distance in bytes.
--- a/crates/objects/src/read.rs
+++ b/crates/objects/src/read.rs
@@ -1,13 +1,15 @@
 //! Reads each kind of object from its table.
 
+use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
-use crate::kind::{Kind, Name};
+use crate::kind::Name;
 use crate::object::{
     Budget, Endpoint, Key, Model, NonIdempotent, Object, Operator, Rate, Route, RouteKind, Serves,
     Team, Zone, ZoneState,
 };
-use crate::secret::Digest;
+use crate::secret::{Digest, SECRET_PREFIX};
 use crate::table::Fields;
 use crate::units::{ByteSize, RequestRate, parse_duration};
 
@@ -68,7 +70,7 @@
         return substitute;
     }
     text.parse().unwrap_or_else(|err| {
-        let message = if text.starts_with("ps_") {
+        let message = if text.starts_with(SECRET_PREFIX) {
             "plaintext secret in `digest`; publish only its digest".to_owned()
         } else {
             format!("`digest`: {err}")
@@ -163,9 +165,7 @@
     fn read(fields: &mut Fields<'_, '_>) -> Self {
         let name = fields.require_text("name");
         let zone = fields.require_text("zone");
-        let address = fields
-            .require_parsed("address", "an address such as \"127.0.0.1:9000\"")
-            .unwrap_or_else(|| ([127, 0, 0, 1], 1).into());
+        let address = read_address(fields);
         let serves = read_serves(fields);
         let capacity = fields.require_count("capacity");
         let cold_capacity = fields.count("cold_capacity");
@@ -183,6 +183,16 @@
     }
 }
 
+fn read_address(fields: &mut Fields<'_, '_>) -> SocketAddr {
+    const ADDRESS: &str = "an address such as \"127.0.0.1:9000\"";
+    if !fields.has("address") {
+        fields.fail("address", None, "missing field `address`".into());
+    }
+    let parse = |text: &str| SocketAddr::from_str(text).map_err(|_| format!("expected {ADDRESS}"));
+    let address = fields.parsed_with("address", ADDRESS, parse);
+    address.unwrap_or_else(|| ([127, 0, 0, 1], 1).into())
+}
+
 fn read_serves(fields: &mut Fields<'_, '_>) -> Serves {
     let has_models = fields.has("models");
     let models: Vec<Name> = fields.list("models").unwrap_or_default();
@@ -250,8 +260,3 @@
         Self { name: fields.require_text("name"), digest: read_digest(fields) }
     }
 }
-
-/// The kind that a top-level key names, when it is written as a table array.
-pub(crate) fn kind_of(key: &str) -> Option<Kind> {
-    key.parse().ok()
-}
--- a/crates/objects/src/record.rs
+++ b/crates/objects/src/record.rs
@@ -4,6 +4,7 @@
 
 use crate::kind::{Kind, Name};
 use crate::object::Object;
+use crate::secret::SECRET_PREFIX;
 
 /// One object in its transferable form.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -62,8 +63,12 @@
 ///
 /// The message of a finding.
 pub(crate) fn decode<T: Object>(record: &Record) -> Result<T, String> {
-    let object: T = serde_json::from_slice(&record.body)
-        .map_err(|err| format!("malformed {} record: {err}", record.kind))?;
+    let object: T = serde_json::from_slice(&record.body).map_err(|err| {
+        // The parser's message may quote a value, which must not reach a log if it is a secret.
+        let detail = Some(err.to_string()).filter(|detail| !detail.contains(SECRET_PREFIX));
+        let detail = detail.as_deref().unwrap_or("unexpected value");
+        format!("malformed {} record: {detail}", record.kind)
+    })?;
     if object.name() != &record.name {
         return Err(format!("the record's body names another {}", record.kind));
     }
--- a/crates/objects/src/secret.rs
+++ b/crates/objects/src/secret.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use subtle::ConstantTimeEq;
 
-const SECRET_PREFIX: &str = "ps_";
+pub(crate) const SECRET_PREFIX: &str = "ps_";
 /// 43 characters of 6 bits each hold at least 256 bits.
 const SECRET_CHARS: usize = 43;
 const URL_SAFE: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
@@ -49,7 +49,7 @@
     Ok(Secret(SECRET_PREFIX.chars().chain(chars).collect()))
 }
 
-/// Whether `text` has the form of a secret or starts like one and is too long for a name.
+/// Whether `text` has the form of a secret, or starts like one and is longer.
 pub(crate) fn looks_like_secret(text: &str) -> bool {
     text.strip_prefix(SECRET_PREFIX).is_some_and(|rest| {
         rest.len() >= SECRET_CHARS && rest.bytes().all(|b| URL_SAFE.contains(&b))
--- a/crates/objects/src/set.rs
+++ b/crates/objects/src/set.rs
@@ -4,7 +4,7 @@
 
 use crate::finding::Findings;
 use crate::index::{Index, positions, stem};
-use crate::kind::{Kind, Name};
+use crate::kind::Kind;
 use crate::local::MAX_PATH_BYTES;
 use crate::object::{
     Budget, Endpoint, Key, Model, Object, Objects, Operator, Rate, Route, RouteKind, Team, Zone,
@@ -190,11 +190,6 @@
         }
         *hasher.finalize().as_bytes()
     }
-
-    /// The name of the team that the secret's key belongs to, if there is such a key.
-    pub fn team_of_secret(&self, secret: &str) -> Option<&Name> {
-        self.key_by_digest(&Digest::of_secret(secret)).map(|key| &key.team)
-    }
 }
 
 /// Index of the object with this digest.
--- a/crates/objects/src/source.rs
+++ b/crates/objects/src/source.rs
@@ -9,10 +9,11 @@
 use crate::cross::{Issue, Scope, verify};
 use crate::finding::{Finding, Findings};
 use crate::index::Index;
-use crate::kind::Kind;
+use crate::kind::{Kind, UnknownKind};
+use crate::lost::Lost;
 use crate::object::{Objects, for_each_kind};
 use crate::origin::{Lines, Origin};
-use crate::read::{Read, kind_of};
+use crate::read::Read;
 use crate::set::ObjectSet;
 use crate::table::{Fields, FileFinding, hint, quote, type_name};
 
@@ -50,9 +51,9 @@
         findings.extend(found.into_iter().map(|(at, message)| lines[file].finding(at, message)));
     }
     for_each_kind!(sort_kind(&mut reader));
-    let Reader { objects, origins, .. } = reader;
+    let Reader { objects, origins, lost, .. } = reader;
     let index = Index::build(&objects);
-    for issue in verify(&objects, &index, Scope::ALL) {
+    for issue in verify(&objects, &index, &lost, Scope::ALL) {
         findings.extend(locate(issue, &origins, &lines));
     }
     Findings::into_result(findings)?;
@@ -88,11 +89,15 @@
     origins: Origins,
     /// Findings of the current file.
     findings: Vec<FileFinding>,
+    lost: Lost,
 }
 
 impl Reader {
     fn read_file(&mut self, file: usize, text: &str) {
         let (root, errors) = DeTable::parse_recoverable(text);
+        if !errors.is_empty() {
+            self.lost.add(text);
+        }
         for err in errors {
             let at = err.span().map_or(0, |span| span.start);
             self.findings.push((at, format!("malformed TOML: {}", err.message())));
@@ -105,9 +110,9 @@
                 continue;
             }
             let at = key.span().start;
-            match kind_of(name) {
-                Some(kind) => self.read_tables(kind, file, value),
-                None => {
+            match name.parse() {
+                Ok(kind) => self.read_tables(kind, file, value),
+                Err(UnknownKind) => {
                     let hint = hint(name, Kind::ALL.map(Kind::as_str));
                     self.findings.push((at, format!("unknown object kind {}{hint}", quote(name))));
                 }
--- a/crates/objects/src/units.rs
+++ b/crates/objects/src/units.rs
@@ -14,10 +14,11 @@
 const RATE_FORM: InvalidUnit =
     InvalidUnit("a rate needs the unit requests per second, for example \"50/s\"");
 const RATE_PRECISION: InvalidUnit = InvalidUnit("a rate has at most three decimals");
-const RATE_RANGE: InvalidUnit = InvalidUnit("the rate is impossibly large");
+const RATE_RANGE: InvalidUnit = InvalidUnit("impossible rate: too large");
+const RATE_SIGN: InvalidUnit = InvalidUnit("impossible rate: a rate must be above zero");
 const SIZE_FORM: InvalidUnit =
     InvalidUnit("a size needs one of the units B, KiB, MiB, GiB, for example \"64KiB\"");
-const SIZE_RANGE: InvalidUnit = InvalidUnit("the size is impossibly large");
+const SIZE_RANGE: InvalidUnit = InvalidUnit("the size is too large");
 const DURATION_FORM: InvalidUnit = InvalidUnit("a duration needs a unit, for example \"300ms\"");
 
 /// Requests per second, stored exactly in thousandths.
@@ -57,6 +58,9 @@
 
     fn from_str(s: &str) -> Result<Self, Self::Err> {
         let number = s.strip_suffix("/s").ok_or(RATE_FORM)?;
+        if number.starts_with('-') {
+            return Err(RATE_SIGN);
+        }
         let (whole, decimals) = number.split_once('.').unwrap_or((number, "0"));
         if !is_digits(whole) || !is_digits(decimals) {
             return Err(RATE_FORM);
@@ -109,7 +113,7 @@
     fn from_str(s: &str) -> Result<Self, Self::Err> {
         let digits = s.bytes().take_while(u8::is_ascii_digit).count();
         let (number, unit) = s.split_at(digits);
-        let find = |(name, _): &(&str, u64)| *name == unit.trim_start_matches(' ');
+        let find = |(name, _): &(&str, u64)| *name == unit;
         let (_, bytes) = Self::UNITS.into_iter().find(find).ok_or(SIZE_FORM)?;
         if number.is_empty() {
             return Err(SIZE_FORM);
--- a/crates/objects/tests/sample_sets.rs
+++ b/crates/objects/tests/sample_sets.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use poplarspan_objects::{ObjectSet, Source, check};
+use poplarspan_objects::{ObjectSet, Serves, Source, check};
 
 fn load(name: &str) -> ObjectSet {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
@@ -10,10 +10,18 @@
     check(&[Source::new(name, text)]).unwrap_or_else(|findings| panic!("{findings}"))
 }
 
+/// Zones, chat endpoints, service endpoints and teams.
+fn sizes(set: &ObjectSet) -> [usize; 4] {
+    let is_chat = |serves: &Serves| matches!(serves, Serves::Models(_));
+    let chat = set.endpoints().iter().filter(|e| is_chat(&e.serves)).count();
+    [set.zones().len(), chat, set.endpoints().len() - chat, set.teams().len()]
+}
+
 /// Guards against a sample that `dev` refuses to start with.
 #[test]
 fn dev_passes() {
     let set = load("dev.toml");
+    assert_eq!(sizes(&set), [1, 1, 1, 1]);
     assert_eq!(set.endpoints_for_model("demo-chat").len(), 1);
     assert_eq!(set.endpoints_for_service("orders").len(), 1);
     let route = set.route_for("/orders/7").unwrap();
@@ -21,3 +29,10 @@
     assert!(set.route_for("/orders/status").unwrap().open);
     assert_eq!(set.rate("demo").unwrap().burst, 200);
 }
+
+/// Guards against samples that drift from the deployments they describe.
+#[test]
+fn deployments_pass() {
+    assert_eq!(sizes(&load("highlands.toml")), [4, 15, 10, 8]);
+    assert_eq!(sizes(&load("harbour.toml")), [3, 10, 10, 8]);
+}
