agreement: add the pure core of the replicated log

The core holds terms, votes, the log in memory and a leader's view of its peers, and gets time, messages and sync reports as inputs. One Persist is in flight at a time; messages that depend on unsynced state are held back and dropped when the term changes, because the entries they acknowledge may have been replaced before they were written.

A proposal is reported as overwritten only when another entry is committed at its index: an entry that was only removed from this log may be on another replica and still be committed.

--- /dev/null
+++ b/crates/agreement/src/core.rs
@@ -0,0 +1,288 @@
+//! The replicated log as a pure state machine: no I/O, no clock, no threads.
+//!
+//! The core owns a replica's term, vote, role and the log in memory; the driver owns storage,
+//! transport, clock and state machine. A replica that restarts is built again from what storage
+//! had synced; nothing else survives, and nothing that depends on unsynced state has left the core.
+
+use std::time::Duration;
+
+use log::{error, info};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::message::Message;
+use crate::types::{Entry, HardState, LogPosition, Payload, ReplicaId, Snapshot};
+
+mod api;
+mod durability;
+mod election;
+mod log_view;
+mod membership;
+mod progress;
+mod reads;
+mod replication;
+mod snapshot;
+
+pub use api::{
+    CoreConfig, Input, Output, ProposalResult, ReadResult, Refusal, Restored, Role, RoleChange,
+    Status, VoterChange,
+};
+
+use durability::Durability;
+use election::Ballot;
+use log_view::LogView;
+use progress::Lead;
+use snapshot::PartialSnapshot;
+
+/// Counts violated invariants, by name.
+const VIOLATIONS_METRIC: &str = "poplarspan_agreement_invariant_violations_total";
+
+/// One replica of one group.
+#[derive(Debug)]
+pub struct Core {
+    cfg: CoreConfig,
+    rng: SmallRng,
+    now: Duration,
+    /// Whether the first step has set the timers.
+    started: bool,
+    hard_state: HardState,
+    role: Role,
+    leader: Option<ReplicaId>,
+    /// When a leader was last heard from, or when this replica started: it may have acknowledged
+    /// a heartbeat just before its restart.
+    heard_at: Option<Duration>,
+    election_deadline: Duration,
+    ballot: Ballot,
+    lead: Lead,
+    log: LogView,
+    commit: u64,
+    applied: u64,
+    durability: Durability,
+    /// Snapshot at the log's snapshot position, if it is in memory.
+    snapshot: Option<Snapshot>,
+    partial_snapshot: Option<PartialSnapshot>,
+    /// Proposals of this replica whose index is not committed, with their tickets.
+    proposals: Vec<(LogPosition, u64)>,
+    reported: RoleChange,
+    out: Output,
+    violations: u64,
+}
+
+impl Core {
+    /// Creates a replica from its durable state. It starts as a follower.
+    pub fn new(cfg: CoreConfig, restored: Restored) -> Self {
+        let Restored { hard_state, snapshot, membership, entries } = restored;
+        let mut log = LogView::new(snapshot, membership);
+        for e in entries {
+            if e.position.index == log.last().index + 1 {
+                log.append(e);
+            }
+        }
+        Self {
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            cfg,
+            now: Duration::ZERO,
+            started: false,
+            hard_state,
+            role: Role::Follower,
+            leader: None,
+            heard_at: None,
+            election_deadline: Duration::ZERO,
+            ballot: Ballot::default(),
+            lead: Lead::default(),
+            commit: snapshot.index,
+            applied: snapshot.index,
+            durability: Durability::new(log.last().index),
+            log,
+            snapshot: None,
+            partial_snapshot: None,
+            proposals: Vec::new(),
+            reported: RoleChange { role: Role::Follower, term: hard_state.term, leader: None },
+            out: Output::default(),
+            violations: 0,
+        }
+    }
+
+    /// Handles one input. `now` is the time of the replica's monotonic clock; a time before that of
+    /// an earlier step counts as that step's time.
+    pub fn step(&mut self, now: Duration, input: Input) -> Output {
+        self.now = self.now.max(now);
+        if !self.started {
+            self.started = true;
+            self.heard_at = (self.hard_state.term > 0).then_some(self.now);
+            self.reset_election_timer();
+        }
+        match input {
+            Input::Tick => self.tick(),
+            Input::Message { from, message } => self.receive(from, message),
+            Input::Synced { ticket } => self.synced(ticket),
+            Input::Propose { data, ticket } => self.propose(data, ticket),
+            Input::Read { ticket } => self.read(ticket),
+            Input::ChangeVoters { change, ticket } => self.change_voters(change, ticket),
+            Input::TransferLeadership { to } => self.transfer_leadership(to),
+            Input::Compact { snapshot } => self.compact(snapshot),
+        }
+        self.finish()
+    }
+
+    /// Returns the state of the replica.
+    pub fn status(&self) -> Status {
+        Status {
+            id: self.cfg.id,
+            role: self.role_change(),
+            commit: self.commit,
+            last: self.log.last(),
+            stable: self.durability.stable(),
+            snapshot: self.log.snapshot(),
+            membership: self.log.membership().clone(),
+            membership_committed: self.log.membership_index() <= self.commit,
+            peers: self.lead.peers.iter().map(|p| (p.id, p.matched)).collect(),
+            transfer: self.lead.transfer.as_ref().map(|t| t.to),
+            violations: self.violations,
+        }
+    }
+
+    /// Returns the entries in memory from index `from` on.
+    pub fn entries_from(&self, from: u64) -> Vec<Entry> {
+        self.log.range(from, self.log.last().index)
+    }
+
+    fn tick(&mut self) {
+        if self.role == Role::Leader {
+            self.tick_leader();
+        } else if self.now >= self.election_deadline {
+            self.election_timeout();
+        }
+    }
+
+    fn receive(&mut self, from: ReplicaId, message: Message) {
+        if !self.accept_term(from, &message) {
+            return;
+        }
+        match message {
+            Message::PreVote { term, last } => self.handle_pre_vote(from, term, last),
+            Message::PreVoteAnswer { term, granted } => {
+                self.handle_pre_vote_answer(from, term, granted);
+            }
+            Message::Vote { last, transfer, .. } => self.handle_vote(from, last, transfer),
+            Message::VoteAnswer { granted, .. } => self.handle_vote_answer(from, granted),
+            Message::Append { previous, entries, commit, .. } => {
+                self.handle_append(from, previous, entries, commit);
+            }
+            Message::AppendAnswer { result, .. } => self.handle_append_answer(from, result),
+            Message::Heartbeat { round, commit, .. } => self.handle_heartbeat(from, round, commit),
+            Message::HeartbeatAnswer { round, .. } => self.handle_heartbeat_answer(from, round),
+            Message::SnapshotChunk { last, membership, offset, data, done, .. } => {
+                let chunk = Snapshot { last, membership, data };
+                self.handle_snapshot_chunk(from, chunk, offset, done);
+            }
+            Message::SnapshotAnswer { last, received, .. } => {
+                self.handle_snapshot_answer(from, last, received);
+            }
+            Message::TimeoutNow { .. } => self.handle_timeout_now(from),
+        }
+    }
+
+    fn synced(&mut self, ticket: u64) {
+        let Some(messages) = self.durability.synced(ticket) else { return };
+        self.out.messages.extend(messages);
+        match self.role {
+            Role::Candidate if self.durability.hard_state_synced() => {
+                self.count_vote(self.cfg.id, true);
+            }
+            Role::Leader => self.advance_commit(),
+            _ => {}
+        }
+    }
+
+    fn propose(&mut self, data: bytes::Bytes, ticket: u64) {
+        if self.role != Role::Leader || self.lead.transfer.is_some() {
+            let leader = self.leader.filter(|&id| id != self.cfg.id);
+            self.out.proposals.push((ticket, ProposalResult::NotLeader { leader }));
+            return;
+        }
+        self.append_own(Payload::Command(data), ticket);
+    }
+
+    fn finish(&mut self) -> Output {
+        if self.commit < self.applied {
+            self.violation("commit index never goes back");
+        } else if self.applied < self.commit {
+            self.out.apply = self.log.range(self.applied + 1, self.commit);
+            self.applied = self.commit;
+            self.settle_proposals();
+        }
+        self.out.persist = self.durability.next_persist(self.hard_state, &self.log);
+        let role = self.role_change();
+        if role != self.reported {
+            info!(
+                "replica {}: role {:?}, term {}, leader {:?}",
+                self.cfg.id.0, role.role, role.term, role.leader
+            );
+            self.reported = role;
+            self.out.role = Some(role);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Reports the proposals whose index was committed with another entry. An entry that was only
+    /// removed from this log may be on another replica and still be committed.
+    fn settle_proposals(&mut self) {
+        let Self { proposals, log, out, commit, .. } = self;
+        proposals.retain(|&(position, ticket)| {
+            let committed = position.index <= *commit;
+            if committed && !log.matches(position) {
+                out.proposals.push((ticket, ProposalResult::Overwritten));
+            }
+            !committed
+        });
+    }
+
+    fn role_change(&self) -> RoleChange {
+        RoleChange { role: self.role, term: self.hard_state.term, leader: self.leader }
+    }
+
+    fn send(&mut self, to: ReplicaId, message: Message) {
+        self.out.messages.push((to, message));
+    }
+
+    /// Sends a message once the current term and vote are synced.
+    fn send_after_vote_sync(&mut self, to: ReplicaId, message: Message) {
+        self.send_after(self.durability.hard_state_ticket(), to, message);
+    }
+
+    /// Sends a message once everything in memory is synced.
+    fn send_after_sync(&mut self, to: ReplicaId, message: Message) {
+        self.send_after(self.durability.full_ticket(&self.log), to, message);
+    }
+
+    fn send_after(&mut self, ticket: u64, to: ReplicaId, message: Message) {
+        if self.durability.is_synced(ticket) {
+            self.send(to, message);
+        } else {
+            self.durability.hold(ticket, to, message);
+        }
+    }
+
+    fn voters(&self) -> &[ReplicaId] {
+        &self.log.membership().voters
+    }
+
+    fn is_voter(&self) -> bool {
+        self.voters().contains(&self.cfg.id)
+    }
+
+    fn reset_election_timer(&mut self) {
+        let timeout =
+            self.rng.random_range(self.cfg.election_timeout_min..=self.cfg.election_timeout_max);
+        self.election_deadline = self.now + timeout;
+    }
+
+    /// Reports a violated invariant: a panic in debug builds, a log line and a counter otherwise.
+    fn violation(&mut self, invariant: &'static str) {
+        self.violations += 1;
+        metrics::counter!(VIOLATIONS_METRIC, "invariant" => invariant).increment(1);
+        error!("replica {}: invariant violated: {invariant}", self.cfg.id.0);
+        debug_assert!(false, "replica {}: invariant violated: {invariant}", self.cfg.id.0);
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/core/membership.rs
@@ -0,0 +1,116 @@
+//! Changes of the membership and leadership transfers.
+
+use log::info;
+
+use crate::message::Message;
+use crate::types::{Membership, Payload, ReplicaId};
+
+use super::Core;
+use super::api::{ProposalResult, Refusal, Role, VoterChange};
+use super::progress::LeadershipTransfer;
+
+impl Core {
+    pub(super) fn change_voters(&mut self, change: VoterChange, ticket: u64) {
+        if self.role != Role::Leader || self.lead.transfer.is_some() {
+            let leader = self.leader.filter(|&id| id != self.cfg.id);
+            self.out.proposals.push((ticket, ProposalResult::NotLeader { leader }));
+            return;
+        }
+        match self.changed_membership(change) {
+            Err(refusal) => {
+                self.out.proposals.push((ticket, ProposalResult::Refused(refusal)));
+            }
+            Ok(membership) => {
+                info!("replica {}: membership change {change:?}", self.cfg.id.0);
+                self.append_own(Payload::Membership(membership), ticket);
+                self.refresh_members();
+                self.replicate();
+            }
+        }
+    }
+
+    /// Returns the membership after a change. One change at a time keeps the quorums of successive
+    /// memberships overlapping; the first commit of the term makes sure that a change of an earlier
+    /// leader is not in flight.
+    fn changed_membership(&self, change: VoterChange) -> Result<Membership, Refusal> {
+        if self.log.membership_index() > self.commit {
+            return Err(Refusal::Pending);
+        }
+        if !self.has_committed_in_term() {
+            return Err(Refusal::TermNotCommitted);
+        }
+        let mut m = self.log.membership().clone();
+        match change {
+            VoterChange::AddLearner(id) => {
+                if m.voters.contains(&id) || !insert(&mut m.learners, id) {
+                    return Err(Refusal::AlreadyMember);
+                }
+            }
+            VoterChange::PromoteLearner(id) => {
+                if !remove(&mut m.learners, id) {
+                    return Err(Refusal::NotMember);
+                }
+                if !self.has_caught_up(id) {
+                    return Err(Refusal::NotCaughtUp);
+                }
+                insert(&mut m.voters, id);
+            }
+            VoterChange::RemoveVoter(id) if id == self.cfg.id => return Err(Refusal::IsLeader),
+            VoterChange::RemoveVoter(id) => {
+                if !remove(&mut m.voters, id) && !remove(&mut m.learners, id) {
+                    return Err(Refusal::NotMember);
+                }
+            }
+        }
+        Ok(m)
+    }
+
+    fn has_caught_up(&self, id: ReplicaId) -> bool {
+        self.lead.peer(id).is_some_and(|p| {
+            p.matched + self.cfg.promote_lag >= self.commit
+                && p.acked_round > 0
+                && self.now < p.heard_at + self.cfg.election_timeout_min
+        })
+    }
+
+    /// Makes the peers those of the membership in force.
+    pub(super) fn refresh_members(&mut self) {
+        let next = self.log.last().index + 1;
+        self.lead.set_members(self.cfg.id, self.log.membership(), next, self.now);
+        self.advance_commit();
+    }
+
+    pub(super) fn transfer_leadership(&mut self, to: ReplicaId) {
+        let possible = self.role == Role::Leader
+            && self.lead.transfer.is_none()
+            && to != self.cfg.id
+            && self.voters().contains(&to);
+        if possible {
+            let deadline = self.now + self.cfg.election_timeout_max;
+            self.lead.transfer = Some(LeadershipTransfer { to, deadline, sent: false });
+            self.continue_transfer();
+        }
+    }
+
+    /// Tells the target of a transfer to campaign once it has the whole log. The lease is given up
+    /// first, because voters elect the target although they have just heard from this leader.
+    pub(super) fn continue_transfer(&mut self) {
+        let last = self.log.last().index;
+        let Some(t) = &mut self.lead.transfer else { return };
+        let to = t.to;
+        if t.sent || self.lead.peers.iter().all(|p| p.id != to || p.matched < last) {
+            return;
+        }
+        t.sent = true;
+        self.lead.lease_given_up = true;
+        self.send(to, Message::TimeoutNow { term: self.hard_state.term });
+    }
+}
+
+fn insert(ids: &mut Vec<ReplicaId>, id: ReplicaId) -> bool {
+    ids.binary_search(&id).map_err(|i| ids.insert(i, id)).is_err()
+}
+
+fn remove(ids: &mut Vec<ReplicaId>, id: ReplicaId) -> bool {
+    ids.binary_search(&id).map(|i| ids.remove(i)).is_ok()
+}
--- /dev/null
+++ b/crates/agreement/src/core/progress.rs
@@ -0,0 +1,194 @@
+//! A leader's view of its peers and of its own term.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::types::{Membership, ReplicaId, Snapshot};
+
+/// Heartbeat rounds whose send times a leader remembers. An answer to an older round does not
+/// extend the lease.
+const MAX_REMEMBERED_ROUNDS: usize = 256;
+
+/// How a peer is sent the log.
+#[derive(Debug)]
+pub(super) enum Stage {
+    /// The matching position is not known; one append at a time.
+    Probe {
+        /// Whether an append has been sent and not been answered.
+        paused: bool,
+    },
+    /// Appends are sent without waiting for answers.
+    Replicate {
+        /// Last index of each append that is not yet answered.
+        inflight: VecDeque<u64>,
+    },
+    /// The peer is behind the log in memory and receives a snapshot.
+    Snapshot(Transfer),
+}
+
+/// A snapshot on its way to a peer; one chunk is in flight.
+#[derive(Debug)]
+pub(super) struct Transfer {
+    pub(super) snapshot: Snapshot,
+    /// Offset of the chunk that was sent last.
+    pub(super) offset: u64,
+    pub(super) sent_at: Duration,
+}
+
+/// What a leader knows about a peer.
+#[derive(Debug)]
+pub(super) struct Progress {
+    pub(super) id: ReplicaId,
+    /// Last index that the peer has synced and that equals the leader's log.
+    pub(super) matched: u64,
+    /// Next index to send.
+    pub(super) next: u64,
+    pub(super) stage: Stage,
+    /// When the peer last answered in this term.
+    pub(super) heard_at: Duration,
+    /// Last heartbeat round that the peer acknowledged.
+    pub(super) acked_round: u64,
+    /// When that round was sent.
+    pub(super) acked_sent_at: Option<Duration>,
+}
+
+impl Progress {
+    fn new(id: ReplicaId, next: u64, now: Duration) -> Self {
+        Self {
+            id,
+            matched: 0,
+            next,
+            stage: Stage::Probe { paused: false },
+            heard_at: now,
+            acked_round: 0,
+            acked_sent_at: None,
+        }
+    }
+
+    /// Returns to sending one append at a time, from the first index that is not known to match.
+    pub(super) fn probe_from(&mut self, next: u64) {
+        self.next = next.max(self.matched + 1);
+        self.stage = Stage::Probe { paused: false };
+    }
+
+    /// Notes that the peer's log matches up to `index`.
+    pub(super) fn matched_up_to(&mut self, index: u64) {
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+        match &mut self.stage {
+            Stage::Replicate { inflight } => {
+                while inflight.front().is_some_and(|&last| last <= index) {
+                    inflight.pop_front();
+                }
+            }
+            Stage::Snapshot(t) if self.matched < t.snapshot.last.index => {}
+            Stage::Probe { .. } | Stage::Snapshot(_) => {
+                self.next = self.matched + 1;
+                self.stage = Stage::Replicate { inflight: VecDeque::new() };
+            }
+        }
+    }
+}
+
+/// A read that waits for a quorum to acknowledge a heartbeat round.
+#[derive(Debug)]
+pub(super) struct PendingRead {
+    pub(super) ticket: u64,
+    pub(super) index: u64,
+    /// First round that was, or will be, sent after the read arrived.
+    pub(super) round: u64,
+}
+
+/// A leadership transfer under way.
+#[derive(Debug)]
+pub(super) struct LeadershipTransfer {
+    pub(super) to: ReplicaId,
+    pub(super) deadline: Duration,
+    pub(super) sent: bool,
+}
+
+/// State that exists only while this replica leads.
+#[derive(Debug, Default)]
+pub(super) struct Lead {
+    /// Peers, voters and learners, sorted by id.
+    pub(super) peers: Vec<Progress>,
+    /// Index of the entry with which the term began.
+    pub(super) first_index: u64,
+    /// Last heartbeat round.
+    pub(super) round: u64,
+    /// Recent rounds and when they were sent.
+    pub(super) rounds: VecDeque<(u64, Duration)>,
+    pub(super) next_heartbeat: Duration,
+    /// Reads that wait for the term's first commit.
+    pub(super) early_reads: Vec<u64>,
+    /// Reads that wait for a round; the rounds never fall.
+    pub(super) pending_reads: VecDeque<PendingRead>,
+    pub(super) transfer: Option<LeadershipTransfer>,
+    /// Set for the rest of the term once `TimeoutNow` was sent: a late copy of it may let another
+    /// replica win an election at any time.
+    pub(super) lease_given_up: bool,
+}
+
+impl Lead {
+    pub(super) fn peer(&self, id: ReplicaId) -> Option<&Progress> {
+        self.peers.binary_search_by_key(&id, |p| p.id).ok().map(|i| &self.peers[i])
+    }
+
+    pub(super) fn peer_mut(&mut self, id: ReplicaId) -> Option<&mut Progress> {
+        self.peers.binary_search_by_key(&id, |p| p.id).ok().map(|i| &mut self.peers[i])
+    }
+
+    /// Adds and removes peers so that they are the members other than the leader.
+    pub(super) fn set_members(
+        &mut self,
+        leader: ReplicaId,
+        membership: &Membership,
+        next: u64,
+        now: Duration,
+    ) {
+        let is_member =
+            |id: &ReplicaId| membership.voters.contains(id) || membership.learners.contains(id);
+        self.peers.retain(|p| is_member(&p.id));
+        for &id in membership.voters.iter().chain(&membership.learners) {
+            if id != leader
+                && let Err(i) = self.peers.binary_search_by_key(&id, |p| p.id)
+            {
+                self.peers.insert(i, Progress::new(id, next, now));
+            }
+        }
+    }
+
+    /// Starts a heartbeat round and returns its number.
+    pub(super) fn start_round(&mut self, now: Duration) -> u64 {
+        self.round += 1;
+        if self.rounds.len() == MAX_REMEMBERED_ROUNDS {
+            self.rounds.pop_front();
+        }
+        self.rounds.push_back((self.round, now));
+        self.round
+    }
+
+    /// Notes that a peer acknowledged a round.
+    pub(super) fn round_acked(&mut self, from: ReplicaId, round: u64) {
+        let first = self.rounds.front().map_or(0, |r| r.0);
+        let sent_at =
+            round.checked_sub(first).and_then(|i| self.rounds.get(i as usize)).map(|r| r.1);
+        if let Some(p) = self.peer_mut(from)
+            && p.acked_round < round
+        {
+            p.acked_round = round;
+            p.acked_sent_at = sent_at.or(p.acked_sent_at);
+        }
+    }
+}
+
+/// Returns the largest value that a majority of the voters has reached.
+pub(super) fn quorum_value<T: Ord + Copy>(
+    voters: &[ReplicaId],
+    value: impl Fn(ReplicaId) -> T,
+) -> Option<T> {
+    let mut values: Vec<T> = voters.iter().map(|&id| value(id)).collect();
+    values.sort_unstable();
+    let majority = voters.len() / 2 + 1;
+    values.len().checked_sub(majority).map(|i| values[i])
+}
--- /dev/null
+++ b/crates/agreement/src/core/replication.rs
@@ -0,0 +1,231 @@
+//! Replication of the log and heartbeats.
+
+use crate::message::{AppendResult, Message};
+use crate::types::{Entry, LogPosition, Payload, ReplicaId};
+
+use super::Core;
+use super::api::{ProposalResult, Role};
+use super::progress::{Stage, quorum_value};
+
+impl Core {
+    /// Appends an entry to the leader's log.
+    pub(super) fn append(&mut self, payload: Payload) -> LogPosition {
+        let index = self.log.last().index + 1;
+        let position = LogPosition { index, term: self.hard_state.term };
+        self.log.append(Entry { position, payload });
+        position
+    }
+
+    /// Appends a proposal to the leader's log and sends it; it is synced meanwhile.
+    pub(super) fn append_own(&mut self, payload: Payload, ticket: u64) {
+        let position = self.append(payload);
+        self.proposals.push((position, ticket));
+        self.out.proposals.push((ticket, ProposalResult::Appended(position)));
+        self.replicate();
+    }
+
+    /// Sends every peer the entries that its window has room for.
+    pub(super) fn replicate(&mut self) {
+        for i in 0..self.lead.peers.len() {
+            self.replicate_to(i, false);
+        }
+    }
+
+    /// Sends entries to the peer with index `i`. With `check`, sends an empty append if there is
+    /// nothing to send, so that the peer reports a lost one.
+    fn replicate_to(&mut self, i: usize, check: bool) {
+        if self.lead.peers[i].next <= self.log.base().index {
+            self.start_snapshot(i);
+            return;
+        }
+        let mut sent = false;
+        while self.may_append(i) {
+            sent = true;
+            self.send_append(i);
+        }
+        if check && !sent && matches!(self.lead.peers[i].stage, Stage::Replicate { .. }) {
+            self.send_entries(i, Vec::new());
+        }
+    }
+
+    fn may_append(&self, i: usize) -> bool {
+        let p = &self.lead.peers[i];
+        match &p.stage {
+            Stage::Probe { paused } => !paused,
+            Stage::Replicate { inflight } => {
+                p.next <= self.log.last().index && inflight.len() < self.cfg.max_inflight_appends
+            }
+            Stage::Snapshot(_) => false,
+        }
+    }
+
+    fn send_append(&mut self, i: usize) {
+        let entries = self.log.batch(self.lead.peers[i].next, self.cfg.max_append_bytes);
+        let last = entries.last().map(|e| e.position.index);
+        self.send_entries(i, entries);
+        let p = &mut self.lead.peers[i];
+        match &mut p.stage {
+            Stage::Probe { paused } => *paused = true,
+            Stage::Replicate { inflight } => {
+                inflight.extend(last);
+                p.next = last.map_or(p.next, |last| last + 1);
+            }
+            Stage::Snapshot(_) => {}
+        }
+    }
+
+    fn send_entries(&mut self, i: usize, entries: Vec<Entry>) {
+        let p = &self.lead.peers[i];
+        let (to, index) = (p.id, p.next - 1);
+        let Some(term) = self.log.term_at(index) else { return };
+        let previous = LogPosition { index, term };
+        let (term, commit) = (self.hard_state.term, self.commit);
+        self.send(to, Message::Append { term, previous, entries, commit });
+    }
+
+    pub(super) fn handle_append(
+        &mut self,
+        from: ReplicaId,
+        previous: LogPosition,
+        entries: Vec<Entry>,
+        commit: u64,
+    ) {
+        if !self.hear_leader(from) {
+            return;
+        }
+        let result = if previous.index < self.log.base().index {
+            AppendResult::Matched(self.commit)
+        } else if self.log.matches(previous) {
+            let matched = previous.index + entries.len() as u64;
+            self.merge(entries);
+            self.commit_to(commit.min(matched));
+            AppendResult::Matched(matched)
+        } else {
+            let hint = self.log.last_at_most(previous.index, previous.term);
+            AppendResult::Mismatch { rejected: previous.index, hint }
+        };
+        let term = self.hard_state.term;
+        self.send_after_sync(from, Message::AppendAnswer { term, result });
+    }
+
+    /// Appends entries that follow a matching position; replaces what differs.
+    fn merge(&mut self, entries: Vec<Entry>) {
+        for e in entries {
+            if self.log.matches(e.position) {
+                continue;
+            }
+            let index = e.position.index;
+            if index <= self.log.last().index {
+                if index <= self.commit {
+                    self.violation("committed entries never change");
+                    return;
+                }
+                self.log.truncate_from(index);
+                self.durability.truncated_from(index);
+            }
+            self.log.append(e);
+        }
+    }
+
+    /// Raises the commit index, never above the log's end.
+    pub(super) fn commit_to(&mut self, index: u64) {
+        self.commit = self.commit.max(index.min(self.log.last().index));
+    }
+
+    pub(super) fn handle_append_answer(&mut self, from: ReplicaId, result: AppendResult) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let Ok(i) = self.lead.peers.binary_search_by_key(&from, |p| p.id) else { return };
+        self.lead.peers[i].heard_at = self.now;
+        match result {
+            AppendResult::Matched(index) if index > self.log.last().index => {
+                self.violation("a follower's log matches the leader's");
+                return;
+            }
+            AppendResult::Matched(index) => self.lead.peers[i].matched_up_to(index),
+            AppendResult::Mismatch { rejected, hint } => {
+                let next = self.next_after_mismatch(rejected, hint);
+                let p = &mut self.lead.peers[i];
+                match p.stage {
+                    Stage::Probe { .. } if rejected + 1 == p.next => p.probe_from(next),
+                    Stage::Replicate { .. } if rejected > p.matched => {
+                        p.probe_from(p.matched + 1);
+                    }
+                    _ => return,
+                }
+            }
+        }
+        self.advance_commit();
+        self.replicate_to(i, false);
+        self.continue_transfer();
+    }
+
+    /// Returns the next index to send after a mismatch. The follower has no entry after the hint
+    /// with a term up to the rejected one's, and the leader has none that matches between the hint
+    /// and its own last entry of the hint's term or an earlier one.
+    fn next_after_mismatch(&self, rejected: u64, hint: LogPosition) -> u64 {
+        let next = match self.log.term_at(hint.index) {
+            Some(_) => self.log.last_at_most(hint.index, hint.term).index + 1,
+            None => hint.index + 1,
+        };
+        next.min(rejected)
+    }
+
+    /// Commits what a quorum has synced, if it is of the current term: an entry of an earlier term
+    /// may still be replaced although a quorum has it.
+    pub(super) fn advance_commit(&mut self) {
+        let quorum = quorum_value(self.voters(), |id| {
+            if id == self.cfg.id {
+                self.durability.stable()
+            } else {
+                self.lead.peer(id).map_or(0, |p| p.matched)
+            }
+        });
+        if let Some(index) = quorum
+            && index > self.commit
+            && self.log.term_at(index) == Some(self.hard_state.term)
+        {
+            self.commit_to(index);
+            self.start_early_reads();
+        }
+    }
+
+    pub(super) fn broadcast_heartbeat(&mut self) {
+        let round = self.lead.start_round(self.now);
+        self.lead.next_heartbeat = self.now + self.cfg.heartbeat_interval;
+        let term = self.hard_state.term;
+        for i in 0..self.lead.peers.len() {
+            let p = &self.lead.peers[i];
+            let (to, commit) = (p.id, self.commit.min(p.matched));
+            self.send(to, Message::Heartbeat { term, round, commit });
+        }
+    }
+
+    pub(super) fn handle_heartbeat(&mut self, from: ReplicaId, round: u64, commit: u64) {
+        if !self.hear_leader(from) {
+            return;
+        }
+        self.commit_to(commit);
+        let term = self.hard_state.term;
+        self.send_after_vote_sync(from, Message::HeartbeatAnswer { term, round });
+    }
+
+    pub(super) fn handle_heartbeat_answer(&mut self, from: ReplicaId, round: u64) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let Ok(i) = self.lead.peers.binary_search_by_key(&from, |p| p.id) else { return };
+        self.lead.round_acked(from, round);
+        let p = &mut self.lead.peers[i];
+        p.heard_at = self.now;
+        let behind = p.matched < self.log.last().index;
+        if let Stage::Probe { paused } = &mut p.stage {
+            *paused = !behind;
+        }
+        if behind {
+            self.replicate_to(i, true);
+        }
+        self.release_reads();
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/core/snapshot.rs
@@ -0,0 +1,162 @@
+//! Compaction of the log and transfer of snapshots.
+
+use bytes::Bytes;
+
+use crate::message::{AppendResult, Message};
+use crate::types::{LogPosition, ReplicaId, Snapshot};
+
+use super::Core;
+use super::api::{ProposalResult, Role};
+use super::log_view::LogView;
+use super::progress::{Stage, Transfer};
+
+/// Chunks of a snapshot that have arrived from the current leader.
+#[derive(Debug)]
+pub(super) struct PartialSnapshot {
+    last: LogPosition,
+    data: Vec<u8>,
+}
+
+impl Core {
+    /// Records the state machine's snapshot and shortens the log in memory.
+    pub(super) fn compact(&mut self, mut snapshot: Snapshot) {
+        let index = snapshot.last.index;
+        let current = self.log.snapshot();
+        if index < current.index || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else { return };
+        snapshot.last.term = term;
+        snapshot.membership = self.log.membership_at(index).clone();
+        if index > current.index {
+            self.log.compact(snapshot.last, self.cfg.trailing_entries);
+            self.durability.snapshot_taken(snapshot.clone());
+        } else if self.snapshot.is_some() {
+            return;
+        }
+        self.snapshot = Some(snapshot);
+        if self.role == Role::Leader {
+            self.replicate();
+        }
+    }
+
+    /// Starts to send the snapshot to the peer with index `i`.
+    pub(super) fn start_snapshot(&mut self, i: usize) {
+        if matches!(self.lead.peers[i].stage, Stage::Snapshot(_)) {
+            return;
+        }
+        let Some(snapshot) = self.snapshot.clone() else {
+            self.out.snapshot_wanted = true;
+            return;
+        };
+        let transfer = Transfer { snapshot, offset: 0, sent_at: self.now };
+        self.lead.peers[i].stage = Stage::Snapshot(transfer);
+        self.send_chunk(i);
+    }
+
+    fn send_chunk(&mut self, i: usize) {
+        let (now, term) = (self.now, self.hard_state.term);
+        let p = &mut self.lead.peers[i];
+        let to = p.id;
+        let Stage::Snapshot(t) = &mut p.stage else { return };
+        t.sent_at = now;
+        let start = t.offset as usize;
+        let end = t.snapshot.data.len().min(start.saturating_add(self.cfg.snapshot_chunk_bytes));
+        let message = Message::SnapshotChunk {
+            term,
+            last: t.snapshot.last,
+            membership: t.snapshot.membership.clone(),
+            offset: t.offset,
+            data: t.snapshot.data.slice(start..end),
+            done: end == t.snapshot.data.len(),
+        };
+        self.send(to, message);
+    }
+
+    /// Sends chunks again that were not answered within the shortest election timeout.
+    pub(super) fn resend_snapshot_chunks(&mut self) {
+        for i in 0..self.lead.peers.len() {
+            if let Stage::Snapshot(t) = &self.lead.peers[i].stage
+                && self.now >= t.sent_at + self.cfg.election_timeout_min
+            {
+                self.send_chunk(i);
+            }
+        }
+    }
+
+    pub(super) fn handle_snapshot_answer(
+        &mut self,
+        from: ReplicaId,
+        last: LogPosition,
+        received: u64,
+    ) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let Ok(i) = self.lead.peers.binary_search_by_key(&from, |p| p.id) else { return };
+        let p = &mut self.lead.peers[i];
+        p.heard_at = self.now;
+        if let Stage::Snapshot(t) = &mut p.stage
+            && t.snapshot.last == last
+            && t.offset != received
+            && received < t.snapshot.data.len() as u64
+        {
+            t.offset = received;
+            self.send_chunk(i);
+        }
+    }
+
+    pub(super) fn handle_snapshot_chunk(
+        &mut self,
+        from: ReplicaId,
+        chunk: Snapshot,
+        offset: u64,
+        done: bool,
+    ) {
+        if !self.hear_leader(from) {
+            return;
+        }
+        let term = self.hard_state.term;
+        let last = chunk.last;
+        if last.index > self.commit && !self.log.matches(last) {
+            let partial = match &mut self.partial_snapshot {
+                Some(p) if p.last == last => p,
+                p => p.insert(PartialSnapshot { last, data: Vec::new() }),
+            };
+            let fits = partial.data.len() as u64 == offset;
+            if fits {
+                partial.data.extend_from_slice(&chunk.data);
+            }
+            if !fits || !done {
+                let received = partial.data.len() as u64;
+                self.send_after_vote_sync(from, Message::SnapshotAnswer { term, last, received });
+                return;
+            }
+            let data = Bytes::from(std::mem::take(&mut partial.data));
+            self.install(Snapshot { data, ..chunk });
+        }
+        self.partial_snapshot = None;
+        self.commit_to(last.index);
+        let result = AppendResult::Matched(last.index);
+        self.send_after_sync(from, Message::AppendAnswer { term, result });
+    }
+
+    /// Replaces the whole log by a snapshot.
+    fn install(&mut self, snapshot: Snapshot) {
+        let commit = self.commit;
+        self.log = LogView::new(snapshot.last, snapshot.membership.clone());
+        self.durability.snapshot_installed(snapshot.clone(), commit);
+        let Self { proposals, out, .. } = self;
+        proposals.retain(|&(position, ticket)| {
+            let covered = position.index <= snapshot.last.index;
+            if covered {
+                out.proposals.push((ticket, ProposalResult::Unknown));
+            }
+            !covered
+        });
+        self.commit = snapshot.last.index;
+        self.applied = snapshot.last.index;
+        self.snapshot = Some(snapshot.clone());
+        self.out.install = Some(snapshot);
+    }
+}
