agreement: test the core under random interleavings of faults

A seeded harness drives up to five cores over a network that loses, duplicates, reorders and delays messages, with partitions in one or both directions, crashes that keep a prefix of the unsynced writes, frozen processes, clocks with their own offsets and speeds, voter changes, leadership transfers and compaction. After each step it checks one leader a term, log matching, leader completeness, state machine safety, that no acknowledged command is lost, that none reported as lost is applied, and that reads are linearizable. Directed tests cover rules that random steps reach rarely.

--- /dev/null
+++ b/crates/agreement/tests/core_interleavings.rs
@@ -0,0 +1,51 @@
+//! Guards against lost, reordered or doubly decided entries, stale reads and groups that do not
+//! recover, under random interleavings of faults.
+
+mod harness;
+
+use harness::faults::{self, Mix};
+
+const RUNS: u64 = 5_000;
+const STEPS: usize = 300;
+
+fn run_seeds(first: u64, mix: Mix) {
+    for seed in first..first + RUNS {
+        faults::run(seed, mix, STEPS);
+    }
+}
+
+#[test]
+fn mixed_faults() {
+    run_seeds(0, faults::MIXED);
+}
+
+#[test]
+fn crashes_before_sync() {
+    run_seeds(1_000_000, faults::CRASHES);
+}
+
+#[test]
+fn unstable_leaders() {
+    run_seeds(5_000_000, faults::ELECTIONS);
+}
+
+#[test]
+fn reads_of_old_leaders() {
+    run_seeds(2_000_000, faults::READS);
+}
+
+#[test]
+fn voter_changes() {
+    run_seeds(3_000_000, faults::CHANGES);
+}
+
+/// Longer runs with all kinds of faults, from POPLARSPAN_SOAK_SEED on, POPLARSPAN_SOAK_RUNS times.
+#[test]
+fn soak() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|v| v.parse::<u64>().ok());
+    let first = number("POPLARSPAN_SOAK_SEED").unwrap_or(4_000_000);
+    let mixes = [faults::MIXED, faults::CRASHES, faults::ELECTIONS, faults::READS, faults::CHANGES];
+    for seed in first..first + number("POPLARSPAN_SOAK_RUNS").unwrap_or(40) {
+        faults::run(seed, mixes[(seed / 8 % 5) as usize], 2_000);
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/core_rules.rs
@@ -0,0 +1,273 @@
+//! Guards single rules of the core that random interleavings reach rarely, on one replica whose
+//! peers are played by the test.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use poplarspan_agreement::{
+    AppendResult, Core, CoreConfig, Entry, HardState, Input, LogPosition, Membership, Message,
+    Output, Payload, ProposalResult, ReadResult, Refusal, ReplicaId, Restored, Role, Snapshot,
+    VoterChange,
+};
+
+const A: ReplicaId = ReplicaId(2);
+const B: ReplicaId = ReplicaId(3);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn at(index: u64, term: u64) -> LogPosition {
+    LogPosition { index, term }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { position: at(index, term), payload: Payload::Command(Bytes::from_static(b"x")) }
+}
+
+/// Replica 1 of a group of `voters`, with entries of the given terms from index 1 on.
+fn replica(voters: u64, term: u64, entry_terms: &[u64]) -> Core {
+    let ids = (1..=voters).map(ReplicaId).collect();
+    let entries = entry_terms.iter().zip(1..).map(|(&term, index)| entry(index, term));
+    let restored = Restored {
+        hard_state: HardState { term, vote: None },
+        membership: Membership { voters: ids, learners: Vec::new() },
+        entries: entries.collect(),
+        ..Restored::default()
+    };
+    Core::new(CoreConfig::new(ReplicaId(1), 7), restored)
+}
+
+fn receive(core: &mut Core, now: u64, from: ReplicaId, message: Message) -> Output {
+    core.step(ms(now), Input::Message { from, message })
+}
+
+fn append(term: u64, previous: LogPosition, entries: Vec<Entry>, commit: u64) -> Message {
+    Message::Append { term, previous, entries, commit }
+}
+
+/// Makes the replica the leader at 1 s with the votes of `A` and `B`, its writes synced.
+fn lead(core: &mut Core) -> u64 {
+    core.step(ms(0), Input::Tick);
+    core.step(ms(1000), Input::Tick);
+    let term = core.status().role.term + 1;
+    for from in [A, B] {
+        receive(core, 1000, from, Message::PreVoteAnswer { term, granted: true });
+    }
+    core.step(ms(1000), Input::Synced { ticket: 1 });
+    for from in [A, B] {
+        receive(core, 1000, from, Message::VoteAnswer { term, granted: true });
+    }
+    assert_eq!(core.status().role.role, Role::Leader);
+    core.step(ms(1000), Input::Synced { ticket: 2 });
+    term
+}
+
+fn matched(core: &mut Core, now: u64, from: ReplicaId, term: u64, index: u64) -> Output {
+    let result = AppendResult::Matched(index);
+    receive(core, now, from, Message::AppendAnswer { term, result })
+}
+
+fn answers(out: &Output) -> Vec<&Message> {
+    out.messages.iter().map(|(_, m)| m).collect()
+}
+
+/// An entry of an earlier term that a quorum has may still be replaced.
+#[test]
+fn earlier_terms_wait() {
+    let mut core = replica(5, 3, &[1, 2]);
+    let term = lead(&mut core);
+    matched(&mut core, 1000, A, term, 2);
+    matched(&mut core, 1000, B, term, 2);
+    assert_eq!(core.status().commit, 0);
+    matched(&mut core, 1000, A, term, 3);
+    let out = matched(&mut core, 1000, B, term, 3);
+    assert_eq!(out.apply.len(), 3);
+}
+
+/// A leader that has not committed in its term may not know of an earlier leader's change.
+#[test]
+fn early_changes_refused() {
+    let mut core = replica(3, 1, &[1]);
+    let term = lead(&mut core);
+    let change = |core: &mut Core, id| {
+        let change = VoterChange::AddLearner(ReplicaId(id));
+        core.step(ms(1001), Input::ChangeVoters { change, ticket: id }).proposals[0].1
+    };
+    let refused = ProposalResult::Refused(Refusal::TermNotCommitted);
+    assert_eq!(change(&mut core, 4), refused);
+    matched(&mut core, 1001, A, term, 2);
+    assert_eq!(change(&mut core, 4), ProposalResult::Appended(at(3, term)));
+    assert_eq!(change(&mut core, 5), ProposalResult::Refused(Refusal::Pending));
+}
+
+/// A commit index beyond what an append has checked would commit old entries of the follower.
+#[test]
+fn unchecked_entries_stay() {
+    let mut core = replica(3, 1, &[1, 1, 1]);
+    receive(&mut core, 0, A, append(2, at(1, 1), Vec::new(), 3));
+    assert_eq!(core.status().commit, 1);
+}
+
+/// An entry that is replaced before it is written must not be acknowledged, nor count as synced.
+#[test]
+fn replaced_entries_unacknowledged() {
+    let mut core = replica(3, 1, &[]);
+    receive(&mut core, 0, A, append(1, at(0, 0), vec![entry(1, 1), entry(2, 1)], 0));
+    receive(&mut core, 0, A, append(1, at(2, 1), vec![entry(3, 1)], 0));
+    receive(&mut core, 0, B, append(2, at(1, 1), vec![entry(2, 2)], 0));
+    let first = core.step(ms(0), Input::Synced { ticket: 1 });
+    assert_eq!(answers(&first), [] as [&Message; 0]);
+    assert_eq!(core.status().stable, 1);
+    let second = core.step(ms(0), Input::Synced { ticket: 2 });
+    let result = AppendResult::Matched(2);
+    assert_eq!(answers(&second), [&Message::AppendAnswer { term: 2, result }]);
+}
+
+/// A vote against a lease lets another leader commit while the old one serves reads.
+#[test]
+fn votes_respect_leases() {
+    let request = Message::Vote { term: 9, last: at(9, 9), transfer: false };
+    let granted = |out: &Output| !out.messages.is_empty() || out.persist.is_some();
+    let mut core = replica(3, 1, &[1]);
+    core.step(ms(0), Input::Tick);
+    // It may have acknowledged a heartbeat just before its restart.
+    assert!(!granted(&receive(&mut core, 290, B, request.clone())));
+    receive(&mut core, 291, A, Message::Heartbeat { term: 1, round: 1, commit: 0 });
+    assert!(!granted(&receive(&mut core, 590, B, request.clone())));
+    let pre_vote = Message::PreVote { term: 9, last: at(9, 9) };
+    let refusal = Message::PreVoteAnswer { term: 1, granted: false };
+    assert_eq!(answers(&receive(&mut core, 590, B, pre_vote)), [&refusal]);
+    assert!(granted(&receive(&mut core, 592, B, request)));
+}
+
+/// A command whose entry was only removed from this log may still be committed by a third replica.
+#[test]
+fn removed_proposals_undecided() {
+    let mut core = replica(3, 1, &[]);
+    let term = lead(&mut core);
+    core.step(ms(1001), Input::Propose { data: Bytes::new(), ticket: 5 });
+    let out = receive(&mut core, 1002, B, append(term + 1, at(1, term), vec![entry(2, 9)], 1));
+    assert_eq!(out.proposals, []);
+    let heartbeat = Message::Heartbeat { term: term + 1, round: 1, commit: 2 };
+    let out = receive(&mut core, 1003, B, heartbeat);
+    assert_eq!(out.proposals, [(5, ProposalResult::Overwritten)]);
+}
+
+/// The lease runs from when the acknowledged round was sent, and ends for good at a transfer.
+#[test]
+fn lease_limits() {
+    let mut core = replica(3, 1, &[]);
+    let term = lead(&mut core);
+    matched(&mut core, 1000, A, term, 1);
+    assert!(!core.lease_valid(ms(1000)));
+    receive(&mut core, 1200, A, Message::HeartbeatAnswer { term, round: 1 });
+    assert!(core.lease_valid(ms(1249)));
+    assert!(!core.lease_valid(ms(1250)));
+    let ready = core.step(ms(1249), Input::Read { ticket: 1 });
+    assert_eq!(ready.reads, [(1, ReadResult::Ready { index: 1 })]);
+    let out = core.step(ms(1249), Input::TransferLeadership { to: A });
+    assert_eq!(out.messages, [(A, Message::TimeoutNow { term })]);
+    assert!(!core.lease_valid(ms(1249)));
+    receive(&mut core, 1250, A, Message::HeartbeatAnswer { term, round: 1 });
+    assert!(!core.lease_valid(ms(1250)));
+}
+
+/// A cut-off leader steps down by itself and refuses its waiting reads.
+#[test]
+fn quorum_lost() {
+    let mut core = replica(3, 1, &[]);
+    let term = lead(&mut core);
+    matched(&mut core, 1100, A, term, 1);
+    core.step(ms(1390), Input::Read { ticket: 1 });
+    assert_eq!(core.step(ms(1399), Input::Tick).role, None);
+    let out = core.step(ms(1400), Input::Tick);
+    assert_eq!(out.role.map(|r| r.role), Some(Role::Follower));
+    assert_eq!(out.reads, [(1, ReadResult::NotLeader { leader: None })]);
+}
+
+/// A replica outside of the membership must not disturb the group with elections.
+#[test]
+fn outsiders_stay_quiet() {
+    let mut core = Core::new(CoreConfig::new(ReplicaId(9), 1), Restored::default());
+    for now in (0..10_000).step_by(100) {
+        assert_eq!(core.step(ms(now), Input::Tick), Output::default());
+    }
+}
+
+/// One sync covers the proposals that arrived during the one before.
+#[test]
+fn group_commit() {
+    let mut core = replica(1, 0, &[]);
+    core.step(ms(0), Input::Tick);
+    core.step(ms(1000), Input::Tick);
+    let out = core.step(ms(1000), Input::Synced { ticket: 1 });
+    assert_eq!(out.persist.map(|p| (p.ticket, p.entries.len())), Some((2, 1)));
+    for ticket in 0..10 {
+        let out = core.step(ms(1000), Input::Propose { data: Bytes::new(), ticket });
+        assert_eq!((out.persist, out.apply), (None, Vec::new()));
+    }
+    let out = core.step(ms(1000), Input::Synced { ticket: 2 });
+    assert_eq!(out.persist.map(|p| p.entries.len()), Some(10));
+    assert_eq!(core.step(ms(1000), Input::Synced { ticket: 3 }).apply.len(), 10);
+}
+
+/// Appends to a peer that does not answer stay within the configured count and size.
+#[test]
+fn appends_bounded() {
+    let mut core = replica(3, 1, &[]);
+    let term = lead(&mut core);
+    matched(&mut core, 1000, A, term, 1);
+    let data = Bytes::from(vec![0; 100 * 1024]);
+    let mut sent = Vec::new();
+    for ticket in 0..40 {
+        let propose = Input::Propose { data: data.clone(), ticket };
+        sent.extend(core.step(ms(1000), propose).messages);
+    }
+    assert_eq!(sent.iter().filter(|m| m.0 == A).count(), 16);
+    let out = matched(&mut core, 1000, A, term, 17);
+    let sizes: Vec<_> = answers(&out)
+        .into_iter()
+        .filter_map(|m| {
+            if let Message::Append { entries, .. } = m { Some(entries.len()) } else { None }
+        })
+        .collect();
+    assert!(!sizes.is_empty() && sizes.iter().all(|&n| n <= 2), "entries per append: {sizes:?}");
+}
+
+/// After a mismatch the leader steps over whole terms instead of single entries.
+#[test]
+fn backs_off_by_terms() {
+    let mut core = replica(3, 9, &[vec![1; 50], vec![5; 50]].concat());
+    let term = lead(&mut core);
+    let hint = at(100, 3);
+    let result = AppendResult::Mismatch { rejected: 100, hint };
+    let out = receive(&mut core, 1000, A, Message::AppendAnswer { term, result });
+    let Some(Message::Append { previous, .. }) = answers(&out).first() else { panic!("{out:?}") };
+    assert_eq!(*previous, at(50, 1));
+}
+
+/// After a restart the leader has no snapshot in memory and must ask for one; it keeps the
+/// configured entries before a snapshot's position for followers that lag a little.
+#[test]
+fn snapshot_wanted() {
+    let restored = Restored {
+        snapshot: at(10, 1),
+        membership: Membership { voters: vec![ReplicaId(1), A, B], learners: Vec::new() },
+        hard_state: HardState { term: 1, vote: None },
+        entries: Vec::new(),
+    };
+    let mut core = Core::new(CoreConfig::new(ReplicaId(1), 7), restored);
+    let term = lead(&mut core);
+    let result = AppendResult::Mismatch { rejected: 10, hint: at(2, 1) };
+    let out = receive(&mut core, 1000, A, Message::AppendAnswer { term, result });
+    assert!(out.snapshot_wanted);
+    let snapshot =
+        Snapshot { last: at(10, 0), membership: Membership::default(), data: Bytes::new() };
+    let out = core.step(ms(1000), Input::Compact { snapshot });
+    let chunk = answers(&out).into_iter().find_map(|m| match m {
+        Message::SnapshotChunk { last, done, .. } => Some((*last, *done)),
+        _ => None,
+    });
+    assert_eq!(chunk, Some((at(10, 1), true)));
+}
--- /dev/null
+++ b/crates/agreement/tests/harness/faults.rs
@@ -0,0 +1,197 @@
+//! Random steps.
+
+use std::time::Duration;
+
+use poplarspan_agreement::{CoreConfig, Input, ReplicaId, VoterChange};
+use rand::Rng;
+use rand::distr::Distribution;
+use rand::distr::weighted::WeightedIndex;
+use rand::seq::IndexedRandom;
+
+use super::{Cluster, MAX_REPLICAS, ms};
+
+/// Kinds of random steps.
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    /// Delivers one message, an older one more likely.
+    Deliver,
+    /// Delivers what is on its way and completes all writes.
+    Settle,
+    Time,
+    Sync,
+    Propose,
+    Read,
+    Crash,
+    Start,
+    Cut,
+    Heal,
+    Freeze,
+    Jump,
+    Change,
+    Transfer,
+    Compact,
+}
+
+use Action::*;
+
+const ACTIONS: [Action; 15] = [
+    Deliver, Settle, Time, Sync, Propose, Read, Crash, Start, Cut, Heal, Freeze, Jump, Change,
+    Transfer, Compact,
+];
+
+/// Weights of the actions, in their order.
+pub type Mix = [u32; ACTIONS.len()];
+
+/// Everything at once.
+pub const MIXED: Mix = [400, 40, 140, 120, 80, 50, 16, 40, 14, 10, 6, 6, 16, 6, 24];
+/// Crashes while writes are not synced.
+pub const CRASHES: Mix = [400, 40, 180, 100, 60, 0, 60, 120, 16, 12, 0, 0, 0, 10, 8];
+/// Leaders that are cut off before their first entries reach a quorum.
+pub const ELECTIONS: Mix = [200, 120, 250, 120, 20, 0, 25, 100, 80, 60, 0, 0, 0, 0, 0];
+/// Leaders that are cut off while reads arrive.
+pub const READS: Mix = [400, 40, 140, 160, 80, 120, 4, 20, 30, 12, 8, 0, 0, 12, 0];
+/// Changes of voters while replicas are cut off.
+pub const CHANGES: Mix = [400, 40, 140, 120, 60, 20, 8, 40, 24, 12, 0, 0, 60, 8, 24];
+
+/// Draws a configuration with small limits, so that short runs reach them.
+fn adjust(seed: u64) -> impl Fn(&mut CoreConfig) {
+    move |cfg| {
+        cfg.max_append_bytes = [1, 64, 4096][(seed % 3) as usize];
+        cfg.max_inflight_appends = 1 + (seed / 3 % 4) as usize;
+        cfg.snapshot_chunk_bytes = 7;
+        cfg.trailing_entries = seed / 5 % 3;
+        cfg.promote_lag = seed / 7 % 3;
+        if seed.is_multiple_of(4) {
+            cfg.drift_margin = cfg.election_timeout_min;
+        }
+    }
+}
+
+/// Runs one random interleaving. The first steps elect a leader without faults, so that the rest
+/// is spent on a working group.
+pub fn run(seed: u64, mix: Mix, steps: usize) {
+    let voters = [3, 3, 5, 2, 4, 5, 3, 1][(seed % 8) as usize];
+    let mut c = Cluster::new(seed, voters, adjust(seed / 8));
+    c.jumps = (seed / 8).is_multiple_of(4);
+    c.run_quietly(ms(300));
+    while c.leaders().is_empty() && c.now < ms(2000) {
+        c.run_quietly(ms(50));
+    }
+    (c.loss, c.duplicates) = (c.rng.random_range(0..60), c.rng.random_range(0..60));
+    if c.rng.random_ratio(1, 2) {
+        c.append_loss = c.rng.random_range(0..950);
+    }
+    let weights = WeightedIndex::new(mix).expect("weights are valid");
+    for _ in 0..steps {
+        let k = weights.sample(&mut c.rng);
+        act(&mut c, ACTIONS[k]);
+    }
+    if seed.is_multiple_of(8) {
+        c.heal();
+    }
+    assert!(c.statuses().iter().all(|s| s.violations == 0), "invariant violated inside the core");
+}
+
+fn act(c: &mut Cluster, action: Action) {
+    let i = c.rng.random_range(0..MAX_REPLICAS);
+    match action {
+        Deliver if !c.net.is_empty() => {
+            let k = c.rng.random_range(0..c.net.len());
+            let k = c.rng.random_range(0..=k);
+            c.deliver(k);
+        }
+        Deliver => {}
+        Settle => {
+            c.settle();
+            c.settle();
+        }
+        Time => pass_time(c),
+        Sync => {
+            let waiting: Vec<_> =
+                (0..MAX_REPLICAS).filter(|&i| c.sims[i].pending.is_some()).collect();
+            if let Some(&i) = waiting.choose(&mut c.rng) {
+                c.sync(i);
+            }
+        }
+        Propose => {
+            let i = pick_leader(c).unwrap_or(i);
+            c.propose(i);
+        }
+        Read => {
+            let i = pick_leader(c).unwrap_or(i);
+            c.read(i);
+        }
+        Crash => c.crash(i),
+        Start => c.start(i),
+        Cut => cut(c),
+        Heal => c.cut.clear(),
+        Freeze => c.sims[i].frozen_until = c.now + ms(c.rng.random_range(50..800)),
+        Jump if c.jumps => c.sims[i].offset += ms(c.rng.random_range(10..1000)),
+        Jump => {}
+        Change => change(c),
+        Transfer => {
+            let to = ReplicaId(i as u64 + 1);
+            if let Some(leader) = pick_leader(c) {
+                c.step(leader, Input::TransferLeadership { to });
+            }
+        }
+        Compact => c.compact(i),
+    }
+}
+
+/// Advances the time, mostly by a little, and ticks most replicas.
+fn pass_time(c: &mut Cluster) {
+    let most = if c.rng.random_ratio(1, 4) { 300 } else { 30 };
+    c.now += Duration::from_millis(c.rng.random_range(1..=most));
+    for i in 0..MAX_REPLICAS {
+        if c.rng.random_ratio(3, 4) {
+            c.step(i, Input::Tick);
+        }
+    }
+}
+
+/// Picks one of the replicas that believe to lead; an old one is as likely as the new one.
+fn pick_leader(c: &mut Cluster) -> Option<usize> {
+    c.leaders().choose(&mut c.rng).copied()
+}
+
+/// Cuts a replica off, often the leader, or splits the group; in one or both directions.
+fn cut(c: &mut Cluster) {
+    let one = match pick_leader(c) {
+        Some(leader) if c.rng.random_ratio(1, 2) => leader,
+        _ => c.rng.random_range(0..MAX_REPLICAS),
+    };
+    let mut side = vec![one];
+    if c.rng.random_ratio(1, 3) {
+        side.push(c.rng.random_range(0..MAX_REPLICAS));
+    }
+    let (inwards, outwards) = *[(true, true), (true, true), (true, false), (false, true)]
+        .choose(&mut c.rng)
+        .expect("some");
+    for i in 0..MAX_REPLICAS {
+        for &j in side.iter().filter(|_| !side.contains(&i)) {
+            let (a, b) = (ReplicaId(i as u64 + 1), ReplicaId(j as u64 + 1));
+            if inwards {
+                c.cut.insert((a, b));
+            }
+            if outwards {
+                c.cut.insert((b, a));
+            }
+        }
+    }
+}
+
+/// Asks a leader for up to three changes at once.
+fn change(c: &mut Cluster) {
+    let Some(leader) = pick_leader(c) else { return };
+    for _ in 0..c.rng.random_range(1..=3) {
+        let id = ReplicaId(c.rng.random_range(1..=MAX_REPLICAS as u64));
+        let change = match c.rng.random_range(0..3) {
+            0 => VoterChange::AddLearner(id),
+            1 => VoterChange::PromoteLearner(id),
+            _ => VoterChange::RemoveVoter(id),
+        };
+        let ticket = c.next_ticket();
+        c.step(leader, Input::ChangeVoters { change, ticket });
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/harness/mod.rs
@@ -0,0 +1,385 @@
+//! Deterministic simulation of one group: a lossy network, disks that lose unsynced writes, clocks
+//! with their own offsets, and the invariants that must hold after each step.
+
+#![allow(dead_code, reason = "each test file uses a part of the harness")]
+
+mod disk;
+pub mod faults;
+mod oracle;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use poplarspan_agreement::{
+    Core, CoreConfig, Input, Message, Output, Persist, ProposalResult, ReadResult, ReplicaId, Role,
+    Snapshot,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use disk::Disk;
+use oracle::Oracle;
+
+pub const MAX_REPLICAS: usize = 5;
+/// Messages on their way; beyond that the oldest is lost.
+const MAX_MESSAGES: usize = 80;
+/// Simulated time within which a healed group must accept a proposal and bring all members up to
+/// date; some ten times the longest election timeout.
+const MAX_RECOVERY: Duration = Duration::from_secs(6);
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// One replica with its disk, clock and state machine.
+pub struct Sim {
+    pub id: ReplicaId,
+    /// `None` while the process is down.
+    pub core: Option<Core>,
+    pub cfg: CoreConfig,
+    pub disk: Disk,
+    /// Write that is not yet synced.
+    pub pending: Option<Persist>,
+    pub applied: u64,
+    digest: u64,
+    offset: Duration,
+    /// Speed of the clock in thousandths.
+    rate: u32,
+    pub frozen_until: Duration,
+    incarnation: u64,
+    /// Proposals in this replica's log, by index, term and ticket.
+    waiting: Vec<(u64, u64, u64)>,
+    /// Reads under way, with the index that they have to cover.
+    reads: Vec<(u64, u64)>,
+    snapshot_wanted: bool,
+}
+
+impl Sim {
+    pub fn is_leader(&self) -> bool {
+        self.core.as_ref().is_some_and(|c| c.status().role.role == Role::Leader)
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let mut data = self.digest.to_be_bytes().to_vec();
+        data.extend_from_slice(&self.applied.to_be_bytes());
+        let last = poplarspan_agreement::LogPosition { index: self.applied, term: 0 };
+        Snapshot { last, membership: Default::default(), data: Bytes::from(data) }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        let (digest, applied) = snapshot.data.split_at(8);
+        self.digest = u64::from_be_bytes(digest.try_into().expect("digest"));
+        self.applied = u64::from_be_bytes(applied.try_into().expect("index"));
+        assert_eq!(self.applied, snapshot.last.index, "snapshot data belongs to its position");
+    }
+}
+
+pub struct Cluster {
+    pub seed: u64,
+    pub rng: SmallRng,
+    pub now: Duration,
+    pub sims: Vec<Sim>,
+    /// Messages on their way: sender, receiver, message.
+    pub net: Vec<(ReplicaId, ReplicaId, Message)>,
+    /// Pairs of sender and receiver between which nothing is sent.
+    pub cut: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Messages lost and duplicated, in thousandths.
+    pub loss: u32,
+    pub duplicates: u32,
+    /// Appends lost in addition, so that logs differ although leaders are elected.
+    pub append_loss: u32,
+    /// Whether clocks may jump on their own, which leases do not bear.
+    pub jumps: bool,
+    pub oracle: Oracle,
+    tickets: u64,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("failed with seed {} at {:?}", self.seed, self.now);
+        }
+    }
+}
+
+impl Cluster {
+    /// Creates a group with the given number of voters; the other replicas are not members.
+    pub fn new(seed: u64, voters: usize, adjust: impl Fn(&mut CoreConfig)) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let ids: Vec<_> = (1..=MAX_REPLICAS as u64).map(ReplicaId).collect();
+        let sims = ids.iter().map(|&id| {
+            let mut cfg = CoreConfig::new(id, rng.random());
+            adjust(&mut cfg);
+            let members = if ids[..voters].contains(&id) { &ids[..voters] } else { &[] };
+            Sim {
+                id,
+                core: None,
+                cfg,
+                disk: Disk::new(members),
+                pending: None,
+                applied: 0,
+                digest: 0,
+                offset: ms(rng.random_range(0..100_000)),
+                rate: rng.random_range(970..=1030),
+                frozen_until: Duration::ZERO,
+                incarnation: 0,
+                waiting: Vec::new(),
+                reads: Vec::new(),
+                snapshot_wanted: false,
+            }
+        });
+        let mut cluster = Self {
+            seed,
+            sims: sims.collect(),
+            rng,
+            now: Duration::ZERO,
+            net: Vec::new(),
+            cut: BTreeSet::new(),
+            loss: 0,
+            duplicates: 0,
+            append_loss: 0,
+            jumps: false,
+            oracle: Oracle::default(),
+            tickets: 0,
+        };
+        (0..MAX_REPLICAS).for_each(|i| cluster.start(i));
+        cluster
+    }
+
+    /// Starts the process of a replica that is down, from what its disk holds.
+    pub fn start(&mut self, i: usize) {
+        let sim = &mut self.sims[i];
+        if sim.core.is_some() {
+            return;
+        }
+        sim.incarnation += 1;
+        sim.cfg.seed = sim.cfg.seed.wrapping_add(1);
+        (sim.applied, sim.digest) = (0, 0);
+        if let Some(snapshot) = sim.disk.snapshot.clone() {
+            sim.restore(&snapshot);
+        }
+        sim.core = Some(Core::new(sim.cfg.clone(), sim.disk.restored()));
+        self.step(i, Input::Tick);
+    }
+
+    /// Kills the process of a replica. Of the write that is not synced, a random prefix survives.
+    pub fn crash(&mut self, i: usize) {
+        let sim = &mut self.sims[i];
+        if let Some(p) = sim.pending.take() {
+            let parts = self.rng.random_range(0..=Disk::parts(&p));
+            sim.disk.write(&p, parts);
+        }
+        sim.core = None;
+        sim.waiting.clear();
+        sim.reads.clear();
+    }
+
+    fn clock(&self, i: usize) -> Duration {
+        self.sims[i].offset + self.now * self.sims[i].rate / 1000
+    }
+
+    pub fn runs(&self, i: usize) -> bool {
+        self.sims[i].core.is_some() && self.sims[i].frozen_until <= self.now
+    }
+
+    /// Steps a replica, unless it is down or frozen, and handles what it asks for.
+    pub fn step(&mut self, i: usize, input: Input) {
+        let now = self.clock(i);
+        if !self.runs(i) {
+            return;
+        }
+        let Some(core) = &mut self.sims[i].core else { return };
+        let out = core.step(now, input);
+        self.handle(i, out);
+    }
+
+    fn handle(&mut self, i: usize, out: Output) {
+        let id = self.sims[i].id;
+        for (to, message) in out.messages {
+            self.send(id, to, message);
+        }
+        let sim = &mut self.sims[i];
+        if let Some(p) = out.persist {
+            assert!(sim.pending.is_none(), "one write is in flight at a time");
+            sim.pending = Some(p);
+        }
+        if let Some(snapshot) = &out.install {
+            sim.restore(snapshot);
+            self.oracle.installed(sim.applied, sim.digest);
+        }
+        for e in out.apply {
+            assert_eq!(e.position.index, sim.applied + 1, "entries are applied in order");
+            sim.applied += 1;
+            sim.digest = self.oracle.applied(&e, sim.digest);
+            let position = (e.position.index, e.position.term);
+            if let Some(k) = sim.waiting.iter().position(|w| (w.0, w.1) == position) {
+                let ticket = sim.waiting.swap_remove(k).2;
+                self.oracle.acknowledged(&e, ticket);
+            }
+        }
+        self.handle_proposals(i, out.proposals);
+        self.handle_reads(i, out.reads);
+        let sim = &mut self.sims[i];
+        sim.snapshot_wanted |= out.snapshot_wanted;
+        if let (Some(role), Some(core)) = (out.role, &sim.core)
+            && role.role == Role::Leader
+        {
+            self.oracle.elected(core, role.term, id, sim.incarnation);
+        }
+    }
+
+    fn handle_proposals(&mut self, i: usize, results: Vec<(u64, ProposalResult)>) {
+        let waiting = &mut self.sims[i].waiting;
+        for (ticket, result) in results {
+            match result {
+                ProposalResult::Appended(at) => waiting.push((at.index, at.term, ticket)),
+                ProposalResult::Unknown => waiting.retain(|w| w.2 != ticket),
+                ProposalResult::NotLeader { .. } | ProposalResult::Refused(_) => {
+                    self.oracle.not_applied(ticket);
+                }
+                ProposalResult::Overwritten => {
+                    waiting.retain(|w| w.2 != ticket);
+                    self.oracle.not_applied(ticket);
+                }
+            }
+        }
+    }
+
+    fn handle_reads(&mut self, i: usize, results: Vec<(u64, ReadResult)>) {
+        for (ticket, result) in results {
+            let reads = &mut self.sims[i].reads;
+            let k = reads.iter().position(|r| r.0 == ticket).expect("read is under way");
+            let (_, floor) = reads.swap_remove(k);
+            if let ReadResult::Ready { index } = result {
+                assert!(index >= floor, "read at {index} misses what was acknowledged at {floor}");
+                self.oracle.read_floor = self.oracle.read_floor.max(index);
+            }
+        }
+    }
+
+    fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
+        let loss = match message {
+            Message::Append { .. } => self.loss.max(self.append_loss),
+            _ => self.loss,
+        };
+        if self.cut.contains(&(from, to)) || self.rng.random_ratio(loss, 1000) {
+            return;
+        }
+        if self.net.len() > MAX_MESSAGES {
+            self.net.remove(0);
+        }
+        if self.rng.random_ratio(self.duplicates, 1000) {
+            self.net.push((from, to, message.clone()));
+        }
+        self.net.push((from, to, message));
+    }
+
+    /// Delivers the message with index `k`.
+    pub fn deliver(&mut self, k: usize) {
+        let (from, to, message) = self.net.remove(k);
+        self.step(to.0 as usize - 1, Input::Message { from, message });
+    }
+
+    /// Completes the write of a replica that is not yet synced.
+    pub fn sync(&mut self, i: usize) {
+        if !self.runs(i) {
+            return;
+        }
+        if let Some(p) = self.sims[i].pending.take() {
+            self.sims[i].disk.write(&p, Disk::parts(&p));
+            self.oracle.synced(&self.sims[i].disk, &p);
+            self.step(i, Input::Synced { ticket: p.ticket });
+        }
+    }
+
+    pub fn next_ticket(&mut self) -> u64 {
+        self.tickets += 1;
+        self.tickets
+    }
+
+    pub fn propose(&mut self, i: usize) -> u64 {
+        let ticket = self.next_ticket();
+        let data = Bytes::copy_from_slice(&ticket.to_be_bytes());
+        self.step(i, Input::Propose { data, ticket });
+        ticket
+    }
+
+    pub fn read(&mut self, i: usize) {
+        if self.runs(i) {
+            let ticket = self.next_ticket();
+            self.sims[i].reads.push((ticket, self.oracle.read_floor));
+            self.step(i, Input::Read { ticket });
+        }
+    }
+
+    pub fn compact(&mut self, i: usize) {
+        self.sims[i].snapshot_wanted = false;
+        let snapshot = self.sims[i].snapshot();
+        self.step(i, Input::Compact { snapshot });
+    }
+
+    pub fn leaders(&self) -> Vec<usize> {
+        (0..MAX_REPLICAS).filter(|&i| self.sims[i].is_leader()).collect()
+    }
+
+    /// Lets time pass without faults: all messages arrive and all writes are synced.
+    pub fn run_quietly(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += ms(10);
+            for i in 0..MAX_REPLICAS {
+                self.step(i, Input::Tick);
+                if self.sims[i].snapshot_wanted {
+                    self.compact(i);
+                }
+            }
+            for _ in 0..4 {
+                self.settle();
+            }
+        }
+    }
+
+    /// Completes all writes and delivers the messages that are on their way.
+    pub fn settle(&mut self) {
+        (0..MAX_REPLICAS).for_each(|i| self.sync(i));
+        for (from, to, message) in std::mem::take(&mut self.net) {
+            self.step(to.0 as usize - 1, Input::Message { from, message });
+        }
+    }
+
+    /// Ends all faults and checks that the group recovers.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        (self.loss, self.duplicates, self.append_loss) = (0, 0, 0);
+        for i in 0..MAX_REPLICAS {
+            self.sims[i].frozen_until = Duration::ZERO;
+            self.start(i);
+        }
+        let end = self.now + MAX_RECOVERY;
+        while self.now < end {
+            self.run_quietly(ms(100));
+            if let &[leader] = &self.leaders()[..] {
+                self.propose(leader);
+                let acked = self.oracle.acked_index();
+                self.run_quietly(ms(100));
+                if self.oracle.acked_index() > acked && self.all_caught_up(leader) {
+                    return;
+                }
+            }
+        }
+        panic!("the group does not recover: {:#?}", self.statuses());
+    }
+
+    pub fn all_caught_up(&self, leader: usize) -> bool {
+        let Some(status) = self.sims[leader].core.as_ref().map(Core::status) else { return false };
+        let members = status.membership.voters.iter().chain(&status.membership.learners);
+        status.commit == status.last.index
+            && self.oracle.len() == status.commit
+            && members.into_iter().all(|id| self.sims[id.0 as usize - 1].applied == status.commit)
+    }
+
+    pub fn statuses(&self) -> Vec<poplarspan_agreement::Status> {
+        self.sims.iter().filter_map(|s| s.core.as_ref().map(Core::status)).collect()
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/harness/oracle.rs
@@ -0,0 +1,95 @@
+//! What has happened in the group as a whole, and the invariants over it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use poplarspan_agreement::{Core, Entry, Payload, Persist, ReplicaId};
+
+use super::disk::Disk;
+
+#[derive(Default)]
+pub struct Oracle {
+    /// Leader of each term and the run of its process.
+    leaders: BTreeMap<u64, (ReplicaId, u64)>,
+    /// Applied entries by index, with the digest after each.
+    history: Vec<(Entry, u64)>,
+    /// Payload and term of the predecessor of each entry that was synced, by index and term.
+    synced: BTreeMap<(u64, u64), (Payload, u64)>,
+    /// Tickets of commands that were reported as not applied.
+    not_applied: BTreeSet<u64>,
+    /// Tickets of commands in the history.
+    tickets: BTreeSet<u64>,
+    acked: Option<u64>,
+    /// Index that reads issued from now on have to cover.
+    pub read_floor: u64,
+}
+
+impl Oracle {
+    /// One leader a term; leader completeness: a new leader has all applied entries.
+    pub fn elected(&mut self, core: &Core, term: u64, id: ReplicaId, incarnation: u64) {
+        let leader = *self.leaders.entry(term).or_insert((id, incarnation));
+        assert_eq!(leader, (id, incarnation), "two leaders in term {term}");
+        let last = core.status().last.index;
+        assert!(last > self.len(), "leader of term {term} lacks committed entries");
+        for e in core.entries_from(core.status().snapshot.index + 1) {
+            if let Some((applied, _)) = self.history.get(e.position.index as usize - 1) {
+                assert_eq!(&e, applied, "leader of term {term} differs from a committed entry");
+            }
+        }
+    }
+
+    /// State machine safety: the same entry at each index. Returns the digest after the entry.
+    pub fn applied(&mut self, e: &Entry, digest: u64) -> u64 {
+        let i = e.position.index as usize - 1;
+        if let Some((first, after)) = self.history.get(i) {
+            assert_eq!(e, first, "two entries were applied at one index");
+            return *after;
+        }
+        assert_eq!(self.history.len(), i, "history has no gap");
+        let mut value = e.position.term;
+        if let Payload::Command(data) = &e.payload {
+            let ticket = u64::from_be_bytes(data[..].try_into().expect("ticket"));
+            assert!(!self.not_applied.contains(&ticket), "command {ticket} was reported as lost");
+            assert!(self.tickets.insert(ticket), "command {ticket} was applied twice");
+            value = value.wrapping_add(ticket << 32);
+        }
+        let after = (digest ^ value).wrapping_mul(0x0100_0000_01b3).wrapping_add(1);
+        self.history.push((e.clone(), after));
+        after
+    }
+
+    pub fn installed(&self, index: u64, digest: u64) {
+        let after = self.history.get(index as usize - 1).map(|h| h.1);
+        assert_eq!(after, Some(digest), "snapshot at {index} differs from the history");
+    }
+
+    pub fn not_applied(&mut self, ticket: u64) {
+        assert!(!self.tickets.contains(&ticket), "command {ticket} was applied");
+        self.not_applied.insert(ticket);
+    }
+
+    pub fn acknowledged(&mut self, e: &Entry, ticket: u64) {
+        if let Payload::Command(data) = &e.payload {
+            assert_eq!(data[..], ticket.to_be_bytes(), "the entry is the proposed one");
+        }
+        self.acked = self.acked.max(Some(e.position.index));
+        self.read_floor = self.read_floor.max(e.position.index);
+    }
+
+    /// Log matching: an index and a term identify an entry and its predecessor.
+    pub fn synced(&mut self, disk: &Disk, p: &Persist) {
+        for e in &p.entries {
+            let at = (e.position.index, e.position.term);
+            let before = disk.term_before(e.position.index).expect("the log on disk has no gap");
+            let first = self.synced.entry(at).or_insert_with(|| (e.payload.clone(), before));
+            assert_eq!(first, &(e.payload.clone(), before), "logs differ at {at:?}");
+        }
+    }
+
+    pub fn acked_index(&self) -> Option<u64> {
+        self.acked
+    }
+
+    pub fn len(&self) -> u64 {
+        self.history.len() as u64
+    }
+}
