--- /dev/null
+++ b/crates/agreement/src/storage/file.rs
@@ -0,0 +1,244 @@
+//! A store in a folder. One thread owns the files; callers reach it over a bounded channel, so that
+//! no sync ever blocks a task. The thread ends when the store is closed or all its users are gone.
+
+use std::collections::VecDeque;
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+
+use futures::future::BoxFuture;
+use tokio::sync::mpsc::error::TryRecvError;
+use tokio::sync::{mpsc, oneshot};
+
+use super::disk::{FolderDisk, sync_folder};
+use super::wal::{Counters, Op, SnapshotWrite, Wal};
+use super::{Storage, StoreError, StoreStats, Stored};
+use crate::{GroupId, Persist, Snapshot};
+
+/// Requests that wait for the thread before callers have to wait.
+const QUEUE_REQUESTS: usize = 1024;
+/// Requests that are made durable with one sync, so that a batch stays of bounded size.
+const MAX_BATCH_REQUESTS: usize = 1024;
+
+/// Parameters of a `FileStore`.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreOptions {
+    /// Length at which a segment of the write-ahead log is followed by a new one.
+    pub segment_bytes: u64,
+}
+
+impl Default for StoreOptions {
+    fn default() -> Self {
+        Self { segment_bytes: 64 << 20 }
+    }
+}
+
+type Reply<T> = oneshot::Sender<Result<T, StoreError>>;
+
+enum Request {
+    Load(Reply<Vec<(GroupId, Stored)>>),
+    Persist(Vec<(GroupId, Persist)>, Reply<()>),
+    SaveSnapshot(GroupId, Snapshot, Reply<()>),
+    Close(Reply<()>),
+}
+
+/// A store in a folder of the file system.
+#[derive(Debug)]
+pub struct FileStore {
+    tx: mpsc::Sender<Request>,
+    counters: Arc<Counters>,
+}
+
+impl FileStore {
+    /// Creates an empty store; the folder is created if it is missing. Blocks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder holds a log already, is in use, or cannot be written.
+    pub fn create(folder: &Path) -> Result<(), StoreError> {
+        let io = |op| move |e| StoreError::io(op, folder.display().to_string(), e);
+        if !folder.exists() {
+            fs::create_dir(folder).map_err(io("create"))?;
+            let parent = folder.parent().filter(|p| !p.as_os_str().is_empty());
+            sync_folder(parent.unwrap_or(Path::new("."))).map_err(io("sync"))?;
+        }
+        Wal::create(&mut FolderDisk::open(folder)?)
+    }
+
+    /// Opens a store and reads its log. Blocks; never creates a log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no log, when it is corrupt, when another process uses the folder, or on
+    /// an error of the operating system.
+    pub fn open(folder: &Path, options: StoreOptions) -> Result<Self, StoreError> {
+        if !folder.is_dir() {
+            return Err(StoreError::Missing { path: folder.display().to_string() });
+        }
+        let wal = Wal::open(Box::new(FolderDisk::open(folder)?), options.segment_bytes)?;
+        let counters = wal.counters();
+        let (tx, rx) = mpsc::channel(QUEUE_REQUESTS);
+        let worker = Worker { wal, rx, failed: None, snapshots: VecDeque::new() };
+        thread::Builder::new()
+            .name("store".to_owned())
+            .spawn(move || worker.run())
+            .map_err(|e| StoreError::io("start a thread for", folder.display().to_string(), e))?;
+        Ok(Self { tx, counters })
+    }
+
+    fn call<T: Send + 'static>(
+        &self,
+        request: impl FnOnce(Reply<T>) -> Request + Send + 'static,
+    ) -> BoxFuture<'static, Result<T, StoreError>> {
+        let tx = self.tx.clone();
+        Box::pin(async move {
+            let (reply, result) = oneshot::channel();
+            tx.send(request(reply)).await.map_err(|_| StoreError::Closed)?;
+            result.await.unwrap_or(Err(StoreError::Closed))
+        })
+    }
+}
+
+impl Storage for FileStore {
+    fn load(&self) -> BoxFuture<'static, Result<Vec<(GroupId, Stored)>, StoreError>> {
+        self.call(Request::Load)
+    }
+
+    fn persist(
+        &self,
+        batch: Vec<(GroupId, Persist)>,
+    ) -> BoxFuture<'static, Result<(), StoreError>> {
+        self.call(|reply| Request::Persist(batch, reply))
+    }
+
+    fn save_snapshot(
+        &self,
+        group: GroupId,
+        snapshot: Snapshot,
+    ) -> BoxFuture<'static, Result<(), StoreError>> {
+        self.call(move |reply| Request::SaveSnapshot(group, snapshot, reply))
+    }
+
+    fn close(&self) -> BoxFuture<'static, Result<(), StoreError>> {
+        self.call(Request::Close)
+    }
+
+    fn stats(&self) -> StoreStats {
+        self.counters.read()
+    }
+}
+
+/// A snapshot of a group's own state machine on its way to the disk.
+struct PendingSnapshot {
+    write: SnapshotWrite,
+    op: Op,
+    reply: Reply<()>,
+}
+
+struct Worker {
+    wal: Wal,
+    rx: mpsc::Receiver<Request>,
+    failed: Option<StoreError>,
+    snapshots: VecDeque<PendingSnapshot>,
+}
+
+impl Worker {
+    fn run(mut self) {
+        while let Some(requests) = self.next_requests() {
+            let mut ops = Vec::new();
+            let mut replies = Vec::new();
+            for request in requests {
+                match request {
+                    Request::Load(reply) => {
+                        let _ = reply.send(self.check().and_then(|()| self.wal.load()));
+                    }
+                    Request::Persist(batch, reply) => {
+                        ops.push(Op::Persist(batch));
+                        replies.push(reply);
+                    }
+                    Request::SaveSnapshot(group, snapshot, reply) => {
+                        self.queue_snapshot(group, snapshot, reply);
+                    }
+                    Request::Close(reply) => {
+                        self.commit(ops, replies);
+                        drop(self);
+                        let _ = reply.send(Ok(()));
+                        return;
+                    }
+                }
+            }
+            self.step_snapshot(&mut ops, &mut replies);
+            self.commit(ops, replies);
+        }
+    }
+
+    /// Waits for requests unless a snapshot is being written. Returns `None` at the end.
+    fn next_requests(&mut self) -> Option<Vec<Request>> {
+        let mut requests = Vec::new();
+        if self.snapshots.is_empty() {
+            requests.push(self.rx.blocking_recv()?);
+        }
+        while requests.len() < MAX_BATCH_REQUESTS
+            && !matches!(requests.last(), Some(Request::Close(_)))
+        {
+            match self.rx.try_recv() {
+                Ok(request) => requests.push(request),
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) if requests.is_empty() => return None,
+                Err(TryRecvError::Disconnected) => break,
+            }
+        }
+        Some(requests)
+    }
+
+    fn queue_snapshot(&mut self, group: GroupId, snapshot: Snapshot, reply: Reply<()>) {
+        let (last, membership) = (snapshot.last, snapshot.membership.clone());
+        let op = Op::Snapshot { group, last, membership };
+        let write = SnapshotWrite::new(group, snapshot);
+        self.snapshots.push_back(PendingSnapshot { write, op, reply });
+    }
+
+    /// Writes one chunk of the first snapshot; adds it to the batch when it is complete.
+    fn step_snapshot(&mut self, ops: &mut Vec<Op>, replies: &mut Vec<Reply<()>>) {
+        let Some(mut pending) = self.snapshots.pop_front() else {
+            return;
+        };
+        let step = self.check().and_then(|()| pending.write.step(&mut self.wal));
+        match step {
+            Ok(false) => self.snapshots.push_front(pending),
+            Ok(true) => {
+                ops.push(pending.op);
+                replies.push(pending.reply);
+            }
+            Err(e) => {
+                self.fail(&e);
+                let _ = pending.reply.send(Err(e));
+            }
+        }
+    }
+
+    fn commit(&mut self, ops: Vec<Op>, replies: Vec<Reply<()>>) {
+        if replies.is_empty() {
+            return;
+        }
+        let result = self.check().and_then(|()| self.wal.commit(ops));
+        if let Err(e) = &result {
+            self.fail(e);
+        }
+        for reply in replies {
+            let _ = reply.send(result.clone());
+        }
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        self.failed.clone().map_or(Ok(()), Err)
+    }
+
+    fn fail(&mut self, e: &StoreError) {
+        if self.failed.is_none() {
+            log::error!("the store has failed and accepts no more writes: {e}");
+            self.failed = Some(e.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/storage/frame.rs
@@ -0,0 +1,112 @@
+//! Format of the segments of the write-ahead log.
+//!
+//! A segment is a header followed by frames. A frame holds the records of one batch, which is what
+//! one sync makes durable, under one checksum. A crash can therefore damage at most the last frame,
+//! in whatever order the disk wrote its blocks, and a damaged frame that is followed by a sound one
+//! was damaged after it had been synced.
+
+use bytes::Bytes;
+use poplarspan_proto::agreement as pb;
+use prost::Message;
+
+use super::checked::array;
+
+const MAGIC: [u8; 8] = *b"PSPNWAL1";
+/// Magic, number, number of the first frame, salt, checksum.
+pub(crate) const SEGMENT_HEADER_LEN: usize = 8 + 8 + 8 + 8 + 4;
+/// Mark, body length, frame number, checksum.
+pub(crate) const FRAME_HEADER_LEN: usize = 4 + 4 + 8 + 4;
+
+/// Header of a segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SegmentHeader {
+    pub(crate) number: u64,
+    pub(crate) first_frame: u64,
+    /// Random; part of all checksums of the segment, so that bytes of a command can't pass for a
+    /// frame.
+    pub(crate) salt: u64,
+}
+
+impl SegmentHeader {
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut buf = Vec::with_capacity(SEGMENT_HEADER_LEN);
+        buf.extend_from_slice(&MAGIC);
+        buf.extend_from_slice(&self.number.to_be_bytes());
+        buf.extend_from_slice(&self.first_frame.to_be_bytes());
+        buf.extend_from_slice(&self.salt.to_be_bytes());
+        let crc = crc32c::crc32c(&buf);
+        buf.extend_from_slice(&crc.to_be_bytes());
+        buf
+    }
+
+    pub(crate) fn decode(file: &[u8]) -> Option<Self> {
+        let buf = file.get(..SEGMENT_HEADER_LEN)?;
+        let sound = buf[..8] == MAGIC
+            && u32::from_be_bytes(array(&buf[32..36])) == crc32c::crc32c(&buf[..32]);
+        sound.then(|| Self {
+            number: u64::from_be_bytes(array(&buf[8..16])),
+            first_frame: u64::from_be_bytes(array(&buf[16..24])),
+            salt: u64::from_be_bytes(array(&buf[24..32])),
+        })
+    }
+
+    /// First bytes of each frame of the segment.
+    fn mark(&self) -> [u8; 4] {
+        array(&self.salt.to_be_bytes()[..4])
+    }
+
+    fn checksum(&self, header: &[u8], body: &[u8]) -> u32 {
+        let crc = crc32c::crc32c(&self.salt.to_be_bytes());
+        crc32c::crc32c_append(crc32c::crc32c_append(crc, header), body)
+    }
+
+    /// Appends the frame `number` with `batch` to `buf`.
+    pub(crate) fn encode_frame(&self, number: u64, batch: &pb::Batch, buf: &mut Vec<u8>) {
+        let start = buf.len();
+        buf.extend_from_slice(&self.mark());
+        buf.extend_from_slice(&[0; FRAME_HEADER_LEN - 4]);
+        batch.encode(buf).expect("a vector grows as needed");
+        let body = start + FRAME_HEADER_LEN;
+        let len = u32::try_from(buf.len() - body).expect("a batch is smaller than 4 GiB");
+        buf[start + 4..start + 8].copy_from_slice(&len.to_be_bytes());
+        buf[start + 8..start + 16].copy_from_slice(&number.to_be_bytes());
+        let crc = self.checksum(&buf[start..start + 16], &buf[body..]);
+        buf[start + 16..start + 20].copy_from_slice(&crc.to_be_bytes());
+    }
+
+    /// Returns the number and the body of the frame at the start of `buf` if it is sound.
+    pub(crate) fn frame_at<'a>(&self, buf: &'a [u8]) -> Option<(u64, &'a [u8])> {
+        let header = buf.get(..FRAME_HEADER_LEN)?;
+        if header[..4] != self.mark() {
+            return None;
+        }
+        let len = u32::from_be_bytes(array(&header[4..8])) as usize;
+        let body = buf.get(FRAME_HEADER_LEN..FRAME_HEADER_LEN.checked_add(len)?)?;
+        let crc = u32::from_be_bytes(array(&header[16..20]));
+        (crc == self.checksum(&header[..16], body))
+            .then(|| (u64::from_be_bytes(array(&header[8..16])), body))
+    }
+
+    /// Reports whether a sound frame begins anywhere in `buf`.
+    pub(crate) fn any_frame(&self, buf: &[u8]) -> bool {
+        let mark = self.mark();
+        (0..buf.len()).any(|i| buf[i..].starts_with(&mark) && self.frame_at(&buf[i..]).is_some())
+    }
+}
+
+/// Decodes a frame's body.
+pub(crate) fn decode_batch(body: &[u8]) -> Option<pb::Batch> {
+    // Copied, so that an entry that stays in memory doesn't keep the whole segment there.
+    pb::Batch::decode(Bytes::copy_from_slice(body)).ok()
+}
+
+/// Name of a segment's file.
+pub(crate) fn segment_name(number: u64) -> String {
+    format!("wal-{number:016x}.log")
+}
+
+/// Number of the segment with this file name.
+pub(crate) fn segment_number(name: &str) -> Option<u64> {
+    let digits = name.strip_prefix("wal-")?.strip_suffix(".log")?;
+    (digits.len() == 16).then(|| u64::from_str_radix(digits, 16).ok())?
+}
--- /dev/null
+++ b/crates/agreement/src/storage/group.rs
@@ -0,0 +1,194 @@
+//! What the log holds of one group, kept in memory by the store's thread.
+
+use std::collections::VecDeque;
+
+use pb::record::Kind;
+use poplarspan_proto::agreement as pb;
+
+use crate::{Entry, GroupId, HardState, LogPosition, Membership, Payload};
+
+/// Estimated size of an entry without its command.
+const ENTRY_OVERHEAD_BYTES: usize = 32;
+
+/// One entry and the segment that holds its latest copy.
+#[derive(Clone, Debug)]
+pub(crate) struct Logged {
+    pub(crate) entry: Entry,
+    pub(crate) segment: u64,
+}
+
+/// State of a group as of the last record.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Group {
+    pub(crate) hard_state: HardState,
+    pub(crate) snapshot: Option<(LogPosition, Membership)>,
+    /// Position before the first entry.
+    pub(crate) before: LogPosition,
+    pub(crate) log: VecDeque<Logged>,
+    /// Bytes of all entries of `log`.
+    pub(crate) bytes: usize,
+}
+
+impl Group {
+    pub(crate) fn last_index(&self) -> u64 {
+        self.log.back().map_or(self.before.index, |l| l.entry.position.index)
+    }
+
+    /// Term of the entry at `index`, if the log has it.
+    pub(crate) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.before.index {
+            return Some(self.before.term);
+        }
+        let first = self.log.front()?.entry.position.index;
+        let i = usize::try_from(index.checked_sub(first)?).ok()?;
+        self.log.get(i).map(|l| l.entry.position.term)
+    }
+
+    /// Appends consecutive entries after dropping everything from the first one's index on.
+    ///
+    /// A segment may begin after entries that a later record drops. The log then has a gap, which
+    /// is resolved by forgetting what is before it; `has_gap` tells whether one remains.
+    pub(crate) fn append(&mut self, entries: Vec<Entry>, segment: u64) -> Result<(), &'static str> {
+        let Some(first) = entries.first().map(|e| e.position.index) else {
+            return Ok(());
+        };
+        if first <= self.before.index {
+            return Err("entry before the start of the log");
+        }
+        while self.log.back().is_some_and(|l| l.entry.position.index >= first) {
+            self.pop_back();
+        }
+        if self.log.back().is_some_and(|l| l.entry.position.index + 1 != first) {
+            self.clear();
+        }
+        for (i, entry) in entries.into_iter().enumerate() {
+            if entry.position.index != first.saturating_add(i as u64) {
+                return Err("entries of a record are not consecutive");
+            }
+            self.bytes += entry_bytes(&entry);
+            self.log.push_back(Logged { entry, segment });
+        }
+        Ok(())
+    }
+
+    /// Drops the log up to `before`, or all of it.
+    pub(crate) fn start_after(&mut self, before: LogPosition, clear: bool) {
+        if clear {
+            self.clear();
+        }
+        while self.log.front().is_some_and(|l| l.entry.position.index <= before.index) {
+            if let Some(l) = self.log.pop_front() {
+                self.bytes -= entry_bytes(&l.entry);
+            }
+        }
+        self.before = before;
+    }
+
+    /// Reports whether entries are missing between the snapshot and the first entry.
+    pub(crate) fn has_gap(&self) -> bool {
+        let first = self.log.front().map_or(self.before.index + 1, |l| l.entry.position.index);
+        let snapshot = self.snapshot.as_ref().map_or(0, |(last, _)| last.index);
+        first != self.before.index + 1 || self.before.index != snapshot
+    }
+
+    /// Segment of the first entry.
+    pub(crate) fn oldest_segment(&self) -> Option<u64> {
+        self.log.front().map(|l| l.segment)
+    }
+
+    pub(crate) fn apply(&mut self, kind: Kind, segment: u64) -> Result<(), &'static str> {
+        match kind {
+            Kind::HardState(state) => self.hard_state = state.into(),
+            Kind::Entries(list) => {
+                let entries: Result<Vec<Entry>, _> =
+                    list.entries.into_iter().map(Entry::try_from).collect();
+                self.append(entries.map_err(|_| "undecodable entry")?, segment)?;
+            }
+            Kind::Snapshot(meta) => {
+                let last = meta.last.ok_or("snapshot without position")?.into();
+                let membership = meta.membership.ok_or("snapshot without membership")?.into();
+                self.snapshot = Some((last, membership));
+            }
+            Kind::LogStart(start) => {
+                let before: LogPosition = start.before.ok_or("start without position")?.into();
+                if before.index >= u64::MAX - 1 {
+                    return Err("start of the log out of range");
+                }
+                self.start_after(before, start.clear);
+            }
+        }
+        Ok(())
+    }
+
+    /// Records that restore everything but the entries.
+    pub(crate) fn checkpoint(&self, group: GroupId) -> Vec<pb::Record> {
+        let mut kinds = vec![Kind::HardState(self.hard_state.into())];
+        kinds.extend(self.snapshot.as_ref().map(|(last, m)| snapshot_kind(*last, m)));
+        kinds.push(log_start_kind(self.before, false));
+        kinds.into_iter().map(|kind| record(group, kind)).collect()
+    }
+
+    /// A record that holds the whole log again.
+    pub(crate) fn log_record(&self, group: GroupId) -> pb::Record {
+        let entries = self.log.iter().map(|l| (&l.entry).into()).collect();
+        record(group, Kind::Entries(pb::Entries { entries }))
+    }
+
+    fn clear(&mut self) {
+        self.log.clear();
+        self.bytes = 0;
+    }
+
+    fn pop_back(&mut self) {
+        if let Some(l) = self.log.pop_back() {
+            self.bytes -= entry_bytes(&l.entry);
+        }
+    }
+}
+
+pub(crate) fn record(group: GroupId, kind: Kind) -> pb::Record {
+    pb::Record { group: group.0, kind: Some(kind) }
+}
+
+pub(crate) fn snapshot_kind(last: LogPosition, membership: &Membership) -> Kind {
+    Kind::Snapshot(pb::SnapshotMeta {
+        last: Some(last.into()),
+        membership: Some(membership.into()),
+    })
+}
+
+pub(crate) fn log_start_kind(before: LogPosition, clear: bool) -> Kind {
+    Kind::LogStart(pb::LogStart { before: Some(before.into()), clear })
+}
+
+fn entry_bytes(entry: &Entry) -> usize {
+    ENTRY_OVERHEAD_BYTES
+        + match &entry.payload {
+            Payload::Empty => 0,
+            Payload::Command(data) => data.len(),
+            Payload::Membership(m) => 8 * (m.voters.len() + m.learners.len()),
+        }
+}
+
+/// The groups, sorted by number.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Groups(pub(crate) Vec<(GroupId, Group)>);
+
+impl Groups {
+    pub(crate) fn entry(&mut self, id: GroupId) -> &mut Group {
+        let i = self.0.binary_search_by_key(&id, |(g, _)| *g).unwrap_or_else(|i| {
+            self.0.insert(i, (id, Group::default()));
+            i
+        });
+        &mut self.0[i].1
+    }
+
+    /// Applies the records of one frame.
+    pub(crate) fn apply(&mut self, batch: pb::Batch, segment: u64) -> Result<(), &'static str> {
+        for record in batch.records {
+            let kind = record.kind.ok_or("record of unknown kind")?;
+            self.entry(GroupId(record.group)).apply(kind, segment)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/storage/memory.rs
@@ -0,0 +1,283 @@
+//! A store in memory with faults on request, for tests. It runs the same log on a simulated disk,
+//! and does all work in the task that polls, so that it suits a paused clock.
+
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use futures::future::BoxFuture;
+use tokio::sync::watch;
+
+use super::disk::{Disk, DiskFile};
+use super::wal::{Counters, Op, SnapshotWrite, Wal};
+use super::{Storage, StoreError, StoreOptions, StoreStats, Stored};
+use crate::{GroupId, Persist, Snapshot};
+
+#[derive(Clone, Debug, Default)]
+struct MemoryFile {
+    data: Vec<u8>,
+    /// What a crash leaves.
+    synced: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct Files {
+    files: Vec<MemoryFile>,
+    /// Names and indices in `files`, sorted.
+    names: Vec<(String, usize)>,
+    synced_names: Vec<(String, usize)>,
+    /// Stores that were opened before the last crash are refused.
+    crashes: u64,
+    fail_next_sync: bool,
+}
+
+/// A simulated disk that outlives the stores on it.
+#[derive(Clone, Debug)]
+pub struct MemoryDisk {
+    files: Arc<Mutex<Files>>,
+    held: watch::Sender<bool>,
+}
+
+impl Default for MemoryDisk {
+    fn default() -> Self {
+        Self { files: Arc::default(), held: watch::Sender::new(false) }
+    }
+}
+
+impl MemoryDisk {
+    /// Returns an empty disk.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Ends the use of this disk by all open stores and loses what was not synced, but for at most
+    /// `torn_bytes` bytes at the end of each file.
+    pub fn crash(&self, torn_bytes: usize) {
+        let mut files = self.lock();
+        files.crashes += 1;
+        files.fail_next_sync = false;
+        files.names = files.synced_names.clone();
+        for f in &mut files.files {
+            let unsynced = f.data.get(f.synced.len()..).unwrap_or_default();
+            let torn = unsynced[..torn_bytes.min(unsynced.len())].to_vec();
+            f.synced.extend_from_slice(&torn);
+            f.data.clone_from(&f.synced);
+        }
+    }
+
+    /// Ends the use of this disk by all open stores and loses everything.
+    pub fn lose(&self) {
+        let mut files = self.lock();
+        *files = Files { crashes: files.crashes + 1, ..Files::default() };
+    }
+
+    /// Makes the next sync of a file fail.
+    pub fn fail_next_sync(&self) {
+        self.lock().fail_next_sync = true;
+    }
+
+    /// While `held`, writes wait before they begin, as on a disk that doesn't respond.
+    pub fn hold(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Files> {
+        self.files.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self) -> DiskHandle {
+        DiskHandle { disk: self.clone(), crashes: self.lock().crashes }
+    }
+}
+
+#[derive(Clone)]
+struct DiskHandle {
+    disk: MemoryDisk,
+    crashes: u64,
+}
+
+impl DiskHandle {
+    fn lock(&self) -> io::Result<MutexGuard<'_, Files>> {
+        let files = self.disk.lock();
+        if files.crashes != self.crashes {
+            return Err(io::Error::other("the simulated machine has crashed"));
+        }
+        Ok(files)
+    }
+}
+
+impl Files {
+    fn find(&self, name: &str) -> io::Result<usize> {
+        let i = self.names.binary_search_by(|(n, _)| n.as_str().cmp(name));
+        i.map(|i| self.names[i].1).map_err(|_| io::ErrorKind::NotFound.into())
+    }
+
+    fn link(&mut self, name: &str, file: usize) {
+        match self.names.binary_search_by(|(n, _)| n.as_str().cmp(name)) {
+            Ok(i) => self.names[i].1 = file,
+            Err(i) => self.names.insert(i, (name.to_owned(), file)),
+        }
+    }
+
+    fn sync(&mut self, file: usize) -> io::Result<()> {
+        if std::mem::take(&mut self.fail_next_sync) {
+            return Err(io::Error::other("simulated sync failure"));
+        }
+        self.files[file].synced = self.files[file].data.clone();
+        Ok(())
+    }
+}
+
+impl Disk for DiskHandle {
+    fn path(&self, name: &str) -> String {
+        format!("memory:{name}")
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.lock()?.names.iter().map(|(name, _)| name.clone()).collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let files = self.lock()?;
+        Ok(files.files[files.find(name)?].data.clone())
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<Box<dyn DiskFile>> {
+        let mut files = self.lock()?;
+        files.files.push(MemoryFile::default());
+        let file = files.files.len() - 1;
+        files.link(name, file);
+        Ok(Box::new(FileHandle { disk: self.clone(), file }))
+    }
+
+    fn reopen(&mut self, name: &str, _: u64, keep: u64) -> io::Result<Box<dyn DiskFile>> {
+        let mut files = self.lock()?;
+        let file = files.find(name)?;
+        files.files[file].data.truncate(usize::try_from(keep).map_err(io::Error::other)?);
+        files.sync(file)?;
+        Ok(Box::new(FileHandle { disk: self.clone(), file }))
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut files = self.lock()?;
+        let file = files.find(from)?;
+        files.names.retain(|(name, _)| name != from);
+        files.link(to, file);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        let mut files = self.lock()?;
+        files.find(name)?;
+        files.names.retain(|(n, _)| n != name);
+        Ok(())
+    }
+
+    fn sync_dir(&mut self) -> io::Result<()> {
+        let mut files = self.lock()?;
+        files.synced_names = files.names.clone();
+        Ok(())
+    }
+}
+
+struct FileHandle {
+    disk: DiskHandle,
+    file: usize,
+}
+
+impl DiskFile for FileHandle {
+    fn append(&mut self, buf: &[u8]) -> io::Result<()> {
+        self.disk.lock()?.files[self.file].data.extend_from_slice(buf);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.disk.lock()?.sync(self.file)
+    }
+}
+
+/// A store on a `MemoryDisk`.
+#[derive(Clone)]
+pub struct MemoryStore {
+    state: Arc<Mutex<State>>,
+    counters: Arc<Counters>,
+    held: watch::Sender<bool>,
+}
+
+struct State {
+    wal: Wal,
+    failed: Option<StoreError>,
+}
+
+impl MemoryStore {
+    /// Creates an empty store on a disk without one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk holds a log already.
+    pub fn create(disk: &MemoryDisk) -> Result<(), StoreError> {
+        Wal::create(&mut disk.handle())
+    }
+
+    /// Opens the store on a disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no log or it is corrupt.
+    pub fn open(disk: &MemoryDisk, options: StoreOptions) -> Result<Self, StoreError> {
+        let wal = Wal::open(Box::new(disk.handle()), options.segment_bytes)?;
+        let counters = wal.counters();
+        let state = Arc::new(Mutex::new(State { wal, failed: None }));
+        Ok(Self { state, counters, held: disk.held.clone() })
+    }
+
+    fn run<T: 'static>(
+        &self,
+        work: impl FnOnce(&mut Wal) -> Result<T, StoreError> + Send + 'static,
+    ) -> BoxFuture<'static, Result<T, StoreError>> {
+        let state = Arc::clone(&self.state);
+        let mut held = self.held.subscribe();
+        Box::pin(async move {
+            let _ = held.wait_for(|held| !held).await;
+            let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(e) = &state.failed {
+                return Err(e.clone());
+            }
+            let result = work(&mut state.wal);
+            state.failed = result.as_ref().err().cloned();
+            result
+        })
+    }
+}
+
+impl Storage for MemoryStore {
+    fn load(&self) -> BoxFuture<'static, Result<Vec<(GroupId, Stored)>, StoreError>> {
+        self.run(|wal| wal.load())
+    }
+
+    fn persist(
+        &self,
+        batch: Vec<(GroupId, Persist)>,
+    ) -> BoxFuture<'static, Result<(), StoreError>> {
+        self.run(|wal| wal.commit(vec![Op::Persist(batch)]))
+    }
+
+    fn save_snapshot(
+        &self,
+        group: GroupId,
+        snapshot: Snapshot,
+    ) -> BoxFuture<'static, Result<(), StoreError>> {
+        self.run(move |wal| {
+            let (last, membership) = (snapshot.last, snapshot.membership.clone());
+            SnapshotWrite::new(group, snapshot).finish(wal)?;
+            wal.commit(vec![Op::Snapshot { group, last, membership }])
+        })
+    }
+
+    fn close(&self) -> BoxFuture<'static, Result<(), StoreError>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn stats(&self) -> StoreStats {
+        self.counters.read()
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/storage/replay.rs
@@ -0,0 +1,147 @@
+//! Reading the segments when a store is opened.
+
+use super::StoreError;
+use super::disk::{Disk, DiskFile};
+use super::frame::{
+    FRAME_HEADER_LEN, SEGMENT_HEADER_LEN, SegmentHeader, decode_batch, segment_name, segment_number,
+};
+use super::group::Groups;
+
+/// What the segments hold.
+pub(crate) struct Replayed {
+    pub(crate) groups: Groups,
+    /// Number and length of each segment, oldest first.
+    pub(crate) segments: Vec<(u64, u64)>,
+    /// The last segment.
+    pub(crate) header: SegmentHeader,
+    pub(crate) f: Box<dyn DiskFile>,
+    pub(crate) next_frame: u64,
+}
+
+/// Position of the end of a segment's sound frames.
+struct Extent {
+    header: SegmentHeader,
+    next_frame: u64,
+    /// Where the last sound frame begins, or 0 while there are fewer than two.
+    last_frame_at: usize,
+    end: usize,
+}
+
+/// Reads all segments; cuts a torn tail; makes durable what was read.
+pub(crate) fn replay(disk: &mut dyn Disk) -> Result<Replayed, StoreError> {
+    let mut numbers = segment_numbers(disk)?;
+    drop_unfinished_segment(disk, &mut numbers)?;
+    let Some(&last) = numbers.last() else {
+        return Err(StoreError::Missing { path: disk.path("") });
+    };
+    let mut groups = Groups::default();
+    let mut segments = Vec::with_capacity(numbers.len());
+    let mut previous: Option<Extent> = None;
+    for &number in &numbers {
+        let name = segment_name(number);
+        let buf = read(disk, &name)?;
+        let extent = replay_segment(disk, &buf, number, previous.as_ref(), &mut groups)?;
+        if extent.end < buf.len() {
+            check_torn(disk, &buf, &extent, number == last)?;
+            log::warn!(path = disk.path(&name), offset = extent.end, bytes = buf.len() - extent.end;
+                "cutting a torn write at the end of the log");
+        }
+        segments.push((number, extent.end as u64));
+        previous = Some(extent);
+    }
+    let name = segment_name(last);
+    let extent = previous.ok_or_else(|| StoreError::Missing { path: disk.path("") })?;
+    let f = disk
+        .reopen(&name, extent.last_frame_at as u64, extent.end as u64)
+        .and_then(|f| disk.sync_dir().map(|()| f))
+        .map_err(|e| StoreError::io("sync", disk.path(&name), e))?;
+    if groups.0.iter().any(|(_, g)| g.has_gap()) {
+        return Err(StoreError::corrupt(disk.path(&name), extent.end, "entries are missing"));
+    }
+    Ok(Replayed { groups, segments, header: extent.header, f, next_frame: extent.next_frame })
+}
+
+/// Numbers of the segments in the folder, sorted.
+pub(crate) fn segment_numbers(disk: &dyn Disk) -> Result<Vec<u64>, StoreError> {
+    let names = disk.list().map_err(|e| StoreError::io("list", disk.path(""), e))?;
+    let mut numbers: Vec<u64> = names.iter().filter_map(|name| segment_number(name)).collect();
+    numbers.sort_unstable();
+    if let Some(pair) = numbers.windows(2).find(|pair| pair[0] + 1 != pair[1]) {
+        let name = segment_name(pair[0] + 1);
+        return Err(StoreError::corrupt(disk.path(&name), 0, "segment is missing"));
+    }
+    Ok(numbers)
+}
+
+/// Removes a last segment whose header was never synced. Frames are written only after that.
+fn drop_unfinished_segment(disk: &mut dyn Disk, numbers: &mut Vec<u64>) -> Result<(), StoreError> {
+    let [.., _, last] = numbers[..] else {
+        return Ok(());
+    };
+    let name = segment_name(last);
+    let buf = read(disk, &name)?;
+    if buf.len() <= SEGMENT_HEADER_LEN && SegmentHeader::decode(&buf).is_none() {
+        disk.remove(&name)
+            .and_then(|()| disk.sync_dir())
+            .map_err(|e| StoreError::io("remove", disk.path(&name), e))?;
+        numbers.pop();
+    }
+    Ok(())
+}
+
+fn read(disk: &dyn Disk, name: &str) -> Result<Vec<u8>, StoreError> {
+    disk.read(name).map_err(|e| StoreError::io("read", disk.path(name), e))
+}
+
+fn replay_segment(
+    disk: &dyn Disk,
+    buf: &[u8],
+    number: u64,
+    previous: Option<&Extent>,
+    groups: &mut Groups,
+) -> Result<Extent, StoreError> {
+    let corrupt = |at, reason| StoreError::corrupt(disk.path(&segment_name(number)), at, reason);
+    let header = SegmentHeader::decode(buf).ok_or_else(|| corrupt(0, "invalid segment header"))?;
+    if header.number != number {
+        return Err(corrupt(0, "segment has the number of another one"));
+    }
+    if previous.is_some_and(|p| p.next_frame != header.first_frame) {
+        return Err(corrupt(0, "frames before the segment are missing"));
+    }
+    let mut extent = Extent {
+        header,
+        next_frame: header.first_frame,
+        last_frame_at: 0,
+        end: SEGMENT_HEADER_LEN,
+    };
+    while let Some((frame, body)) = header.frame_at(&buf[extent.end..]) {
+        if frame != extent.next_frame {
+            return Err(corrupt(extent.end, "frame is out of order"));
+        }
+        let batch = decode_batch(body).ok_or_else(|| corrupt(extent.end, "undecodable frame"))?;
+        groups.apply(batch, number).map_err(|reason| corrupt(extent.end, reason))?;
+        // The header is written again too while the segment has one frame only.
+        extent.last_frame_at = if frame == header.first_frame { 0 } else { extent.end };
+        extent.end += FRAME_HEADER_LEN + body.len();
+        extent.next_frame = frame.saturating_add(1);
+    }
+    Ok(extent)
+}
+
+/// Accepts the bytes after the last sound frame as a torn write, or reports corruption.
+fn check_torn(
+    disk: &dyn Disk,
+    buf: &[u8],
+    extent: &Extent,
+    is_last: bool,
+) -> Result<(), StoreError> {
+    let reason = if !is_last {
+        "invalid frame in a segment that is not the last"
+    } else if extent.header.any_frame(&buf[extent.end + 1..]) {
+        "invalid frame before a sound one"
+    } else {
+        return Ok(());
+    };
+    let path = disk.path(&segment_name(extent.header.number));
+    Err(StoreError::corrupt(path, extent.end, reason))
+}
--- /dev/null
+++ b/crates/agreement/src/storage/wal.rs
@@ -0,0 +1,385 @@
+//! The write-ahead log and the snapshots of a store, without threads.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use poplarspan_proto::agreement as pb;
+
+use super::disk::{Disk, DiskFile};
+use super::frame::{SEGMENT_HEADER_LEN, SegmentHeader, segment_name};
+use super::group::{Groups, log_start_kind, record, snapshot_kind};
+use super::replay::{Replayed, replay, segment_numbers};
+use super::{StoreError, StoreStats, Stored, checked};
+use crate::{Entry, GroupId, LogPosition, Membership, Persist, Snapshot};
+use pb::record::Kind;
+
+/// The log is written anew when it is this many times larger than what is live in it.
+const MAX_LOG_TO_LIVE_RATIO: u64 = 4;
+/// Sealed segments that are kept before the log is written anew.
+const MIN_SEALED_SEGMENTS: usize = 2;
+/// Bytes of a snapshot that are written and synced at a time.
+const SNAPSHOT_CHUNK_BYTES: usize = 1 << 20;
+
+const SNAPSHOT_PREFIX: &str = "snap-";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// Counters that are read from other threads.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    syncs: AtomicU64,
+    log_bytes: AtomicU64,
+    snapshot_bytes: AtomicU64,
+    segments: AtomicU64,
+}
+
+impl Counters {
+    pub(crate) fn read(&self) -> StoreStats {
+        StoreStats {
+            syncs: self.syncs.load(Ordering::Relaxed),
+            log_bytes: self.log_bytes.load(Ordering::Relaxed),
+            snapshot_bytes: self.snapshot_bytes.load(Ordering::Relaxed),
+            segments: self.segments.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// One request to make something durable.
+pub(crate) enum Op {
+    Persist(Vec<(GroupId, Persist)>),
+    /// A snapshot whose file has been written by `SnapshotWrite`.
+    Snapshot {
+        group: GroupId,
+        last: LogPosition,
+        membership: Membership,
+    },
+}
+
+pub(crate) struct Wal {
+    disk: Box<dyn Disk>,
+    groups: Groups,
+    /// Number and length, oldest first; the last one is written to.
+    segments: VecDeque<(u64, u64)>,
+    segment_bytes: u64,
+    header: SegmentHeader,
+    f: Box<dyn DiskFile>,
+    next_frame: u64,
+    counters: Arc<Counters>,
+}
+
+impl Wal {
+    /// Creates the first segment in a folder without one.
+    pub(crate) fn create(disk: &mut dyn Disk) -> Result<(), StoreError> {
+        if !segment_numbers(disk)?.is_empty() {
+            return Err(StoreError::Exists { path: disk.path("") });
+        }
+        create_segment(disk, 1, 0).map(|_| ())
+    }
+
+    pub(crate) fn open(mut disk: Box<dyn Disk>, segment_bytes: u64) -> Result<Self, StoreError> {
+        let Replayed { groups, segments, header, f, next_frame } = replay(disk.as_mut())?;
+        let counters = Arc::new(Counters::default());
+        counters.segments.store(segments.len() as u64, Ordering::Relaxed);
+        let segments = segments.into();
+        let mut wal =
+            Self { disk, groups, segments, segment_bytes, header, f, next_frame, counters };
+        wal.remove_old_snapshots(true)?;
+        Ok(wal)
+    }
+
+    pub(crate) fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.counters)
+    }
+
+    pub(crate) fn load(&self) -> Result<Vec<(GroupId, Stored)>, StoreError> {
+        let load = |(id, g): &(GroupId, super::group::Group)| {
+            let snapshot = match &g.snapshot {
+                Some((last, membership)) => Some(self.read_snapshot(*id, *last, membership)?),
+                None => None,
+            };
+            let entries = g.log.iter().map(|l| l.entry.clone()).collect();
+            Ok((*id, Stored { hard_state: g.hard_state, snapshot, entries }))
+        };
+        self.groups.0.iter().map(load).collect()
+    }
+
+    fn read_snapshot(
+        &self,
+        group: GroupId,
+        last: LogPosition,
+        membership: &Membership,
+    ) -> Result<Snapshot, StoreError> {
+        let path = self.disk.path(&snapshot_name(group, last));
+        let file = self.disk.read(&snapshot_name(group, last));
+        let file = file.map_err(|e| StoreError::io("read", path.as_str(), e))?;
+        let (meta, data) = checked::parse::<pb::SnapshotMeta>(file)
+            .map_err(|reason| StoreError::corrupt(path.as_str(), 0, reason))?;
+        if meta.last != Some(last.into()) || meta.membership != Some(membership.into()) {
+            return Err(StoreError::corrupt(path, 0, "snapshot is not the one the log names"));
+        }
+        Ok(Snapshot { last, membership: membership.clone(), data })
+    }
+
+    /// Makes all requests durable with one sync.
+    pub(crate) fn commit(&mut self, ops: Vec<Op>) -> Result<(), StoreError> {
+        let mut records = Vec::new();
+        if self.segments.back().is_some_and(|(_, len)| *len >= self.segment_bytes) {
+            records = self.rotate()?;
+        }
+        for op in ops {
+            match op {
+                Op::Persist(batch) => {
+                    for (group, persist) in batch {
+                        self.stage_persist(group, persist, &mut records)?;
+                    }
+                }
+                Op::Snapshot { group, last, membership } => {
+                    self.stage_snapshot(group, last, membership, &mut records)?;
+                }
+            }
+        }
+        if records.is_empty() {
+            return Ok(());
+        }
+        let replaces_snapshot = records.iter().any(|r| matches!(r.kind, Some(Kind::Snapshot(_))));
+        self.write_frame(records)?;
+        if replaces_snapshot {
+            self.remove_old_snapshots(false)?;
+        }
+        self.remove_old_segments()
+    }
+
+    fn write_frame(&mut self, records: Vec<pb::Record>) -> Result<(), StoreError> {
+        let mut buf = Vec::new();
+        self.header.encode_frame(self.next_frame, &pb::Batch { records }, &mut buf);
+        let name = segment_name(self.header.number);
+        self.f.append(&buf).map_err(|e| StoreError::io("write", self.disk.path(&name), e))?;
+        self.f.sync().map_err(|e| StoreError::io("sync", self.disk.path(&name), e))?;
+        self.next_frame += 1;
+        if let Some((_, len)) = self.segments.back_mut() {
+            *len += buf.len() as u64;
+        }
+        self.counters.syncs.fetch_add(1, Ordering::Relaxed);
+        self.counters.log_bytes.fetch_add(buf.len() as u64, Ordering::Relaxed);
+        metrics::counter!("poplarspan_store_syncs_total").increment(1);
+        metrics::counter!("poplarspan_store_log_bytes_total").increment(buf.len() as u64);
+        Ok(())
+    }
+
+    fn stage_persist(
+        &mut self,
+        id: GroupId,
+        persist: Persist,
+        records: &mut Vec<pb::Record>,
+    ) -> Result<(), StoreError> {
+        if let Some(state) = persist.hard_state {
+            records.push(record(id, Kind::HardState(state.into())));
+            self.groups.entry(id).hard_state = state;
+        }
+        if let Some(snapshot) = persist.snapshot {
+            let (last, membership) = (snapshot.last, snapshot.membership.clone());
+            SnapshotWrite::new(id, snapshot).finish(self)?;
+            self.stage_snapshot(id, last, membership, records)?;
+        }
+        self.stage_entries(id, persist.entries, records)
+    }
+
+    fn stage_entries(
+        &mut self,
+        id: GroupId,
+        mut entries: Vec<Entry>,
+        records: &mut Vec<pb::Record>,
+    ) -> Result<(), StoreError> {
+        let segment = self.header.number;
+        let group = self.groups.entry(id);
+        // What a snapshot covers is committed and does not change any more.
+        entries.retain(|e| e.position.index > group.before.index);
+        let Some(first) = entries.first().map(|e| e.position.index) else {
+            return Ok(());
+        };
+        if first > group.last_index() + 1 {
+            return Err(invalid(id, "entries leave a gap"));
+        }
+        let list = pb::Entries { entries: entries.iter().map(Into::into).collect() };
+        group.append(entries, segment).map_err(|reason| invalid(id, reason))?;
+        records.push(record(id, Kind::Entries(list)));
+        Ok(())
+    }
+
+    /// Replaces the log up to a snapshot whose file has been written. An older snapshot than the
+    /// present one was overtaken by it and is ignored.
+    fn stage_snapshot(
+        &mut self,
+        id: GroupId,
+        last: LogPosition,
+        membership: Membership,
+        records: &mut Vec<pb::Record>,
+    ) -> Result<(), StoreError> {
+        let group = self.groups.entry(id);
+        if last.index < group.before.index {
+            return Ok(());
+        }
+        if last.index >= u64::MAX - 1 {
+            return Err(invalid(id, "snapshot position out of range"));
+        }
+        // The log after the snapshot belongs to it only if the snapshot's last entry is in the log.
+        let clear = group.term_at(last.index) != Some(last.term);
+        group.start_after(last, clear);
+        records.push(record(id, snapshot_kind(last, &membership)));
+        records.push(record(id, log_start_kind(last, clear)));
+        group.snapshot = Some((last, membership));
+        Ok(())
+    }
+
+    /// Starts a new segment. Returns the records that make older ones superfluous: the state of all
+    /// groups without entries and, when little of the log is live, the live entries too.
+    fn rotate(&mut self) -> Result<Vec<pb::Record>, StoreError> {
+        let number = self.header.number + 1;
+        let (header, f) = create_segment(self.disk.as_mut(), number, self.next_frame)?;
+        self.header = header;
+        self.f = f;
+        self.segments.push_back((number, SEGMENT_HEADER_LEN as u64));
+        self.counters.segments.store(self.segments.len() as u64, Ordering::Relaxed);
+        let mut records = Vec::new();
+        for (id, group) in &self.groups.0 {
+            records.extend(group.checkpoint(*id));
+        }
+        let written: u64 = self.segments.iter().map(|(_, len)| len).sum();
+        let live: usize = self.groups.0.iter().map(|(_, g)| g.bytes).sum();
+        if self.segments.len() > MIN_SEALED_SEGMENTS + 1
+            && written > MAX_LOG_TO_LIVE_RATIO * (live as u64)
+        {
+            for (id, group) in &mut self.groups.0 {
+                if !group.log.is_empty() {
+                    records.push(group.log_record(*id));
+                    group.log.iter_mut().for_each(|l| l.segment = number);
+                }
+            }
+        }
+        Ok(records)
+    }
+
+    /// Removes the oldest segments that hold no live entry. Only the oldest: a record in the middle
+    /// may have dropped entries that are still in older segments.
+    fn remove_old_segments(&mut self) -> Result<(), StoreError> {
+        let oldest = self.groups.0.iter().filter_map(|(_, g)| g.oldest_segment()).min();
+        let keep = oldest.unwrap_or(self.header.number).min(self.header.number);
+        let mut removed = false;
+        while let Some(&(number, _)) = self.segments.front().filter(|(number, _)| *number < keep) {
+            let name = segment_name(number);
+            self.disk
+                .remove(&name)
+                .map_err(|e| StoreError::io("remove", self.disk.path(&name), e))?;
+            self.segments.pop_front();
+            removed = true;
+        }
+        if removed {
+            self.counters.segments.store(self.segments.len() as u64, Ordering::Relaxed);
+            self.sync_dir()?;
+        }
+        Ok(())
+    }
+
+    /// Removes snapshot files that the log doesn't name. An unfinished one is in the way only after
+    /// a restart.
+    fn remove_old_snapshots(&mut self, unfinished: bool) -> Result<(), StoreError> {
+        let names = self.disk.list().map_err(|e| StoreError::io("list", self.disk.path(""), e))?;
+        let mut live = Vec::new();
+        for (id, group) in &self.groups.0 {
+            live.extend(group.snapshot.as_ref().map(|(last, _)| snapshot_name(*id, *last)));
+        }
+        let old = |name: &&String| {
+            name.starts_with(SNAPSHOT_PREFIX)
+                && !live.contains(name)
+                && (unfinished || !name.ends_with(TEMPORARY_SUFFIX))
+        };
+        for name in names.iter().filter(old) {
+            self.disk
+                .remove(name)
+                .map_err(|e| StoreError::io("remove", self.disk.path(name), e))?;
+        }
+        Ok(())
+    }
+
+    fn sync_dir(&mut self) -> Result<(), StoreError> {
+        self.disk.sync_dir().map_err(|e| StoreError::io("sync", self.disk.path(""), e))
+    }
+}
+
+fn invalid(id: GroupId, reason: &'static str) -> StoreError {
+    StoreError::Invalid { group: id.0, reason }
+}
+
+fn create_segment(
+    disk: &mut dyn Disk,
+    number: u64,
+    first_frame: u64,
+) -> Result<(SegmentHeader, Box<dyn DiskFile>), StoreError> {
+    let name = segment_name(number);
+    let header = SegmentHeader { number, first_frame, salt: rand::random() };
+    let created = disk.create(&name).and_then(|mut f| {
+        f.append(&header.encode())?;
+        f.sync()?;
+        disk.sync_dir()?;
+        Ok(f)
+    });
+    Ok((header, created.map_err(|e| StoreError::io("create", disk.path(&name), e))?))
+}
+
+fn snapshot_name(group: GroupId, last: LogPosition) -> String {
+    format!("{SNAPSHOT_PREFIX}{:08x}-{:016x}-{:016x}", group.0, last.index, last.term)
+}
+
+/// A snapshot's file while it is written in chunks, between which the log can be written.
+pub(crate) struct SnapshotWrite {
+    name: String,
+    head: Option<Vec<u8>>,
+    data: Bytes,
+    f: Option<Box<dyn DiskFile>>,
+}
+
+impl SnapshotWrite {
+    pub(crate) fn new(group: GroupId, snapshot: Snapshot) -> Self {
+        let meta = pb::SnapshotMeta {
+            last: Some(snapshot.last.into()),
+            membership: Some((&snapshot.membership).into()),
+        };
+        let head = Some(checked::head(&meta, &snapshot.data));
+        Self { name: snapshot_name(group, snapshot.last), head, data: snapshot.data, f: None }
+    }
+
+    /// Writes the next chunk; returns whether the snapshot is complete and durable.
+    pub(crate) fn step(&mut self, wal: &mut Wal) -> Result<bool, StoreError> {
+        let temporary = format!("{}{TEMPORARY_SUFFIX}", self.name);
+        let path = wal.disk.path(&temporary);
+        let chunk = self.data.split_to(SNAPSHOT_CHUNK_BYTES.min(self.data.len()));
+        let head = self.head.take().unwrap_or_default();
+        let written = (head.len() + chunk.len()) as u64;
+        let mut write = || {
+            let f = match &mut self.f {
+                Some(f) => f,
+                None => self.f.insert(wal.disk.create(&temporary)?),
+            };
+            f.append(&head)?;
+            f.append(&chunk)?;
+            f.sync()?;
+            if !self.data.is_empty() {
+                return Ok(false);
+            }
+            wal.disk.rename(&temporary, &self.name)?;
+            wal.disk.sync_dir()?;
+            Ok(true)
+        };
+        let done = write().map_err(|e| StoreError::io("write", path, e))?;
+        wal.counters.snapshot_bytes.fetch_add(written, Ordering::Relaxed);
+        metrics::counter!("poplarspan_store_snapshot_bytes_total").increment(written);
+        Ok(done)
+    }
+
+    /// Writes the rest.
+    pub(crate) fn finish(mut self, wal: &mut Wal) -> Result<(), StoreError> {
+        while !self.step(wal)? {}
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/common/mod.rs
@@ -0,0 +1,108 @@
+//! Helpers of the storage tests.
+#![allow(dead_code, reason = "not every test file uses every helper")]
+
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+use futures::executor::block_on;
+use poplarspan_agreement::{
+    Entry, FileStore, GroupId, HardState, LogPosition, Membership, Payload, Persist, ReplicaId,
+    Snapshot, Storage, StoreError, StoreOptions, Stored,
+};
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
+
+pub fn entry(index: u64, term: u64, data: &[u8]) -> Entry {
+    let payload = Payload::Command(Bytes::copy_from_slice(data));
+    Entry { position: LogPosition { index, term }, payload }
+}
+
+pub fn entries(first: u64, term: u64, data: &[u8]) -> Persist {
+    Persist { entries: vec![entry(first, term, data)], ..Persist::default() }
+}
+
+pub fn snapshot(index: u64, term: u64, data: &[u8]) -> Snapshot {
+    let voters = vec![ReplicaId(1), ReplicaId(index + 2)];
+    Snapshot {
+        last: LogPosition { index, term },
+        membership: Membership { voters, learners: vec![ReplicaId(9)] },
+        data: Bytes::copy_from_slice(data),
+    }
+}
+
+pub fn persist(store: &dyn Storage, group: u32, persist: Persist) -> Result<(), StoreError> {
+    block_on(store.persist(vec![(GroupId(group), persist)]))
+}
+
+pub fn open(folder: &Path, segment_bytes: u64) -> Result<FileStore, StoreError> {
+    FileStore::open(folder, StoreOptions { segment_bytes })
+}
+
+/// Configuration of all property tests here; a failure prints the seed.
+pub fn proptest_config() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_204);
+    ProptestConfig { cases: 128, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+/// Removes the groups of which nothing is stored.
+pub fn not_empty(mut groups: Vec<(GroupId, Stored)>) -> Vec<(GroupId, Stored)> {
+    groups.retain(|(_, stored)| *stored != Stored::default());
+    groups
+}
+
+/// Opens the store of a folder, returns what it holds and closes it.
+pub fn contents(folder: &Path) -> Result<Vec<(GroupId, Stored)>, StoreError> {
+    let store = open(folder, 1 << 20)?;
+    let loaded = block_on(store.load());
+    block_on(store.close())?;
+    loaded.map(not_empty)
+}
+
+pub fn segments(folder: &Path) -> Vec<PathBuf> {
+    let names = std::fs::read_dir(folder).expect("readable folder");
+    let mut paths: Vec<_> = names.map(|item| item.expect("readable name").path()).collect();
+    paths.retain(|path| path.extension().is_some_and(|ext| ext == "log"));
+    paths.sort();
+    paths
+}
+
+/// What a store should hold, kept in the simplest way.
+#[derive(Clone, Debug, Default)]
+pub struct Model(pub Vec<(GroupId, Stored)>);
+
+impl Model {
+    pub fn group(&mut self, id: GroupId) -> &mut Stored {
+        let i = self.0.binary_search_by_key(&id, |(g, _)| *g).unwrap_or_else(|i| {
+            self.0.insert(i, (id, Stored::default()));
+            i
+        });
+        &mut self.0[i].1
+    }
+
+    pub fn last(&mut self, id: GroupId) -> LogPosition {
+        let g = self.group(id);
+        let snapshot = g.snapshot.as_ref().map(|s| s.last).unwrap_or_default();
+        g.entries.last().map_or(snapshot, |e| e.position)
+    }
+
+    pub fn apply(&mut self, id: GroupId, persist: &Persist) {
+        let g = self.group(id);
+        if let Some(state) = persist.hard_state {
+            g.hard_state = state;
+        }
+        if let Some(s) = &persist.snapshot {
+            let kept = g.entries.iter().any(|e| e.position == s.last);
+            g.entries.retain(|e| kept && e.position.index > s.last.index);
+            g.snapshot = Some(s.clone());
+        }
+        if let Some(first) = persist.entries.first() {
+            g.entries.retain(|e| e.position.index < first.position.index);
+            g.entries.extend(persist.entries.iter().cloned());
+        }
+    }
+}
+
+pub fn hard_state(term: u64, vote: Option<u64>) -> Persist {
+    let state = HardState { term, vote: vote.map(ReplicaId) };
+    Persist { hard_state: Some(state), ..Persist::default() }
+}
