--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -1,12 +1,19 @@
 //! A replicated log for several groups, with storage, transport and clock behind traits.
 
 mod convert;
+mod core;
 mod identity;
+mod message;
 mod storage;
 mod types;
 
+pub use crate::core::{
+    Core, CoreConfig, Input, Output, ProposalResult, ReadResult, Refusal, Restored, Role,
+    RoleChange, Status, VoterChange,
+};
 pub use convert::ConvertError;
 pub use identity::{DataDir, IdentityError, PeerIdentities};
+pub use message::{AppendResult, Message};
 pub use storage::{
     FileStore, MemoryDisk, MemoryStore, Storage, StoreError, StoreOptions, StoreStats, Stored,
 };
