--- a/crates/agreement/src/convert.rs
+++ b/crates/agreement/src/convert.rs
@@ -1,7 +1,11 @@
 //! Conversion between this crate's types and their protobuf types.
 
+mod peer;
+
 use poplarspan_proto::agreement as pb;
 
+pub use peer::PeerMessage;
+
 use crate::{Entry, FolderId, HardState, LogPosition, Membership, Payload, ReplicaId};
 
 /// A protobuf message lacks a field or has one that makes no sense.
@@ -72,7 +76,7 @@
             pb::entry::Payload::Command(data) => Payload::Command(data),
             pb::entry::Payload::Membership(m) => Payload::Membership(m.into()),
         };
-        if entry.index == 0 || entry.index == u64::MAX {
+        if entry.index == 0 || entry.index > u64::MAX / 2 {
             return Err(ConvertError("entry index out of range"));
         }
         Ok(Self { position: LogPosition { index: entry.index, term: entry.term }, payload })
--- /dev/null
+++ b/crates/agreement/src/convert/peer.rs
@@ -0,0 +1,157 @@
+//! Messages between replicas.
+
+use bytes::Bytes;
+use pb::append_answer::Result as PbResult;
+use pb::peer_message::Message as Pb;
+use poplarspan_proto::agreement as pb;
+use prost::Message as _;
+
+use super::ConvertError;
+use crate::{AppendResult, Entry, GroupId, LogPosition, Membership, Message};
+
+/// A message of one group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerMessage {
+    /// Group whose replica sent the message, and whose replica it is for.
+    pub group: GroupId,
+    /// Message.
+    pub message: Message,
+}
+
+impl PeerMessage {
+    /// Encodes the message as protobuf.
+    pub fn encode(&self) -> Bytes {
+        pb::PeerMessage::from(self).encode_to_vec().into()
+    }
+
+    /// Decodes a protobuf message.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not a protobuf message, or a field is missing or out of range.
+    pub fn decode(buf: Bytes) -> Result<Self, ConvertError> {
+        let message = pb::PeerMessage::decode(buf);
+        message.map_err(|_| ConvertError("not a protobuf message"))?.try_into()
+    }
+}
+
+impl From<&PeerMessage> for pb::PeerMessage {
+    fn from(m: &PeerMessage) -> Self {
+        let message = Some(to_proto(&m.message));
+        Self { group: m.group.0, term: m.message.term(), message }
+    }
+}
+
+impl TryFrom<pb::PeerMessage> for PeerMessage {
+    type Error = ConvertError;
+
+    fn try_from(m: pb::PeerMessage) -> Result<Self, ConvertError> {
+        let message = m.message.ok_or(ConvertError("unknown kind of message"))?;
+        Ok(Self { group: GroupId(m.group), message: from_proto(m.term, message)? })
+    }
+}
+
+fn to_proto(message: &Message) -> Pb {
+    let position = |p: &LogPosition| Some((*p).into());
+    match message {
+        Message::PreVote { last, .. } => Pb::PreVote(pb::PreVote { last: position(last) }),
+        Message::PreVoteAnswer { granted, .. } => {
+            Pb::PreVoteAnswer(pb::VoteAnswer { granted: *granted })
+        }
+        Message::Vote { last, transfer, .. } => {
+            Pb::Vote(pb::Vote { last: position(last), transfer: *transfer })
+        }
+        Message::VoteAnswer { granted, .. } => Pb::VoteAnswer(pb::VoteAnswer { granted: *granted }),
+        Message::Append { previous, entries, commit, .. } => {
+            let entries = entries.iter().map(Into::into).collect();
+            Pb::Append(pb::Append { previous: position(previous), entries, commit: *commit })
+        }
+        Message::AppendAnswer { result, .. } => {
+            let result = Some(match result {
+                AppendResult::Matched(index) => PbResult::Matched(*index),
+                AppendResult::Mismatch { rejected, hint } => {
+                    PbResult::Mismatch(pb::Mismatch { rejected: *rejected, hint: position(hint) })
+                }
+            });
+            Pb::AppendAnswer(pb::AppendAnswer { result })
+        }
+        Message::Heartbeat { round, commit, .. } => {
+            Pb::Heartbeat(pb::Heartbeat { round: *round, commit: *commit })
+        }
+        Message::HeartbeatAnswer { round, .. } => {
+            Pb::HeartbeatAnswer(pb::HeartbeatAnswer { round: *round })
+        }
+        Message::SnapshotChunk { last, membership, offset, data, done, .. } => {
+            Pb::SnapshotChunk(pb::SnapshotChunk {
+                last: position(last),
+                membership: Some(membership.into()),
+                offset: *offset,
+                data: data.clone(),
+                done: *done,
+            })
+        }
+        Message::SnapshotAnswer { last, received, .. } => {
+            Pb::SnapshotAnswer(pb::SnapshotAnswer { last: position(last), received: *received })
+        }
+        Message::TimeoutNow { .. } => Pb::TimeoutNow(pb::TimeoutNow {}),
+    }
+}
+
+fn from_proto(term: u64, message: Pb) -> Result<Message, ConvertError> {
+    Ok(match message {
+        Pb::PreVote(m) => Message::PreVote { term, last: position(m.last)? },
+        Pb::PreVoteAnswer(m) => Message::PreVoteAnswer { term, granted: m.granted },
+        Pb::Vote(m) => Message::Vote { term, last: position(m.last)?, transfer: m.transfer },
+        Pb::VoteAnswer(m) => Message::VoteAnswer { term, granted: m.granted },
+        Pb::Append(m) => append_from_proto(term, m)?,
+        Pb::AppendAnswer(m) => {
+            let result = match m.result.ok_or(ConvertError("append answer without result"))? {
+                PbResult::Matched(index) => AppendResult::Matched(index),
+                PbResult::Mismatch(m) => {
+                    AppendResult::Mismatch { rejected: m.rejected, hint: position(m.hint)? }
+                }
+            };
+            Message::AppendAnswer { term, result }
+        }
+        Pb::Heartbeat(m) => Message::Heartbeat { term, round: m.round, commit: m.commit },
+        Pb::HeartbeatAnswer(m) => Message::HeartbeatAnswer { term, round: m.round },
+        Pb::SnapshotChunk(m) => {
+            let membership = m.membership.ok_or(ConvertError("snapshot without membership"))?;
+            Message::SnapshotChunk {
+                term,
+                last: position(m.last)?,
+                membership: Membership::from(membership),
+                offset: m.offset,
+                data: m.data,
+                done: m.done,
+            }
+        }
+        Pb::SnapshotAnswer(m) => {
+            Message::SnapshotAnswer { term, last: position(m.last)?, received: m.received }
+        }
+        Pb::TimeoutNow(_) => Message::TimeoutNow { term },
+    })
+}
+
+fn append_from_proto(term: u64, m: pb::Append) -> Result<Message, ConvertError> {
+    let previous = position(m.previous)?;
+    let entries: Result<Vec<Entry>, _> = m.entries.into_iter().map(Entry::try_from).collect();
+    let entries = entries?;
+    let mut index = previous.index;
+    for e in &entries {
+        index += 1;
+        if e.position.index != index {
+            return Err(ConvertError("entries are not consecutive"));
+        }
+    }
+    Ok(Message::Append { term, previous, entries, commit: m.commit })
+}
+
+fn position(p: Option<pb::LogPosition>) -> Result<LogPosition, ConvertError> {
+    let p = p.ok_or(ConvertError("message without position"))?;
+    // Keeps sums with indices of a hostile message from overflowing.
+    if p.index > u64::MAX / 2 {
+        return Err(ConvertError("index out of range"));
+    }
+    Ok(p.into())
+}
--- /dev/null
+++ b/crates/agreement/src/driver.rs
@@ -0,0 +1,145 @@
+//! Runs the groups of a process: storage, transport, clock and state machines around the cores.
+//!
+//! One task owns the cores and state machines of all groups. When it ends, because the store has
+//! failed or the node was shut down, open requests are answered and later ones are refused.
+
+mod group;
+mod handle;
+mod node;
+mod task;
+
+use std::any::Any;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+pub use handle::{GroupHandle, GroupStatus, GroupView, ProposeError, ReadError};
+pub use node::{Node, NodeBuilder};
+
+use crate::{
+    GroupId, LogPosition, Membership, PeerMessage, Persist, ReplicaId, Snapshot, Storage,
+    StoreError,
+};
+
+/// Sends messages to other replicas. It may lose, repeat and reorder them; it must not block.
+pub trait Transport: Send + Sync + 'static {
+    /// Sends a message.
+    fn send(&self, to: ReplicaId, message: PeerMessage);
+}
+
+/// The state that a group replicates.
+///
+/// All replicas apply the same commands in the same order, so `apply` must depend on nothing else.
+pub trait StateMachine: Any + Send {
+    /// Applies the command at an index of the log and returns its result.
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes;
+
+    /// Encodes the whole state.
+    fn snapshot(&self) -> Bytes;
+
+    /// Replaces the state by an encoded one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the encoding is unknown. The node then stops.
+    fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()>;
+}
+
+/// Parameters of a node.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// Time between two ticks of the cores.
+    pub tick: Duration,
+    /// Time between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Shortest election timeout.
+    pub election_timeout_min: Duration,
+    /// Longest election timeout.
+    pub election_timeout_max: Duration,
+    /// Time by which two clocks may drift apart within an election timeout.
+    pub drift_margin: Duration,
+    /// Entries after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Bytes of applied commands after which a snapshot is taken.
+    pub snapshot_bytes: u64,
+    /// Entries before a snapshot that stay in memory for followers that lag behind.
+    pub trailing_entries: u64,
+    /// Proposals of a group that may be open at a time; more are refused.
+    pub max_proposals: usize,
+    /// Messages and requests that wait for the node's task; more messages are dropped.
+    pub queue: usize,
+    /// Seed of the election timeouts; random by default.
+    pub seed: u64,
+}
+
+impl Default for NodeConfig {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(10),
+            heartbeat: Duration::from_millis(50),
+            election_timeout_min: Duration::from_millis(300),
+            election_timeout_max: Duration::from_millis(600),
+            drift_margin: Duration::from_millis(50),
+            snapshot_entries: 10_000,
+            snapshot_bytes: 64 << 20,
+            trailing_entries: 1024,
+            max_proposals: 4096,
+            queue: 4096,
+            seed: rand::random(),
+        }
+    }
+}
+
+/// Why a node cannot start or has stopped.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum NodeError {
+    /// The store has failed.
+    #[error("the store has failed: {0}")]
+    Store(#[from] StoreError),
+    /// A state machine cannot read a snapshot.
+    #[error("cannot restore the state of group {}: {source}", group.0)]
+    Restore {
+        /// The group.
+        group: GroupId,
+        /// The state machine's error.
+        source: Arc<anyhow::Error>,
+    },
+}
+
+/// Why a store cannot be initialised.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum InitError {
+    /// The store has failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The store has groups already.
+    #[error("the store is in use already")]
+    NotEmpty,
+}
+
+/// Writes the first voters of new groups into a fresh store. All first voters must be given the
+/// same list; a replica that joins later must not be given any.
+///
+/// # Errors
+///
+/// Fails when the store holds anything, or cannot be written.
+pub async fn init_voters(
+    storage: &dyn Storage,
+    groups: &[GroupId],
+    voters: &[ReplicaId],
+) -> Result<(), InitError> {
+    if !storage.load().await?.is_empty() {
+        return Err(InitError::NotEmpty);
+    }
+    let mut voters = voters.to_vec();
+    voters.sort_unstable();
+    voters.dedup();
+    let snapshot = Snapshot {
+        last: LogPosition::default(),
+        membership: Membership { voters, learners: Vec::new() },
+        data: Bytes::new(),
+    };
+    let persist = Persist { snapshot: Some(snapshot), ..Persist::default() };
+    Ok(storage.persist(groups.iter().map(|id| (*id, persist.clone())).collect()).await?)
+}
--- /dev/null
+++ b/crates/agreement/src/driver/group.rs
@@ -0,0 +1,432 @@
+//! One group in the node's task: its core, its state machine and the open requests.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use super::handle::{Proposer, Query, Reply, Request};
+use super::{GroupStatus, GroupView, NodeConfig, NodeError, ProposeError, ReadError};
+use super::{StateMachine, Transport};
+use crate::{
+    Core, CoreConfig, Entry, GroupId, Input, LogPosition, Membership, Message, Output, Payload,
+    PeerMessage, Persist, ProposalResult, ReadResult, ReplicaId, Restored, Role, Snapshot, Stored,
+};
+
+/// Work for the storage that steps of the cores produced.
+#[derive(Default)]
+pub(crate) struct Work {
+    pub(crate) persists: Vec<(GroupId, Persist)>,
+    pub(crate) snapshots: Vec<(GroupId, Snapshot)>,
+}
+
+/// A proposal in the leader's log.
+struct Appended {
+    position: LogPosition,
+    ticket: u64,
+    proposer: Proposer,
+}
+
+/// What was applied since the last snapshot, which tells when the next one is due.
+#[derive(Default)]
+struct SinceSnapshot {
+    entries: u64,
+    bytes: u64,
+    /// Size of the last snapshot. The next one is taken after the log has grown by as much, so that
+    /// snapshots at most double what is written.
+    last_bytes: u64,
+    /// Whether a snapshot is being saved.
+    saving: bool,
+}
+
+pub(crate) struct Group {
+    id: GroupId,
+    core: Core,
+    machine: Box<dyn StateMachine>,
+    transport: Arc<dyn Transport>,
+    cfg: Arc<NodeConfig>,
+    view: watch::Sender<GroupView>,
+    applied: LogPosition,
+    /// Membership at `applied`.
+    membership: Membership,
+    next_ticket: u64,
+    /// Proposals in order of their index.
+    appended: VecDeque<Appended>,
+    /// Proposal of the step under way.
+    proposing: Option<(u64, Proposer)>,
+    reads: Vec<(u64, Query)>,
+    transfer: Option<(ReplicaId, Duration, Reply<(), ProposeError>)>,
+    /// When this replica stopped leading while proposals were open.
+    stepped_down_at: Option<Duration>,
+    since: SinceSnapshot,
+    /// Position of the last snapshot that storage holds.
+    saved: LogPosition,
+}
+
+impl Group {
+    pub(crate) fn new(
+        id: GroupId,
+        replica: ReplicaId,
+        mut machine: Box<dyn StateMachine>,
+        stored: Stored,
+        transport: Arc<dyn Transport>,
+        cfg: Arc<NodeConfig>,
+    ) -> Result<(Self, watch::Receiver<GroupView>), NodeError> {
+        let Stored { hard_state, snapshot, entries } = stored;
+        let mut restored = Restored { hard_state, entries, ..Restored::default() };
+        let mut since = SinceSnapshot::default();
+        if let Some(s) = snapshot {
+            restore(id, machine.as_mut(), &s)?;
+            since.last_bytes = s.data.len() as u64;
+            restored.snapshot = s.last;
+            restored.membership = s.membership;
+        }
+        let (applied, membership) = (restored.snapshot, restored.membership.clone());
+        let core = Core::new(core_config(id, replica, &cfg), restored);
+        let (view, rx) = watch::channel(view(&core, Duration::ZERO));
+        let group = Self {
+            id,
+            core,
+            machine,
+            transport,
+            cfg,
+            view,
+            applied,
+            membership,
+            next_ticket: 1,
+            appended: VecDeque::new(),
+            proposing: None,
+            reads: Vec::new(),
+            transfer: None,
+            stepped_down_at: None,
+            since,
+            saved: applied,
+        };
+        Ok((group, rx))
+    }
+
+    pub(crate) fn id(&self) -> GroupId {
+        self.id
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.core.status().role.role == Role::Leader
+    }
+
+    pub(crate) fn has_open_proposals(&self) -> bool {
+        !self.appended.is_empty()
+    }
+
+    pub(crate) fn has_other_voters(&self) -> bool {
+        let status = self.core.status();
+        status.membership.voters.iter().any(|id| *id != status.id)
+    }
+
+    /// Handles a tick.
+    pub(crate) fn tick(&mut self, now: Duration, work: &mut Work) -> Result<(), NodeError> {
+        self.step(now, Input::Tick, work)?;
+        self.give_up(now);
+        let view = view(&self.core, now);
+        self.view.send_if_modified(|old| std::mem::replace(old, view) != view);
+        Ok(())
+    }
+
+    /// Answers what can't be expected to be settled any more.
+    fn give_up(&mut self, now: Duration) {
+        // A successor is normally elected within two election timeouts. Until then most proposals
+        // are settled by what it commits.
+        let patience = 2 * self.cfg.election_timeout_max;
+        if self.stepped_down_at.is_some_and(|at| now >= at + patience) {
+            self.stepped_down_at = None;
+            for a in self.appended.drain(..) {
+                a.proposer.answer(Err(ProposeError::Unknown));
+            }
+        }
+        if self.transfer.as_ref().is_some_and(|(_, deadline, _)| now >= *deadline)
+            && let Some((_, _, reply)) = self.transfer.take()
+        {
+            let _ = reply.send(Err(ProposeError::Unknown));
+        }
+    }
+
+    pub(crate) fn message(
+        &mut self,
+        now: Duration,
+        from: ReplicaId,
+        message: Message,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        self.step(now, Input::Message { from, message }, work)
+    }
+
+    pub(crate) fn synced(
+        &mut self,
+        now: Duration,
+        ticket: u64,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        self.step(now, Input::Synced { ticket }, work)
+    }
+
+    pub(crate) fn request(
+        &mut self,
+        now: Duration,
+        request: Request,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        match request {
+            Request::Propose(data, mut proposer) => {
+                proposer.taken = true;
+                self.proposing = Some((ticket, proposer));
+                self.step(now, Input::Propose { data, ticket }, work)
+            }
+            Request::Change(change, mut proposer) => {
+                proposer.taken = true;
+                self.proposing = Some((ticket, proposer));
+                self.step(now, Input::ChangeVoters { change, ticket }, work)
+            }
+            Request::Read(query) => {
+                self.reads.push((ticket, query));
+                self.step(now, Input::Read { ticket }, work)
+            }
+            Request::Status(reply) => {
+                let lease = self.core.lease_valid(now);
+                let core = self.core.status();
+                let _ = reply.send(GroupStatus { core, applied: self.applied.index, lease });
+                Ok(())
+            }
+            Request::Transfer(to, reply) => self.transfer(now, to, reply, work),
+        }
+    }
+
+    fn transfer(
+        &mut self,
+        now: Duration,
+        to: ReplicaId,
+        reply: Reply<(), ProposeError>,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        let role = self.core.status().role;
+        if role.leader == Some(to) {
+            let _ = reply.send(Ok(()));
+        } else if role.role != Role::Leader || self.transfer.is_some() {
+            let _ = reply.send(Err(ProposeError::NotLeader { leader: role.leader }));
+        } else {
+            self.transfer = Some((to, now + 2 * self.cfg.election_timeout_max, reply));
+            self.step(now, Input::TransferLeadership { to }, work)?;
+        }
+        Ok(())
+    }
+
+    /// Transfers leadership to the voter whose log is most complete.
+    pub(crate) fn give_away(&mut self, now: Duration, work: &mut Work) -> Result<(), NodeError> {
+        let status = self.core.status();
+        let voters = &status.membership.voters;
+        let best = status.peers.iter().filter(|(id, _)| voters.contains(id)).max_by_key(|p| p.1);
+        let Some(&(to, _)) = best.filter(|_| status.role.role == Role::Leader) else {
+            return Ok(());
+        };
+        self.step(now, Input::TransferLeadership { to }, work)
+    }
+
+    /// Handles the report that a snapshot was saved.
+    pub(crate) fn snapshot_saved(
+        &mut self,
+        now: Duration,
+        snapshot: Snapshot,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        self.since.saving = false;
+        if snapshot.last.index > self.saved.index {
+            self.saved = snapshot.last;
+        }
+        self.step(now, Input::Compact { snapshot }, work)
+    }
+
+    fn step(&mut self, now: Duration, input: Input, work: &mut Work) -> Result<(), NodeError> {
+        let out = self.core.step(now, input);
+        let Output { messages, persist, install, apply, proposals, reads, role, snapshot_wanted } =
+            out;
+        for (to, message) in messages {
+            self.transport.send(to, PeerMessage { group: self.id, message });
+        }
+        if let Some(mut persist) = persist {
+            // The core also asks for the snapshots that `Storage::save_snapshot` has saved.
+            persist.snapshot.take_if(|s| s.last == self.saved);
+            work.persists.push((self.id, persist));
+        }
+        if let Some(snapshot) = install {
+            self.install(&snapshot)?;
+        }
+        for entry in &apply {
+            self.apply(entry);
+        }
+        for (ticket, result) in proposals {
+            self.proposal_result(ticket, result);
+        }
+        for (ticket, result) in reads {
+            self.read_result(ticket, result);
+        }
+        if let Some(role) = role {
+            let led = self.view.borrow().role == Role::Leader;
+            if led && role.role != Role::Leader {
+                self.stepped_down_at = Some(now);
+            } else if role.role == Role::Leader {
+                self.stepped_down_at = None;
+            }
+            if let Some((_, _, reply)) = self.transfer.take_if(|t| role.leader == Some(t.0)) {
+                let _ = reply.send(Ok(()));
+            }
+            self.view.send_replace(view(&self.core, now));
+        }
+        self.take_snapshot_if_due(now, snapshot_wanted, work)
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) -> Result<(), NodeError> {
+        restore(self.id, self.machine.as_mut(), snapshot)?;
+        self.applied = snapshot.last;
+        self.membership = snapshot.membership.clone();
+        let saving = self.since.saving;
+        let last_bytes = snapshot.data.len() as u64;
+        self.since = SinceSnapshot { saving, last_bytes, ..SinceSnapshot::default() };
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let index = entry.position.index;
+        let result = match &entry.payload {
+            Payload::Empty => Bytes::new(),
+            Payload::Command(data) => {
+                self.since.bytes += data.len() as u64;
+                self.machine.apply(index, data)
+            }
+            Payload::Membership(membership) => {
+                self.membership = membership.clone();
+                Bytes::new()
+            }
+        };
+        self.since.entries += 1;
+        self.applied = entry.position;
+        // A proposal at this index with another term is reported by the core.
+        if let Some(i) = self.find_appended(|a| a.position == entry.position)
+            && let Some(a) = self.appended.remove(i)
+        {
+            a.proposer.answer(Ok(result));
+        }
+    }
+
+    /// Finds a proposal; those that are settled next are at the front.
+    fn find_appended(&self, f: impl FnMut(&Appended) -> bool) -> Option<usize> {
+        self.appended.iter().position(f)
+    }
+
+    fn proposal_result(&mut self, ticket: u64, result: ProposalResult) {
+        let proposer = match self.proposing.take_if(|(t, _)| *t == ticket) {
+            Some((_, proposer)) => proposer,
+            None => {
+                let Some(i) = self.find_appended(|a| a.ticket == ticket) else {
+                    return;
+                };
+                let Some(a) = self.appended.remove(i) else {
+                    return;
+                };
+                a.proposer
+            }
+        };
+        let error = match result {
+            ProposalResult::Appended(position) => {
+                self.appended.push_back(Appended { position, ticket, proposer });
+                return;
+            }
+            ProposalResult::NotLeader { leader } => ProposeError::NotLeader { leader },
+            ProposalResult::Refused(refusal) => ProposeError::Refused(refusal),
+            // Another entry took its place, so it is never applied.
+            ProposalResult::Overwritten => {
+                ProposeError::NotLeader { leader: self.core.status().role.leader }
+            }
+            ProposalResult::Unknown => ProposeError::Unknown,
+        };
+        proposer.answer(Err(error));
+    }
+
+    fn read_result(&mut self, ticket: u64, result: ReadResult) {
+        let Some(i) = self.reads.iter().position(|(t, _)| *t == ticket) else {
+            return;
+        };
+        let (_, query) = self.reads.swap_remove(i);
+        match result {
+            ReadResult::Ready { index } => {
+                // Entries are applied in the step that commits them.
+                debug_assert!(index <= self.applied.index, "a read waits for a committed index");
+                query(Ok(self.machine.as_ref()));
+            }
+            ReadResult::NotLeader { leader } => query(Err(ReadError::NotLeader { leader })),
+        }
+    }
+
+    fn take_snapshot_if_due(
+        &mut self,
+        now: Duration,
+        wanted: bool,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        let s = &self.since;
+        let due = (s.entries >= self.cfg.snapshot_entries || s.bytes >= self.cfg.snapshot_bytes)
+            && s.bytes >= s.last_bytes;
+        if s.saving || !(due || wanted) {
+            return Ok(());
+        }
+        let data = self.machine.snapshot();
+        let last_bytes = data.len() as u64;
+        self.since = SinceSnapshot { last_bytes, saving: true, ..SinceSnapshot::default() };
+        let snapshot = Snapshot { last: self.applied, membership: self.membership.clone(), data };
+        if self.applied == self.saved {
+            return self.snapshot_saved(now, snapshot, work);
+        }
+        work.snapshots.push((self.id, snapshot));
+        Ok(())
+    }
+
+    /// Answers all open requests when the task ends.
+    pub(crate) fn stop(&mut self) {
+        self.appended.clear();
+        for (_, query) in self.reads.drain(..) {
+            query(Err(ReadError::Stopped));
+        }
+    }
+}
+
+fn restore(
+    group: GroupId,
+    machine: &mut dyn StateMachine,
+    snapshot: &Snapshot,
+) -> Result<(), NodeError> {
+    // The snapshot of a new group has a membership only.
+    if snapshot.last.index == 0 {
+        return Ok(());
+    }
+    let restored = machine.restore(&snapshot.data);
+    restored.map_err(|source| NodeError::Restore { group, source: Arc::new(source) })
+}
+
+fn view(core: &Core, now: Duration) -> GroupView {
+    let role = core.status().role;
+    let lease = core.lease_valid(now);
+    GroupView { leader: role.leader, term: role.term, role: role.role, lease }
+}
+
+fn core_config(id: GroupId, replica: ReplicaId, cfg: &NodeConfig) -> CoreConfig {
+    let seed = cfg.seed ^ replica.0.rotate_left(32) ^ u64::from(id.0);
+    CoreConfig {
+        heartbeat_interval: cfg.heartbeat,
+        election_timeout_min: cfg.election_timeout_min,
+        election_timeout_max: cfg.election_timeout_max,
+        drift_margin: cfg.drift_margin,
+        trailing_entries: cfg.trailing_entries,
+        ..CoreConfig::new(replica, seed)
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/driver/handle.rs
@@ -0,0 +1,254 @@
+//! Access to one group from other tasks.
+
+use std::any::Any;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+
+use super::StateMachine;
+use crate::{GroupId, Refusal, ReplicaId, Role, Status, VoterChange};
+
+/// Why a proposal has no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ProposeError {
+    /// This replica does not lead the group. The command was not executed and never will be.
+    #[error("this replica does not lead the group")]
+    NotLeader {
+        /// Leader, if known.
+        leader: Option<ReplicaId>,
+    },
+    /// Too many proposals are open. The command was not executed and never will be.
+    #[error("too many proposals are open")]
+    Overloaded,
+    /// The change of voters is not possible now.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+    /// The command may be executed, now or later, or not.
+    #[error("the outcome is not known")]
+    Unknown,
+    /// The node has stopped. The command was not executed and never will be.
+    #[error("the node has stopped")]
+    Stopped,
+}
+
+/// Why a read is not possible.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// This replica does not lead the group.
+    #[error("this replica does not lead the group")]
+    NotLeader {
+        /// Leader, if known.
+        leader: Option<ReplicaId>,
+    },
+    /// The group's state machine is of another type.
+    #[error("the group's state machine is of another type")]
+    WrongType,
+    /// The node has stopped.
+    #[error("the node has stopped")]
+    Stopped,
+}
+
+/// What a replica knows about the leadership of its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupView {
+    /// Leader of the term, if known.
+    pub leader: Option<ReplicaId>,
+    /// Current term.
+    pub term: u64,
+    /// Role of this replica.
+    pub role: Role,
+    /// Whether this replica leads and held the leader lease at the last tick.
+    pub lease: bool,
+}
+
+/// State of a replica of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupStatus {
+    /// State of the core.
+    pub core: Status,
+    /// Last applied index.
+    pub applied: u64,
+    /// Whether this replica leads and holds the leader lease.
+    pub lease: bool,
+}
+
+pub(crate) type Reply<T, E> = oneshot::Sender<Result<T, E>>;
+/// Is run with the state machine once a read is linearizable, or with the reason why it is not.
+pub(crate) type Query = Box<dyn FnOnce(Result<&dyn StateMachine, ReadError>) + Send>;
+
+/// A proposal's way back to its caller.
+///
+/// When it is dropped without an answer, the outcome is unknown if the node's task had taken it.
+/// This covers a panic of a state machine too.
+pub(crate) struct Proposer {
+    reply: Option<Reply<Bytes, ProposeError>>,
+    /// Whether the node's task has passed the proposal to the core.
+    pub(crate) taken: bool,
+    /// Counts against the open proposals until it is dropped.
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Proposer {
+    pub(crate) fn answer(mut self, result: Result<Bytes, ProposeError>) {
+        if let Some(reply) = self.reply.take() {
+            let _ = reply.send(result);
+        }
+    }
+}
+
+impl Drop for Proposer {
+    fn drop(&mut self) {
+        if let Some(reply) = self.reply.take() {
+            let e = if self.taken { ProposeError::Unknown } else { ProposeError::Stopped };
+            let _ = reply.send(Err(e));
+        }
+    }
+}
+
+pub(crate) enum Request {
+    Propose(Bytes, Proposer),
+    Change(VoterChange, Proposer),
+    Read(Query),
+    Status(oneshot::Sender<GroupStatus>),
+    Transfer(ReplicaId, Reply<(), ProposeError>),
+}
+
+/// Access to one group of a node.
+#[derive(Clone, Debug)]
+pub struct GroupHandle {
+    pub(crate) group: GroupId,
+    pub(crate) tx: mpsc::Sender<(GroupId, Request)>,
+    pub(crate) open: Arc<Semaphore>,
+    pub(crate) view: watch::Receiver<GroupView>,
+}
+
+impl GroupHandle {
+    /// Returns the group.
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+
+    /// Proposes a command; returns the state machine's result once it is committed and applied.
+    ///
+    /// # Errors
+    ///
+    /// All errors but `Unknown` say that the command is never executed.
+    pub async fn propose(&self, data: Bytes) -> Result<Bytes, ProposeError> {
+        self.submit(|proposer| Request::Propose(data, proposer)).await
+    }
+
+    /// Adds a replica that receives the log but does not vote.
+    ///
+    /// # Errors
+    ///
+    /// Like `propose`; also when the change is refused.
+    pub async fn add_learner(&self, id: ReplicaId) -> Result<(), ProposeError> {
+        self.change(VoterChange::AddLearner(id)).await
+    }
+
+    /// Makes a learner that has caught up a voter.
+    ///
+    /// # Errors
+    ///
+    /// Like `propose`; also when the change is refused.
+    pub async fn promote(&self, id: ReplicaId) -> Result<(), ProposeError> {
+        self.change(VoterChange::PromoteLearner(id)).await
+    }
+
+    /// Removes a voter or learner other than the leader.
+    ///
+    /// # Errors
+    ///
+    /// Like `propose`; also when the change is refused.
+    pub async fn remove_voter(&self, id: ReplicaId) -> Result<(), ProposeError> {
+        self.change(VoterChange::RemoveVoter(id)).await
+    }
+
+    async fn change(&self, change: VoterChange) -> Result<(), ProposeError> {
+        self.submit(|proposer| Request::Change(change, proposer)).await.map(|_| ())
+    }
+
+    async fn submit(
+        &self,
+        request: impl FnOnce(Proposer) -> Request,
+    ) -> Result<Bytes, ProposeError> {
+        let permit = Arc::clone(&self.open).try_acquire_owned();
+        let permit = permit.map_err(|_| ProposeError::Overloaded)?;
+        let (reply, result) = oneshot::channel();
+        let request = request(Proposer { reply: Some(reply), taken: false, _permit: permit });
+        self.tx.send((self.group, request)).await.map_err(|_| ProposeError::Stopped)?;
+        result.await.unwrap_or(Err(ProposeError::Unknown))
+    }
+
+    /// Returns once the state machine has applied everything that was acknowledged before the call,
+    /// and this replica has led the group after the call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this replica does not lead the group.
+    pub async fn read_barrier(&self) -> Result<(), ReadError> {
+        self.read(|_| Ok(())).await
+    }
+
+    /// Reads the group's state machine, of type `M`, behind a read barrier. The closure runs in the
+    /// node's task and must be short.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this replica does not lead the group or the state machine is no `M`.
+    pub async fn query<M, R>(
+        &self,
+        f: impl FnOnce(&M) -> R + Send + 'static,
+    ) -> Result<R, ReadError>
+    where
+        M: StateMachine,
+        R: Send + 'static,
+    {
+        self.read(|machine| {
+            let machine: &dyn Any = machine;
+            machine.downcast_ref().map(f).ok_or(ReadError::WrongType)
+        })
+        .await
+    }
+
+    async fn read<R: Send + 'static>(
+        &self,
+        f: impl FnOnce(&dyn StateMachine) -> Result<R, ReadError> + Send + 'static,
+    ) -> Result<R, ReadError> {
+        let (reply, result) = oneshot::channel();
+        let query: Query = Box::new(move |machine| {
+            let _ = reply.send(machine.and_then(f));
+        });
+        self.tx.send((self.group, Request::Read(query))).await.map_err(|_| ReadError::Stopped)?;
+        result.await.unwrap_or(Err(ReadError::Stopped))
+    }
+
+    /// Returns the state of this replica, or `None` when the node has stopped.
+    pub async fn status(&self) -> Option<GroupStatus> {
+        let (reply, result) = oneshot::channel();
+        self.tx.send((self.group, Request::Status(reply))).await.ok()?;
+        result.await.ok()
+    }
+
+    /// Returns a channel with the leadership of the group. The lease in it is as of the last tick;
+    /// what must not be done without the lease needs a `read_barrier`.
+    ///
+    /// The node's task waits while a value is borrowed from the channel, so copy it at once.
+    pub fn watch(&self) -> watch::Receiver<GroupView> {
+        self.view.clone()
+    }
+
+    /// Transfers leadership to another voter; returns once that voter leads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this replica does not lead, or with `Unknown` when the transfer was not completed
+    /// in time.
+    pub async fn transfer_leadership(&self, to: ReplicaId) -> Result<(), ProposeError> {
+        let (reply, result) = oneshot::channel();
+        let request = Request::Transfer(to, reply);
+        self.tx.send((self.group, request)).await.map_err(|_| ProposeError::Stopped)?;
+        result.await.unwrap_or(Err(ProposeError::Stopped))
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/driver/node.rs
@@ -0,0 +1,220 @@
+//! Start, message delivery and end of a node.
+
+use std::future::pending;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+
+use super::group::Group;
+use super::handle::GroupHandle;
+use super::task::{State, Stop, Task};
+use super::{NodeConfig, NodeError, StateMachine, Transport};
+use crate::{
+    FolderId, GroupId, IdentityError, PeerIdentities, PeerMessage, ReplicaId, Storage, Stored,
+};
+
+/// Collects what a node needs.
+pub struct NodeBuilder {
+    replica: ReplicaId,
+    storage: Box<dyn Storage>,
+    transport: Arc<dyn Transport>,
+    peers: PeerIdentities,
+    cfg: NodeConfig,
+    groups: Vec<(GroupId, Box<dyn StateMachine>)>,
+}
+
+impl NodeBuilder {
+    /// Sets the recorded folder identities of the peers; kept in memory only by default.
+    pub fn peers(mut self, peers: PeerIdentities) -> Self {
+        self.peers = peers;
+        self
+    }
+
+    /// Sets the parameters.
+    pub fn config(mut self, cfg: NodeConfig) -> Self {
+        self.cfg = cfg;
+        self
+    }
+
+    /// Adds a group. A state machine that is given for the same group later replaces this one.
+    pub fn group(mut self, id: GroupId, machine: Box<dyn StateMachine>) -> Self {
+        match self.groups.binary_search_by_key(&id, |(g, _)| *g) {
+            Ok(i) => self.groups[i].1 = machine,
+            Err(i) => self.groups.insert(i, (id, machine)),
+        }
+        self
+    }
+
+    /// Reads the store, restores the state machines and starts the node's task.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store or a snapshot cannot be read.
+    pub async fn start(self) -> Result<Node, NodeError> {
+        let mut stored = self.storage.load().await?;
+        let cfg = Arc::new(self.cfg);
+        let (request_tx, requests) = mpsc::channel(cfg.queue);
+        let (message_tx, messages) = mpsc::channel(cfg.queue);
+        let (stop_tx, stop) = mpsc::channel(1);
+        let (failed, failure) = watch::channel(None);
+        let (mut groups, mut handles) = (Vec::new(), Vec::new());
+        for (id, machine) in self.groups {
+            let found = stored.binary_search_by_key(&id, |(g, _)| *g);
+            let stored = found.map_or_else(|_| Stored::default(), |i| stored.remove(i).1);
+            let transport = Arc::clone(&self.transport);
+            let (group, view) =
+                Group::new(id, self.replica, machine, stored, transport, Arc::clone(&cfg))?;
+            groups.push(group);
+            let open = Arc::new(Semaphore::new(cfg.max_proposals));
+            handles.push(GroupHandle { group: id, tx: request_tx.clone(), open, view });
+        }
+        let (storage, state) = (self.storage, State::default());
+        let task = Task { groups, storage, cfg, messages, requests, stop, failed, state };
+        tokio::spawn(task.run());
+        Ok(Node {
+            replica: self.replica,
+            handles,
+            inbox: Inbox::new(self.peers, message_tx),
+            stop: stop_tx,
+            failure,
+        })
+    }
+}
+
+/// The replicas of all groups of a process. When it is dropped, they stop without transferring
+/// leadership.
+pub struct Node {
+    replica: ReplicaId,
+    /// Sorted by group.
+    handles: Vec<GroupHandle>,
+    inbox: Arc<Inbox>,
+    stop: mpsc::Sender<Stop>,
+    failure: watch::Receiver<Option<NodeError>>,
+}
+
+impl Node {
+    /// Starts the description of a node.
+    pub fn builder(
+        replica: ReplicaId,
+        storage: Box<dyn Storage>,
+        transport: Arc<dyn Transport>,
+    ) -> NodeBuilder {
+        let (peers, cfg) = (PeerIdentities::in_memory(), NodeConfig::default());
+        NodeBuilder { replica, storage, transport, peers, cfg, groups: Vec::new() }
+    }
+
+    /// Returns the number of this replica.
+    pub fn replica(&self) -> ReplicaId {
+        self.replica
+    }
+
+    /// Returns the access to a group.
+    pub fn group(&self, id: GroupId) -> Option<GroupHandle> {
+        let i = self.handles.binary_search_by_key(&id, |h| h.group).ok()?;
+        Some(self.handles[i].clone())
+    }
+
+    /// Hands over a message from a peer with its authenticated number and the identity of its data
+    /// folder. Never blocks; a message is dropped when the queue is full, when the peer's folder is
+    /// not the recorded one, or while a new peer is being recorded.
+    pub fn deliver(&self, from: ReplicaId, from_folder: FolderId, message: PeerMessage) {
+        self.inbox.deliver(from, from_folder, message);
+    }
+
+    /// Waits until the node has failed. Never returns for a node that was shut down.
+    pub async fn failed(&self) -> NodeError {
+        let mut failure = self.failure.clone();
+        let failed = match failure.wait_for(Option::is_some).await {
+            Ok(e) => e.clone(),
+            Err(_) => None,
+        };
+        match failed {
+            Some(e) => e,
+            None => pending().await,
+        }
+    }
+
+    /// Transfers the leadership of all groups, then stops and closes the store. Returns at once if
+    /// the node has failed.
+    pub async fn shutdown(&self) {
+        let (reply, stopped) = oneshot::channel();
+        if self.stop.send(Stop::Shutdown(reply)).await.is_ok() {
+            let _ = stopped.await;
+        }
+    }
+
+    /// Stops without transferring leadership, then closes the store.
+    pub async fn abort(&self) {
+        let (reply, stopped) = oneshot::channel();
+        if self.stop.send(Stop::Abort(reply)).await.is_ok() {
+            let _ = stopped.await;
+        }
+    }
+}
+
+/// Checks the folder identities of the senders of messages.
+struct Inbox {
+    peers: PeerIdentities,
+    tx: mpsc::Sender<(ReplicaId, PeerMessage)>,
+    /// Peers that are being recorded.
+    recording: Mutex<Vec<ReplicaId>>,
+    /// Peers and folders that were refused, so that each is logged once.
+    refused: Mutex<Vec<(ReplicaId, FolderId)>>,
+}
+
+impl Inbox {
+    fn new(peers: PeerIdentities, tx: mpsc::Sender<(ReplicaId, PeerMessage)>) -> Arc<Self> {
+        Arc::new(Self { peers, tx, recording: Mutex::default(), refused: Mutex::default() })
+    }
+
+    fn deliver(self: &Arc<Self>, from: ReplicaId, folder: FolderId, message: PeerMessage) {
+        match self.peers.get(from) {
+            Some(known) if known == folder => {
+                if self.tx.try_send((from, message)).is_err() {
+                    dropped("queue_full");
+                }
+            }
+            Some(_) => self.refuse(from, folder),
+            None => {
+                dropped("first_contact");
+                self.record(from, folder);
+            }
+        }
+    }
+
+    /// Records a new peer in another thread.
+    fn record(self: &Arc<Self>, from: ReplicaId, folder: FolderId) {
+        let mut recording = lock(&self.recording);
+        if recording.contains(&from) {
+            return;
+        }
+        recording.push(from);
+        let inbox = Arc::clone(self);
+        tokio::task::spawn_blocking(move || {
+            match inbox.peers.check(from, folder) {
+                Ok(()) => log::info!("recorded data folder of replica {}", from.0),
+                Err(IdentityError::ForeignFolder(_)) => inbox.refuse(from, folder),
+                Err(e) => log::error!("cannot record data folder of replica {}: {e}", from.0),
+            }
+            lock(&inbox.recording).retain(|id| *id != from);
+        });
+    }
+
+    fn refuse(&self, from: ReplicaId, folder: FolderId) {
+        dropped("foreign_folder");
+        let mut refused = lock(&self.refused);
+        if !refused.contains(&(from, folder)) {
+            refused.push((from, folder));
+            log::error!("{}; its messages are dropped", IdentityError::ForeignFolder(from));
+        }
+    }
+}
+
+fn dropped(reason: &'static str) {
+    metrics::counter!("poplarspan_agreement_dropped_messages_total", "reason" => reason)
+        .increment(1);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/agreement/src/driver/task.rs
@@ -0,0 +1,218 @@
+//! The task that owns all groups of a node.
+
+use std::future::pending;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use super::group::{Group, Work};
+use super::handle::Request;
+use super::{NodeConfig, NodeError};
+use crate::{GroupId, PeerMessage, ReplicaId, Snapshot, Storage, StoreError};
+
+/// Messages or requests that are handled before their state is handed to storage.
+const MAX_STEPS: usize = 256;
+
+/// Ends the task.
+pub(crate) enum Stop {
+    /// Transfers leadership first.
+    Shutdown(oneshot::Sender<()>),
+    /// At once.
+    Abort(oneshot::Sender<()>),
+}
+
+type Synced = Result<Vec<(GroupId, u64)>, StoreError>;
+type Saved = Result<(GroupId, Snapshot), StoreError>;
+
+pub(crate) struct Task {
+    /// Sorted.
+    pub(crate) groups: Vec<Group>,
+    pub(crate) storage: Box<dyn Storage>,
+    pub(crate) cfg: Arc<NodeConfig>,
+    pub(crate) messages: mpsc::Receiver<(ReplicaId, PeerMessage)>,
+    pub(crate) requests: mpsc::Receiver<(GroupId, Request)>,
+    pub(crate) stop: mpsc::Receiver<Stop>,
+    pub(crate) failed: watch::Sender<Option<NodeError>>,
+    pub(crate) state: State,
+}
+
+/// What the task is waiting for.
+pub(crate) struct State {
+    start: Instant,
+    work: Work,
+    /// The batch that storage makes durable. The next one collects meanwhile.
+    syncing: Option<BoxFuture<'static, Synced>>,
+    saving: FuturesUnordered<BoxFuture<'static, Saved>>,
+    /// When the task ends although it still leads, and whom to tell.
+    stopping: Option<(Instant, oneshot::Sender<()>)>,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            work: Work::default(),
+            syncing: None,
+            saving: FuturesUnordered::new(),
+            stopping: None,
+        }
+    }
+}
+
+impl Task {
+    pub(crate) async fn run(mut self) {
+        let stopped = match self.serve().await {
+            Ok(reply) => reply,
+            Err(e) => {
+                log::error!("the replica stops: {e}");
+                self.failed.send_replace(Some(e));
+                None
+            }
+        };
+        // No request is taken any more; those that wait are refused when the channels are dropped.
+        for group in &mut self.groups {
+            group.stop();
+        }
+        // Fails only when the store is closed already.
+        let _ = self.storage.close().await;
+        drop(self);
+        if let Some(reply) = stopped {
+            let _ = reply.send(());
+        }
+    }
+
+    /// Runs until the node is stopped; returns whom to tell.
+    async fn serve(&mut self) -> Result<Option<oneshot::Sender<()>>, NodeError> {
+        let mut ticks = interval(self.cfg.tick);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let (mut messages, mut requests) = (Vec::new(), Vec::new());
+        loop {
+            self.start_storage_work();
+            if self.may_stop() {
+                return Ok(self.state.stopping.take().map(|(_, reply)| reply));
+            }
+            tokio::select! {
+                synced = next_synced(&mut self.state.syncing) => self.synced(synced?)?,
+                Some(saved) = self.state.saving.next() => self.saved(saved?)?,
+                _ = ticks.tick() => self.tick()?,
+                _ = self.messages.recv_many(&mut messages, MAX_STEPS) => {
+                    self.handle_messages(&mut messages)?;
+                }
+                _ = self.requests.recv_many(&mut requests, MAX_STEPS) => {
+                    self.handle_requests(&mut requests)?;
+                }
+                stop = self.stop.recv() => match stop {
+                    Some(Stop::Shutdown(reply)) => self.begin_stop(reply)?,
+                    Some(Stop::Abort(reply)) => return Ok(Some(reply)),
+                    None => return Ok(None),
+                },
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.state.start.elapsed()
+    }
+
+    fn find(&mut self, id: GroupId) -> Option<usize> {
+        self.groups.binary_search_by_key(&id, Group::id).ok()
+    }
+
+    fn start_storage_work(&mut self) {
+        let state = &mut self.state;
+        if state.syncing.is_none() && !state.work.persists.is_empty() {
+            let batch = std::mem::take(&mut state.work.persists);
+            let tickets = batch.iter().map(|(id, p)| (*id, p.ticket)).collect();
+            let persisted = self.storage.persist(batch);
+            state.syncing = Some(Box::pin(async move { persisted.await.map(|()| tickets) }));
+        }
+        for (id, snapshot) in state.work.snapshots.drain(..) {
+            let saved = self.storage.save_snapshot(id, snapshot.clone());
+            state.saving.push(Box::pin(async move { saved.await.map(|()| (id, snapshot)) }));
+        }
+    }
+
+    fn synced(&mut self, tickets: Vec<(GroupId, u64)>) -> Result<(), NodeError> {
+        for (id, ticket) in tickets {
+            if let Some(i) = self.find(id) {
+                let now = self.now();
+                self.groups[i].synced(now, ticket, &mut self.state.work)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn saved(&mut self, (id, snapshot): (GroupId, Snapshot)) -> Result<(), NodeError> {
+        let Some(i) = self.find(id) else {
+            return Ok(());
+        };
+        let now = self.now();
+        self.groups[i].snapshot_saved(now, snapshot, &mut self.state.work)
+    }
+
+    fn tick(&mut self) -> Result<(), NodeError> {
+        for i in 0..self.groups.len() {
+            let now = self.now();
+            self.groups[i].tick(now, &mut self.state.work)?;
+            if self.state.stopping.is_some() {
+                self.groups[i].give_away(now, &mut self.state.work)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn handle_messages(
+        &mut self,
+        messages: &mut Vec<(ReplicaId, PeerMessage)>,
+    ) -> Result<(), NodeError> {
+        for (from, PeerMessage { group, message }) in messages.drain(..) {
+            if let Some(i) = self.find(group) {
+                let now = self.now();
+                self.groups[i].message(now, from, message, &mut self.state.work)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn handle_requests(&mut self, requests: &mut Vec<(GroupId, Request)>) -> Result<(), NodeError> {
+        for (id, request) in requests.drain(..) {
+            let refused = self.state.stopping.is_some()
+                && matches!(request, Request::Propose(..) | Request::Change(..));
+            if let Some(i) = self.find(id).filter(|_| !refused) {
+                let now = self.now();
+                self.groups[i].request(now, request, &mut self.state.work)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn begin_stop(&mut self, reply: oneshot::Sender<()>) -> Result<(), NodeError> {
+        let deadline = Instant::now() + 2 * self.cfg.election_timeout_max;
+        self.state.stopping = Some((deadline, reply));
+        self.tick()
+    }
+
+    /// Reports whether the node was shut down and leads no group that another voter could lead.
+    fn may_stop(&mut self) -> bool {
+        let Some((deadline, _)) = self.state.stopping else {
+            return false;
+        };
+        let done = |g: &Group| !(g.leads() && (g.has_open_proposals() || g.has_other_voters()));
+        Instant::now() >= deadline || self.groups.iter().all(done)
+    }
+}
+
+/// Waits for the batch in flight, for ever if there is none.
+async fn next_synced(syncing: &mut Option<BoxFuture<'static, Synced>>) -> Synced {
+    let Some(batch) = syncing else {
+        return pending().await;
+    };
+    let result = batch.await;
+    *syncing = None;
+    result
+}
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod convert;
 mod core;
+mod driver;
 mod identity;
 mod message;
 mod storage;
@@ -11,7 +12,11 @@
     Core, CoreConfig, Input, Output, ProposalResult, ReadResult, Refusal, Restored, Role,
     RoleChange, Status, VoterChange,
 };
-pub use convert::ConvertError;
+pub use convert::{ConvertError, PeerMessage};
+pub use driver::{
+    GroupHandle, GroupStatus, GroupView, InitError, Node, NodeBuilder, NodeConfig, NodeError,
+    ProposeError, ReadError, StateMachine, Transport, init_voters,
+};
 pub use identity::{DataDir, IdentityError, PeerIdentities};
 pub use message::{AppendResult, Message};
 pub use storage::{
--- a/crates/agreement/tests/common/mod.rs
+++ b/crates/agreement/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers of the storage tests.
 #![allow(dead_code, reason = "not every test file uses every helper")]
 
+pub mod cluster;
+
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/agreement/tests/driver_faults.rs
@@ -0,0 +1,216 @@
+//! Guards against wrong answers of a node whose store, queue or requests are at fault.
+
+mod common;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use common::cluster::{GROUP, Journal, Network};
+use poplarspan_agreement::{
+    FolderId, GroupHandle, GroupId, InitError, MemoryDisk, MemoryStore, Node, NodeConfig,
+    NodeError, ProposeError, ReadError, ReplicaId, Role, StateMachine, StoreOptions, init_voters,
+};
+
+const ID: ReplicaId = ReplicaId(1);
+
+fn store(disk: &MemoryDisk) -> MemoryStore {
+    MemoryStore::open(disk, StoreOptions::default()).expect("store")
+}
+
+async fn new_disk(voters: &[ReplicaId]) -> MemoryDisk {
+    let disk = MemoryDisk::new();
+    MemoryStore::create(&disk).expect("created");
+    init_voters(&store(&disk), &[GROUP], voters).await.expect("voters");
+    disk
+}
+
+async fn start(id: ReplicaId, disk: &MemoryDisk, network: &Network, cfg: &NodeConfig) -> Arc<Node> {
+    let transport = network.transport(id, FolderId(id.0.into()));
+    let node = Node::builder(id, Box::new(store(disk)), transport)
+        .config(NodeConfig { seed: id.0, ..cfg.clone() })
+        .group(GROUP, Box::<Journal>::default())
+        .start()
+        .await
+        .expect("started");
+    let node = Arc::new(node);
+    network.connect(&node);
+    node
+}
+
+/// Starts the only replica of a group and waits until it leads.
+async fn start_single(cfg: &NodeConfig) -> (MemoryDisk, Arc<Node>, GroupHandle) {
+    let disk = new_disk(&[ID]).await;
+    let node = start(ID, &disk, &Network::default(), cfg).await;
+    let group = node.group(GROUP).expect("group");
+    group.watch().wait_for(|v| v.role == Role::Leader && v.lease).await.expect("leads");
+    (disk, node, group)
+}
+
+#[tokio::test(start_paused = true)]
+async fn failed_sync_stops_the_node() {
+    let (disk, node, group) = start_single(&NodeConfig::default()).await;
+    assert_eq!(group.propose(Bytes::from("a")).await, Ok(Bytes::from("1")));
+    disk.fail_next_sync();
+    assert_eq!(group.propose(Bytes::from("b")).await, Err(ProposeError::Unknown));
+    assert!(matches!(node.failed().await, NodeError::Store(_)));
+    assert_eq!(group.propose(Bytes::from("c")).await, Err(ProposeError::Stopped));
+    assert_eq!(group.read_barrier().await, Err(ReadError::Stopped));
+    assert_eq!(group.status().await, None);
+    node.shutdown().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_acknowledged_before_it_is_synced() {
+    let (disk, node, group) = start_single(&NodeConfig::default()).await;
+    disk.hold(true);
+    let proposal = tokio::spawn({
+        let group = group.clone();
+        async move { group.propose(Bytes::from("a")).await }
+    });
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    assert!(!proposal.is_finished());
+    assert_eq!(group.query(|j: &Journal| j.0.len()).await, Ok(0));
+    disk.hold(false);
+    assert_eq!(proposal.await.expect("no panic"), Ok(Bytes::from("1")));
+    node.shutdown().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn proposals_beyond_the_limit_are_refused() {
+    let cfg = NodeConfig { max_proposals: 2, ..NodeConfig::default() };
+    let (disk, _node, group) = start_single(&cfg).await;
+    disk.hold(true);
+    let open = |data: &'static str| {
+        let group = group.clone();
+        tokio::spawn(async move { group.propose(Bytes::from(data)).await })
+    };
+    let first = [open("a"), open("b")];
+    tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    assert_eq!(group.propose(Bytes::from("c")).await, Err(ProposeError::Overloaded));
+    disk.hold(false);
+    for proposal in first {
+        proposal.await.expect("no panic").expect("committed");
+    }
+    assert_eq!(group.propose(Bytes::from("d")).await, Ok(Bytes::from("3")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn follower_names_the_leader() {
+    let voters = [1, 2, 3].map(ReplicaId);
+    let network = Network::default();
+    let mut nodes = Vec::new();
+    for id in voters {
+        let disk = new_disk(&voters).await;
+        nodes.push(start(id, &disk, &network, &NodeConfig::default()).await);
+    }
+    let groups: Vec<_> = nodes.iter().map(|n| n.group(GROUP).expect("group")).collect();
+    for group in &groups {
+        group.watch().wait_for(|v| v.leader.is_some()).await.expect("running");
+    }
+    let leader = groups[0].watch().borrow().leader;
+    let follower = groups.iter().find(|g| g.watch().borrow().role == Role::Follower);
+    let follower = follower.expect("follower");
+    let not_leader = ProposeError::NotLeader { leader };
+    assert_eq!(follower.propose(Bytes::new()).await, Err(not_leader));
+    assert_eq!(follower.read_barrier().await, Err(ReadError::NotLeader { leader }));
+    assert_eq!(follower.add_learner(ReplicaId(9)).await, Err(not_leader));
+}
+
+#[tokio::test(start_paused = true)]
+async fn isolated_leader_gives_up_and_settles_its_proposals() {
+    let voters = [1, 2, 3].map(ReplicaId);
+    let network = Network::default();
+    let mut nodes = Vec::new();
+    for id in voters {
+        let disk = new_disk(&voters).await;
+        nodes.push(start(id, &disk, &network, &NodeConfig::default()).await);
+    }
+    let group = |id: ReplicaId| {
+        let node = nodes.iter().find(|n| n.replica() == id).expect("node");
+        node.group(GROUP).expect("group")
+    };
+    let mut view = group(voters[0]).watch();
+    let old = view.wait_for(|v| v.leader.is_some()).await.expect("running").leader.expect("leader");
+    let mut view = group(old).watch();
+    view.wait_for(|v| v.lease).await.expect("running");
+    network.isolate(old, true);
+    assert_eq!(group(old).propose(Bytes::from("lost")).await, Err(ProposeError::Unknown));
+    assert!(!view.wait_for(|v| v.role != Role::Leader).await.expect("running").lease);
+    let other = voters.into_iter().find(|id| *id != old).expect("other");
+    let mut view = group(other).watch();
+    let elected = view.wait_for(|v| v.leader.is_some_and(|id| id != old)).await;
+    let new = elected.expect("running").leader.expect("leader");
+    assert_eq!(group(new).propose(Bytes::from("kept")).await, Ok(Bytes::from("1")));
+    network.isolate(old, false);
+    let mut view = group(old).watch();
+    view.wait_for(|v| v.leader == Some(new)).await.expect("running");
+    assert_eq!(group(new).query(|j: &Journal| j.0.clone()).await, Ok(vec![Bytes::from("kept")]));
+}
+
+struct Other;
+
+impl StateMachine for Other {
+    fn apply(&mut self, _: u64, _: &[u8]) -> Bytes {
+        panic!("the state machine is at fault")
+    }
+
+    fn snapshot(&self) -> Bytes {
+        Bytes::new()
+    }
+
+    fn restore(&mut self, _: &[u8]) -> anyhow::Result<()> {
+        anyhow::bail!("unknown encoding")
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn panic_of_a_state_machine_leaves_the_outcome_unknown() {
+    let disk = new_disk(&[ID]).await;
+    let transport = Network::default().transport(ID, FolderId(1));
+    let builder = Node::builder(ID, Box::new(store(&disk)), transport);
+    let node = builder.group(GROUP, Box::new(Other)).start().await.expect("started");
+    let group = node.group(GROUP).expect("group");
+    group.watch().wait_for(|v| v.lease).await.expect("leads");
+    assert_eq!(group.query(|_: &Journal| ()).await, Err(ReadError::WrongType));
+    assert_eq!(group.propose(Bytes::new()).await, Err(ProposeError::Unknown));
+}
+
+#[tokio::test(start_paused = true)]
+async fn unreadable_snapshot_is_reported_at_start() {
+    let cfg = NodeConfig { snapshot_entries: 5, ..NodeConfig::default() };
+    let (disk, node, group) = start_single(&cfg).await;
+    for _ in 0..10 {
+        group.propose(Bytes::from("a")).await.expect("committed");
+    }
+    while group.status().await.expect("running").core.snapshot.index == 0 {
+        tokio::time::sleep(cfg.tick).await;
+    }
+    node.shutdown().await;
+    let transport = Network::default().transport(ID, FolderId(1));
+    let builder = Node::builder(ID, Box::new(store(&disk)), transport);
+    let result = builder.group(GROUP, Box::new(Other)).start().await;
+    assert!(matches!(result.map(|_| ()), Err(NodeError::Restore { group: GROUP, .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn used_store_gets_no_first_voters() {
+    let disk = new_disk(&[ID]).await;
+    let result = init_voters(&store(&disk), &[GroupId(7)], &[ID]).await;
+    assert!(matches!(result, Err(InitError::NotEmpty)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn snapshots_wait_until_the_log_has_grown_by_the_last_one() {
+    let cfg = NodeConfig { snapshot_entries: 1, ..NodeConfig::default() };
+    let (disk, node, group) = start_single(&cfg).await;
+    for i in 0..1000 {
+        group.propose(Bytes::from(format!("{i:0100}"))).await.expect("committed");
+    }
+    node.shutdown().await;
+    let store = store(&disk);
+    let loaded = poplarspan_agreement::Storage::load(&store).await.expect("loaded");
+    let size = loaded[0].1.snapshot.as_ref().expect("snapshot").data.len();
+    // The state grows as fast as the log, so that each snapshot is twice as large as the last one.
+    assert!(size >= 1000 * 101 / 4, "{size}");
+    assert!(loaded[0].1.entries.len() < 750, "{}", loaded[0].1.entries.len());
+}
--- a/crates/proto/src/gen/poplarspan.agreement.v1.rs
+++ b/crates/proto/src/gen/poplarspan.agreement.v1.rs
@@ -111,3 +111,129 @@
     #[prost(message, repeated, tag = "1")]
     pub peers: ::prost::alloc::vec::Vec<Identity>,
 }
+/// A message from one replica of a group to another.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PeerMessage {
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(
+        oneof = "peer_message::Message",
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
+    pub message: ::core::option::Option<peer_message::Message>,
+}
+/// Nested message and enum types in `PeerMessage`.
+pub mod peer_message {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Message {
+        #[prost(message, tag = "3")]
+        PreVote(super::PreVote),
+        #[prost(message, tag = "4")]
+        PreVoteAnswer(super::VoteAnswer),
+        #[prost(message, tag = "5")]
+        Vote(super::Vote),
+        #[prost(message, tag = "6")]
+        VoteAnswer(super::VoteAnswer),
+        #[prost(message, tag = "7")]
+        Append(super::Append),
+        #[prost(message, tag = "8")]
+        AppendAnswer(super::AppendAnswer),
+        #[prost(message, tag = "9")]
+        Heartbeat(super::Heartbeat),
+        #[prost(message, tag = "10")]
+        HeartbeatAnswer(super::HeartbeatAnswer),
+        #[prost(message, tag = "11")]
+        SnapshotChunk(super::SnapshotChunk),
+        #[prost(message, tag = "12")]
+        SnapshotAnswer(super::SnapshotAnswer),
+        #[prost(message, tag = "13")]
+        TimeoutNow(super::TimeoutNow),
+    }
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PreVote {
+    #[prost(message, optional, tag = "1")]
+    pub last: ::core::option::Option<LogPosition>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Vote {
+    #[prost(message, optional, tag = "1")]
+    pub last: ::core::option::Option<LogPosition>,
+    /// The leader asked the sender to campaign.
+    #[prost(bool, tag = "2")]
+    pub transfer: bool,
+}
+/// Answers a vote or a pre-vote.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VoteAnswer {
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Append {
+    #[prost(message, optional, tag = "1")]
+    pub previous: ::core::option::Option<LogPosition>,
+    #[prost(message, repeated, tag = "2")]
+    pub entries: ::prost::alloc::vec::Vec<Entry>,
+    #[prost(uint64, tag = "3")]
+    pub commit: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AppendAnswer {
+    #[prost(oneof = "append_answer::Result", tags = "1, 2")]
+    pub result: ::core::option::Option<append_answer::Result>,
+}
+/// Nested message and enum types in `AppendAnswer`.
+pub mod append_answer {
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Result {
+        /// Index up to which the logs match.
+        #[prost(uint64, tag = "1")]
+        Matched(u64),
+        #[prost(message, tag = "2")]
+        Mismatch(super::Mismatch),
+    }
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Mismatch {
+    #[prost(uint64, tag = "1")]
+    pub rejected: u64,
+    #[prost(message, optional, tag = "2")]
+    pub hint: ::core::option::Option<LogPosition>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Heartbeat {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(uint64, tag = "2")]
+    pub commit: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeartbeatAnswer {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SnapshotChunk {
+    #[prost(message, optional, tag = "1")]
+    pub last: ::core::option::Option<LogPosition>,
+    #[prost(message, optional, tag = "2")]
+    pub membership: ::core::option::Option<Membership>,
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub data: ::prost::bytes::Bytes,
+    #[prost(bool, tag = "5")]
+    pub done: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SnapshotAnswer {
+    #[prost(message, optional, tag = "1")]
+    pub last: ::core::option::Option<LogPosition>,
+    #[prost(uint64, tag = "2")]
+    pub received: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TimeoutNow {}
