--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,10 +9,18 @@
 //! * [`rate`]: rate limits of teams, counted over all instances.
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 //! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
+//! * [`ramp`]: load of endpoints that have just started.
+//! * [`retry`]: budget for retries.
+//! * [`containment`]: requests that crash the endpoints that run them.
+//! * [`placement`]: models on endpoints.
 
 mod check;
+pub mod containment;
 pub mod fair;
+pub mod placement;
+pub mod ramp;
 pub mod rate;
+pub mod retry;
 pub mod route;
 
 use std::sync::Arc;
