--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -6,7 +6,7 @@
 use poplarspan_objects::{ObjectSet, Secret, Source, generate_secret};
 use poplarspan_proto::peer::{self, request, response};
 use poplarspan_server::{
-    Credentials, Instance, InstanceConfig, Limits, PeerClient, Running, TlsFiles,
+    Credentials, Instance, InstanceConfig, Limits, PeerClient, Running, TlsFiles, init_data_folder,
 };
 use poplarspan_standin::{Engine, EngineConfig, Service};
 use tokio::net::TcpListener;
@@ -85,7 +85,7 @@
 
 async fn start_instance(folder: &Path, tls: &TlsFiles, entry: SocketAddr) -> Result<Running> {
     let data_dir = folder.join("data");
-    std::fs::create_dir(&data_dir)?;
+    init_data_folder(&data_dir, 1, &[1]).await?;
     let cfg = InstanceConfig {
         name: "dev".into(),
         zone: "zone-1".into(),
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -23,7 +23,7 @@
         Command::Publish(flags) => on_runtime(operator::publish(flags)),
         Command::Get(flags) => on_runtime(operator::get(flags)),
         Command::Status(flags) => on_runtime(operator::status(flags)),
-        Command::Init(flags) => serve::init(&flags),
+        Command::Init(flags) => on_runtime(serve::init(flags)),
         Command::ReplaceVoter(flags) => on_runtime(operator::replace_voter(flags)),
         Command::Keygen => files::keygen(),
         Command::Certs(flags) => certs::run(&flags),
--- a/crates/core/commands/serve.rs
+++ b/crates/core/commands/serve.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use anyhow::{Result, bail};
-use poplarspan_server::{Instance, InstanceConfig, Running};
+use anyhow::{Context, Result};
+use poplarspan_server::{Instance, InstanceConfig, Running, init_data_folder};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::flags::{InitFlags, ServeFlags};
@@ -35,12 +35,15 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        e = running.failed() => return Err(e).context("the replicated log has failed"),
     }
     let cut = running.shutdown().await?;
     Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 /// `init`
-pub(crate) fn init(_flags: &InitFlags) -> Result<ExitCode> {
-    bail!("data folders are not built yet")
+pub(crate) async fn init(flags: InitFlags) -> Result<ExitCode> {
+    init_data_folder(&flags.data_dir, flags.replica, &flags.voters).await?;
+    println!("made data folder {} for replica {}", flags.data_dir.display(), flags.replica);
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/ledger/tests/publishing.rs
+++ b/crates/ledger/tests/publishing.rs
@@ -28,6 +28,7 @@
         request_id: id.into(),
         operator: operator.into(),
         changes: changes.to_vec(),
+        content_digest: Default::default(),
     })
 }
 
@@ -64,6 +65,22 @@
     assert_eq!((c.generation(), c.object("team", "x").map(|b| &b[..])), (2, Some(&b"2"[..])));
 }
 
+/// The changes of a resend are computed against a later generation and differ from the first ones.
+#[test]
+fn resend_is_known_by_its_content() {
+    let mut c = Catalog::new();
+    let with_digest =
+        |digest: &'static [u8], changes: &[ObjectChange]| match publish(0, "a", "ann", changes) {
+            Command::Publish(p) => Command::Publish(Publish { content_digest: digest.into(), ..p }),
+            other => other,
+        };
+    let first = with_digest(b"one", &[set("x", "1")]);
+    assert_eq!(apply(&mut c, 1, first), published(1));
+    assert_eq!(apply(&mut c, 2, with_digest(b"one", &[])), published(1));
+    let mismatch = Answer::RequestMismatch(RequestMismatch {});
+    assert_eq!(apply(&mut c, 3, with_digest(b"two", &[])), mismatch);
+}
+
 #[test]
 fn results_are_kept_by_number_and_age() {
     let mut c = Catalog::new();
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -2,7 +2,7 @@
 /// A call from an instance or an operator to an instance. One bidirectional stream each.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Request {
-    #[prost(oneof = "request::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "request::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: ::core::option::Option<request::Body>,
 }
 /// Nested message and enum types in `Request`.
@@ -27,11 +27,15 @@
         Leave(super::Leave),
         #[prost(message, tag = "9")]
         Peers(super::PeersRequest),
+        #[prost(message, tag = "10")]
+        ChangeVoters(super::ChangeVoters),
+        #[prost(message, tag = "11")]
+        Crashes(super::CrashReports),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Response {
-    #[prost(oneof = "response::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "response::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: ::core::option::Option<response::Body>,
 }
 /// Nested message and enum types in `Response`.
@@ -49,7 +53,7 @@
         #[prost(message, tag = "5")]
         Status(super::StatusReply),
         #[prost(message, tag = "6")]
-        Rate(super::RateGrant),
+        Rate(super::RateAnswer),
         #[prost(message, tag = "7")]
         Ledger(super::LedgerReply),
         #[prost(message, tag = "8")]
@@ -58,6 +62,8 @@
         Left(super::Left),
         #[prost(message, tag = "10")]
         Peers(super::PeersReply),
+        #[prost(message, tag = "11")]
+        Crashes(super::CrashReports),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -81,7 +87,7 @@
     pub body: ::core::option::Option<::prost::bytes::Bytes>,
 }
 /// Sent by every instance to the leader of group 0.
-#[derive(Clone, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Heartbeat {
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
@@ -99,15 +105,19 @@
     /// Epoch of the view that the instance has in force.
     #[prost(uint64, tag = "6")]
     pub epoch: u64,
-    /// Requests that crashed endpoints, seen since the last heartbeat.
-    #[prost(message, repeated, tag = "7")]
-    pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
-    /// Crash reports up to this sequence number are known to the instance.
-    #[prost(uint64, tag = "8")]
-    pub crash_sequence: u64,
     /// The instance is shutting down: it serves its open calls and owns nothing new.
-    #[prost(bool, tag = "9")]
+    #[prost(bool, tag = "7")]
     pub draining: bool,
+    /// Number of the control replica that the instance runs, if any.
+    #[prost(uint64, optional, tag = "8")]
+    pub replica: ::core::option::Option<u64>,
+}
+/// Requests that crashed endpoints, from the instance that saw it; the answer repeats what the
+/// receiver has stored.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashReports {
+    #[prost(message, repeated, tag = "1")]
+    pub reports: ::prost::alloc::vec::Vec<CrashReport>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashReport {
@@ -115,6 +125,8 @@
     pub fingerprint: ::prost::bytes::Bytes,
     #[prost(string, tag = "2")]
     pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub at_ms: u64,
 }
 /// Counted by the instance from when it sent the heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -132,12 +144,8 @@
     /// Absent when the instance's epoch is current.
     #[prost(message, optional, tag = "5")]
     pub view: ::core::option::Option<View>,
-    #[prost(message, repeated, tag = "6")]
-    pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
-    #[prost(uint64, tag = "7")]
-    pub crash_sequence: u64,
     /// The leader expects that more changes follow: the instance should ask again at once.
-    #[prost(bool, tag = "8")]
+    #[prost(bool, tag = "6")]
     pub more: bool,
 }
 /// The live instances, as the leader of group 0 sees them.
@@ -264,30 +272,120 @@
     #[prost(uint32, tag = "4")]
     pub in_flight: u32,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// From an instance to the owner of a team's token bucket.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RateRequest {
     #[prost(string, tag = "1")]
-    pub instance: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
     pub team: ::prost::alloc::string::String,
+    #[prost(oneof = "rate_request::Body", tags = "2, 3")]
+    pub body: ::core::option::Option<rate_request::Body>,
+}
+/// Nested message and enum types in `RateRequest`.
+pub mod rate_request {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Body {
+        #[prost(message, tag = "2")]
+        Ask(super::RateAsk),
+        #[prost(message, tag = "3")]
+        Claim(super::RateClaim),
+    }
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RateAsk {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub instance: ::prost::alloc::string::String,
+    /// Calls that wait for a token.
     #[prost(uint32, tag = "3")]
-    pub wanted: u32,
-    /// Tokens of earlier grants that have been used since the last request.
+    pub waiting: u32,
+    /// Tokens wanted for calls expected soon.
     #[prost(uint32, tag = "4")]
+    pub spare: u32,
+    #[prost(message, repeated, tag = "5")]
+    pub reports: ::prost::alloc::vec::Vec<RateReport>,
+}
+/// What became of a grant so far; cumulative.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateReport {
+    #[prost(uint64, tag = "1")]
+    pub session: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(uint32, tag = "3")]
     pub used: u32,
-    #[prost(uint64, tag = "5")]
+    #[prost(uint32, tag = "4")]
+    pub returned: u32,
+}
+/// A new owner asks the former one for a bucket.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateClaim {
+    #[prost(string, tag = "1")]
+    pub to: ::prost::alloc::string::String,
+    /// Session of the new owner.
+    #[prost(uint64, tag = "2")]
+    pub session: u64,
+    #[prost(uint64, tag = "3")]
     pub epoch: u64,
 }
+/// The state of a bucket. The sender grants no more.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateTransfer {
+    #[prost(uint64, tag = "1")]
+    pub level_nano: u64,
+    #[prost(uint32, tag = "2")]
+    pub outstanding: u32,
+    #[prost(uint64, tag = "3")]
+    pub valid_for_us: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateAnswer {
+    #[prost(oneof = "rate_answer::Body", tags = "1, 2, 3, 4, 5")]
+    pub body: ::core::option::Option<rate_answer::Body>,
+}
+/// Nested message and enum types in `RateAnswer`.
+pub mod rate_answer {
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Body {
+        #[prost(message, tag = "1")]
+        Grant(super::RateGrant),
+        #[prost(message, tag = "2")]
+        NotOwner(super::RateNotOwner),
+        #[prost(message, tag = "3")]
+        Starting(super::RateStarting),
+        #[prost(message, tag = "4")]
+        Transfer(super::RateTransfer),
+        #[prost(message, tag = "5")]
+        Kept(super::RateKept),
+    }
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RateGrant {
-    #[prost(uint32, tag = "1")]
-    pub tokens: u32,
+    #[prost(uint64, tag = "1")]
+    pub session: u64,
     #[prost(uint64, tag = "2")]
-    pub valid_for_ms: u64,
-    /// When `tokens` is less than wanted: earliest time at which more can be had.
-    #[prost(uint64, tag = "3")]
-    pub retry_after_ms: u64,
+    pub number: u64,
+    #[prost(uint32, tag = "3")]
+    pub tokens: u32,
+    #[prost(uint64, tag = "4")]
+    pub valid_for_us: u64,
+    #[prost(uint64, tag = "5")]
+    pub retry_after_us: u64,
+    #[prost(uint32, tag = "6")]
+    pub backlog: u32,
 }
+/// The asked instance does not own the bucket in its view.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateNotOwner {}
+/// Grants of a former owner may still be valid.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateStarting {
+    #[prost(uint64, tag = "1")]
+    pub retry_after_us: u64,
+}
+/// The asked instance has no bucket to hand over; the new owner waits instead.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateKept {}
 /// A command or query for the program group that `team` and `program` map to.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LedgerCall {
@@ -345,23 +443,26 @@
     #[prost(string, tag = "2")]
     pub address: ::prost::alloc::string::String,
 }
-/// A batch of messages of the replicated log, one way, on the agreement stream.
-#[derive(Clone, PartialEq, ::prost::Message)]
+/// A batch of messages of the replicated log, one way, on the stream of one group.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AgreementBatch {
     #[prost(uint64, tag = "1")]
     pub from: u64,
     /// Identity of the sender's data folder.
     #[prost(bytes = "bytes", tag = "2")]
     pub folder: ::prost::bytes::Bytes,
-    #[prost(message, repeated, tag = "3")]
-    pub messages: ::prost::alloc::vec::Vec<GroupMessage>,
+    #[prost(bytes = "bytes", repeated, tag = "3")]
+    pub messages: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct GroupMessage {
+/// Asks the leader of a group to replace a voter. Sent by the leader of group 0.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ChangeVoters {
     #[prost(uint32, tag = "1")]
     pub group: u32,
-    #[prost(bytes = "bytes", tag = "2")]
-    pub message: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "2")]
+    pub old: u64,
+    #[prost(uint64, tag = "3")]
+    pub new: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/server/src/admission/mod.rs
+++ b/crates/server/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Holds each team to its rate and burst over the whole fleet.
 
-mod local;
+mod fleet;
+mod wire;
 
 use futures::future::BoxFuture;
 use poplarspan_objects::Name;
@@ -9,12 +10,12 @@
 
 use crate::entry::Refusal;
 
-pub(crate) use local::LocalAdmission;
+pub(crate) use fleet::FleetAdmission;
 
 /// Answers other instances that ask for tokens of teams that this instance owns.
 pub(crate) trait RateOwner: Send + Sync {
     /// Grants tokens, or says when to ask again.
-    fn request(&self, request: peer::RateRequest) -> Result<peer::RateGrant, peer::Failure>;
+    fn request(&self, request: peer::RateRequest) -> Result<peer::RateAnswer, peer::Failure>;
 }
 
 /// Lets a call in once its team has a token for it.
--- /dev/null
+++ b/crates/server/src/admission/wire.rs
@@ -0,0 +1,91 @@
+//! Conversion of rate messages at the peer port.
+
+use std::time::Duration;
+
+use poplarspan_objects::Name;
+use poplarspan_policy::rate::{Ask, Claim, Grant, GrantId, Report, Transfer};
+use poplarspan_proto::peer;
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+pub(super) fn write_ask(ask: &Ask) -> peer::RateAsk {
+    let report = |r: &Report| peer::RateReport {
+        session: r.grant.session,
+        number: r.grant.number,
+        used: r.used,
+        returned: r.returned,
+    };
+    peer::RateAsk {
+        id: ask.id,
+        instance: ask.instance.to_string(),
+        waiting: ask.waiting,
+        spare: ask.spare,
+        reports: ask.reports.iter().map(report).collect(),
+    }
+}
+
+pub(super) fn read_ask(ask: peer::RateAsk) -> Ask {
+    let report = |r: peer::RateReport| Report {
+        grant: GrantId { session: r.session, number: r.number },
+        used: r.used,
+        returned: r.returned,
+    };
+    Ask {
+        id: ask.id,
+        instance: ask.instance.into(),
+        waiting: ask.waiting,
+        spare: ask.spare,
+        reports: ask.reports.into_iter().map(report).collect(),
+    }
+}
+
+pub(super) fn write_grant(grant: &Grant) -> peer::RateGrant {
+    peer::RateGrant {
+        session: grant.id.session,
+        number: grant.id.number,
+        tokens: grant.tokens,
+        // Rounded down: the asker must not count longer than the owner.
+        valid_for_us: micros(grant.valid_for),
+        retry_after_us: micros(grant.retry_after),
+        backlog: grant.backlog,
+    }
+}
+
+pub(super) fn read_grant(grant: &peer::RateGrant) -> Grant {
+    Grant {
+        id: GrantId { session: grant.session, number: grant.number },
+        tokens: grant.tokens,
+        valid_for: Duration::from_micros(grant.valid_for_us),
+        retry_after: Duration::from_micros(grant.retry_after_us),
+        backlog: grant.backlog,
+    }
+}
+
+pub(super) fn write_claim(claim: &Claim) -> peer::RateClaim {
+    peer::RateClaim { to: claim.to.to_string(), session: claim.session, epoch: claim.epoch }
+}
+
+pub(super) fn read_claim(team: &Name, claim: peer::RateClaim) -> Claim {
+    let (session, epoch) = (claim.session, claim.epoch);
+    Claim { team: team.clone(), to: claim.to.into(), session, epoch }
+}
+
+pub(super) fn write_transfer(transfer: &Transfer) -> peer::RateTransfer {
+    peer::RateTransfer {
+        level_nano: transfer.level_nano,
+        outstanding: transfer.outstanding,
+        // Rounded up: the new owner must count at least as long as the former one.
+        valid_for_us: micros(transfer.valid_for).saturating_add(1),
+    }
+}
+
+pub(super) fn read_transfer(claim: Claim, transfer: &peer::RateTransfer) -> Transfer {
+    Transfer {
+        claim,
+        level_nano: transfer.level_nano,
+        outstanding: transfer.outstanding,
+        valid_for: Duration::from_micros(transfer.valid_for_us),
+    }
+}
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -6,15 +6,17 @@
 
 mod group;
 mod leases;
-mod local;
+mod node;
 mod orders;
 mod publish;
+mod replicas;
 mod service;
+mod start;
 mod status;
 mod sweep;
+mod voters;
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -31,9 +33,12 @@
 use crate::membership::read_change;
 pub(crate) use group::{Group, ProposeError};
 use leases::Leases;
-pub(crate) use local::LocalGroup;
+pub(crate) use node::{LogGroup, NodeSink, Shared};
 pub(crate) use orders::ReleaseOrders;
+pub(crate) use replicas::Replicas;
 pub(crate) use service::Service;
+pub use start::init_data_folder;
+pub(crate) use start::{PROGRAM_GROUPS, Started, start};
 pub(crate) use sweep::Sweeper;
 
 /// One program group: its log and the state that the log builds.
@@ -49,8 +54,7 @@
     /// Program group `g` stands at index `g - 1`.
     pub(crate) programs: Vec<ProgramGroup>,
     pub(crate) leases: Mutex<Leases>,
-    /// Peer addresses of the control replicas, sorted by replica number.
-    pub(crate) replicas: Mutex<Vec<(u64, SocketAddr)>>,
+    pub(crate) replicas: Arc<Replicas>,
     /// Checked form of the catalog's current set.
     checked: Mutex<Option<(u64, Arc<ObjectSet>)>>,
 }
@@ -60,14 +64,14 @@
         catalog_log: Arc<dyn Group>,
         catalog: Arc<Mutex<Catalog>>,
         programs: Vec<ProgramGroup>,
-        replicas: Vec<(u64, SocketAddr)>,
+        replicas: Arc<Replicas>,
     ) -> Self {
         Self {
             catalog_log,
             catalog,
             programs,
             leases: Mutex::default(),
-            replicas: Mutex::new(replicas),
+            replicas,
             checked: Mutex::default(),
         }
     }
@@ -88,7 +92,7 @@
 
     /// The answer to a call that only the leader of `log` can carry out.
     pub(crate) fn not_leader(&self, log: &dyn Group) -> peer::Failure {
-        let address = log.leadership().leader.and_then(|replica| self.address_of(replica));
+        let address = log.leadership().leader.and_then(|replica| self.replicas.address(replica));
         peer::Failure {
             code: FailureCode::NotLeader.into(),
             message: "this replica does not lead the group".to_owned(),
@@ -96,12 +100,6 @@
         }
     }
 
-    fn address_of(&self, replica: u64) -> Option<SocketAddr> {
-        let replicas = self.replicas.lock().expect("no panic while locked");
-        let i = replicas.binary_search_by_key(&replica, |(r, _)| *r).ok()?;
-        Some(replicas[i].1)
-    }
-
     /// Commits a command of group 0.
     pub(crate) async fn commit(
         &self,
@@ -121,6 +119,7 @@
         match error {
             ProposeError::NotLeader => self.not_leader(log),
             ProposeError::Unknown(cause) => failed(FailureCode::UnknownOutcome, &cause),
+            ProposeError::Refused(cause) => failed(FailureCode::Unavailable, &cause),
             ProposeError::Stopped => failed(FailureCode::Unavailable, "the replica is stopping"),
         }
     }
--- /dev/null
+++ b/crates/server/src/control/node.rs
@@ -0,0 +1,145 @@
+//! Ties the replicated log to control duties and to the peer port.
+
+use std::sync::{Arc, Mutex};
+
+use anyhow::Result;
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use poplarspan_agreement::{
+    FolderId, GroupHandle, Node, PeerMessage, ProposeError as LogError, ReadError, ReplicaId, Role,
+    StateMachine,
+};
+use poplarspan_ledger::{Catalog, Ledger};
+use poplarspan_proto::peer::AgreementBatch;
+
+use super::group::{Group, Leadership, ProposeError, ReplicaState, VoterStep};
+use crate::peer::AgreementSink;
+
+/// One group of the replicated log, as control duties see it.
+pub(crate) struct LogGroup {
+    handle: GroupHandle,
+}
+
+impl LogGroup {
+    pub(crate) fn new(handle: GroupHandle) -> Self {
+        Self { handle }
+    }
+}
+
+fn propose_error(error: LogError) -> ProposeError {
+    match error {
+        LogError::NotLeader { .. } => ProposeError::NotLeader,
+        LogError::Unknown => ProposeError::Unknown("the leader has changed".to_owned()),
+        LogError::Stopped => ProposeError::Stopped,
+        LogError::Overloaded | LogError::Refused(_) => ProposeError::Refused(error.to_string()),
+    }
+}
+
+impl Group for LogGroup {
+    fn propose(&self, command: Bytes) -> BoxFuture<'_, Result<Bytes, ProposeError>> {
+        Box::pin(async move { self.handle.propose(command).await.map_err(propose_error) })
+    }
+
+    fn read_barrier(&self) -> BoxFuture<'_, Result<(), ProposeError>> {
+        Box::pin(async move {
+            self.handle.read_barrier().await.map_err(|e| match e {
+                ReadError::Stopped => ProposeError::Stopped,
+                ReadError::NotLeader { .. } | ReadError::WrongType => ProposeError::NotLeader,
+            })
+        })
+    }
+
+    fn leadership(&self) -> Leadership {
+        let view = *self.handle.watch().borrow();
+        Leadership {
+            is_leader: view.role == Role::Leader,
+            lease_valid: view.lease,
+            leader: view.leader.map(|r| r.0),
+            term: view.term,
+        }
+    }
+
+    fn change_voters(&self, step: VoterStep) -> BoxFuture<'_, Result<(), ProposeError>> {
+        Box::pin(async move {
+            let changed = match step {
+                VoterStep::AddLearner(id) => self.handle.add_learner(ReplicaId(id)).await,
+                VoterStep::Promote(id) => self.handle.promote(ReplicaId(id)).await,
+                VoterStep::Remove(id) => self.handle.remove_voter(ReplicaId(id)).await,
+            };
+            changed.map_err(propose_error)
+        })
+    }
+
+    fn replicas(&self) -> BoxFuture<'_, Vec<ReplicaState>> {
+        Box::pin(async move {
+            let Some(status) = self.handle.status().await else { return Vec::new() };
+            let core = status.core;
+            let state = |id: &ReplicaId, voter: bool| ReplicaState {
+                replica: id.0,
+                voter,
+                commit_index: core.commit,
+            };
+            let voters = core.membership.voters.iter().map(|id| state(id, true));
+            let learners = core.membership.learners.iter().map(|id| state(id, false));
+            voters.chain(learners).collect()
+        })
+    }
+}
+
+/// A state machine that the log writes and that readers may look at.
+pub(crate) struct Shared<T>(pub(crate) Arc<Mutex<T>>);
+
+impl StateMachine for Shared<Catalog> {
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        self.0.lock().expect("no panic while locked").apply(index, data)
+    }
+
+    fn snapshot(&self) -> Bytes {
+        self.0.lock().expect("no panic while locked").snapshot()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
+        Ok(self.0.lock().expect("no panic while locked").restore(snapshot)?)
+    }
+}
+
+impl StateMachine for Shared<Ledger> {
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        self.0.lock().expect("no panic while locked").apply(index, data)
+    }
+
+    fn snapshot(&self) -> Bytes {
+        self.0.lock().expect("no panic while locked").snapshot()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
+        Ok(self.0.lock().expect("no panic while locked").restore(snapshot)?)
+    }
+}
+
+/// Hands messages that arrive at the peer port to the node.
+pub(crate) struct NodeSink {
+    node: Arc<Node>,
+}
+
+impl NodeSink {
+    pub(crate) fn new(node: Arc<Node>) -> Arc<Self> {
+        Arc::new(Self { node })
+    }
+}
+
+impl AgreementSink for NodeSink {
+    fn deliver(&self, batch: AgreementBatch) {
+        let Ok(folder) = <[u8; 16]>::try_from(&batch.folder[..]) else { return };
+        let folder = FolderId(u128::from_be_bytes(folder));
+        for message in batch.messages {
+            match PeerMessage::decode(message) {
+                Ok(message) => self.node.deliver(ReplicaId(batch.from), folder, message),
+                Err(e) => {
+                    let (from, error) = (batch.from, e.to_string());
+                    log::warn!(from, error = error.as_str(); "malformed message of a replica");
+                }
+            }
+        }
+    }
+}
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -15,14 +15,17 @@
 use super::{Control, failed, now_ms};
 use crate::{
     admission::RateOwner,
+    crashes::Crashes,
     membership::Directory,
-    peer::{PeerService, Role},
+    peer::{PeerClient, PeerService, Role},
 };
 
 /// What an instance answers on its peer port; only control replicas have `control`.
 pub(crate) struct Service {
     pub(crate) control: Option<Arc<Control>>,
     pub(crate) directory: Arc<Directory>,
+    pub(crate) client: PeerClient,
+    pub(crate) crashes: Arc<Crashes>,
     pub(crate) rate_owner: Arc<dyn RateOwner>,
 }
 
@@ -41,13 +44,23 @@
         body: request::Body,
     ) -> Result<response::Body, peer::Failure> {
         use request::Body;
-        let for_instances =
-            matches!(body, Body::Heartbeat(_) | Body::Rate(_) | Body::Ledger(_) | Body::Leave(_));
+        let for_instances = matches!(
+            body,
+            Body::Heartbeat(_)
+                | Body::Rate(_)
+                | Body::Ledger(_)
+                | Body::Leave(_)
+                | Body::ChangeVoters(_)
+                | Body::Crashes(_)
+        );
         if for_instances && role != Role::Instance {
             return Err(failed(FailureCode::Unauthorized, "only instances may ask for this"));
         }
         match body {
             Body::Peers(_) => return Ok(response::Body::Peers(self.peers())),
+            Body::Crashes(reports) => {
+                return Ok(response::Body::Crashes(self.crashes.receive(reports)));
+            }
             Body::Rate(rate) => return self.rate_owner.request(rate).map(response::Body::Rate),
             _ => {}
         }
@@ -61,16 +74,23 @@
                 control.objects(&get.operator_key).await.map(response::Body::Objects)
             }
             Body::Status(status) => {
-                control.status(&status.operator_key).map(response::Body::Status)
+                control.status(&status.operator_key).await.map(response::Body::Status)
             }
             Body::Ledger(call) => control.ledger(call).await.map(response::Body::Ledger),
             Body::Leave(leave) => {
                 control.leave(leave).await.map(|()| response::Body::Left(peer::Left {}))
             }
-            Body::ReplaceVoter(_) => {
-                Err(failed(FailureCode::Unavailable, "replacing a voter is not built yet"))
+            Body::ReplaceVoter(replace) => {
+                control.replace_voter(&self.client, replace).await?;
+                Ok(response::Body::VoterReplaced(peer::VoterReplaced {}))
+            }
+            Body::ChangeVoters(change) => {
+                control.change_voters(change).await?;
+                Ok(response::Body::VoterReplaced(peer::VoterReplaced {}))
+            }
+            Body::Peers(_) | Body::Rate(_) | Body::Crashes(_) => {
+                unreachable!("answered above")
             }
-            Body::Peers(_) | Body::Rate(_) => unreachable!("answered above"),
         }
     }
 
@@ -104,8 +124,9 @@
 
 impl Control {
     fn peers(&self) -> peer::PeersReply {
-        let replicas = self.replicas.lock().expect("no panic while locked");
-        let replicas = replicas
+        let replicas = self
+            .replicas
+            .list()
             .iter()
             .map(|(replica, address)| peer::Replica {
                 replica: *replica,
@@ -129,10 +150,10 @@
         let duration = granted
             .ok_or_else(|| failed(FailureCode::Fenced, "the instance is being declared gone"))?;
         let mut grant = self.grant_for(&hb);
-        // The leadership may have ended meanwhile; only a leader's grant counts.
-        if !self.leads() {
-            return Err(self.not_leader(&*self.catalog_log));
-        }
+        // Only a leader's grant counts. The process may have been suspended since the check above,
+        // so the leadership is checked against the clock after the grant was made.
+        let barrier = self.catalog_log.read_barrier().await;
+        barrier.map_err(|e| self.propose_failure(&*self.catalog_log, e))?;
         grant.duration_ms = duration.as_millis() as u64;
         Ok(grant)
     }
@@ -185,9 +206,12 @@
             incarnation: hb.incarnation,
             address: hb.peer_address.clone(),
             zone: hb.zone.clone(),
-            replica: None,
+            replica: hb.replica,
         };
         let known = self.catalog().view().instances;
+        if let (Some(replica), Ok(address)) = (hb.replica, hb.peer_address.parse()) {
+            self.replicas.learn(replica, address);
+        }
         let i = known.binary_search_by(|r| r.instance.cmp(&hb.instance));
         if i.is_ok_and(|i| known[i] == register) {
             return Ok(());
--- a/crates/server/src/control/status.rs
+++ b/crates/server/src/control/status.rs
@@ -1,24 +1,42 @@
 //! What operators see of the fleet.
 
 use poplarspan_objects::{ObjectSet, ZoneState};
-use poplarspan_proto::peer;
+use poplarspan_proto::{ledger::RegisterInstance, peer};
 use tokio::time::Instant;
 
 use super::Control;
 
 impl Control {
     /// Describes instances, replicas and endpoints, as the leader of group 0 sees them.
-    pub(crate) fn status(&self, key: &str) -> Result<peer::StatusReply, peer::Failure> {
+    pub(crate) async fn status(&self, key: &str) -> Result<peer::StatusReply, peer::Failure> {
         if !self.leads() {
             return Err(self.not_leader(&*self.catalog_log));
         }
         self.operator(key)?;
         let (generation, objects) = self.current_objects()?;
         let view = self.catalog().view();
+        let in_force = self.leases().in_force(generation);
+        // A replica that lost the leadership while it was suspended must not answer from its table.
+        let barrier = self.catalog_log.read_barrier().await;
+        barrier.map_err(|e| self.propose_failure(&*self.catalog_log, e))?;
+        let instances = self.instance_status(view.instances);
+        let replicas = self.replica_status(&instances).await;
+        Ok(peer::StatusReply {
+            leader: self.catalog_log.leadership().leader.map(|r| r.to_string()).unwrap_or_default(),
+            generation,
+            epoch: view.epoch,
+            in_force,
+            warnings: warnings(&replicas),
+            instances,
+            replicas,
+            endpoints: endpoints(&objects),
+        })
+    }
+
+    fn instance_status(&self, instances: Vec<RegisterInstance>) -> Vec<peer::InstanceStatus> {
         let leases = self.leases();
         let now = Instant::now();
-        let instances: Vec<_> = view
-            .instances
+        instances
             .into_iter()
             .map(|i| {
                 let lease = leases.get(&i.instance);
@@ -35,22 +53,11 @@
                     }),
                 }
             })
-            .collect();
-        let replicas = self.replica_status(&instances);
-        Ok(peer::StatusReply {
-            leader: self.catalog_log.leadership().leader.map(|r| r.to_string()).unwrap_or_default(),
-            generation,
-            epoch: view.epoch,
-            in_force: leases.in_force(generation),
-            warnings: warnings(&replicas),
-            instances,
-            replicas,
-            endpoints: endpoints(&objects),
-        })
+            .collect()
     }
 
-    fn replica_status(&self, instances: &[peer::InstanceStatus]) -> Vec<peer::ReplicaStatus> {
-        let addresses = self.replicas.lock().expect("no panic while locked").clone();
+    async fn replica_status(&self, instances: &[peer::InstanceStatus]) -> Vec<peer::ReplicaStatus> {
+        let addresses = self.replicas.list();
         let zone_of = |replica: u64| {
             let i = addresses.binary_search_by_key(&replica, |(r, _)| *r).ok()?;
             let address = addresses[i].1.to_string();
@@ -61,20 +68,20 @@
         let mut all = Vec::new();
         for (group, log) in logs.enumerate() {
             let leadership = log.leadership();
-            for (replica, voter) in log.replicas() {
-                let role = match (leadership.leader == Some(replica), voter) {
+            for state in log.replicas().await {
+                let role = match (leadership.leader == Some(state.replica), state.voter) {
                     (true, _) => "leader",
                     (false, true) => "follower",
                     (false, false) => "learner",
                 };
                 all.push(peer::ReplicaStatus {
-                    replica,
+                    replica: state.replica,
                     group: group as u32,
                     role: role.to_owned(),
-                    zone: zone_of(replica).unwrap_or_default(),
+                    zone: zone_of(state.replica).unwrap_or_default(),
                     term: leadership.term,
-                    commit_index: leadership.commit_index,
-                    voter,
+                    commit_index: state.commit_index,
+                    voter: state.voter,
                 });
             }
         }
--- /dev/null
+++ b/crates/server/src/control/voters.rs
@@ -0,0 +1,109 @@
+//! Replacement of a control replica whose disk is lost.
+
+use std::{net::SocketAddr, time::Duration};
+
+use poplarspan_proto::peer::{self, FailureCode, request, response};
+use tokio::time::{Instant, sleep};
+
+use super::{Control, Group, ProposeError, failed, group::VoterStep};
+use crate::peer::{CallError, PeerClient};
+
+const STEP_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which the new replica must have caught up with a group.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(60);
+const CALL_TIMEOUT: Duration = Duration::from_secs(65);
+
+impl Control {
+    /// Replaces a voter in every group. May be repeated after a lost answer: steps that are done
+    /// already are passed over.
+    pub(crate) async fn replace_voter(
+        &self,
+        client: &PeerClient,
+        request: peer::ReplaceVoter,
+    ) -> Result<(), peer::Failure> {
+        if !self.leads() {
+            return Err(self.not_leader(&*self.catalog_log));
+        }
+        self.operator(&request.operator_key)?;
+        let address: SocketAddr = request
+            .new_address
+            .parse()
+            .map_err(|_| failed(FailureCode::Invalid, "the address of the new replica"))?;
+        self.replicas.learn(request.new, address);
+        self.replace_in(&*self.catalog_log, request.old, request.new).await?;
+        for group in 1..=self.programs.len() as u32 {
+            let change = peer::ChangeVoters { group, old: request.old, new: request.new };
+            self.replace_remote(client, change).await?;
+        }
+        log::info!(old = request.old, new = request.new; "voter replaced in all groups");
+        Ok(())
+    }
+
+    /// Replaces a voter in a program group, here or at the replica that leads it.
+    async fn replace_remote(
+        &self,
+        client: &PeerClient,
+        change: peer::ChangeVoters,
+    ) -> Result<(), peer::Failure> {
+        let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+        loop {
+            let failure = match self.change_voters(change).await {
+                Ok(()) => return Ok(()),
+                Err(failure) => failure,
+            };
+            if failure.code() != FailureCode::NotLeader || Instant::now() > deadline {
+                return Err(failure);
+            }
+            if let Ok(leader) = failure.leader_address.parse() {
+                let body = request::Body::ChangeVoters(change);
+                match client.call(leader, body, CALL_TIMEOUT).await {
+                    Ok(response::Body::VoterReplaced(_)) => return Ok(()),
+                    Err(CallError::Failed(f)) if f.code() != FailureCode::NotLeader => {
+                        return Err(f);
+                    }
+                    Ok(_) | Err(_) => {}
+                }
+            }
+            sleep(STEP_PAUSE).await;
+        }
+    }
+
+    /// Replaces a voter in a program group that this replica leads.
+    pub(crate) async fn change_voters(
+        &self,
+        change: peer::ChangeVoters,
+    ) -> Result<(), peer::Failure> {
+        let group = (change.group as usize).checked_sub(1).and_then(|i| self.programs.get(i));
+        let group = group.ok_or_else(|| failed(FailureCode::Invalid, "no such program group"))?;
+        self.replace_in(&*group.log, change.old, change.new).await
+    }
+
+    async fn replace_in(&self, log: &dyn Group, old: u64, new: u64) -> Result<(), peer::Failure> {
+        let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+        loop {
+            let Some(step) = next_step(log, old, new).await else { return Ok(()) };
+            match log.change_voters(step).await {
+                Ok(()) => {}
+                // Mostly the new replica has not caught up yet, or a change is not committed yet.
+                Err(ProposeError::Refused(cause) | ProposeError::Unknown(cause)) => {
+                    if Instant::now() > deadline {
+                        return Err(failed(FailureCode::Unavailable, &cause));
+                    }
+                    sleep(STEP_PAUSE).await;
+                }
+                Err(e) => return Err(self.propose_failure(log, e)),
+            }
+        }
+    }
+}
+
+/// The next step towards `new` voting in place of `old`; None when that is so.
+async fn next_step(log: &dyn Group, old: u64, new: u64) -> Option<VoterStep> {
+    let replicas = log.replicas().await;
+    match replicas.iter().find(|r| r.replica == new) {
+        None => Some(VoterStep::AddLearner(new)),
+        Some(r) if !r.voter => Some(VoterStep::Promote(new)),
+        Some(_) if replicas.iter().any(|r| r.replica == old) => Some(VoterStep::Remove(old)),
+        Some(_) => None,
+    }
+}
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -6,19 +6,22 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use poplarspan_objects::{Endpoint, Name, ZoneState};
+use poplarspan_objects::{Name, ZoneState};
+use poplarspan_policy::containment::Fingerprint;
 use tokio::time::Instant;
 
 use super::{
     auth::{self, Credential},
     call::ProgramCall,
     handler::Entry,
+    record::completion_tokens,
     refusal::{Code, Ran, Refusal},
 };
 use crate::{
+    crashes::{Suspect, wait_admission},
     dispatch::{AnswerError, Exchange, REQUEST_ID_HEADER, Reuse, SendError, collect},
     membership::Known,
-    schedule::{CallSpec, DispatchOutcome, Slot},
+    schedule::{CallSpec, Chosen, DispatchOutcome, Slot},
     telemetry,
 };
 
@@ -26,6 +29,7 @@
 const MAX_ATTEMPTS: usize = 3;
 /// Header of requests to engines that names the program, for its memory to be released later.
 const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
+const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
 const COME_BACK: Duration = Duration::from_secs(1);
 
 /// Headers that belong to one connection, or that only concern this system.
@@ -78,7 +82,7 @@
         self
     }
 
-    fn request(&self, endpoint: &Endpoint, id: &HeaderValue) -> Request<Full<Bytes>> {
+    fn request(&self, endpoint: &Chosen, id: &HeaderValue) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.parse().unwrap_or_default();
@@ -102,6 +106,13 @@
     pub(crate) deadline: Instant,
 }
 
+impl Prepared {
+    /// Identifies the request among those that crash endpoints.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::new(&self.parts.path, &self.parts.body)
+    }
+}
+
 /// A whole answer.
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
@@ -116,6 +127,15 @@
     pub(crate) body: Incoming,
     pub(crate) reuse: Reuse,
     pub(crate) slot: Slot,
+    /// Time from the dispatch to the head of the answer.
+    pub(crate) first_byte: Duration,
+    pub(crate) _suspect: Option<Suspect>,
+}
+
+/// A place at an endpoint, and the reservation of a request that has crashed another one.
+pub(crate) struct Place {
+    pub(crate) slot: Slot,
+    suspect: Option<Suspect>,
 }
 
 /// How one attempt went wrong.
@@ -123,6 +143,8 @@
     ran: Ran,
     cause: String,
     outcome: DispatchOutcome,
+    /// The connection was lost while the endpoint had the request.
+    may_have_crashed: bool,
 }
 
 impl Failed {
@@ -132,11 +154,14 @@
             SendError::Lost(_) | SendError::Silent => (Ran::Unknown, DispatchOutcome::Failed),
             SendError::Crossed => (Ran::Unknown, DispatchOutcome::Failed),
         };
-        Self { ran, cause: error.to_string(), outcome }
+        let may_have_crashed = matches!(error, SendError::Lost(_));
+        Self { ran, cause: error.to_string(), outcome, may_have_crashed }
     }
 
     fn from_answer(error: &AnswerError) -> Self {
-        Self { ran: Ran::Yes, cause: error.to_string(), outcome: DispatchOutcome::Failed }
+        let may_have_crashed = matches!(error, AnswerError::Truncated(_));
+        let (ran, outcome) = (Ran::Yes, DispatchOutcome::Failed);
+        Self { ran, cause: error.to_string(), outcome, may_have_crashed }
     }
 }
 
@@ -152,38 +177,87 @@
 
 impl<'a> Attempts<'a> {
     pub(crate) fn new(entry: &'a Entry, call: &'a Prepared) -> Self {
+        if let Some(team) = &call.spec.team {
+            entry.retries().attempted(team);
+        }
         Self { entry, call, tried: Vec::new(), ran: Ran::No, last_cause: String::new() }
     }
 
     /// Waits for a place at an endpoint that was not tried yet.
-    pub(crate) async fn place(&self) -> Result<Slot, Refusal> {
+    pub(crate) async fn place(&self) -> Result<Place, Refusal> {
+        let crashes = &self.entry.crashes;
+        if crashes.is_empty() {
+            return Ok(Place { slot: self.slot(&self.tried).await?, suspect: None });
+        }
+        let fingerprint = self.call.fingerprint();
+        loop {
+            let crashed = wait_admission(crashes, fingerprint, self.call.deadline).await;
+            let crashed = crashed.ok_or_else(|| self.crashes_endpoints())?;
+            if crashed.is_empty() {
+                return Ok(Place { slot: self.slot(&self.tried).await?, suspect: None });
+            }
+            let avoid: Vec<Name> = self.tried.iter().chain(&crashed).cloned().collect();
+            let slot = self.slot(&avoid).await?;
+            // Two requests that have crashed endpoints never run side by side: if the endpoint
+            // crashes again, it must be clear which of them did it.
+            if let Some(suspect) = crashes.begin_suspect(&slot.endpoint.name, fingerprint) {
+                return Ok(Place { slot, suspect: Some(suspect) });
+            }
+            drop(slot);
+            tokio::time::sleep(SUSPECT_PAUSE).await;
+        }
+    }
+
+    async fn slot(&self, avoid: &[Name]) -> Result<Slot, Refusal> {
         let started = Instant::now();
-        let placed = self.entry.scheduler.acquire(&self.call.spec, &self.tried).await;
+        let placed = self.entry.scheduler.acquire(&self.call.spec, avoid).await;
         telemetry::waited(self.call.spec.team.as_ref(), started.elapsed());
-        placed.map_err(|mut refusal| {
+        placed.map_err(|refusal| self.with_ran(refusal))
+    }
+
+    fn crashes_endpoints(&self) -> Refusal {
+        let message = "this request has crashed the endpoints that ran it";
+        Refusal::with_ran(Code::RequestCrashesEndpoints, self.ran, message)
+    }
+
+    /// Says of a refusal what is known of the attempts before it.
+    fn with_ran(&self, mut refusal: Refusal) -> Refusal {
+        if self.ran != Ran::No {
             refusal.ran = self.ran;
-            if self.ran != Ran::No {
-                refusal.code = Code::EndpointFailed;
-                refusal.message = self.last_cause.clone().into();
-            }
-            refusal
-        })
+            refusal.code = Code::EndpointFailed;
+            refusal.message = self.last_cause.clone().into();
+        }
+        refusal
     }
 
     /// Sends the call to the endpoint of `slot`. `Ok(None)` means that it may be tried elsewhere.
-    pub(crate) async fn send(&mut self, slot: Slot) -> Result<Option<Begun>, Refusal> {
-        self.entry.may_dispatch(self.call, &slot.endpoint)?;
+    pub(crate) async fn send(&mut self, place: Place) -> Result<Option<Begun>, Refusal> {
+        let Place { slot, suspect } = place;
+        if !self.entry.may_dispatch(self.call, &slot.endpoint).map_err(|r| self.with_ran(r))? {
+            let failed = Failed {
+                ran: Ran::No,
+                cause: "the endpoint has left".to_owned(),
+                outcome: DispatchOutcome::Abandoned,
+                may_have_crashed: false,
+            };
+            return self.failed(slot, failed).await.map(|()| None);
+        }
         let request = self.call.parts.request(&slot.endpoint, &self.call.request_id);
         let fresh = !self.call.idempotent;
         let address = slot.endpoint.address;
         let sent = self.entry.pool.send(address, request, fresh, self.call.deadline).await;
         match sent {
-            Ok(exchange) => self.head(exchange, slot),
-            Err(e) => self.failed(slot, Failed::from_send(&e)).map(|()| None),
+            Ok(exchange) => self.head(exchange, slot, suspect).await,
+            Err(e) => self.failed(slot, Failed::from_send(&e)).await.map(|()| None),
         }
     }
 
-    fn head(&mut self, exchange: Exchange, slot: Slot) -> Result<Option<Begun>, Refusal> {
+    async fn head(
+        &mut self,
+        exchange: Exchange,
+        slot: Slot,
+        suspect: Option<Suspect>,
+    ) -> Result<Option<Begun>, Refusal> {
         let (response, reuse) = exchange.into_parts();
         let (head, body) = response.into_parts();
         let refused =
@@ -193,14 +267,17 @@
                 ran: Ran::Unknown,
                 cause: format!("the endpoint refused with status {}", head.status),
                 outcome: DispatchOutcome::Refused,
+                may_have_crashed: false,
             };
-            return self.failed(slot, failed).map(|()| None);
+            return self.failed(slot, failed).await.map(|()| None);
         }
         let mut headers = head.headers;
         for name in NOT_FORWARDED {
             headers.remove(name);
         }
-        Ok(Some(Begun { status: head.status, headers, body, reuse, slot }))
+        let first_byte = slot.elapsed();
+        let status = head.status;
+        Ok(Some(Begun { status, headers, body, reuse, slot, first_byte, _suspect: suspect }))
     }
 
     /// Reads the answer whole. `Ok(None)` means that the call may be tried elsewhere.
@@ -209,16 +286,19 @@
         match collect(begun.body, max, self.call.deadline).await {
             Ok(body) => {
                 begun.reuse.finish();
-                begun.slot.finish(DispatchOutcome::Answered);
+                let tokens = completion_tokens(&body).map(|n| n + self.call.spec.prompt_tokens);
+                let first_byte = begun.first_byte;
+                begun.slot.finish(DispatchOutcome::Answered { first_byte, tokens });
                 Ok(Some(Answer { status: begun.status, headers: begun.headers, body }))
             }
-            Err(e) => self.failed(begun.slot, Failed::from_answer(&e)).map(|()| None),
+            Err(e) => self.failed(begun.slot, Failed::from_answer(&e)).await.map(|()| None),
         }
     }
 
     /// Notes a failure; an error when the call may not be tried again.
-    fn failed(&mut self, slot: Slot, failed: Failed) -> Result<(), Refusal> {
-        let endpoint = slot.endpoint.name.clone();
+    async fn failed(&mut self, slot: Slot, failed: Failed) -> Result<(), Refusal> {
+        let chosen = slot.endpoint.clone();
+        let endpoint = chosen.name.clone();
         log::warn!(
             endpoint = &*endpoint,
             request_id = self.call.request_id.to_str().unwrap_or_default(),
@@ -233,14 +313,27 @@
             self.ran = failed.ran;
         }
         self.last_cause = failed.cause;
+        if failed.may_have_crashed {
+            self.entry.crashes.note_lost(&chosen, self.call.fingerprint()).await;
+        }
         let may_repeat = failed.ran == Ran::No || self.call.idempotent;
         let in_time = Instant::now() < self.call.deadline;
-        if may_repeat && in_time && self.tried.len() < MAX_ATTEMPTS {
+        if may_repeat && in_time && self.tried.len() < MAX_ATTEMPTS && self.take_retry() {
             return Ok(());
         }
         Err(self.refusal())
     }
 
+    /// Takes a retry from the budgets of the team and the instance.
+    fn take_retry(&self) -> bool {
+        let Some(team) = &self.call.spec.team else { return true };
+        let granted = self.entry.retries().try_retry(team);
+        if !granted {
+            metrics::counter!("poplarspan_retries_denied_total").increment(1);
+        }
+        granted
+    }
+
     /// The final answer after the last failure.
     fn refusal(&self) -> Refusal {
         let cause = self.last_cause.clone();
@@ -259,10 +352,11 @@
 }
 
 impl Entry {
-    /// Checks, at the last moment, that the call may still go to this endpoint.
+    /// Checks, at the last moment, that the call may still run, and returns whether it may go to
+    /// this endpoint.
     ///
     /// The call may have waited, and the process may have been frozen, since it was accepted.
-    fn may_dispatch(&self, call: &Prepared, endpoint: &Endpoint) -> Result<(), Refusal> {
+    fn may_dispatch(&self, call: &Prepared, endpoint: &Chosen) -> Result<bool, Refusal> {
         let known = self.membership.load();
         if let Some(credential) = &call.credential {
             check_lease(&known)?;
@@ -270,16 +364,10 @@
                 return Err(Refusal::not_run(Code::Unauthorized, "the key was withdrawn"));
             }
         }
-        let usable = known.objects.endpoint(&endpoint.name).is_some_and(|e| {
+        Ok(known.objects.endpoint(&endpoint.name).is_some_and(|e| {
             let zone_in = known.objects.zone(&e.zone).is_some_and(|z| z.state == ZoneState::In);
             !e.leaving && zone_in && e.address == endpoint.address
-        });
-        if !usable {
-            return Err(
-                Refusal::not_run(Code::Unavailable, "the endpoint has left").retry_after(COME_BACK)
-            );
-        }
-        Ok(())
+        }))
     }
 }
 
--- a/crates/server/src/entry/chat.rs
+++ b/crates/server/src/entry/chat.rs
@@ -2,10 +2,12 @@
 
 use std::{borrow::Cow, sync::Arc};
 
+use poplarspan_policy::route::PrefixChain;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use super::refusal::{Code, Refusal};
+use crate::schedule::BLOCK_TOKENS;
 
 /// Bytes of a prompt that make one token, for estimates before the engine has counted.
 const BYTES_PER_TOKEN: usize = 4;
@@ -23,20 +25,19 @@
 }
 
 /// What a chat request asks for.
-#[derive(Clone, Debug)]
-pub(crate) struct ChatRequest {
-    pub(crate) model: Option<String>,
+#[derive(Debug)]
+pub(crate) struct ChatRequest<'a> {
+    pub(crate) model: Option<Cow<'a, str>>,
     pub(crate) stream: bool,
     pub(crate) max_output_tokens: Option<u64>,
     /// Estimate from the length of the messages.
     pub(crate) prompt_tokens: u64,
-    /// Hash of the messages up to and including each one.
-    pub(crate) prefixes: Arc<[u64]>,
+    messages: Vec<&'a RawValue>,
 }
 
-impl ChatRequest {
+impl<'a> ChatRequest<'a> {
     /// Reads a body in the chat completions shape.
-    pub(crate) fn read(body: &[u8]) -> Result<Self, Refusal> {
+    pub(crate) fn read(body: &'a [u8]) -> Result<Self, Refusal> {
         let bad = |problem: String| {
             Refusal::not_run(Code::BadRequest, format!("the body is no chat request: {problem}"))
         };
@@ -46,23 +47,20 @@
         }
         let total: usize = fields.messages.iter().map(|m| m.get().len()).sum();
         Ok(Self {
-            model: fields.model.map(Cow::into_owned),
+            model: fields.model,
             stream: fields.stream,
             max_output_tokens: fields.max_completion_tokens.or(fields.max_tokens),
             prompt_tokens: total.div_ceil(BYTES_PER_TOKEN) as u64,
-            prefixes: prefixes(&fields.messages),
+            messages: fields.messages,
         })
     }
-}
 
-fn prefixes(messages: &[&RawValue]) -> Arc<[u64]> {
-    let mut hasher = blake3::Hasher::new();
-    messages
-        .iter()
-        .map(|message| {
-            hasher.update(message.get().as_bytes());
-            let hash = hasher.finalize();
-            u64::from_le_bytes(*hash.as_bytes().first_chunk().expect("32 bytes"))
-        })
-        .collect()
+    /// Hash chain over the blocks of the prompt, for a cache that `scope` tells apart.
+    pub(crate) fn blocks(&self, scope: &str) -> Arc<[u64]> {
+        let mut chain = PrefixChain::new(scope, BLOCK_TOKENS as usize * BYTES_PER_TOKEN);
+        for message in &self.messages {
+            chain.extend(message.get().as_bytes());
+        }
+        chain.blocks().into()
+    }
 }
--- a/crates/server/src/entry/handler.rs
+++ b/crates/server/src/entry/handler.rs
@@ -1,7 +1,7 @@
 //! From a request to its answer.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex, MutexGuard,
     atomic::{AtomicBool, Ordering},
 };
 
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 use poplarspan_objects::{ObjectSet, Route, RouteKind};
+use poplarspan_policy::retry::RetryBudget;
 use rand::Rng;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
@@ -27,6 +28,7 @@
 use crate::{
     admission::Admission,
     config::Limits,
+    crashes::Crashes,
     dispatch::{Pool, REQUEST_ID_HEADER},
     membership::Membership,
     programs::Ledger,
@@ -46,6 +48,8 @@
     pub(crate) admission: Arc<dyn Admission>,
     pub(crate) scheduler: Arc<dyn Scheduler>,
     pub(crate) ledger: Arc<dyn Ledger>,
+    pub(crate) crashes: Arc<Crashes>,
+    pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) incarnation: Arc<std::sync::atomic::AtomicU64>,
     pub(crate) attempts: std::sync::atomic::AtomicU64,
     pub(crate) held: Arc<Semaphore>,
@@ -68,6 +72,10 @@
 }
 
 impl Entry {
+    pub(crate) fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retry_budget.lock().expect("no panic while locked")
+    }
+
     /// Answers a request; never fails.
     pub(crate) async fn handle(
         self: Arc<Self>,
@@ -165,8 +173,8 @@
     async fn run_plain(&self, accepted: &Accepted) -> Result<Response<AnswerBody>, Refusal> {
         let mut attempts = Attempts::new(self, &accepted.prepared);
         loop {
-            let slot = attempts.place().await?;
-            let Some(begun) = attempts.send(slot).await? else { continue };
+            let place = attempts.place().await?;
+            let Some(begun) = attempts.send(place).await? else { continue };
             if let Some(answer) = attempts.collect(begun).await? {
                 return Ok(whole_response(answer.status, answer.headers, answer.body));
             }
@@ -209,12 +217,13 @@
     credential: Option<&Credential>,
     body: &Bytes,
 ) -> Result<(CallSpec, bool), Refusal> {
-    let root = |p: &super::call::ProgramCall| p.program.split('/').next().unwrap_or("").into();
+    let team = credential.and_then(|c| objects.team(&c.team));
     let mut spec = CallSpec {
-        target: Target::Service(route.service.clone().unwrap_or_else(|| "".into())),
-        team: credential.map(|c| c.team.clone()),
-        program: call.program.as_ref().map(root),
-        prefixes: Arc::default(),
+        group: Target::Service(route.service.clone().unwrap_or_else(|| "".into())).group(),
+        team: team.map(|t| t.name.clone()),
+        weight: team.map_or(1, |t| t.weight),
+        program: call.program.as_ref().map(|p| p.program.clone()),
+        blocks: Arc::default(),
         prompt_tokens: 0,
         max_output_tokens: 0,
         max_queue: route.max_queue,
@@ -230,17 +239,16 @@
     let name = route.model.as_deref().or(chat.model.as_deref());
     let name = name.ok_or_else(|| Refusal::not_run(Code::BadRequest, "`model` is missing"))?;
     let model = objects
-        .model(name)
-        .or_else(|| objects.models().iter().find(|m| m.aliases.iter().any(|a| **a == *name)))
+        .resolve_model(name)
         .ok_or_else(|| Refusal::not_run(Code::NotFound, "unknown model"))?;
-    if chat.prompt_tokens > u64::from(model.max_context) {
+    let most = model.max_output;
+    spec.max_output_tokens = chat.max_output_tokens.map_or(most, |tokens| tokens.min(most));
+    spec.prompt_tokens = chat.prompt_tokens;
+    if spec.prompt_tokens + spec.max_output_tokens > model.max_context {
         return Err(Refusal::not_run(Code::TooLarge, "the prompt is longer than the model allows"));
     }
-    let most = u64::from(model.max_output);
-    spec.target = Target::Model(model.name.clone());
-    spec.prompt_tokens = chat.prompt_tokens;
-    spec.max_output_tokens = chat.max_output_tokens.map_or(most, |tokens| tokens.min(most));
-    spec.prefixes = chat.prefixes;
+    spec.group = Target::Model(model.name.clone()).group();
+    spec.blocks = chat.blocks(&format!("{}@{}", model.name, model.version));
     Ok((spec, chat.stream))
 }
 
--- a/crates/server/src/entry/program.rs
+++ b/crates/server/src/entry/program.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::{
-    attempt::{Answer, Attempts, Begun},
+    attempt::{Answer, Attempts, Begun, Place},
     body::AnswerBody,
     handler::{Accepted, Entry, whole_response},
     record::{RECORD_TIMEOUT, completion_tokens, encode_headers, replay},
@@ -60,18 +60,18 @@
         let begin = self.begin_command(&accepted)?;
         let wait_until = accepted.prepared.deadline.min(Instant::now() + LONGEST_ORDER_WAIT);
         let mut attempts = Attempts::new(&self, &accepted.prepared);
-        let (claim, slot) = loop {
-            let slot = attempts.place().await?;
-            match self.begin(&accepted, begin.clone(), &slot, wait_until).await? {
-                BeginAnswer::Granted(claim) => break (claim, slot),
+        let (claim, place) = loop {
+            let place = attempts.place().await?;
+            match self.begin(&accepted, begin.clone(), &place.slot, wait_until).await? {
+                BeginAnswer::Granted(claim) => break (claim, place),
                 BeginAnswer::Replay(answer) => return replay(answer),
                 BeginAnswer::Wait => {
-                    drop(slot);
+                    drop(place);
                     tokio::time::sleep(ORDER_POLL).await;
                 }
             }
         };
-        match self.attempt_recorded(&mut attempts, claim.clone(), slot).await {
+        match self.attempt_recorded(&mut attempts, claim.clone(), place).await {
             Ok((claim, begun)) if stream && is_event_stream(&begun.headers) => {
                 drop(attempts);
                 Ok(self.relay(accepted, begun, Some(claim)))
@@ -93,16 +93,16 @@
         &self,
         attempts: &mut Attempts<'_>,
         mut claim: Claim,
-        mut slot: Slot,
+        mut place: Place,
     ) -> Result<(Claim, Begun), Refusal> {
         loop {
-            if !claim.named.contains(&slot.endpoint.name) {
-                self.name_endpoint(&mut claim, &slot).await?;
+            if !claim.named.contains(&place.slot.endpoint.name) {
+                self.name_endpoint(&mut claim, &place.slot).await?;
             }
-            if let Some(begun) = attempts.send(slot).await? {
+            if let Some(begun) = attempts.send(place).await? {
                 return Ok((claim, begun));
             }
-            slot = attempts.place().await?;
+            place = attempts.place().await?;
         }
     }
 
@@ -116,8 +116,8 @@
             if let Some(answer) = attempts.collect(begun).await? {
                 return Ok(answer);
             }
-            let slot = attempts.place().await?;
-            (claim, begun) = self.attempt_recorded(attempts, claim, slot).await?;
+            let place = attempts.place().await?;
+            (claim, begun) = self.attempt_recorded(attempts, claim, place).await?;
         }
     }
 
--- a/crates/server/src/entry/stream.rs
+++ b/crates/server/src/entry/stream.rs
@@ -17,7 +17,7 @@
     refusal::Refusal,
 };
 use crate::{
-    dispatch::{RelayLimits, Relayed, StreamEnd, cut_short, relay_stream},
+    dispatch::{AnswerError, RelayLimits, Relayed, StreamEnd, cut_short, relay_stream},
     schedule::DispatchOutcome,
     telemetry,
 };
@@ -35,8 +35,8 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let mut attempts = Attempts::new(&self, &accepted.prepared);
         loop {
-            let slot = attempts.place().await?;
-            let Some(begun) = attempts.send(slot).await? else { continue };
+            let place = attempts.place().await?;
+            let Some(begun) = attempts.send(place).await? else { continue };
             if is_event_stream(&begun.headers) {
                 drop(attempts);
                 return Ok(self.relay(accepted, begun, None));
@@ -69,7 +69,7 @@
         claim: Option<Claim>,
         tx: RelaySender,
     ) {
-        let Begun { status, headers, mut body, reuse, slot } = begun;
+        let Begun { status, headers, mut body, reuse, slot, first_byte, _suspect } = begun;
         let started = Instant::now();
         let limits = RelayLimits {
             progress: PROGRESS_TIMEOUT,
@@ -83,7 +83,8 @@
                 if let Ok(None) = timeout(CLOSE_TIMEOUT, body.frame()).await {
                     reuse.finish();
                 }
-                slot.finish(DispatchOutcome::Answered);
+                let tokens = Some(accepted.prepared.spec.prompt_tokens + relayed.events);
+                slot.finish(DispatchOutcome::Answered { first_byte, tokens });
             }
             StreamEnd::CallerGone => {
                 // Closing the connection is what cancels the call at the engine.
@@ -94,7 +95,11 @@
             StreamEnd::Failed(e) => {
                 let (cause, endpoint) = (e.to_string(), slot.endpoint.name.to_string());
                 log::warn!(endpoint = endpoint.as_str(), cause = cause.as_str(); "stream failed");
+                let chosen = slot.endpoint.clone();
                 slot.finish(DispatchOutcome::Failed);
+                if let AnswerError::Truncated(_) = e {
+                    self.crashes.note_lost(&chosen, accepted.prepared.fingerprint()).await;
+                }
             }
         }
         let head = (u32::from(status.as_u16()), encode_headers(&headers));
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -10,28 +10,30 @@
 };
 
 use anyhow::{Context, Result};
-use poplarspan_ledger::{Catalog, Ledger as ProgramLedger};
+use poplarspan_agreement::{DataDir, Node};
 use poplarspan_objects::ObjectSet;
+use poplarspan_policy::retry::RetryBudget;
 use poplarspan_proto::peer::{self, request, response};
 use tokio::{net::TcpListener, sync::Semaphore, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::LocalAdmission,
+    admission::FleetAdmission,
     config::InstanceConfig,
-    control::{Control, LocalGroup, ProgramGroup, ReleaseOrders, Service, Sweeper},
+    control::{self, Control, NodeSink, PROGRAM_GROUPS, ReleaseOrders, Replicas, Service, Sweeper},
+    crashes::Crashes,
     dispatch::Pool,
     entry::{Entry, HELD_UNIT_BYTES, Listener},
-    membership::{Directory, Heartbeats, Identity, Membership, SavedObjects, new_incarnation},
-    peer::{Credentials, PeerClient, PeerServer},
+    membership::{
+        Directory, Heartbeats, Identity, Membership, SavedObjects, discover, new_incarnation,
+    },
+    peer::{AgreementSink, Credentials, PeerClient, PeerServer},
     programs::{Ledger, PeerLedger},
-    schedule::LocalScheduler,
+    schedule::{FairScheduler, LoadPoller, RunProbe},
     supervisor::Supervisor,
     telemetry::{self, Readiness},
 };
 
-/// Program groups of a fleet that has none yet.
-const PROGRAM_GROUPS: u32 = 2;
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An instance that is ready to run.
@@ -55,6 +57,8 @@
     supervisor: Supervisor,
     leave: Leave,
     client: PeerClient,
+    /// The replicated log, and the lock on its folder.
+    replica: Option<(Arc<Node>, DataDir)>,
 }
 
 /// What handing the lease back needs.
@@ -63,6 +67,7 @@
     incarnation: Arc<AtomicU64>,
     directory: Arc<Directory>,
     membership: Arc<Membership>,
+    leaving: Arc<AtomicBool>,
 }
 
 impl Instance {
@@ -102,33 +107,54 @@
             None => (0, ObjectSet::default()),
         };
         let membership = Arc::new(Membership::new(generation, objects));
-        let control = cfg.data_dir.is_some().then(|| local_control(peer_address));
+        let started = start_replica(&cfg, &client, peer_address).await?;
+        let control = started.as_ref().map(|s| s.control.clone());
         let mut candidates = cfg.seeds.clone();
-        if control.is_some() {
+        candidates.extend(cfg.replicas.iter().map(|r| r.address));
+        if started.is_some() {
             candidates.push(peer_address);
         }
+        candidates.sort_unstable();
+        candidates.dedup();
         let directory = Arc::new(Directory::new(candidates));
         let draining = Arc::new(AtomicBool::new(false));
+        let leaving = Arc::new(AtomicBool::new(false));
         let incarnation = Arc::new(AtomicU64::new(new_incarnation()));
         let pool = Pool::new();
         let ledger: Arc<dyn Ledger> =
             Arc::new(PeerLedger::new(client.clone(), directory.clone(), membership.clone()));
-        let admission = Arc::new(LocalAdmission::new(membership.clone()));
+        let session = incarnation.load(Ordering::Relaxed);
+        let admission =
+            FleetAdmission::new(cfg.name.clone(), session, membership.clone(), client.clone());
+
+        let scheduler = FairScheduler::new(cfg.name.clone(), cfg.zone.clone(), membership.clone());
+        let crashes = Crashes::new(
+            cfg.name.clone(),
+            membership.clone(),
+            client.clone(),
+            scheduler.clone(),
+            RunProbe::new(pool.clone()),
+        );
 
         let stop = CancellationToken::new();
         let mut supervisor = Supervisor::new(stop.clone());
         let service = Arc::new(Service {
             control: control.clone(),
             directory: directory.clone(),
+            client: client.clone(),
+            crashes: crashes.clone(),
             rate_owner: admission.clone(),
         });
-        let server = Arc::new(PeerServer::new(endpoint, service, None));
+        let sink =
+            started.as_ref().map(|s| NodeSink::new(s.node.clone()) as Arc<dyn AgreementSink>);
+        let server = Arc::new(PeerServer::new(endpoint, service, sink));
         supervisor.start("peer port", move || server.clone().run());
         let identity = Identity {
             name: cfg.name.clone(),
             incarnation: incarnation.clone(),
             zone: cfg.zone.clone(),
             peer_address,
+            replica: started.as_ref().map(|s| s.replica),
         };
         let heartbeats = Arc::new(Heartbeats {
             identity,
@@ -137,11 +163,23 @@
             client: client.clone(),
             saved,
             draining: draining.clone(),
+            leaving: leaving.clone(),
         });
+        let (found, asker, seeds) = (directory.clone(), client.clone(), cfg.seeds.clone());
+        supervisor
+            .start("discovery", move || discover(found.clone(), asker.clone(), seeds.clone()));
         supervisor.start("heartbeats", move || heartbeats.clone().run());
         if let Some(control) = control {
             start_control(&mut supervisor, control, &ledger, &membership, &pool);
         }
+        let queues = scheduler.clone();
+        supervisor.start("scheduler", move || queues.clone().run());
+        let loads = Arc::new(LoadPoller { scheduler: scheduler.clone(), pool: pool.clone() });
+        supervisor.start("load reports", move || loads.clone().run());
+        let records = crashes.clone();
+        supervisor.start("crash records", move || records.clone().run());
+        let rates = admission.clone();
+        supervisor.start("rates", move || rates.clone().run());
         let ready = Arc::new(Ready { membership: membership.clone(), draining: draining.clone() });
         let probe_address = probe_socket.local_addr()?;
         supervisor.start("probe port", move || {
@@ -154,8 +192,10 @@
             limits: cfg.limits.clone(),
             pool,
             admission,
-            scheduler: LocalScheduler::new(membership.clone()),
+            scheduler,
             ledger,
+            crashes,
+            retry_budget: Mutex::new(RetryBudget::new(Default::default())),
             incarnation: incarnation.clone(),
             attempts: AtomicU64::new(1),
             held: Arc::new(Semaphore::new(cfg.limits.max_held / HELD_UNIT_BYTES)),
@@ -181,8 +221,9 @@
             stop,
             listener,
             supervisor,
-            leave: Leave { name: cfg.name, incarnation, directory, membership },
+            leave: Leave { name: cfg.name, incarnation, directory, membership, leaving },
             client,
+            replica: started.map(|s| (s.node, s.dir)),
         })
     }
 }
@@ -191,16 +232,20 @@
     TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
 }
 
-fn local_control(address: SocketAddr) -> Arc<Control> {
-    let catalog = Arc::new(Mutex::new(Catalog::new()));
-    let programs = (0..PROGRAM_GROUPS)
-        .map(|_| {
-            let state = Arc::new(Mutex::new(ProgramLedger::new()));
-            ProgramGroup { log: Arc::new(LocalGroup::new(state.clone())), state }
-        })
-        .collect();
-    let log = Arc::new(LocalGroup::new(catalog.clone()));
-    Arc::new(Control::new(log, catalog, programs, vec![(1, address)]))
+/// Opens the data folder, if the instance has one, and starts the replicated log.
+async fn start_replica(
+    cfg: &InstanceConfig,
+    client: &PeerClient,
+    peer_address: SocketAddr,
+) -> Result<Option<control::Started>> {
+    let Some(path) = &cfg.data_dir else { return Ok(None) };
+    let dir = DataDir::open(path)?;
+    let replicas = Arc::new(Replicas::default());
+    for known in &cfg.replicas {
+        replicas.learn(known.replica, known.address);
+    }
+    replicas.learn(dir.replica().0, peer_address);
+    Ok(Some(control::start(dir, client.clone(), replicas).await?))
 }
 
 fn start_control(
@@ -242,6 +287,15 @@
 }
 
 impl Running {
+    /// Waits until the replicated log has failed, for instance because its disk has. The process
+    /// should then end: the log is not usable any more.
+    pub async fn failed(&self) -> anyhow::Error {
+        match &self.replica {
+            Some((node, _)) => node.failed().await.into(),
+            None => std::future::pending().await,
+        }
+    }
+
     /// Takes the instance down without cutting a call: not ready, then no longer accepting, then
     /// draining, then handing the lease back.
     ///
@@ -259,8 +313,13 @@
         if cut > 0 {
             log::error!(connections = cut; "drain timeout: calls were cut");
         }
+        self.leave.leaving.store(true, Ordering::Relaxed);
         self.leave.membership.release();
         hand_back(&self.leave, &self.client).await;
+        if let Some((node, _)) = &self.replica {
+            // Transfers leadership away first.
+            node.shutdown().await;
+        }
         self.stop.cancel();
         self.supervisor.join().await;
         self.client.close().await;
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod config;
 mod control;
+mod crashes;
 mod dispatch;
 mod entry;
 mod instance;
@@ -15,5 +16,6 @@
 mod telemetry;
 
 pub use config::{ConfigError, InstanceConfig, Limits, ReplicaAddress, TlsFiles};
+pub use control::init_data_folder;
 pub use instance::{Instance, Running};
 pub use peer::{CallError, Credentials, PeerClient};
--- /dev/null
+++ b/crates/server/src/membership/discovery.rs
@@ -0,0 +1,110 @@
+//! Finds the control replicas and the leader of group 0.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use poplarspan_proto::peer::{self, FailureCode, request, response};
+
+use crate::peer::{CallError, PeerClient};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause while no control replica has answered yet.
+const FIRST_INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// Where the control replicas are, as far as this instance knows.
+pub(crate) struct Directory {
+    inner: Mutex<DirectoryInner>,
+}
+
+#[derive(Default)]
+struct DirectoryInner {
+    leader: Option<SocketAddr>,
+    candidates: Vec<SocketAddr>,
+    next: usize,
+}
+
+impl Directory {
+    pub(crate) fn new(candidates: Vec<SocketAddr>) -> Self {
+        Self { inner: Mutex::new(DirectoryInner { candidates, ..Default::default() }) }
+    }
+
+    /// The believed leader of group 0, or the next candidate in turn.
+    pub(crate) fn target(&self) -> Option<SocketAddr> {
+        let mut inner = self.inner.lock().expect("no panic while locked");
+        if let Some(leader) = inner.leader {
+            return Some(leader);
+        }
+        let count = inner.candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let i = inner.next % count;
+        inner.next = i + 1;
+        Some(inner.candidates[i])
+    }
+
+    /// The believed leader of group 0.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.inner.lock().expect("no panic while locked").leader
+    }
+
+    pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
+        self.inner.lock().expect("no panic while locked").leader = leader;
+    }
+
+    /// Control replicas that are known, in no order.
+    pub(crate) fn candidates(&self) -> Vec<SocketAddr> {
+        self.inner.lock().expect("no panic while locked").candidates.clone()
+    }
+
+    /// Adds control replicas that a peer named.
+    pub(crate) fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut inner = self.inner.lock().expect("no panic while locked");
+        for address in addresses {
+            if !inner.candidates.contains(&address) {
+                inner.candidates.push(address);
+            }
+        }
+    }
+
+    /// Notes what a failed call tells about the leader.
+    pub(crate) fn note_failure(&self, error: &CallError) {
+        match error {
+            CallError::Failed(failure) if failure.code() == FailureCode::NotLeader => {
+                self.set_leader(failure.leader_address.parse().ok());
+            }
+            CallError::Failed(_) => {}
+            CallError::Unreachable { .. } | CallError::Unknown { .. } => self.set_leader(None),
+        }
+    }
+}
+
+/// Asks the known instances where the control replicas are, until the task is ended.
+pub(crate) async fn discover(
+    directory: Arc<Directory>,
+    client: PeerClient,
+    seeds: Vec<SocketAddr>,
+) -> anyhow::Result<()> {
+    for turn in 0usize.. {
+        let mut known = directory.candidates();
+        known.extend(&seeds);
+        if known.is_empty() {
+            return Ok(());
+        }
+        let target = known[turn % known.len()];
+        let asked = request::Body::Peers(peer::PeersRequest {});
+        let pause = match client.call(target, asked, CALL_TIMEOUT).await {
+            Ok(response::Body::Peers(reply)) => {
+                directory.learn(reply.replicas.iter().filter_map(|r| r.address.parse().ok()));
+                INTERVAL
+            }
+            _ => FIRST_INTERVAL,
+        };
+        tokio::time::sleep(pause).await;
+    }
+    Ok(())
+}
--- a/crates/server/src/membership/heartbeat.rs
+++ b/crates/server/src/membership/heartbeat.rs
@@ -1,9 +1,9 @@
-//! Keeps the lease of this instance alive and finds the leader of group 0.
+//! Keeps the lease of this instance alive.
 
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -14,81 +14,13 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::{HEARTBEAT_INTERVAL, Membership, SavedObjects};
+use super::{Directory, HEARTBEAT_INTERVAL, Membership, SavedObjects};
 use crate::peer::{CallError, PeerClient};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Spread of the heartbeat interval, so that instances started together do not stay in step.
 const JITTER: f64 = 0.1;
 
-/// Where the control replicas are, as far as this instance knows.
-pub(crate) struct Directory {
-    inner: Mutex<DirectoryInner>,
-}
-
-#[derive(Default)]
-struct DirectoryInner {
-    leader: Option<SocketAddr>,
-    candidates: Vec<SocketAddr>,
-    next: usize,
-}
-
-impl Directory {
-    pub(crate) fn new(candidates: Vec<SocketAddr>) -> Self {
-        Self { inner: Mutex::new(DirectoryInner { candidates, ..Default::default() }) }
-    }
-
-    /// The believed leader of group 0, or the next candidate in turn.
-    pub(crate) fn target(&self) -> Option<SocketAddr> {
-        let mut inner = self.inner.lock().expect("no panic while locked");
-        if let Some(leader) = inner.leader {
-            return Some(leader);
-        }
-        let count = inner.candidates.len();
-        if count == 0 {
-            return None;
-        }
-        let i = inner.next % count;
-        inner.next = i + 1;
-        Some(inner.candidates[i])
-    }
-
-    /// The believed leader of group 0.
-    pub(crate) fn leader(&self) -> Option<SocketAddr> {
-        self.inner.lock().expect("no panic while locked").leader
-    }
-
-    pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
-        self.inner.lock().expect("no panic while locked").leader = leader;
-    }
-
-    /// Control replicas that are known, in no order.
-    pub(crate) fn candidates(&self) -> Vec<SocketAddr> {
-        self.inner.lock().expect("no panic while locked").candidates.clone()
-    }
-
-    /// Adds control replicas that a peer named.
-    pub(crate) fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
-        let mut inner = self.inner.lock().expect("no panic while locked");
-        for address in addresses {
-            if !inner.candidates.contains(&address) {
-                inner.candidates.push(address);
-            }
-        }
-    }
-
-    /// Notes what a failed call tells about the leader.
-    pub(crate) fn note_failure(&self, error: &CallError) {
-        match error {
-            CallError::Failed(failure) if failure.code() == FailureCode::NotLeader => {
-                self.set_leader(failure.leader_address.parse().ok());
-            }
-            CallError::Failed(_) => {}
-            CallError::Unreachable { .. } | CallError::Unknown { .. } => self.set_leader(None),
-        }
-    }
-}
-
 /// Number of a run of this process, higher than those of all earlier runs.
 pub(crate) fn new_incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -103,6 +35,8 @@
     pub(crate) incarnation: Arc<AtomicU64>,
     pub(crate) zone: Name,
     pub(crate) peer_address: SocketAddr,
+    /// Number of the control replica that the instance runs, if any.
+    pub(crate) replica: Option<u64>,
 }
 
 /// The heartbeat task.
@@ -113,13 +47,15 @@
     pub(crate) client: PeerClient,
     pub(crate) saved: Option<SavedObjects>,
     pub(crate) draining: Arc<AtomicBool>,
+    /// Set before the lease is handed back: a later heartbeat would ask for a new one.
+    pub(crate) leaving: Arc<AtomicBool>,
 }
 
 impl Heartbeats {
     /// Sends heartbeats until the task is ended.
     pub(crate) async fn run(self: Arc<Self>) -> anyhow::Result<()> {
         let mut failures = 0u32;
-        loop {
+        while !self.leaving.load(Ordering::Relaxed) {
             match self.beat().await {
                 Ok(true) => continue,
                 Ok(false) => failures = 0,
@@ -137,6 +73,7 @@
             };
             tokio::time::sleep(wait.mul_f64(1.0 + spread)).await;
         }
+        Ok(())
     }
 
     /// Sends one heartbeat; true when the leader has more changes ready.
@@ -153,9 +90,8 @@
             peer_address: self.identity.peer_address.to_string(),
             generation: known.generation,
             epoch: known.view.epoch,
-            crashes: Vec::new(),
-            crash_sequence: 0,
             draining: self.draining.load(Ordering::Relaxed),
+            replica: self.identity.replica,
         });
         let grant = match self.client.call(target, body, CALL_TIMEOUT).await {
             Ok(response::Body::Lease(grant)) => grant,
--- a/crates/server/src/membership/mod.rs
+++ b/crates/server/src/membership/mod.rs
@@ -4,6 +4,7 @@
 //! Owned by the heartbeat task of this instance; every other task reads a consistent copy. When the
 //! instance restarts it starts without a lease and asks for everything again.
 
+mod discovery;
 mod heartbeat;
 mod saved;
 
@@ -13,9 +14,10 @@
 use arc_swap::ArcSwap;
 use poplarspan_objects::{Change, Name, ObjectSet};
 use poplarspan_proto::peer;
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
-pub(crate) use heartbeat::{Directory, Heartbeats, Identity, new_incarnation};
+pub(crate) use discovery::{Directory, discover};
+pub(crate) use heartbeat::{Heartbeats, Identity, new_incarnation};
 pub(crate) use saved::SavedObjects;
 
 /// Lease that the leader of group 0 grants with each heartbeat.
@@ -40,8 +42,6 @@
     /// Sorted by name.
     pub(crate) members: Vec<Member>,
     pub(crate) program_groups: u32,
-    /// When this instance learned of the epoch.
-    pub(crate) since: Option<Instant>,
 }
 
 impl View {
@@ -65,15 +65,13 @@
     pub(crate) fn lease_valid(&self) -> bool {
         self.lease_until.is_some_and(|until| Instant::now() < until)
     }
-
-    pub(crate) fn lease_until(&self) -> Option<Instant> {
-        self.lease_until
-    }
 }
 
 /// Shared access to what the instance knows.
 pub(crate) struct Membership {
     known: ArcSwap<Known>,
+    /// Counts changes of objects and view.
+    changes: watch::Sender<u64>,
 }
 
 impl Membership {
@@ -85,7 +83,12 @@
             view: Arc::new(View::default()),
             lease_until: None,
         };
-        Self { known: ArcSwap::from_pointee(known) }
+        Self { known: ArcSwap::from_pointee(known), changes: watch::Sender::new(0) }
+    }
+
+    /// Tells of each change of the objects or the view.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
     }
 
     pub(crate) fn load(&self) -> Arc<Known> {
@@ -104,6 +107,7 @@
     /// Only the heartbeat task calls this, so that reading and storing need no lock.
     pub(crate) fn accept(&self, sent: Instant, grant: peer::LeaseGrant) -> anyhow::Result<()> {
         let mut known = Known::clone(&self.known.load());
+        let before = (known.generation, known.view.epoch);
         if grant.generation < known.generation {
             metrics::counter!("poplarspan_invariant_violations_total", "invariant" => "generation")
                 .increment(1);
@@ -128,7 +132,11 @@
         }
         let until = sent + Duration::from_millis(grant.duration_ms);
         known.lease_until = Some(known.lease_until.map_or(until, |old| old.max(until)));
+        let after = (known.generation, known.view.epoch);
         self.known.store(Arc::new(known));
+        if before != after {
+            self.changes.send_modify(|count| *count += 1);
+        }
         Ok(())
     }
 }
@@ -147,12 +155,7 @@
             })
         })
         .collect::<anyhow::Result<Vec<_>>>()?;
-    Ok(View {
-        epoch: view.epoch,
-        members,
-        program_groups: view.program_groups,
-        since: Some(Instant::now()),
-    })
+    Ok(View { epoch: view.epoch, members, program_groups: view.program_groups })
 }
 
 /// Converts a change received from a peer.
--- /dev/null
+++ b/crates/server/src/peer/agreement.rs
@@ -0,0 +1,107 @@
+//! Carries messages of the replicated log, on one stream for each peer and group.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use poplarspan_agreement::{FolderId, GroupId, PeerMessage, ReplicaId, Transport};
+use poplarspan_proto::peer::AgreementBatch;
+use tokio::{sync::mpsc, time::timeout};
+
+use super::{client::PeerClient, frame};
+
+/// Messages that may wait for one peer and group; more are dropped, as the log allows.
+const QUEUE: usize = 1024;
+/// Messages that go into one batch.
+const MAX_BATCH: usize = 64;
+/// Time after which a peer that takes nothing is given up until the next message.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Finds the address of a control replica.
+pub(crate) type FindReplica = Arc<dyn Fn(u64) -> Option<SocketAddr> + Send + Sync>;
+
+type Key = (ReplicaId, GroupId);
+
+/// Sends messages to the other replicas. It may lose them; it never blocks.
+pub(crate) struct AgreementTransport {
+    lane: Arc<LaneConfig>,
+    // Sorted by key.
+    lanes: Mutex<Vec<(Key, mpsc::Sender<PeerMessage>)>>,
+}
+
+struct LaneConfig {
+    me: ReplicaId,
+    folder: FolderId,
+    client: PeerClient,
+    find: FindReplica,
+}
+
+impl AgreementTransport {
+    pub(crate) fn new(
+        me: ReplicaId,
+        folder: FolderId,
+        client: PeerClient,
+        find: FindReplica,
+    ) -> Arc<Self> {
+        let lane = Arc::new(LaneConfig { me, folder, client, find });
+        Arc::new(Self { lane, lanes: Mutex::default() })
+    }
+}
+
+impl Transport for AgreementTransport {
+    fn send(&self, to: ReplicaId, message: PeerMessage) {
+        let key = (to, message.group);
+        let mut lanes = self.lanes.lock().expect("no panic while locked");
+        let i = lanes.binary_search_by_key(&key, |(k, _)| *k).unwrap_or_else(|i| {
+            let (tx, rx) = mpsc::channel(QUEUE);
+            tokio::spawn(run_lane(self.lane.clone(), to, rx));
+            lanes.insert(i, (key, tx));
+            i
+        });
+        if lanes[i].1.try_send(message).is_err() {
+            metrics::counter!("poplarspan_agreement_dropped_total").increment(1);
+        }
+    }
+}
+
+/// Sends the messages to one peer for one group until the transport is dropped.
+async fn run_lane(cfg: Arc<LaneConfig>, to: ReplicaId, mut rx: mpsc::Receiver<PeerMessage>) {
+    let mut stream = None;
+    let mut batch = Vec::with_capacity(MAX_BATCH);
+    while rx.recv_many(&mut batch, MAX_BATCH).await > 0 {
+        let sent = timeout(SEND_TIMEOUT, send_batch(&cfg, to, &mut stream, &batch)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            // A new stream starts at the next message; the log resends what was lost.
+            stream = None;
+            metrics::counter!("poplarspan_agreement_dropped_total").increment(batch.len() as u64);
+        }
+        batch.clear();
+    }
+}
+
+async fn send_batch(
+    cfg: &LaneConfig,
+    to: ReplicaId,
+    stream: &mut Option<quinn::SendStream>,
+    batch: &[PeerMessage],
+) -> Result<()> {
+    let tx = match stream {
+        Some(tx) => tx,
+        None => {
+            let address = (cfg.find)(to.0).context("no address is known")?;
+            let connection = cfg.client.connection(address).await?;
+            stream.insert(connection.open_uni().await?)
+        }
+    };
+    let frame = AgreementBatch {
+        from: cfg.me.0,
+        folder: Bytes::copy_from_slice(&cfg.folder.0.to_be_bytes()),
+        messages: batch.iter().map(PeerMessage::encode).collect(),
+    };
+    metrics::counter!("poplarspan_agreement_messages_total").increment(batch.len() as u64);
+    Ok(frame::write(tx, &frame).await?)
+}
--- a/crates/server/src/peer/mod.rs
+++ b/crates/server/src/peer/mod.rs
@@ -3,11 +3,13 @@
 //! This module owns the connections only. A lost connection loses the calls that are open on it;
 //! their senders see [`CallError::Unknown`] and decide whether they may send again.
 
+mod agreement;
 mod client;
 mod frame;
 mod server;
 mod tls;
 
+pub(crate) use agreement::AgreementTransport;
 pub use client::{CallError, PeerClient};
 pub(crate) use server::{AgreementSink, PeerServer, PeerService, Role};
 pub use tls::Credentials;
--- a/crates/server/src/peer/tls.rs
+++ b/crates/server/src/peer/tls.rs
@@ -24,7 +24,8 @@
 const KEEP_ALIVE: Duration = Duration::from_millis(800);
 /// Calls that a peer may have open on one connection.
 const MAX_OPEN_CALLS: u32 = 1024;
-const MAX_OPEN_ONE_WAY: u32 = 16;
+/// Streams of the replicated log: one for each group.
+const MAX_OPEN_ONE_WAY: u32 = 256;
 
 /// Certificates and key of one process, read from files.
 pub struct Credentials {
--- a/crates/server/src/schedule/mod.rs
+++ b/crates/server/src/schedule/mod.rs
@@ -1,16 +1,24 @@
 //! Decides which call goes next, and to which endpoint.
+//!
+//! Owned by this instance and rebuilt after a restart: until then endpoints count as cold and their
+//! caches as empty.
 
-mod local;
+mod endpoints;
+mod fair;
+mod loads;
+mod queues;
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use futures::future::BoxFuture;
-use poplarspan_objects::{Endpoint, Name};
-use tokio::time::Instant;
+use poplarspan_objects::Name;
+use tokio::time::{Duration, Instant};
 
 use crate::entry::Refusal;
 
-pub(crate) use local::LocalScheduler;
+pub(crate) use endpoints::BLOCK_TOKENS;
+pub(crate) use fair::FairScheduler;
+pub(crate) use loads::{LoadPoller, RunProbe};
 
 /// Which endpoints may serve a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,35 +30,64 @@
 }
 
 impl Target {
-    pub(crate) fn name(&self) -> &Name {
+    /// Name of the group of endpoints. Models and services have separate names.
+    pub(crate) fn group(&self) -> Name {
         match self {
-            Self::Model(name) | Self::Service(name) => name,
+            Self::Model(name) => model_group(name),
+            Self::Service(name) => service_group(name),
         }
     }
 }
 
+pub(crate) fn model_group(model: &str) -> Name {
+    format!("model/{model}").into()
+}
+
+pub(crate) fn service_group(service: &str) -> Name {
+    format!("service/{service}").into()
+}
+
 /// What the scheduler needs to know of a call.
 #[derive(Clone, Debug)]
 pub(crate) struct CallSpec {
-    pub(crate) target: Target,
+    pub(crate) group: Name,
     /// None on open routes.
     pub(crate) team: Option<Name>,
-    /// Root program, or a name of its own for a call without a program.
+    /// Weight of the team.
+    pub(crate) weight: u32,
+    /// Path of the program, if the call belongs to one.
     pub(crate) program: Option<Name>,
-    /// Hashes of the prompt's prefixes, from the shortest to the whole.
-    pub(crate) prefixes: Arc<[u64]>,
+    /// Hash chain over the blocks of the prompt; empty for plain services.
+    pub(crate) blocks: Arc<[u64]>,
     pub(crate) prompt_tokens: u64,
     pub(crate) max_output_tokens: u64,
+    /// Calls of the team that may wait.
     pub(crate) max_queue: u32,
     pub(crate) deadline: Instant,
 }
 
+impl CallSpec {
+    /// Estimated service, in tokens. A call to a plain service counts as a short answer.
+    pub(crate) fn cost(&self) -> u64 {
+        const SERVICE_COST: u64 = 64;
+        match self.prompt_tokens + self.max_output_tokens {
+            0 => SERVICE_COST,
+            tokens => tokens,
+        }
+    }
+}
+
 /// How a dispatched call ended, as far as the endpoint's health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DispatchOutcome {
-    /// A whole answer arrived.
-    Answered,
-    /// The caller went away or the call was given up for another reason.
+    /// A whole answer arrived; `tokens` is what it has cost, if known.
+    Answered {
+        /// Time from the dispatch to the head of the answer.
+        first_byte: Duration,
+        /// Prompt and answer, in tokens.
+        tokens: Option<u64>,
+    },
+    /// The caller went away, or the call was not sent.
     Abandoned,
     /// The endpoint refused because it is full or cold.
     Refused,
@@ -58,34 +95,61 @@
     Failed,
 }
 
+/// An endpoint that was chosen for a call.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) name: Name,
+    pub(crate) address: SocketAddr,
+}
+
 /// Takes back the place of a call at an endpoint.
 pub(crate) trait Release: Send + Sync {
     /// Called exactly once for each slot.
-    fn release(&self, endpoint: &Name, spec: &CallSpec, outcome: DispatchOutcome);
+    fn release(&self, slot: &SlotEnd<'_>);
+}
+
+/// What is known of a slot when it ends.
+pub(crate) struct SlotEnd<'a> {
+    pub(crate) endpoint: &'a Chosen,
+    pub(crate) spec: &'a CallSpec,
+    pub(crate) outcome: DispatchOutcome,
+    pub(crate) held: Duration,
 }
 
 /// A place at an endpoint. Dropping it gives the place back.
 pub(crate) struct Slot {
-    pub(crate) endpoint: Endpoint,
+    pub(crate) endpoint: Chosen,
     spec: Arc<CallSpec>,
     release: Arc<dyn Release>,
     outcome: DispatchOutcome,
+    since: Instant,
 }
 
 impl Slot {
-    pub(crate) fn new(endpoint: Endpoint, spec: Arc<CallSpec>, release: Arc<dyn Release>) -> Self {
-        Self { endpoint, spec, release, outcome: DispatchOutcome::Abandoned }
+    pub(crate) fn new(endpoint: Chosen, spec: Arc<CallSpec>, release: Arc<dyn Release>) -> Self {
+        let outcome = DispatchOutcome::Abandoned;
+        Self { endpoint, spec, release, outcome, since: Instant::now() }
     }
 
-    /// Sets how the call ended.
+    /// Ends the call.
     pub(crate) fn finish(mut self, outcome: DispatchOutcome) {
         self.outcome = outcome;
     }
+
+    /// Time since the place was taken.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.since.elapsed()
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.release.release(&self.endpoint.name, &self.spec, self.outcome);
+        self.release.release(&SlotEnd {
+            endpoint: &self.endpoint,
+            spec: &self.spec,
+            outcome: self.outcome,
+            held: self.since.elapsed(),
+        });
     }
 }
 
--- /dev/null
+++ b/crates/server/src/schedule/queues.rs
@@ -0,0 +1,209 @@
+//! Calls that wait for a place, one queue for each group of endpoints.
+
+use std::{sync::Arc, time::Duration};
+
+use poplarspan_objects::Name;
+use poplarspan_policy::{
+    fair::{Call, Entry, FairQueue, Full, InFlight, LasDeadline, QueueConfig, QueueId},
+    route::NoRoute,
+};
+use tokio::sync::oneshot;
+
+use super::{CallSpec, Chosen, endpoints::Endpoints};
+use crate::entry::{Code, Refusal};
+
+/// Name under which calls on open routes share the queue.
+const OPEN_TEAM: &str = "";
+/// Weight of a new measurement in the average time that a call holds its place.
+const HELD_GAIN: f64 = 0.05;
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// A waiting call.
+pub(super) struct Waiting {
+    pub(super) spec: Arc<CallSpec>,
+    tried: Vec<Name>,
+    tx: oneshot::Sender<Result<Chosen, Refusal>>,
+}
+
+/// A call that has its place, or its final answer.
+pub(super) struct Decided {
+    pub(super) waiting: Waiting,
+    pub(super) result: Result<Chosen, Refusal>,
+}
+
+impl Decided {
+    /// Tells the waiting call. Returns the place when the caller has gone.
+    pub(super) fn tell(self) -> Option<(Chosen, Arc<CallSpec>)> {
+        let spec = self.waiting.spec;
+        match self.waiting.tx.send(self.result) {
+            Err(Ok(chosen)) => Some((chosen, spec)),
+            _ => None,
+        }
+    }
+}
+
+struct GroupQueue {
+    group: Name,
+    queue: FairQueue<Waiting>,
+    /// Average time that a call holds its place, in seconds.
+    held_s: f64,
+}
+
+/// All queues, sorted by group.
+#[derive(Default)]
+pub(super) struct Queues {
+    list: Vec<GroupQueue>,
+}
+
+/// Room of a group, as the queue asks for it.
+struct Room<'a> {
+    endpoints: &'a Endpoints,
+    group: &'a str,
+}
+
+impl InFlight for Room<'_> {
+    fn has_room(&self, _now: Duration) -> bool {
+        self.endpoints.has_room(self.group)
+    }
+
+    // The endpoints count the calls themselves.
+    fn began(&mut self, _cost: u64) {}
+    fn ended(&mut self, _cost: u64) {}
+}
+
+impl Queues {
+    /// Queues a call; refuses when the queue is full or the call cannot be served in time.
+    pub(super) fn push(
+        &mut self,
+        spec: &Arc<CallSpec>,
+        tried: &[Name],
+        capacity: u32,
+        deadline: Duration,
+        now: Duration,
+    ) -> Result<(QueueId, oneshot::Receiver<Result<Chosen, Refusal>>), Refusal> {
+        let at = self.find_or_add(&spec.group);
+        let group = &mut self.list[at];
+        let team = spec.team.clone().unwrap_or_else(|| OPEN_TEAM.into());
+        if group.queue.team_len(&team) >= spec.max_queue as usize {
+            return Err(overloaded("the team's queue is full", COME_BACK));
+        }
+        let wait = group.expected_wait(capacity);
+        if now + wait > deadline {
+            return Err(overloaded("the call cannot be served before its deadline", wait));
+        }
+        let (tx, rx) = oneshot::channel();
+        let call = Call {
+            team,
+            weight: spec.weight,
+            program: spec.program.clone(),
+            cost: spec.cost(),
+            deadline,
+            payload: Waiting { spec: spec.clone(), tried: tried.to_vec(), tx },
+        };
+        match group.queue.push(call, now) {
+            Ok(id) => Ok((id, rx)),
+            Err(Full::Team(_) | Full::Queue(_)) => Err(overloaded("the queue is full", COME_BACK)),
+        }
+    }
+
+    /// Gives free places to waiting calls of a group.
+    pub(super) fn serve(
+        &mut self,
+        group: &str,
+        endpoints: &mut Endpoints,
+        now: Duration,
+    ) -> Vec<Decided> {
+        let Ok(at) = self.position(group) else { return Vec::new() };
+        let queue = &mut self.list[at].queue;
+        let mut decided = Vec::new();
+        // Calls that no free endpoint may take, because they were already tried there.
+        let mut passed = Vec::new();
+        while let Some(entry) = queue.pop(&mut Room { endpoints, group }, now) {
+            let waiting = &entry.call.payload;
+            if waiting.tx.is_closed() {
+                settle(queue, &entry, 0, now);
+                continue;
+            }
+            match endpoints.place(&waiting.spec, &waiting.tried, now) {
+                Ok(chosen) => {
+                    let waiting = entry.call.payload;
+                    decided.push(Decided { waiting, result: Ok(chosen) });
+                }
+                Err(NoRoute::Full | NoRoute::NoneOpen) => {
+                    let fresh = waiting.tried.is_empty();
+                    passed.push(entry);
+                    if fresh {
+                        break;
+                    }
+                }
+            }
+        }
+        for entry in passed {
+            queue.put_back(entry, &mut Room { endpoints, group }, now);
+        }
+        decided
+    }
+
+    /// Refuses the calls that have waited until their deadline.
+    pub(super) fn expire(&mut self, now: Duration) -> Vec<Decided> {
+        let expired = self.list.iter_mut().flat_map(|g| g.queue.expire(now));
+        let refusal = || {
+            Refusal::not_run(Code::Deadline, "no endpoint was free in time").retry_after(COME_BACK)
+        };
+        expired
+            .map(|entry| Decided { waiting: entry.call.payload, result: Err(refusal()) })
+            .collect()
+    }
+
+    /// Removes a call whose caller has gone.
+    pub(super) fn remove(&mut self, group: &str, id: QueueId) {
+        if let Ok(at) = self.position(group) {
+            self.list[at].queue.remove(id);
+        }
+    }
+
+    /// Corrects the charge for a call that has ended.
+    pub(super) fn settle(&mut self, spec: &CallSpec, actual: u64, held: Duration, now: Duration) {
+        let Ok(at) = self.position(&spec.group) else { return };
+        let group = &mut self.list[at];
+        let team = spec.team.clone().unwrap_or_else(|| OPEN_TEAM.into());
+        group.queue.settle(&team, spec.program.as_ref(), spec.cost(), actual, now);
+        if actual > 0 {
+            group.held_s += HELD_GAIN * (held.as_secs_f64() - group.held_s);
+        }
+    }
+
+    /// Groups in which calls wait.
+    pub(super) fn waiting_groups(&self) -> Vec<Name> {
+        self.list.iter().filter(|g| !g.queue.is_empty()).map(|g| g.group.clone()).collect()
+    }
+
+    fn position(&self, group: &str) -> Result<usize, usize> {
+        self.list.binary_search_by(|g| (*g.group).cmp(group))
+    }
+
+    fn find_or_add(&mut self, group: &Name) -> usize {
+        self.position(group).unwrap_or_else(|at| {
+            let queue = FairQueue::new(QueueConfig::default(), Box::new(LasDeadline::default()));
+            self.list.insert(at, GroupQueue { group: group.clone(), queue, held_s: 0.0 });
+            at
+        })
+    }
+}
+
+impl GroupQueue {
+    /// Time until a call that is queued now is served, if the others take as long as usual.
+    fn expected_wait(&self, capacity: u32) -> Duration {
+        let ahead = self.queue.len() as f64;
+        Duration::from_secs_f64(ahead * self.held_s / f64::from(capacity.max(1)))
+    }
+}
+
+fn settle(queue: &mut FairQueue<Waiting>, entry: &Entry<Waiting>, actual: u64, now: Duration) {
+    let call = &entry.call;
+    queue.settle(&call.team, call.program.as_ref(), call.cost, actual, now);
+}
+
+fn overloaded(message: &'static str, wait: Duration) -> Refusal {
+    Refusal::not_run(Code::Overloaded, message).retry_after(wait)
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -117,6 +117,10 @@
             };
             match path.as_str() {
                 "/v1/chat/completions" => self.chat(body.to_bytes()).await,
+                "/load" => server::json(
+                    StatusCode::OK,
+                    &json!({"run": 1, "uptime_ms": 3_600_000, "running": 0}),
+                ),
                 "/orders" => server::json(StatusCode::OK, &json!({"state": "done"})),
                 _ => server::json(StatusCode::NOT_FOUND, &json!({"error": "not found"})),
             }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -50,6 +50,10 @@
         request: Request<Incoming>,
     ) -> BoxFuture<'static, Response<AnswerBody>> {
         Box::pin(async move {
+            if request.uri().path() == "/load" {
+                let load = json!({"run": 1, "uptime_ms": 3_600_000, "running": 0});
+                return server::json(StatusCode::OK, &load);
+            }
             let key = request.headers().get("idempotency-key").and_then(|v| v.to_str().ok());
             let key = key.unwrap_or_default().to_owned();
             if request.into_body().collect().await.is_err() {
