Test the rate bound under faults and make handover pull-based

The test runs instances, a leader that grants leases, and a network that loses, delays and repeats messages, with isolation, freezes and restarts, and checks every window against burst + rate * T.

Cause of the change of handover: a transfer pushed by the former owner was never accepted, since the instance that joins has seen one view only. It now claims the bucket; a former owner hands it over once, to one session, for a limited time. The wait for a live former owner is gone, because in an unbroken sequence of views a former owner is always missing in the newest one.

--- a/crates/policy/src/rate/handover.rs
+++ b/crates/policy/src/rate/handover.rs
@@ -35,17 +35,24 @@
     u64::from_le_bytes(*digest.as_bytes().first_chunk().expect("a digest has 32 bytes"))
 }
 
-/// State of a bucket that a former owner hands to its successor, after which it grants no more.
+/// Request of a new owner to the former one to hand over a bucket.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Transfer {
+pub struct Claim {
     /// Team of the bucket.
     pub team: Name,
-    /// Former owner.
-    pub from: Name,
     /// New owner.
     pub to: Name,
-    /// Epoch that made `to` the owner.
+    /// Its session, so that a claim made before a restart has no effect after it.
+    pub session: u64,
+    /// Epoch of its view.
     pub epoch: u64,
+}
+
+/// State of a bucket that a former owner hands to its successor, after which it grants no more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// The claim that it answers.
+    pub claim: Claim,
     /// Level in 10^-9 tokens.
     pub level_nano: u64,
     /// Tokens granted that may still be used.
@@ -70,12 +77,19 @@
 
 /// Buckets that this instance owns.
 ///
-/// The caller must check its own membership lease before [`Owners::request`]; then a successor may
-/// rely on these facts. A former owner that is missing in a view has no lease, because the leader
-/// removes an instance only after its lease has expired. A former owner that is still in the view
-/// has heard of it, or has no lease, one lease duration after any instance heard of it. After
-/// either point the last grants remain valid for at most [`MAX_VALIDITY`]. A [`Transfer`] from the
-/// former owner ends the wait early.
+/// The caller must check its own membership lease before [`Owners::request`]. Then an instance that
+/// has seen each view since its start, or since a gap, may rely on this: any former owner in those
+/// views was preferred to it, so it is missing in the newest one, so its lease has expired, because
+/// the leader removes an instance only then. Its last grants remain valid for [`MAX_VALIDITY`].
+/// Views from before are unknown, but one lease duration after its first view no instance can hold
+/// a lease under them, and [`MAX_VALIDITY`] later no grant is valid.
+///
+/// An instance that joins takes over teams from live owners. It need not wait: the former owner,
+/// once it knows the new view, hands its bucket over ([`Owners::claim`], [`Owners::release`],
+/// [`Owners::accept`]). It does so once, to one session, and only for [`MAX_VALIDITY`] after it
+/// learned of the view. It learned of it at most one lease duration after the view was made, and
+/// the new owner starts by itself one lease duration and [`MAX_VALIDITY`] after that at the
+/// earliest, so the bucket cannot be handed to an instance that has already started another.
 #[derive(Debug)]
 pub struct Owners {
     me: Name,
@@ -87,6 +101,8 @@
     settled: Duration,
     views: VecDeque<(Duration, View)>,
     buckets: Vec<(Name, OwnerBucket)>,
+    /// Buckets that the newest view gave to another instance.
+    released: Vec<(Name, OwnerBucket)>,
 }
 
 impl Owners {
@@ -102,16 +118,18 @@
             settled: Duration::MAX,
             views: VecDeque::new(),
             buckets: Vec::new(),
+            released: Vec::new(),
         }
     }
 
-    /// Takes note of a view that arrived at `now`. Returns the buckets that are now another's.
+    /// Takes note of a view that arrived at `now`.
     ///
     /// A gap between epochs hides owners from this instance, so it waits as after a start.
-    pub fn observe(&mut self, view: &View, now: Duration) -> Vec<Transfer> {
+    pub fn observe(&mut self, view: &View, now: Duration) {
         match self.views.back() {
-            Some((_, last)) if last.epoch >= view.epoch => return Vec::new(),
-            Some((_, last)) if last.epoch + 1 == view.epoch => {}
+            Some((_, last)) if last.epoch >= view.epoch => return,
+            Some((_, last))
+                if last.epoch + 1 == view.epoch && view.instances.contains(&self.me) => {}
             _ => {
                 self.views.clear();
                 self.buckets.clear();
@@ -124,29 +142,43 @@
             let (learned, _) = &self.views[0];
             self.settled = self.settled.max(*learned + self.lease + MAX_VALIDITY);
         }
-        self.relinquish(view, now)
+        let me = &self.me;
+        let is_mine = |team: &Name| owner_of(team, &view.instances) == Some(me);
+        self.released = self.buckets.extract_if(.., |(team, _)| !is_mine(team)).collect();
     }
 
-    fn relinquish(&mut self, view: &View, now: Duration) -> Vec<Transfer> {
-        let mut transfers = Vec::new();
-        let me = &self.me;
-        self.buckets.retain_mut(|(team, bucket)| {
-            let Some(to) = owner_of(team, &view.instances).filter(|to| *to != me) else {
-                return true;
-            };
-            bucket.is_idle(now);
-            transfers.push(Transfer {
-                team: team.clone(),
-                from: me.clone(),
-                to: to.clone(),
-                epoch: view.epoch,
-                level_nano: bucket.level_nano(),
-                outstanding: bucket.outstanding(),
-                valid_for: bucket.last_expiry().unwrap_or(now).saturating_sub(now),
-            });
-            false
-        });
-        transfers
+    /// Returns a claim for the bucket of `team` and the instance to send it to, while this instance
+    /// is the owner but may not grant yet.
+    pub fn claim(&self, team: &Name, now: Duration) -> Option<(Name, Claim)> {
+        let (_, view) = self.views.back()?;
+        let started = self.buckets.binary_search_by(|(name, _)| name.cmp(team)).is_ok();
+        if started || now >= self.start(team) || self.owner(team) != Some(&self.me) {
+            return None;
+        }
+        let others: Vec<_> = view.instances.iter().filter(|i| **i != self.me).cloned().collect();
+        let former = owner_of(team, &others)?.clone();
+        let (to, session, epoch) = (self.me.clone(), self.session, view.epoch);
+        Some((former, Claim { team: team.clone(), to, session, epoch }))
+    }
+
+    /// Hands a bucket over to its new owner, if this instance had it until the newest view.
+    pub fn release(&mut self, claim: &Claim, now: Duration) -> Option<Transfer> {
+        let (learned, view) = self.views.back()?;
+        if view.epoch != claim.epoch
+            || now >= *learned + MAX_VALIDITY
+            || owner_of(&claim.team, &view.instances) != Some(&claim.to)
+        {
+            return None;
+        }
+        let at = self.released.iter().position(|(team, _)| *team == claim.team)?;
+        let (_, mut bucket) = self.released.swap_remove(at);
+        bucket.is_idle(now);
+        Some(Transfer {
+            claim: claim.clone(),
+            level_nano: bucket.level_nano(),
+            outstanding: bucket.outstanding(),
+            valid_for: bucket.last_expiry().unwrap_or(now).saturating_sub(now),
+        })
     }
 
     /// Owner of `team` in the newest view.
@@ -156,54 +188,29 @@
 
     /// When this instance may start to grant tokens of `team` without a transfer.
     pub fn start(&self, team: &str) -> Duration {
-        self.start_after(team, self.views.len())
+        let owners = |i: usize| owner_of(team, &self.views[i].1.instances);
+        let changed = (1..self.views.len()).rev().find(|i| owners(*i) != owners(*i - 1));
+        changed.map_or(self.settled, |i| self.settled.max(self.views[i].0 + MAX_VALIDITY))
     }
 
-    /// As [`Owners::start`], over the oldest `count` views only.
-    fn start_after(&self, team: &str, count: usize) -> Duration {
-        let mut start = self.settled;
-        for i in 1..count {
-            let (_, old) = &self.views[i - 1];
-            let (learned, new) = &self.views[i];
-            let former = owner_of(team, &old.instances);
-            if former == owner_of(team, &new.instances) {
-                continue;
-            }
-            let alive = former.is_some_and(|name| new.instances.contains(name));
-            let lease = if alive { self.lease } else { Duration::ZERO };
-            start = start.max(*learned + lease + MAX_VALIDITY);
-        }
-        start
-    }
-
-    /// Takes over a bucket from its former owner. Returns whether the transfer was accepted.
-    ///
-    /// It is refused when it belongs to another epoch, when the bucket has already been started, or
-    /// when an owner before the sender may still have valid grants.
+    /// Takes over a bucket from its former owner. Returns whether the transfer was accepted; it is
+    /// refused when it was made for another epoch or session, or when the bucket has been started.
     pub fn accept(&mut self, transfer: &Transfer, limit: Limit, now: Duration) -> bool {
-        let count = self.views.len();
+        let claim = &transfer.claim;
         let Some((_, view)) = self.views.back() else { return false };
-        if count < 2 || view.epoch != transfer.epoch || transfer.to != self.me {
+        if (claim.epoch, claim.session, &claim.to) != (view.epoch, self.session, &self.me)
+            || owner_of(&claim.team, &view.instances) != Some(&self.me)
+        {
             return false;
         }
-        let former = owner_of(&transfer.team, &self.views[count - 2].1.instances);
-        let is_owner = owner_of(&transfer.team, &view.instances) == Some(&self.me);
-        if former != Some(&transfer.from) || !is_owner {
+        let Err(at) = self.buckets.binary_search_by(|(name, _)| name.cmp(&claim.team)) else {
             return false;
-        }
-        if now < self.start_after(&transfer.team, count - 1) {
-            return false;
-        }
-        match self.buckets.binary_search_by(|(name, _)| name.cmp(&transfer.team)) {
-            Ok(_) => false,
-            Err(at) => {
-                let state = (transfer.level_nano, transfer.outstanding);
-                let (min, valid_for) = (self.min_validity, transfer.valid_for);
-                let bucket = OwnerBucket::resumed(limit, min, state, valid_for, now);
-                self.buckets.insert(at, (transfer.team.clone(), bucket));
-                true
-            }
-        }
+        };
+        let state = (transfer.level_nano, transfer.outstanding);
+        let (min, valid_for) = (self.min_validity, transfer.valid_for);
+        let bucket = OwnerBucket::resumed(limit, min, state, valid_for, now);
+        self.buckets.insert(at, (claim.team.clone(), bucket));
+        true
     }
 
     /// Answers a request for tokens of `team`. The caller has checked its own lease at `now`.
--- a/crates/policy/src/rate/mod.rs
+++ b/crates/policy/src/rate/mod.rs
@@ -46,7 +46,8 @@
 
 use std::time::Duration;
 
-pub use handover::{Answer, Owners, Transfer, View, owner_of};
+pub(crate) use handover::rendezvous;
+pub use handover::{Answer, Claim, Owners, Transfer, View, owner_of};
 pub use owner::OwnerBucket;
 pub use share::{Admission, Permit, Share, ShareConfig, Ticket, Verdict};
 
--- /dev/null
+++ b/crates/policy/tests/common/mod.rs
@@ -0,0 +1,18 @@
+//! Helpers of the tests.
+
+use std::time::Duration;
+
+use proptest::test_runner::{Config, RngSeed};
+
+/// Time or duration of `n` milliseconds.
+#[allow(dead_code)]
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Configuration with `cases` cases from a fixed seed.
+#[allow(dead_code)]
+pub fn fixed(cases: u32, seed: u64) -> Config {
+    println!("proptest seed {seed}");
+    Config { cases, failure_persistence: None, rng_seed: RngSeed::Fixed(seed), ..Config::default() }
+}
--- /dev/null
+++ b/crates/policy/tests/rate_bound.rs
@@ -0,0 +1,461 @@
+//! Guards invariant I6: no team gets more than its rate and burst over all instances, whatever is
+//! lost, delayed, isolated, frozen or restarted.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{fixed, ms};
+use poplarspan_policy::Name;
+use poplarspan_policy::rate::*;
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const LEASE: Duration = Duration::from_secs(2);
+const HEARTBEAT_MS: u64 = 300;
+const INSTANCES: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Message {
+    Heartbeat { sent: u64 },
+    Lease { sent: u64, view: View },
+    Ask(Ask),
+    Answer(u64, Answer),
+    Claim(Claim),
+    Transfer(Transfer),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Isolate,
+    Freeze,
+    Restart,
+}
+
+#[derive(Clone, Debug)]
+struct Plan {
+    rate: f64,
+    burst: u32,
+    offered: f64,
+    /// Calls come in pulses of a burst per instance, this many milliseconds apart.
+    pulse: Option<u64>,
+    loss: f64,
+    max_delay: u64,
+    faults: Vec<(u64, usize, Fault, u64)>,
+    seed: u64,
+}
+
+struct Instance {
+    owners: Owners,
+    share: Share,
+    lease_until: u64,
+    epoch: u64,
+    frozen_until: u64,
+    isolated_until: u64,
+}
+
+/// Instances, one leader that grants leases, and the network between them.
+struct World {
+    plan: Plan,
+    rng: StdRng,
+    names: Vec<Name>,
+    instances: Vec<Instance>,
+    net: Vec<(u64, usize, usize, Message)>,
+    view: View,
+    leases: Vec<u64>,
+    session: u64,
+    uses: Vec<u64>,
+    refused: u64,
+    team: Name,
+    limit: Limit,
+}
+
+const LEADER: usize = INSTANCES;
+
+impl World {
+    fn new(plan: Plan) -> Self {
+        let mut names: Vec<Name> = (0..INSTANCES).map(|i| Name::from(format!("i{i}"))).collect();
+        // Instance 0 owns the team when it is there, instance 1 otherwise, and so on.
+        for at in 0..INSTANCES {
+            let owner = owner_of("team", &names[at..]).unwrap().clone();
+            let found = names.iter().position(|n| *n == owner).unwrap();
+            names.swap(at, found);
+        }
+        let limit = Limit::new(plan.rate, plan.burst);
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(plan.seed),
+            names,
+            instances: Vec::new(),
+            net: Vec::new(),
+            view: View { epoch: 0, instances: Vec::new() },
+            leases: vec![0; INSTANCES],
+            session: 0,
+            uses: Vec::new(),
+            refused: 0,
+            team: Name::from("team"),
+            limit,
+            plan,
+        };
+        world.instances = (0..INSTANCES).map(|i| world.started(i)).collect();
+        world
+    }
+
+    fn started(&mut self, i: usize) -> Instance {
+        self.session += 1;
+        Instance {
+            owners: Owners::new(self.names[i].clone(), self.session, LEASE, MIN_VALIDITY),
+            share: Share::new(self.names[i].clone(), self.limit, ShareConfig::default()),
+            lease_until: 0,
+            epoch: 0,
+            frozen_until: 0,
+            isolated_until: 0,
+        }
+    }
+
+    fn send(&mut self, now: u64, from: usize, to: usize, message: Message) {
+        if from == to {
+            self.net.push((now, from, to, message));
+            return;
+        }
+        let cut = |i: usize| i != LEADER && self.instances[i].isolated_until > now;
+        if cut(from) || cut(to) || self.rng.random_bool(self.plan.loss) {
+            return;
+        }
+        let late = if self.rng.random_bool(self.plan.loss / 3.0) { 4000 } else { 0 };
+        let at = now + self.rng.random_range(0..=self.plan.max_delay.max(late));
+        if matches!(message, Message::Transfer(_)) && self.rng.random_bool(0.5) {
+            let again = at + self.rng.random_range(0..1500);
+            self.net.push((again, from, to, message.clone()));
+        }
+        self.net.push((at, from, to, message));
+    }
+
+    fn step(&mut self, now: u64) {
+        self.lead(now);
+        let frozen = |w: &Self, to: usize| to != LEADER && w.instances[to].frozen_until > now;
+        let net = std::mem::take(&mut self.net);
+        for (at, from, to, message) in net {
+            // Messages to a frozen process stay in its socket until it resumes.
+            if at > now || frozen(self, to) {
+                self.net.push((at, from, to, message));
+            } else {
+                self.deliver(now, from, to, message);
+            }
+        }
+        for i in 0..INSTANCES {
+            if self.instances[i].frozen_until <= now {
+                self.run(now, i);
+            }
+        }
+    }
+
+    fn lead(&mut self, now: u64) {
+        let live: Vec<Name> = (0..INSTANCES)
+            .filter(|i| self.leases[*i] > now)
+            .map(|i| self.names[i].clone())
+            .collect();
+        if live != self.view.instances {
+            self.view = View { epoch: self.view.epoch + 1, instances: live };
+        }
+    }
+
+    fn deliver(&mut self, now: u64, from: usize, to: usize, message: Message) {
+        match message {
+            Message::Heartbeat { sent } => {
+                self.leases[from] = now + LEASE.as_millis() as u64;
+                self.lead(now);
+                let view = self.view.clone();
+                self.send(now, LEADER, from, Message::Lease { sent, view });
+            }
+            Message::Lease { sent, view } => {
+                let this = &mut self.instances[to];
+                this.lease_until = this.lease_until.max(sent + LEASE.as_millis() as u64);
+                if view.epoch > this.epoch {
+                    this.epoch = view.epoch;
+                    this.share.on_new_owner(ms(now));
+                    this.owners.observe(&view, ms(now));
+                }
+            }
+            Message::Ask(ask) => {
+                let this = &mut self.instances[to];
+                if this.lease_until > now {
+                    let answer = this.owners.request(&self.team, self.limit, &ask, ms(now));
+                    if let Some((former, claim)) = this.owners.claim(&self.team, ms(now)) {
+                        let former = self.names.iter().position(|n| *n == former).unwrap();
+                        self.send(now, to, former, Message::Claim(claim));
+                    }
+                    self.send(now, to, from, Message::Answer(ask.id, answer));
+                }
+            }
+            Message::Answer(ask, answer) => {
+                let share = &mut self.instances[to].share;
+                let decided = match answer {
+                    Answer::Granted(grant) => share.on_grant(ask, &grant, ms(now)),
+                    Answer::Starting { retry_after } => share.on_starting(retry_after, ms(now)),
+                    Answer::NotOwner(_) => Vec::new(),
+                };
+                self.count(now, &decided);
+            }
+            Message::Claim(claim) => {
+                if let Some(transfer) = self.instances[to].owners.release(&claim, ms(now)) {
+                    self.send(now, to, from, Message::Transfer(transfer));
+                }
+            }
+            Message::Transfer(transfer) => {
+                self.instances[to].owners.accept(&transfer, self.limit, ms(now));
+            }
+        }
+    }
+
+    fn count(&mut self, now: u64, decided: &[(Ticket, Verdict)]) {
+        for (_, verdict) in decided {
+            match verdict {
+                Verdict::Granted(permit) => {
+                    assert!(permit.valid_until > ms(now));
+                    self.uses.push(now);
+                }
+                Verdict::Refused { .. } => self.refused += 1,
+            }
+        }
+    }
+
+    fn run(&mut self, now: u64, i: usize) {
+        if now % HEARTBEAT_MS == 37 * i as u64 {
+            self.send(now, i, LEADER, Message::Heartbeat { sent: now });
+        }
+        let expired = self.instances[i].share.expire(ms(now));
+        self.count(now, &expired);
+        if self.instances[i].lease_until <= now {
+            return;
+        }
+        let per_ms = self.plan.offered * self.plan.rate / 1000.0 / INSTANCES as f64;
+        let mut calls = per_ms as u32 + u32::from(self.rng.random_bool(per_ms.fract()));
+        if let Some(every) = self.plan.pulse {
+            calls = if now.is_multiple_of(every) { self.plan.burst + 1 } else { 0 };
+        }
+        for _ in 0..calls {
+            let patience = if self.plan.pulse.is_some() { 3000 } else { 400 };
+            match self.instances[i].share.acquire(ms(now + patience), ms(now)) {
+                Admission::Granted(_) => self.uses.push(now),
+                Admission::Refused { .. } => self.refused += 1,
+                Admission::Wait(_) => {}
+            }
+        }
+        let owner = self.instances[i].owners.owner(&self.team).cloned();
+        if let (Some(owner), Some(ask)) = (owner, self.instances[i].share.poll(ms(now))) {
+            let to = self.names.iter().position(|n| *n == owner).unwrap();
+            self.send(now, i, to, Message::Ask(ask));
+        }
+        self.instances[i].owners.prune(ms(now));
+    }
+
+    fn fault(&mut self, now: u64, i: usize, fault: Fault, lasting: u64) {
+        match fault {
+            Fault::Isolate => self.instances[i].isolated_until = now + lasting,
+            Fault::Freeze => self.instances[i].frozen_until = now + lasting,
+            Fault::Restart => {
+                self.instances[i] = self.started(i);
+                self.net.retain(|(_, _, to, _)| *to != i);
+            }
+        }
+    }
+
+    fn simulate(&mut self, from: u64, until: u64) {
+        for now in from..until {
+            for (at, i, fault, lasting) in self.plan.faults.clone() {
+                if at == now {
+                    self.fault(now, i, fault, lasting);
+                }
+            }
+            self.step(now);
+        }
+    }
+
+    /// Highest fill of a bucket that drains at the rate: at most the burst if and only if every
+    /// window of length `T` has at most `burst + rate * T` uses.
+    fn highest_fill(&self) -> f64 {
+        let (mut fill, mut last, mut highest) = (0.0_f64, 0, 0.0_f64);
+        for use_at in &self.uses {
+            fill = (fill - self.plan.rate * (use_at - last) as f64 / 1000.0).max(0.0) + 1.0;
+            highest = highest.max(fill);
+            last = *use_at;
+        }
+        highest
+    }
+}
+
+fn plans() -> impl Strategy<Value = Plan> {
+    let kind = prop_oneof![Just(Fault::Isolate), Just(Fault::Freeze), Just(Fault::Restart)];
+    let who = prop_oneof![3 => Just(0), 2 => Just(1), 1 => 2..INSTANCES];
+    let fault = (3500..8000_u64, who, kind, 50..6000_u64);
+    (
+        prop_oneof![Just((20.0, 1)), Just((50.0, 5)), Just((100.0, 40)), Just((400.0, 300))],
+        0.3..4.0_f64,
+        prop_oneof![Just(None), (300..2000_u64).prop_map(Some)],
+        prop_oneof![Just(0.0), 0.0..0.3_f64],
+        1..30_u64,
+        prop::collection::vec(fault, 0..8),
+        any::<u64>(),
+    )
+        .prop_map(|((rate, burst), offered, pulse, loss, max_delay, faults, seed)| Plan {
+            rate,
+            burst,
+            offered,
+            pulse,
+            loss,
+            max_delay,
+            faults,
+            seed,
+        })
+}
+
+proptest! {
+    #![proptest_config(fixed(32, 11))]
+
+    /// Guards against a token used twice, or two owners granting from the same refill.
+    #[test]
+    fn uses_stay_under_rate_and_burst(plan in plans()) {
+        let mut world = World::new(plan);
+        world.simulate(0, 12_000);
+        let highest = world.highest_fill();
+        prop_assert!(
+            highest <= f64::from(world.plan.burst) + 1e-6,
+            "fill {highest} above burst {}", world.plan.burst
+        );
+    }
+}
+
+/// Runs 10 s without faults, after 4 s in which the instances join and the owner starts.
+fn steady(offered: f64, burst: u32) -> World {
+    let plan = Plan {
+        rate: 500.0,
+        burst,
+        offered,
+        pulse: None,
+        loss: 0.0,
+        max_delay: 3,
+        faults: Vec::new(),
+        seed: 5,
+    };
+    let mut world = World::new(plan);
+    world.simulate(0, 4_000);
+    world.uses.clear();
+    world.refused = 0;
+    world.simulate(4_000, 14_000);
+    world
+}
+
+/// Guards against refusals of calls within rate in steady state, and against lost throughput.
+#[test]
+fn calls_within_rate_are_admitted() {
+    let world = steady(0.9, 250);
+    assert_eq!(world.refused, 0);
+    assert!(world.uses.len() > 4_300, "{} uses", world.uses.len());
+}
+
+/// Guards against an overload that lowers what is admitted under the rate.
+#[test]
+fn overload_keeps_full_rate() {
+    let world = steady(5.0, 50);
+    assert!(world.uses.len() > 4_950, "{} uses", world.uses.len());
+}
+
+/// Guards against a handover that takes as long as the loss of an owner: an owner that joins again
+/// takes the bucket over from the live one.
+#[test]
+fn joining_owner_takes_over() {
+    let limit = Limit::new(100.0, 50);
+    let names: Vec<Name> = ["i0", "i1"].map(Name::from).to_vec();
+    let team = Name::from("team");
+    let joining = owner_of(&team, &names).unwrap().clone();
+    let former = names.iter().find(|n| **n != joining).unwrap().clone();
+    let ask = Ask { id: 0, instance: "x".into(), waiting: 20, spare: 0, reports: Vec::new() };
+    let mut old = Owners::new(former.clone(), 1, LEASE, MIN_VALIDITY);
+    old.observe(&View { epoch: 1, instances: vec![former.clone()] }, ms(0));
+    assert!(matches!(old.request(&team, limit, &ask, ms(2999)), Answer::Starting { .. }));
+    let Answer::Granted(grant) = old.request(&team, limit, &ask, ms(5000)) else { panic!() };
+    assert_eq!(grant.tokens, 20);
+    let view = View { epoch: 2, instances: names };
+    let mut new = Owners::new(joining, 2, LEASE, MIN_VALIDITY);
+    new.observe(&view, ms(5000));
+    assert!(matches!(new.request(&team, limit, &ask, ms(5001)), Answer::Starting { .. }));
+    let (to, claim) = new.claim(&team, ms(5001)).unwrap();
+    assert_eq!(to, former);
+    assert_eq!(old.release(&claim, ms(5002)), None, "the former owner has not heard of the view");
+    old.observe(&view, ms(5010));
+    let transfer = old.release(&claim, ms(5010)).unwrap();
+    assert_eq!(old.release(&claim, ms(5011)), None, "a bucket is handed over once");
+    let mut restarted = Owners::new(claim.to.clone(), 3, LEASE, MIN_VALIDITY);
+    restarted.observe(&view, ms(5011));
+    assert!(!restarted.accept(&transfer, limit, ms(5012)));
+    assert!(new.accept(&transfer, limit, ms(5012)) && !new.accept(&transfer, limit, ms(5012)));
+    assert_eq!(transfer.outstanding, 20);
+    let ask = Ask { waiting: 50, ..ask };
+    let Answer::Granted(grant) = new.request(&team, limit, &ask, ms(5100)) else { panic!() };
+    assert_eq!(grant.tokens, 30, "the tokens of the former owner are still outstanding");
+}
+
+/// Guards against an owner that comes back after views it has not seen and grants from its old
+/// bucket, and against a bucket that is handed over when the new owner may have started another.
+#[test]
+fn old_buckets_are_not_used() {
+    let limit = Limit::new(100.0, 50);
+    let names: Vec<Name> = ["i0", "i1"].map(Name::from).to_vec();
+    let team = Name::from("team");
+    let joining = owner_of(&team, &names).unwrap().clone();
+    let former = names.iter().find(|n| **n != joining).unwrap().clone();
+    let ask = Ask { id: 0, instance: "x".into(), waiting: 1, spare: 0, reports: Vec::new() };
+    let alone = |epoch| View { epoch, instances: vec![former.clone()] };
+    let mut owners = Owners::new(former.clone(), 1, LEASE, MIN_VALIDITY);
+    owners.observe(&alone(1), ms(0));
+    assert!(matches!(owners.request(&team, limit, &ask, ms(5000)), Answer::Granted(_)));
+    owners.observe(&alone(3), ms(6000));
+    assert!(matches!(owners.request(&team, limit, &ask, ms(8999)), Answer::Starting { .. }));
+    assert!(matches!(owners.request(&team, limit, &ask, ms(9000)), Answer::Granted(_)));
+    let claim = Claim { team, to: joining, session: 2, epoch: 4 };
+    owners.observe(&View { epoch: 4, instances: names.clone() }, ms(10_000));
+    assert_eq!(owners.release(&claim, ms(11_000)), None);
+    assert!(owners.release(&claim, ms(10_999)).is_some());
+    // The new owner is lost; its grants are waited for, and the level starts at zero.
+    owners.observe(&alone(5), ms(12_000));
+    assert!(matches!(
+        owners.request(&claim.team, limit, &ask, ms(12_999)),
+        Answer::Starting { .. }
+    ));
+    let ask = Ask { waiting: 50, ..ask };
+    let Answer::Granted(grant) = owners.request(&claim.team, limit, &ask, ms(13_100)) else {
+        panic!("the owner has started")
+    };
+    assert_eq!(grant.tokens, 10);
+}
+
+/// Guards against a duplicated report that frees a token twice.
+#[test]
+fn repeated_reports_count_once() {
+    let limit = Limit::new(1.0, 10);
+    let mut owner = OwnerBucket::new(limit, MIN_VALIDITY, 10.0, ms(0));
+    let mut ask = Ask { id: 0, instance: "a".into(), waiting: 4, spare: 0, reports: Vec::new() };
+    let first = owner.request(GrantId { session: 1, number: 1 }, &ask, ms(0));
+    assert_eq!((first.tokens, owner.outstanding()), (4, 4));
+    ask.reports = vec![Report { grant: first.id, used: 2, returned: 1 }; 3];
+    ask.waiting = 0;
+    owner.request(GrantId { session: 1, number: 2 }, &ask, ms(0));
+    assert_eq!((owner.outstanding(), owner.level()), (1, 7.0));
+}
+
+/// Guards against a call that waits for a token it cannot get before its deadline.
+#[test]
+fn hopeless_calls_are_refused_at_once() {
+    let limit = Limit::new(10.0, 1);
+    let mut owner = OwnerBucket::new(limit, MIN_VALIDITY, 0.0, ms(0));
+    let mut share = Share::new("a".into(), limit, ShareConfig::default());
+    assert!(matches!(share.acquire(ms(1000), ms(0)), Admission::Wait(_)));
+    assert!(matches!(share.acquire(ms(50), ms(0)), Admission::Wait(_)));
+    let ask = share.poll(ms(0)).unwrap();
+    let grant = owner.request(GrantId { session: 1, number: 1 }, &ask, ms(1));
+    let decided = share.on_grant(ask.id, &grant, ms(2));
+    let [(_, Verdict::Refused { retry_after })] = decided[..] else { panic!("{decided:?}") };
+    assert!(retry_after >= ms(90), "{retry_after:?}");
+    assert!(matches!(share.acquire(ms(80), ms(3)), Admission::Refused { .. }));
+}
