--- /dev/null
+++ b/crates/policy/tests/route_choice.rs
@@ -0,0 +1,213 @@
+//! Guards the choice of endpoints.
+
+mod common;
+
+use common::{fixed, ms};
+use poplarspan_policy::Name;
+use poplarspan_policy::route::*;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn spec(name: &str, zone: &str) -> EndpointSpec {
+    EndpointSpec {
+        name: name.into(),
+        zone: zone.into(),
+        groups: vec!["m".into()],
+        capacity: 8,
+        prefill_per_second: 10_000.0,
+        service_s: 1.0,
+        leaving: false,
+    }
+}
+
+fn request(blocks: &[u64]) -> RouteRequest<'_> {
+    let prompt_tokens = 100 * blocks.len() as u32;
+    RouteRequest { group: "m", blocks, block_tokens: 100, prompt_tokens, last: None, avoid: &[] }
+}
+
+fn choosers() -> Vec<Box<dyn Chooser>> {
+    vec![
+        Box::new(CostChooser::new("z0".into(), CostConfig::default())),
+        Box::new(RoundRobin::default()),
+        Box::new(LeastConnections),
+    ]
+}
+
+fn fleet(zones: usize, each: usize) -> (Fleet, Vec<EndpointId>) {
+    let mut fleet = Fleet::new();
+    let ids = (0..zones * each)
+        .map(|i| fleet.upsert(spec(&format!("e{i:02}"), &format!("z{}", i % zones))))
+        .collect();
+    (fleet, ids)
+}
+
+proptest! {
+    #![proptest_config(fixed(128, 16))]
+
+    /// Guards invariants I7, I8 and I12: no chooser picks an endpoint that is leaving, removed,
+    /// unhealthy, in a zone that is out, above its cap or to be avoided, and each finds one if any
+    /// is left.
+    #[test]
+    fn excluded_endpoints_are_never_chosen(
+        states in prop::collection::vec(0..7_u8, 12),
+        out in prop::collection::vec(any::<bool>(), 3),
+        seed in any::<u64>(),
+    ) {
+        let (mut fleet, ids) = fleet(3, 4);
+        let mut avoid = Vec::new();
+        for (i, state) in states.iter().enumerate() {
+            let name = format!("e{i:02}");
+            match state {
+                0 => { fleet.remove(&name); }
+                1 => { fleet.upsert(EndpointSpec { leaving: true, ..spec(&name, &format!("z{}", i % 3)) }); }
+                2 => fleet.set_healthy(ids[i], false),
+                3 => { fleet.set_cap(ids[i], Some(1)); fleet.began(ids[i], ms(0)); }
+                4 => avoid.push(ids[i]),
+                _ => {}
+            }
+        }
+        for (z, out) in out.iter().enumerate() {
+            fleet.set_zone_out(&Name::from(format!("z{z}")), *out);
+        }
+        let may = |i: usize| states[i] > 4 && !out[i % 3];
+        let mut rng = StdRng::seed_from_u64(seed);
+        let prefixes = PrefixIndex::new(10);
+        for mut chooser in choosers() {
+            for _ in 0..20 {
+                let last = ids.first().copied();
+                let req = RouteRequest { avoid: &avoid, last, ..request(&[]) };
+                match chooser.choose(&fleet, &prefixes, &req, &mut rng) {
+                    Ok(choice) => prop_assert!(may(ids.iter().position(|id| *id == choice.endpoint).unwrap())),
+                    Err(_) => prop_assert!(!(0..12).any(may)),
+                }
+            }
+        }
+    }
+
+    /// Guards against a load estimate that counts an own call twice, or not at all, whenever the
+    /// report was taken.
+    #[test]
+    fn late_reports_are_corrected(
+        calls in prop::collection::vec((0..500_u64, 1..500_u64), 1..40),
+        taken in 0..1000_u64,
+        lag in 0..500_u64,
+    ) {
+        let (mut fleet, ids) = fleet(1, 1);
+        let running = |at: u64| calls.iter().filter(|(s, d)| *s <= at && at < s + d).count() as u32;
+        let mut events: Vec<_> = calls.iter()
+            .flat_map(|(s, d)| [(*s, true), (s + d, false)])
+            .filter(|(at, _)| *at <= taken + lag).collect();
+        events.sort_by_key(|(at, start)| (*at, !start));
+        for (at, start) in events {
+            if start { fleet.began(ids[0], ms(at)) } else { fleet.ended(ids[0], None, ms(at)) }
+        }
+        // Two more calls of other instances were running.
+        let report = LoadReport { running: running(taken) + 2, queued: 0, taken: ms(taken) };
+        fleet.report(ids[0], &report);
+        prop_assert_eq!(fleet.load(ids[0]), f64::from(running(taken + lag) + 2));
+    }
+}
+
+/// Guards against herding: 8 instances with the same stale report must not choose one endpoint.
+#[test]
+fn equal_reports_do_not_herd() {
+    let mut counts = [0; 12];
+    let prefixes = PrefixIndex::new(10);
+    for instance in 0..8 {
+        let mut rng = StdRng::seed_from_u64(instance);
+        let (mut fleet, ids) = fleet(1, 12);
+        for (i, id) in ids.iter().enumerate() {
+            // Endpoint 0 looks best, by a little.
+            let running = if i == 0 { 2 } else { 3 };
+            fleet.report(*id, &LoadReport { running, queued: 0, taken: ms(0) });
+        }
+        let mut chooser = CostChooser::new("z0".into(), CostConfig::default());
+        for _ in 0..6 {
+            let choice = chooser.choose(&fleet, &prefixes, &request(&[]), &mut rng).unwrap();
+            fleet.began(choice.endpoint, ms(1));
+            counts[choice.endpoint.0 as usize] += 1;
+        }
+    }
+    let most = *counts.iter().max().unwrap();
+    // 48 calls on 12 endpoints make 4 each; all of them fit 5 more on the endpoint.
+    assert!(most <= 12, "{counts:?}");
+}
+
+/// Guards against leaving the cached prefix for noise, and against staying at any price.
+#[test]
+fn cached_prefix_attracts_until_load() {
+    let (mut fleet, ids) = fleet(2, 2);
+    let mut prefixes = PrefixIndex::new(1000);
+    for id in &ids {
+        prefixes.declare(*id, 100);
+    }
+    let blocks: Vec<u64> = (0..40).map(|i| i * 7919 + 1).collect();
+    prefixes.dispatched(ids[3], &blocks, ms(0));
+    let mut chooser = CostChooser::new("z0".into(), CostConfig::default());
+    let mut rng = StdRng::seed_from_u64(1);
+    let choice = chooser.choose(&fleet, &prefixes, &request(&blocks), &mut rng).unwrap();
+    assert_eq!((choice.endpoint, choice.cached_blocks), (ids[3], 40));
+    fleet.report(ids[3], &LoadReport { running: 8, queued: 0, taken: ms(1) });
+    let choice = chooser.choose(&fleet, &prefixes, &request(&blocks), &mut rng).unwrap();
+    assert_eq!(fleet.spec(choice.endpoint).zone, "z0".into(), "same zone when costs are equal");
+    for id in &ids {
+        let running = if fleet.spec(*id).zone == "z0".into() { 6 } else { 1 };
+        fleet.report(*id, &LoadReport { running, queued: 0, taken: ms(2) });
+    }
+    let choice = chooser.choose(&fleet, &prefixes, &request(&[]), &mut rng).unwrap();
+    assert_eq!(fleet.spec(choice.endpoint).zone, "z1".into(), "zone preference yields to load");
+}
+
+/// Guards against an index that outgrows its bound, trusts evicted blocks, or lets a late removal
+/// undo a newer dispatch.
+#[test]
+fn prefix_index_follows_caches() {
+    let mut prefixes = PrefixIndex::new(200);
+    let (a, b) = (EndpointId(0), EndpointId(1));
+    prefixes.declare(a, 50);
+    prefixes.declare(b, 50);
+    let mut depths = Depths::default();
+    let mut depth = |prefixes: &PrefixIndex, blocks: &[u64], id| {
+        prefixes.lookup(blocks, &mut depths);
+        depths.get(id)
+    };
+    let chain = |seed: u64| (0..20).map(|i| seed * 1000 + i).collect::<Vec<u64>>();
+    let event = |sequence, at, change| CacheEvent { sequence, taken: ms(at), change };
+    prefixes.dispatched(a, &chain(1), ms(100));
+    prefixes.dispatched(b, &chain(1)[..5], ms(100));
+    assert_eq!((depth(&prefixes, &chain(1), a), depth(&prefixes, &chain(1), b)), (20, 5));
+    // A removal from before the dispatch is late; one from after it counts.
+    prefixes.event(a, &event(1, 50, CacheChange::Removed(chain(1))));
+    assert_eq!(depth(&prefixes, &chain(1), a), 20);
+    prefixes.event(a, &event(2, 150, CacheChange::Removed(chain(1)[10..].to_vec())));
+    assert_eq!(depth(&prefixes, &chain(1), a), 10);
+    // Stored blocks push out the least recently used ones, also those in lost events.
+    prefixes.event(b, &event(1, 200, CacheChange::Stored(chain(2))));
+    prefixes.event(b, &event(2, 200, CacheChange::Stored(chain(3))));
+    assert_eq!(depth(&prefixes, &chain(2), b), 20);
+    prefixes.event(b, &event(90, 300, CacheChange::Stored(chain(4))));
+    assert_eq!((depth(&prefixes, &chain(2), b), depth(&prefixes, &chain(4), b)), (0, 20));
+    prefixes.event(b, &event(91, 300, CacheChange::Cleared));
+    assert_eq!(depth(&prefixes, &chain(4), b), 0);
+    for seed in 10..100 {
+        prefixes.dispatched(a, &chain(seed), ms(400));
+        assert!(prefixes.len() <= 200);
+    }
+    assert_eq!(depth(&prefixes, &chain(99), a), 20);
+}
+
+/// Guards against chains that depend on how the text was split, or mix scopes.
+#[test]
+fn chains_extend() {
+    let text: Vec<u8> = (0..1000_u32).map(|i| (i % 251) as u8).collect();
+    let mut whole = PrefixChain::new("m/1", 64);
+    whole.extend(&text);
+    let mut pieces = PrefixChain::new("m/1", 64);
+    text.chunks(37).for_each(|piece| pieces.extend(piece));
+    assert_eq!(whole.blocks(), pieces.blocks());
+    assert_eq!(whole.blocks().len(), 15);
+    let mut other = PrefixChain::new("m/2", 64);
+    other.extend(&text);
+    assert_ne!(whole.blocks()[0], other.blocks()[0]);
+}
