Add ramps of cold endpoints

The capacity of a cold endpoint is divided among the instances of the view; each uses the smallest part over its views of the last lease duration, so that the sum stays within the total while views differ.

The age of an endpoint is kept as reported instead of a start time: with a start time, an instance younger than the endpoint counted a warm endpoint as cold.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,9 +9,11 @@
 //! * [`rate`]: rate limits of teams, counted over all instances.
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 //! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
+//! * [`ramp`]: load of endpoints that have just started.
 
 mod check;
 pub mod fair;
+pub mod ramp;
 pub mod rate;
 pub mod route;
 
--- /dev/null
+++ b/crates/policy/src/ramp.rs
@@ -0,0 +1,277 @@
+//! Load of endpoints that have just started.
+//!
+//! A cold endpoint bears `cold_capacity` calls at once, summed over all instances, and its capacity
+//! grows linearly to `capacity` over the time `ramp` (units: calls, durations). The total is divided
+//! among the instances of the membership view: instance number `i` in the endpoint's own rendezvous
+//! order receives `total / n` calls, plus one if `i < total % n`.
+//!
+//! Instances may hold different views for as long as a membership lease lasts. Each therefore uses
+//! the smallest part that it has in any view that was its own within the last lease duration, and
+//! none for that time after its first view or after a gap between epochs. All live instances then
+//! have one view in common: let `v` be the oldest that is still the newest of some live instance.
+//! Its lease was granted before the next view existed, so no instance has had the next view for a
+//! whole lease duration, and all still count `v`. The parts of `v` add up to the total, so the sum
+//! never exceeds the total (I7). Calls that were in flight when a part became smaller still count in the
+//! load report, so [`Cap::total`] has to be enforced on the estimated load as well.
+//!
+//! An endpoint counts as cold until it is known, when its start time changes, when it refuses
+//! [`COLD_REFUSALS`] calls in a row, or when [`COLD_LATENCIES`] answers in a row take
+//! [`COLD_FACTOR`] times as long as usual. When under half of a group's capacity is warm, its warm
+//! endpoints are divided among the instances like cold ones, so that a restart of all endpoints
+//! does not fall on the one that stayed warm.
+//!
+//! Owner of the state: each instance for itself. After a crash all endpoints count as cold until
+//! their first load report.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Name;
+use crate::check::invariant;
+use crate::rate::{View, rendezvous};
+
+/// Refusals in a row that show a cold endpoint.
+pub const COLD_REFUSALS: u32 = 3;
+
+/// Slow answers in a row that show a cold endpoint.
+pub const COLD_LATENCIES: u32 = 5;
+
+/// An answer that takes this many times the usual time is slow.
+pub const COLD_FACTOR: f64 = 4.0;
+
+/// Weight of a new answer in the usual time.
+const LATENCY_GAIN: f64 = 0.05;
+
+/// Views remembered.
+const MAX_VIEWS: usize = 64;
+
+/// What the configuration says of an endpoint's start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RampSpec {
+    /// Name of the endpoint.
+    pub endpoint: Name,
+    /// Endpoints of one group can stand in for each other.
+    pub group: Name,
+    /// Calls at once when warm.
+    pub capacity: u32,
+    /// Calls at once directly after the start.
+    pub cold_capacity: u32,
+    /// Time from cold to warm.
+    pub ramp: Duration,
+}
+
+/// Limit of calls in flight at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cap {
+    /// Calls of this instance.
+    pub own: u32,
+    /// Calls of all instances.
+    pub total: u32,
+}
+
+/// Outcome of a call, as far as it tells cold from warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered; the time to the first byte.
+    Answered(Duration),
+    /// The endpoint refused the call because it was overloaded.
+    Refused,
+}
+
+#[derive(Clone, Debug)]
+struct Ramp {
+    spec: RampSpec,
+    /// Identity of the run, for example the start time that the endpoint reports.
+    run: Option<u64>,
+    /// Age of the run, and when it had that age; none while the endpoint is unknown.
+    seen: Option<(Duration, Duration)>,
+    refusals: u32,
+    slow: u32,
+    usual_s: Option<f64>,
+}
+
+impl Ramp {
+    fn total(&self, now: Duration) -> u32 {
+        let (cold, warm) = (self.spec.cold_capacity.min(self.spec.capacity), self.spec.capacity);
+        let Some(age) = self.age(now) else { return cold };
+        if age >= self.spec.ramp {
+            return warm;
+        }
+        let done = age.as_secs_f64() / self.spec.ramp.as_secs_f64();
+        cold + (f64::from(warm - cold) * done) as u32
+    }
+
+    fn is_warm(&self, now: Duration) -> bool {
+        self.age(now).is_some_and(|age| age >= self.spec.ramp)
+    }
+
+    fn age(&self, now: Duration) -> Option<Duration> {
+        self.seen.map(|(age, at)| age + now.saturating_sub(at))
+    }
+
+    fn restart(&mut self, age: Duration, now: Duration) {
+        self.seen = Some((age, now));
+        self.refusals = 0;
+        self.slow = 0;
+    }
+}
+
+/// Ramps of all endpoints, and the division of their capacity among instances.
+#[derive(Debug)]
+pub struct Ramps {
+    me: Name,
+    lease: Duration,
+    ramps: Vec<Ramp>,
+    /// Views with the time at which each was learned.
+    views: VecDeque<(Duration, View)>,
+}
+
+impl Ramps {
+    /// Returns an empty table of instance `me`; `lease` is the duration of membership leases.
+    pub fn new(me: Name, lease: Duration) -> Self {
+        Self { me, lease, ramps: Vec::new(), views: VecDeque::new() }
+    }
+
+    /// Adds an endpoint, which counts as cold, or changes the numbers of a known one.
+    pub fn upsert(&mut self, spec: RampSpec) {
+        match self.find(&spec.endpoint) {
+            Ok(at) => self.ramps[at].spec = spec,
+            Err(at) => {
+                let ramp =
+                    Ramp { spec, run: None, seen: None, refusals: 0, slow: 0, usual_s: None };
+                self.ramps.insert(at, ramp);
+            }
+        }
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, endpoint: &str) {
+        if let Ok(at) = self.find(endpoint) {
+            self.ramps.remove(at);
+        }
+    }
+
+    /// Takes note of a membership view that arrived at `now`.
+    pub fn observe_view(&mut self, view: &View, now: Duration) {
+        match self.views.back() {
+            Some((_, last)) if last.epoch >= view.epoch => return,
+            Some((_, last)) if last.epoch + 1 == view.epoch => {}
+            // After a gap, other instances may have no view in common with this one.
+            _ => self.views.clear(),
+        }
+        self.views.push_back((now, view.clone()));
+        // A view is in use until its successor arrives, and matters for one lease after that.
+        while self.views.len() > 1
+            && (self.views[1].0 + self.lease <= now || self.views.len() > MAX_VIEWS)
+        {
+            self.views.pop_front();
+        }
+    }
+
+    /// Takes note of a report: `run` identifies the run of the endpoint's process, `uptime` is its
+    /// age if it says so.
+    pub fn observe_run(
+        &mut self,
+        endpoint: &str,
+        run: u64,
+        uptime: Option<Duration>,
+        now: Duration,
+    ) {
+        let Ok(at) = self.find(endpoint) else { return };
+        let ramp = &mut self.ramps[at];
+        if ramp.run != Some(run) {
+            ramp.restart(uptime.unwrap_or(Duration::ZERO), now);
+            ramp.run = Some(run);
+        }
+    }
+
+    /// Takes note of the outcome of a call. Returns whether it showed that the endpoint is cold.
+    pub fn observe_outcome(&mut self, endpoint: &str, outcome: Outcome, now: Duration) -> bool {
+        let Ok(at) = self.find(endpoint) else { return false };
+        let ramp = &mut self.ramps[at];
+        let warm = ramp.is_warm(now);
+        match outcome {
+            Outcome::Refused => ramp.refusals += 1,
+            Outcome::Answered(latency) => {
+                ramp.refusals = 0;
+                let latency = latency.as_secs_f64();
+                let usual = ramp.usual_s.unwrap_or(latency);
+                if latency > COLD_FACTOR * usual {
+                    ramp.slow += 1;
+                } else {
+                    ramp.slow = 0;
+                    if warm {
+                        ramp.usual_s = Some(usual + LATENCY_GAIN * (latency - usual));
+                    }
+                }
+                ramp.seen.get_or_insert((Duration::ZERO, now));
+            }
+        }
+        let cold = ramp.refusals >= COLD_REFUSALS || warm && ramp.slow >= COLD_LATENCIES;
+        if cold {
+            ramp.restart(Duration::ZERO, now);
+        }
+        cold
+    }
+
+    /// Whether an endpoint is known to be warm.
+    pub fn is_warm(&self, endpoint: &str, now: Duration) -> bool {
+        self.find(endpoint).is_ok_and(|at| self.ramps[at].is_warm(now))
+    }
+
+    /// Limit of calls in flight at `endpoint`, or none for a warm endpoint of a warm group.
+    pub fn cap(&self, endpoint: &str, now: Duration) -> Option<Cap> {
+        let at = self.find(endpoint).ok()?;
+        let ramp = &self.ramps[at];
+        if ramp.is_warm(now) && self.is_group_warm(&ramp.spec.group, now) {
+            return None;
+        }
+        let total = ramp.total(now);
+        let cap = Cap { own: self.part(endpoint, total, now), total };
+        invariant(cap.own <= cap.total, "ramp: own part is within the total");
+        Some(cap)
+    }
+
+    /// This instance's part of `total` calls at `endpoint`: the smallest one over its recent views.
+    fn part(&self, endpoint: &str, total: u32, now: Duration) -> u32 {
+        let Some((first_learned, _)) = self.views.front() else { return 0 };
+        let recent = |i: &usize| {
+            // In force until the next view arrived; of interest for one lease after that.
+            self.views.get(i + 1).is_none_or(|(ended, _)| now < *ended + self.lease)
+        };
+        let oldest = (0..self.views.len()).find(recent).unwrap_or(0);
+        if oldest == 0 && now < *first_learned + self.lease {
+            return 0;
+        }
+        let parts = self.views.iter().skip(oldest);
+        parts
+            .map(|(_, view)| part_of(&self.me, endpoint, total, &view.instances))
+            .min()
+            .unwrap_or(0)
+    }
+
+    fn is_group_warm(&self, group: &Name, now: Duration) -> bool {
+        let (mut warm, mut all) = (0_u64, 0_u64);
+        for ramp in self.ramps.iter().filter(|r| r.spec.group == *group) {
+            all += u64::from(ramp.spec.capacity);
+            warm += if ramp.is_warm(now) { u64::from(ramp.spec.capacity) } else { 0 };
+        }
+        2 * warm >= all
+    }
+
+    fn find(&self, endpoint: &str) -> Result<usize, usize> {
+        self.ramps.binary_search_by(|r| (*r.spec.endpoint).cmp(endpoint))
+    }
+}
+
+/// Part of instance `me` in `total` calls at `endpoint` under one view.
+fn part_of(me: &Name, endpoint: &str, total: u32, instances: &[Name]) -> u32 {
+    if !instances.contains(me) {
+        return 0;
+    }
+    let key = |name: &Name| (rendezvous(endpoint, name), name.clone());
+    let own = key(me);
+    let rank = instances.iter().filter(|name| key(name) > own).count() as u32;
+    let count = instances.len() as u32;
+    total / count + u32::from(rank < total % count)
+}
--- a/crates/policy/src/rate/handover.rs
+++ b/crates/policy/src/rate/handover.rs
@@ -226,7 +226,7 @@
                 if now < start {
                     return Answer::Starting { retry_after: start - now };
                 }
-                let level = (now - start).as_secs_f64() * limit.per_second();
+                let level = limit.accrued_nano(now - start) as f64 / super::NANO as f64;
                 let bucket = OwnerBucket::new(limit, self.min_validity, level, now);
                 self.buckets.insert(at, (team.clone(), bucket));
                 at
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -64,6 +64,7 @@
     spec: EndpointSpec,
     healthy: bool,
     present: bool,
+    total: Option<u32>,
     reported: i64,
     taken: Duration,
     /// Own starts (+1) and ends (-1) after `taken`.
@@ -100,11 +101,12 @@
         let at = id.0 as usize;
         let endpoint = &mut self.endpoints[at];
         let hot = &mut self.hot[at];
-        hot.capacity = spec.capacity.max(1) as f32;
         hot.prefill_s = (1.0 / spec.prefill_per_second.max(1e-9)) as f32;
         hot.zone = zone;
         endpoint.spec = spec;
         endpoint.present = true;
+        let total = endpoint.total;
+        self.set_total(id, total);
         self.refresh(id);
         self.rebuild_groups();
         id
@@ -134,12 +136,19 @@
         self.refresh(id);
     }
 
-    /// Sets the calls that this instance may have in flight there, or none for no cap. The ramp of
-    /// a cold endpoint sets it.
+    /// Sets the calls that this instance may have in flight there, or none for no cap. It and
+    /// [`Fleet::set_total`] follow [`Ramps::cap`](crate::ramp::Ramps::cap).
     pub fn set_cap(&mut self, id: EndpointId, cap: Option<u32>) {
         self.hot[id.0 as usize].cap = cap.unwrap_or(u32::MAX);
     }
 
+    /// Lowers the capacity of all instances together while an endpoint is cold, or restores it.
+    pub fn set_total(&mut self, id: EndpointId, total: Option<u32>) {
+        let capacity = self.endpoints[id.0 as usize].spec.capacity.max(1);
+        self.endpoints[id.0 as usize].total = total;
+        self.hot[id.0 as usize].capacity = total.map_or(capacity, |t| t.min(capacity)) as f32;
+    }
+
     /// Takes note of a load report. Reports older than the last one are ignored.
     pub fn report(&mut self, id: EndpointId, report: &LoadReport) {
         let endpoint = &mut self.endpoints[id.0 as usize];
@@ -274,6 +283,7 @@
             spec: spec.clone(),
             healthy: true,
             present: true,
+            total: None,
             reported: 0,
             taken: Duration::ZERO,
             log: VecDeque::new(),
