--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,11 +10,13 @@
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 //! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
 //! * [`ramp`]: load of endpoints that have just started.
+//! * [`retry`]: budget for retries.
 
 mod check;
 pub mod fair;
 pub mod ramp;
 pub mod rate;
+pub mod retry;
 pub mod route;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,104 @@
+//! Budget for retries, so that retries never multiply the load of a failing fleet.
+//!
+//! Each first attempt adds [`RetryConfig::ratio`] to the budget of its team and to that of the
+//! instance (unit: retries), both bounded; a retry takes one from each. Over any run of events the
+//! retries of a team are at most `reserve + ratio * first attempts`, and so are those of the
+//! instance with its own reserve; since each instance keeps to that, the sum over the fleet does as
+//! well. Retries by callers are first attempts here and are limited by the team's rate.
+//!
+//! Owner of the state: each instance for itself. After a crash it starts with the reserves.
+
+use crate::Name;
+use crate::check::invariant;
+
+/// Parameters of a [`RetryBudget`].
+#[derive(Clone, Copy, Debug)]
+pub struct RetryConfig {
+    /// Retries that one first attempt pays for.
+    pub ratio: f64,
+    /// Highest budget of a team, also the one it starts with.
+    pub team_reserve: f64,
+    /// Highest budget of the instance, also the one it starts with.
+    pub instance_reserve: f64,
+}
+
+impl Default for RetryConfig {
+    fn default() -> Self {
+        Self { ratio: 0.1, team_reserve: 10.0, instance_reserve: 50.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    level: f64,
+    attempts: u64,
+    retries: u64,
+}
+
+impl Budget {
+    fn new(reserve: f64) -> Self {
+        Self { level: reserve, attempts: 0, retries: 0 }
+    }
+
+    fn attempted(&mut self, ratio: f64, reserve: f64) {
+        self.attempts += 1;
+        self.level = (self.level + ratio).min(reserve);
+    }
+
+    fn retried(&mut self, ratio: f64, reserve: f64) {
+        self.level -= 1.0;
+        self.retries += 1;
+        let most = reserve + ratio * self.attempts as f64;
+        invariant(self.retries as f64 <= most + 1e-3, "retry: retries are within the budget");
+    }
+}
+
+/// Retry budgets of the teams and of the instance.
+#[derive(Debug)]
+pub struct RetryBudget {
+    cfg: RetryConfig,
+    instance: Budget,
+    teams: Vec<(Name, Budget)>,
+}
+
+impl RetryBudget {
+    /// Returns budgets at their reserves.
+    pub fn new(cfg: RetryConfig) -> Self {
+        Self { cfg, instance: Budget::new(cfg.instance_reserve), teams: Vec::new() }
+    }
+
+    /// Notes a first attempt.
+    pub fn attempted(&mut self, team: &Name) {
+        let cfg = self.cfg;
+        self.instance.attempted(cfg.ratio, cfg.instance_reserve);
+        self.team(team).attempted(cfg.ratio, cfg.team_reserve);
+    }
+
+    /// Takes one retry from both budgets; returns whether it was available.
+    pub fn try_retry(&mut self, team: &Name) -> bool {
+        let cfg = self.cfg;
+        if self.instance.level < 1.0 || self.team(team).level < 1.0 {
+            return false;
+        }
+        self.instance.retried(cfg.ratio, cfg.instance_reserve);
+        self.team(team).retried(cfg.ratio, cfg.team_reserve);
+        true
+    }
+
+    /// Forgets the teams for which `known` is false, after a change of the configuration.
+    pub fn retain(&mut self, mut known: impl FnMut(&Name) -> bool) {
+        self.teams.retain(|(name, _)| known(name));
+    }
+
+    fn team(&mut self, team: &Name) -> &mut Budget {
+        let at = match self.teams.binary_search_by(|(name, _)| name.cmp(team)) {
+            Ok(at) => at,
+            Err(at) => {
+                let budget = Budget::new(self.cfg.team_reserve);
+                self.teams.insert(at, (team.clone(), budget));
+                at
+            }
+        };
+        &mut self.teams[at].1
+    }
+}
