--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,8 +11,10 @@
 //! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
 //! * [`ramp`]: load of endpoints that have just started.
 //! * [`retry`]: budget for retries.
+//! * [`containment`]: requests that crash the endpoints that run them.
 
 mod check;
+pub mod containment;
 pub mod fair;
 pub mod ramp;
 pub mod rate;
