--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,10 +12,12 @@
 //! * [`ramp`]: load of endpoints that have just started.
 //! * [`retry`]: budget for retries.
 //! * [`containment`]: requests that crash the endpoints that run them.
+//! * [`placement`]: models on endpoints.
 
 mod check;
 pub mod containment;
 pub mod fair;
+pub mod placement;
 pub mod ramp;
 pub mod rate;
 pub mod retry;
