standin: add the engine and service with faults, crashes and orders

The minimal stand-in only produced words. Tests of routing, ramps, release orders and at-most-once calls need load reports, cache events, orders, held programs, execution counts and faults on request, so the stand-ins now offer them. A crash closes all connections without an answer and begins a new run with empty memory; executions of the service survive it, since effects do.

--- /dev/null
+++ b/crates/standin/src/config.rs
@@ -0,0 +1,310 @@
+//! Checked settings of the stand-ins.
+
+use std::{fmt, str::FromStr, sync::Arc, time::Duration};
+
+use crate::engine::WeightStore;
+
+/// Version of a model that is named without one.
+const DEFAULT_VERSION: &str = "1";
+/// Bytes per second of a weight store that is not set.
+const DEFAULT_WEIGHT_RATE: u64 = 1 << 30;
+
+/// A setting that is out of range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// What an engine does with the fencing numbers of orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fencing {
+    /// Refuses a number below the highest one seen for the same subject.
+    #[default]
+    Check,
+    /// Carries out every order.
+    Ignore,
+}
+
+/// How the number of calls that a cold engine bears grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RampShape {
+    /// `cold_capacity` for the whole ramp, then `capacity`.
+    #[default]
+    Step,
+    /// Linearly from `cold_capacity` to `capacity`.
+    Linear,
+}
+
+/// A model and its version, written `model@version`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ModelVersion {
+    /// Name of the model.
+    pub model: Arc<str>,
+    /// Its version.
+    pub version: Arc<str>,
+}
+
+impl FromStr for ModelVersion {
+    type Err = ConfigError;
+
+    fn from_str(text: &str) -> Result<Self, ConfigError> {
+        let (model, version) = text.split_once('@').unwrap_or((text, DEFAULT_VERSION));
+        if model.is_empty() || version.is_empty() {
+            return Err(ConfigError(format!("expected model@version, not {text:?}")));
+        }
+        Ok(Self { model: model.into(), version: version.into() })
+    }
+}
+
+impl fmt::Display for ModelVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.model, self.version)
+    }
+}
+
+/// What both kinds share.
+#[derive(Clone, Debug)]
+pub(crate) struct LifeConfig {
+    pub(crate) first_run: u64,
+    pub(crate) restart_after: Duration,
+    pub(crate) exit_on_crash: bool,
+    pub(crate) load_lag: Duration,
+}
+
+impl Default for LifeConfig {
+    fn default() -> Self {
+        Self {
+            first_run: 1,
+            restart_after: Duration::from_secs(1),
+            exit_on_crash: false,
+            load_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// Settings of an engine. [`EngineConfig::builder`] makes others than the defaults.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    pub(crate) life: LifeConfig,
+    pub(crate) capacity: u32,
+    pub(crate) max_queue: u32,
+    pub(crate) retry_after: Duration,
+    pub(crate) token_interval: Duration,
+    pub(crate) token_interval_per_call: Duration,
+    pub(crate) prefill_per_token: Duration,
+    pub(crate) default_tokens: u64,
+    pub(crate) cache_blocks: u32,
+    pub(crate) cold_capacity: Option<u32>,
+    pub(crate) cold_crash_above: Option<u32>,
+    pub(crate) cold_slowdown: f64,
+    pub(crate) ramp: Duration,
+    pub(crate) ramp_shape: RampShape,
+    pub(crate) event_delay: Duration,
+    pub(crate) event_gap_rate: f64,
+    pub(crate) fencing: Fencing,
+    pub(crate) models: Vec<ModelVersion>,
+    pub(crate) weight_bytes: u64,
+    pub(crate) weight_store: Arc<WeightStore>,
+    pub(crate) seed: u64,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            life: LifeConfig::default(),
+            capacity: 8,
+            max_queue: 64,
+            retry_after: Duration::from_secs(1),
+            token_interval: Duration::from_millis(5),
+            token_interval_per_call: Duration::from_micros(200),
+            prefill_per_token: Duration::from_micros(20),
+            default_tokens: 16,
+            cache_blocks: 4096,
+            cold_capacity: None,
+            cold_crash_above: None,
+            cold_slowdown: 4.0,
+            ramp: Duration::ZERO,
+            ramp_shape: RampShape::Step,
+            event_delay: Duration::ZERO,
+            event_gap_rate: 0.0,
+            fencing: Fencing::Check,
+            models: Vec::new(),
+            weight_bytes: 1 << 30,
+            weight_store: Arc::new(WeightStore::new(DEFAULT_WEIGHT_RATE)),
+            seed: 0,
+        }
+    }
+}
+
+impl EngineConfig {
+    /// Returns a builder with the defaults.
+    pub fn builder() -> EngineConfigBuilder {
+        EngineConfigBuilder::default()
+    }
+
+    /// Calls that the engine bears while it is cold.
+    pub(crate) fn cold_capacity(&self) -> u32 {
+        self.cold_capacity.unwrap_or(self.capacity)
+    }
+
+    /// Version in use of a model when it is loaded from the start.
+    pub(crate) fn default_version() -> Arc<str> {
+        DEFAULT_VERSION.into()
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let rules = [
+            (self.capacity >= 1, "the capacity must be at least 1"),
+            (
+                (1..=self.capacity).contains(&self.cold_capacity()),
+                "the cold capacity must be from 1 to the capacity",
+            ),
+            (
+                self.cold_crash_above.is_none_or(|n| n >= self.cold_capacity()),
+                "the crash bound must not be under the cold capacity",
+            ),
+            (
+                self.cold_slowdown >= 1.0 && self.cold_slowdown.is_finite(),
+                "the cold slowdown must be a number of at least 1",
+            ),
+            ((0.0..=1.0).contains(&self.event_gap_rate), "the gap rate must be from 0 to 1"),
+            (self.cache_blocks >= 1, "the cache must hold at least one block"),
+        ];
+        match rules.into_iter().find(|(kept, _)| !kept) {
+            Some((_, message)) => Err(ConfigError(message.to_owned())),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Settings of a plain service. [`ServiceConfig::builder`] makes others than the defaults.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceConfig {
+    pub(crate) life: LifeConfig,
+    pub(crate) delay: Duration,
+}
+
+impl ServiceConfig {
+    /// Returns a builder with the defaults.
+    pub fn builder() -> ServiceConfigBuilder {
+        ServiceConfigBuilder::default()
+    }
+}
+
+/// Builds a checked [`EngineConfig`].
+#[derive(Clone, Debug, Default)]
+pub struct EngineConfigBuilder {
+    cfg: EngineConfig,
+}
+
+/// Builds a checked [`ServiceConfig`].
+#[derive(Clone, Debug, Default)]
+pub struct ServiceConfigBuilder {
+    cfg: ServiceConfig,
+}
+
+macro_rules! setters {
+    ($($(#[$doc:meta])* $name:ident: $kind:ty => $($field:ident).+;)*) => {
+        $(
+            $(#[$doc])*
+            #[must_use]
+            pub fn $name(mut self, $name: $kind) -> Self {
+                self.cfg.$($field).+ = $name;
+                self
+            }
+        )*
+    };
+}
+
+impl EngineConfigBuilder {
+    setters! {
+        /// Sets the number of calls that run at once.
+        capacity: u32 => capacity;
+        /// Sets the number of calls that wait; further ones are answered 503.
+        max_queue: u32 => max_queue;
+        /// Sets the `Retry-After` of these answers, rounded up to seconds.
+        retry_after: Duration => retry_after;
+        /// Sets the time per token of a call that runs alone.
+        token_interval: Duration => token_interval;
+        /// Sets what each further running call adds to the time per token.
+        token_interval_per_call: Duration => token_interval_per_call;
+        /// Sets the time that an uncached token of the prompt takes.
+        prefill_per_token: Duration => prefill_per_token;
+        /// Sets the tokens of an answer when the request names no limit.
+        default_tokens: u64 => default_tokens;
+        /// Sets the memory of the prefix cache, in blocks of 256 bytes.
+        cache_blocks: u32 => cache_blocks;
+        /// Sets the calls that a cold engine bears at once; the capacity when not set.
+        cold_capacity: Option<u32> => cold_capacity;
+        /// Sets the number of calls at once above which a cold engine crashes.
+        cold_crash_above: Option<u32> => cold_crash_above;
+        /// Sets the factor by which a cold engine with too many calls slows down.
+        cold_slowdown: f64 => cold_slowdown;
+        /// Sets how long the engine is cold after a start.
+        ramp: Duration => ramp;
+        /// Sets how the number of calls that a cold engine bears grows.
+        ramp_shape: RampShape => ramp_shape;
+        /// Sets the lag of load reports.
+        load_lag: Duration => life.load_lag;
+        /// Sets the time after which cache events are published.
+        event_delay: Duration => event_delay;
+        /// Sets the share of cache events that are lost, 0 to 1.
+        event_gap_rate: f64 => event_gap_rate;
+        /// Sets what is done with the fencing numbers of orders.
+        fencing: Fencing => fencing;
+        /// Sets the models that are loaded at a start. With none, every model is served.
+        models: Vec<ModelVersion> => models;
+        /// Sets the size of a model's weights.
+        weight_bytes: u64 => weight_bytes;
+        /// Sets the store of weights, which engines of one process may share.
+        weight_store: Arc<WeightStore> => weight_store;
+        /// Sets the seed of random numbers.
+        seed: u64 => seed;
+        /// Sets the number of the first run.
+        first_run: u64 => life.first_run;
+        /// Sets how long connections are refused after a crash.
+        restart_after: Duration => life.restart_after;
+        /// Sets whether a crash ends `serve` instead of leading to the next run.
+        exit_on_crash: bool => life.exit_on_crash;
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a setting is out of range.
+    pub fn build(self) -> Result<EngineConfig, ConfigError> {
+        self.cfg.check()?;
+        Ok(self.cfg)
+    }
+}
+
+impl ServiceConfigBuilder {
+    setters! {
+        /// Sets the time that an execution takes.
+        delay: Duration => delay;
+        /// Sets the lag of load reports.
+        load_lag: Duration => life.load_lag;
+        /// Sets the number of the first run.
+        first_run: u64 => life.first_run;
+        /// Sets how long connections are refused after a crash.
+        restart_after: Duration => life.restart_after;
+        /// Sets whether a crash ends `serve` instead of leading to the next run.
+        exit_on_crash: bool => life.exit_on_crash;
+    }
+
+    /// Returns the settings.
+    ///
+    /// # Errors
+    ///
+    /// Never fails at present; every value of each setting is in range.
+    pub fn build(self) -> Result<ServiceConfig, ConfigError> {
+        Ok(self.cfg)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,184 @@
+//! Continuous batching: which calls run and which wait.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{sync::oneshot, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+use crate::config::{EngineConfig, RampShape};
+
+/// What the batch knows of a call.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CallSpec {
+    pub(super) program: Option<Arc<str>>,
+    pub(super) claim: Option<u64>,
+    /// Lower ones run first.
+    pub(super) priority: i64,
+}
+
+#[derive(Debug)]
+struct Call {
+    id: u64,
+    spec: CallSpec,
+    running: bool,
+    cancel: CancellationToken,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    priority: i64,
+    id: u64,
+    start: oneshot::Sender<()>,
+}
+
+/// A call that was let in.
+#[derive(Debug)]
+pub(super) struct Admitted {
+    pub(super) id: u64,
+    /// Cancelled by a release order.
+    pub(super) cancel: CancellationToken,
+    /// Resolves when a waiting call may run.
+    pub(super) start: Option<oneshot::Receiver<()>>,
+}
+
+/// Why a call was not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refused {
+    /// The queue is full.
+    Busy,
+    /// The engine was cold and got more than it survives.
+    Crash,
+}
+
+/// Calls of one run.
+#[derive(Debug)]
+pub(super) struct Batch {
+    cfg: EngineConfig,
+    started: Instant,
+    last_id: u64,
+    running: u32,
+    /// Sorted by id.
+    calls: Vec<Call>,
+    /// Sorted by priority, then by id.
+    waiters: Vec<Waiter>,
+}
+
+impl Batch {
+    pub(super) fn new(cfg: EngineConfig, started: Instant) -> Self {
+        Self { cfg, started, last_id: 0, running: 0, calls: Vec::new(), waiters: Vec::new() }
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub(super) fn queued(&self) -> u32 {
+        u32::try_from(self.waiters.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn enter(&mut self, spec: CallSpec, now: Instant) -> Result<Admitted, Refused> {
+        let at_once = self.running + self.queued() + 1;
+        if self.crash_bound(now).is_some_and(|bound| at_once > bound) {
+            return Err(Refused::Crash);
+        }
+        let run = self.running < self.cfg.capacity;
+        if !run && self.queued() >= self.cfg.max_queue {
+            return Err(Refused::Busy);
+        }
+        self.last_id += 1;
+        let id = self.last_id;
+        let cancel = CancellationToken::new();
+        let mut start = None;
+        if run {
+            self.running += 1;
+        } else {
+            let (tx, rx) = oneshot::channel();
+            start = Some(rx);
+            let waiter = Waiter { priority: spec.priority, id, start: tx };
+            let place = self.waiters.partition_point(|w| (w.priority, w.id) < (spec.priority, id));
+            self.waiters.insert(place, waiter);
+        }
+        self.calls.push(Call { id, spec, running: run, cancel: cancel.clone() });
+        Ok(Admitted { id, cancel, start })
+    }
+
+    /// Takes a call out that has ended, and starts the next ones.
+    pub(super) fn leave(&mut self, id: u64) {
+        let Ok(place) = self.calls.binary_search_by_key(&id, |c| c.id) else { return };
+        let call = self.calls.remove(place);
+        if call.running {
+            self.running -= 1;
+        } else {
+            self.waiters.retain(|w| w.id != id);
+        }
+        while self.running < self.cfg.capacity && !self.waiters.is_empty() {
+            let waiter = self.waiters.remove(0);
+            if let Ok(i) = self.calls.binary_search_by_key(&waiter.id, |c| c.id) {
+                self.calls[i].running = true;
+                self.running += 1;
+                // A caller that has gone takes its call out when it is dropped.
+                let _ = waiter.start.send(());
+            }
+        }
+    }
+
+    /// Programs that have calls here; not sorted.
+    pub(super) fn programs(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.calls.iter().filter_map(|c| c.spec.program.as_ref())
+    }
+
+    /// Cancels the calls of programs that a filter names. With a claim, only its call, or calls
+    /// that came without a claim.
+    pub(super) fn release(&self, matches: impl Fn(&str) -> bool, claim: Option<u64>) {
+        for call in &self.calls {
+            let named = call.spec.program.as_deref().is_some_and(&matches);
+            if named && (claim.is_none() || call.spec.claim.is_none() || call.spec.claim == claim) {
+                call.cancel.cancel();
+            }
+        }
+    }
+
+    /// Time that the next token of a running call takes.
+    pub(super) fn token_time(&self, now: Instant) -> Duration {
+        let others = self.running.saturating_sub(1);
+        let time = self.cfg.token_interval + self.cfg.token_interval_per_call * others;
+        time.mul_f64(self.slowdown(now))
+    }
+
+    /// Time that the uncached tokens of a prompt take.
+    pub(super) fn prefill_time(&self, tokens: u64, now: Instant) -> Duration {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        (self.cfg.prefill_per_token * tokens).mul_f64(self.slowdown(now))
+    }
+
+    fn slowdown(&self, now: Instant) -> f64 {
+        let at_once = self.running + self.queued();
+        match self.bearable(now) {
+            Some(bearable) if at_once > bearable => self.cfg.cold_slowdown,
+            _ => 1.0,
+        }
+    }
+
+    /// Calls that the engine bears at once; none while it is warm.
+    fn bearable(&self, now: Instant) -> Option<u32> {
+        let uptime = now.duration_since(self.started);
+        if uptime >= self.cfg.ramp {
+            return None;
+        }
+        let cold = self.cfg.cold_capacity();
+        Some(match self.cfg.ramp_shape {
+            RampShape::Step => cold,
+            RampShape::Linear => {
+                let share = uptime.as_secs_f64() / self.cfg.ramp.as_secs_f64();
+                cold + (f64::from(self.cfg.capacity - cold) * share) as u32
+            }
+        })
+    }
+
+    /// Calls at once above which the engine crashes. The margin over what it bears stays the same
+    /// during the ramp.
+    fn crash_bound(&self, now: Instant) -> Option<u32> {
+        let margin = self.cfg.cold_crash_above? - self.cfg.cold_capacity();
+        Some(self.bearable(now)?.saturating_add(margin))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,169 @@
+//! Prefix cache of limited memory. Programs hold the blocks of their prompts until released.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
+
+/// A cached block.
+#[derive(Debug, Default)]
+struct Block {
+    /// Time of the last use, as a count.
+    used: u64,
+    /// Programs that hold it.
+    holders: Vec<Arc<str>>,
+}
+
+/// Place in the order of eviction: blocks that no program holds first, then by last use.
+type Place = (bool, u64, u64);
+
+impl Block {
+    fn place(&self, hash: u64) -> Place {
+        (!self.holders.is_empty(), self.used, hash)
+    }
+}
+
+/// What a program holds.
+#[derive(Debug)]
+struct Program {
+    name: Arc<str>,
+    /// Sorted.
+    blocks: Vec<u64>,
+}
+
+/// Changes made by storing a prompt.
+#[derive(Debug, Default)]
+pub(super) struct Stored {
+    pub(super) stored: Vec<u64>,
+    pub(super) removed: Vec<u64>,
+}
+
+/// Cache of one run. Blocks are in hash and tree maps, as prompts have thousands of blocks and
+/// insertion into a sorted vector is linear.
+#[derive(Debug)]
+pub(super) struct Cache {
+    max_blocks: usize,
+    uses: u64,
+    blocks: HashMap<u64, Block>,
+    eviction: BTreeSet<Place>,
+    /// Sorted by name. A program stays here until it is released, also after all its blocks were
+    /// evicted.
+    programs: Vec<Program>,
+}
+
+impl Cache {
+    pub(super) fn new(max_blocks: u32) -> Self {
+        Self {
+            max_blocks: max_blocks as usize,
+            uses: 0,
+            blocks: HashMap::new(),
+            eviction: BTreeSet::new(),
+            programs: Vec::new(),
+        }
+    }
+
+    /// Blocks in the cache.
+    pub(super) fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Leading blocks of a prompt that are cached.
+    pub(super) fn cached(&self, chain: &[u64]) -> usize {
+        chain.iter().take_while(|hash| self.blocks.contains_key(hash)).count()
+    }
+
+    /// Stores the blocks of a prompt, and holds them for a program.
+    pub(super) fn store(&mut self, chain: &[u64], program: Option<&Arc<str>>) -> Stored {
+        let chain = &chain[..chain.len().min(self.max_blocks)];
+        let mut change = Stored::default();
+        if let Some(program) = program {
+            self.program(program);
+        }
+        // The last blocks are stored first, so that a chain is evicted from its end.
+        for hash in chain.iter().rev() {
+            if !self.blocks.contains_key(hash) {
+                self.make_room(&mut change.removed);
+                change.stored.push(*hash);
+            }
+            self.touch(*hash, program);
+        }
+        change.stored.reverse();
+        change.stored.retain(|hash| self.blocks.contains_key(hash));
+        change.removed.retain(|hash| !self.blocks.contains_key(hash));
+        change
+    }
+
+    /// Blocks that a program holds, or none if it is unknown.
+    pub(super) fn held_by(&self, program: &str) -> Option<&[u64]> {
+        self.find(program).ok().map(|i| self.programs[i].blocks.as_slice())
+    }
+
+    /// Programs that have not been released, sorted.
+    pub(super) fn programs(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.programs.iter().map(|p| &p.name)
+    }
+
+    /// Frees what the programs hold that a filter names. Their blocks stay cached until the
+    /// memory is needed.
+    pub(super) fn release(&mut self, matches: impl Fn(&str) -> bool) {
+        let (released, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.programs).into_iter().partition(|p| matches(&p.name));
+        self.programs = kept;
+        for program in released {
+            for hash in program.blocks {
+                self.change(hash, |block| block.holders.retain(|h| *h != program.name));
+            }
+        }
+    }
+
+    fn find(&self, program: &str) -> Result<usize, usize> {
+        self.programs.binary_search_by(|p| (*p.name).cmp(program))
+    }
+
+    fn program(&mut self, name: &Arc<str>) -> &mut Program {
+        let i = self.find(name).unwrap_or_else(|i| {
+            self.programs.insert(i, Program { name: name.clone(), blocks: Vec::new() });
+            i
+        });
+        &mut self.programs[i]
+    }
+
+    fn touch(&mut self, hash: u64, program: Option<&Arc<str>>) {
+        let mut new_holder = None;
+        if let Some(program) = program {
+            let held = &mut self.program(program).blocks;
+            if let Err(i) = held.binary_search(&hash) {
+                held.insert(i, hash);
+                new_holder = Some(program.clone());
+            }
+        }
+        self.uses += 1;
+        let uses = self.uses;
+        self.change(hash, |block| {
+            block.used = uses;
+            block.holders.extend(new_holder);
+        });
+    }
+
+    /// Changes a block and its place in the order of eviction.
+    fn change(&mut self, hash: u64, change: impl FnOnce(&mut Block)) {
+        let block = self.blocks.entry(hash).or_default();
+        self.eviction.remove(&block.place(hash));
+        change(block);
+        self.eviction.insert(block.place(hash));
+    }
+
+    fn make_room(&mut self, removed: &mut Vec<u64>) {
+        while self.blocks.len() >= self.max_blocks {
+            let Some((_, _, hash)) = self.eviction.pop_first() else { return };
+            let block = self.blocks.remove(&hash).unwrap_or_default();
+            for holder in &block.holders {
+                let held = &mut self.program(holder).blocks;
+                if let Ok(i) = held.binary_search(&hash) {
+                    held.remove(i);
+                }
+            }
+            removed.push(hash);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/events.rs
@@ -0,0 +1,105 @@
+//! Cache events, published late and with gaps.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::load::millis;
+
+/// Events that are kept for readers; older ones are lost to them.
+const MAX_EVENTS: usize = 4096;
+/// Events in one answer.
+const MAX_ANSWER_EVENTS: usize = 512;
+
+/// What happened to the blocks of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum EventKind {
+    Stored,
+    Removed,
+    Cleared,
+}
+
+#[derive(Debug)]
+struct Event {
+    sequence: u64,
+    at: Instant,
+    kind: EventKind,
+    blocks: Vec<u64>,
+}
+
+/// Event as it is published.
+#[derive(Debug, Serialize)]
+struct PublishedEvent<'a> {
+    sequence: u64,
+    age_ms: u64,
+    kind: EventKind,
+    blocks: &'a [u64],
+}
+
+/// Answer of `GET /events`.
+#[derive(Debug, Serialize)]
+pub(super) struct PublishedEvents<'a> {
+    run: u64,
+    events: Vec<PublishedEvent<'a>>,
+}
+
+/// Events of one run, numbered from 1. The first one says that the cache is empty.
+#[derive(Debug)]
+pub(super) struct EventLog {
+    events: VecDeque<Event>,
+    last: u64,
+    gap_rate: f64,
+    rng: StdRng,
+}
+
+impl EventLog {
+    pub(super) fn new(gap_rate: f64, seed: u64, now: Instant) -> Self {
+        let rng = StdRng::seed_from_u64(seed);
+        let first = Event { sequence: 1, at: now, kind: EventKind::Cleared, blocks: Vec::new() };
+        Self { events: VecDeque::from([first]), last: 1, gap_rate, rng }
+    }
+
+    /// Adds an event. A lost one takes a number too, so that readers can notice the gap.
+    pub(super) fn push(&mut self, kind: EventKind, blocks: Vec<u64>, now: Instant) {
+        if blocks.is_empty() && kind != EventKind::Cleared {
+            return;
+        }
+        self.last += 1;
+        if self.rng.random_bool(self.gap_rate) {
+            return;
+        }
+        if self.events.len() >= MAX_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(Event { sequence: self.last, at: now, kind, blocks });
+    }
+
+    /// Events after a number that are old enough to be published. A number that this run has not
+    /// reached comes from a reader of an earlier run, which gets all events.
+    pub(super) fn after(
+        &self,
+        after: u64,
+        run: u64,
+        delay: Duration,
+        now: Instant,
+    ) -> PublishedEvents<'_> {
+        let after = if after > self.last { 0 } else { after };
+        let first = self.events.partition_point(|e| e.sequence <= after);
+        let events = self
+            .events
+            .range(first..)
+            .take_while(|e| now.duration_since(e.at) >= delay)
+            .take(MAX_ANSWER_EVENTS)
+            .map(|e| PublishedEvent {
+                sequence: e.sequence,
+                age_ms: millis(now.duration_since(e.at)),
+                kind: e.kind,
+                blocks: &e.blocks,
+            })
+            .collect();
+        PublishedEvents { run, events }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,147 @@
+//! A model engine: batching, prefix cache, cold starts, orders, cache events and load reports.
+
+mod batch;
+mod cache;
+mod chat;
+mod events;
+mod models;
+mod orders;
+mod run;
+mod transfer;
+
+use std::sync::{Arc, Mutex};
+
+use anyhow::Result;
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use tokio::{net::TcpListener, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+pub use self::models::WeightStore;
+use self::run::EngineRun;
+use crate::{
+    config::EngineConfig,
+    life::{Counters, Life},
+    server::{self, AnswerBody, Handler},
+};
+
+/// Bytes of messages in a block of the prefix cache.
+pub const BLOCK_BYTES: usize = 256;
+/// Tokens in a block of the prefix cache.
+pub const BLOCK_TOKENS: u64 = 64;
+
+/// A stand-in model engine.
+#[derive(Debug)]
+pub struct Engine {
+    cfg: EngineConfig,
+    life: Life,
+    run: Mutex<Arc<EngineRun>>,
+}
+
+impl Engine {
+    /// Creates an engine. It is cold from now on.
+    pub fn new(cfg: EngineConfig) -> Self {
+        let life = Life::new(cfg.life.clone());
+        let run = Mutex::new(Arc::new(EngineRun::new(&cfg, &life.run())));
+        Self { cfg, life, run }
+    }
+
+    /// Serves on a socket until the task is ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket fails, and with [`Crashed`](crate::Crashed) when the engine crashes
+    /// and is set to end then.
+    pub async fn serve(self: Arc<Self>, socket: TcpListener) -> Result<()> {
+        server::serve(self, socket, CancellationToken::new()).await
+    }
+
+    /// What the engine has counted.
+    pub fn counters(&self) -> Counters {
+        let run = self.run();
+        let state = run.lock();
+        Counters {
+            run: run.number,
+            running: state.batch.running(),
+            queued: state.batch.queued(),
+            held_programs: state.held().len(),
+            ..self.life.totals.counters()
+        }
+    }
+
+    /// Programs that the engine holds memory or streams for, sorted.
+    pub fn held(&self) -> Vec<Arc<str>> {
+        self.run().lock().held()
+    }
+
+    /// Crashes the engine, as a call with the fault `crash` does.
+    pub fn crash(&self) {
+        self.life.crash();
+    }
+
+    fn run(&self) -> Arc<EngineRun> {
+        self.run.lock().expect("no panic while locked").clone()
+    }
+
+    fn get(&self, path: &str, query: Option<&str>) -> Response<AnswerBody> {
+        let now = Instant::now();
+        let run = self.run();
+        let state = run.lock();
+        match path {
+            "/load" => server::json(StatusCode::OK, &state.history.report(run.number, now)),
+            "/events" => {
+                let after = query.and_then(|q| q.strip_prefix("after=")).unwrap_or("0");
+                let Ok(after) = after.parse() else {
+                    return server::refuse(StatusCode::BAD_REQUEST, "expected after=N");
+                };
+                let delay = self.cfg.event_delay;
+                server::json(StatusCode::OK, &state.events.after(after, run.number, delay, now))
+            }
+            "/held" => server::json(StatusCode::OK, &state.held()),
+            "/models" => {
+                let models = json!({"role": state.role, "models": state.models.states(now)});
+                server::json(StatusCode::OK, &models)
+            }
+            _ => {
+                drop(state);
+                match path.strip_prefix("/kv/") {
+                    Some(export) => self.exported(export),
+                    None => server::refuse(StatusCode::NOT_FOUND, "not found"),
+                }
+            }
+        }
+    }
+}
+
+impl Handler for Engine {
+    const EXECUTES_BEFORE_FAULT: bool = false;
+
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Bytes>,
+    ) -> BoxFuture<'static, Response<AnswerBody>> {
+        Box::pin(async move {
+            let (head, body) = request.into_parts();
+            match (&head.method, head.uri.path()) {
+                (&Method::POST, "/v1/chat/completions") => self.chat(&head.headers, &body).await,
+                (&Method::POST, "/orders") => self.order(&body),
+                (&Method::POST, "/kv/export") => self.export(&body),
+                (&Method::POST, "/kv/import") => self.import(&body).await,
+                (&Method::GET, path) => self.get(path, head.uri.query()),
+                _ => server::refuse(StatusCode::NOT_FOUND, "not found"),
+            }
+        })
+    }
+
+    fn life(&self) -> &Life {
+        &self.life
+    }
+
+    fn begin_run(&self) {
+        self.life.begin_run();
+        let run = EngineRun::new(&self.cfg, &self.life.run());
+        *self.run.lock().expect("no panic while locked") = Arc::new(run);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/models.rs
@@ -0,0 +1,122 @@
+//! Loaded models, and the store that their weights come from.
+
+use std::{sync::Arc, sync::Mutex, time::Duration};
+
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::config::{EngineConfig, ModelVersion};
+
+/// A store of weights with a limited rate, which engines share: loads follow one another.
+#[derive(Debug)]
+pub struct WeightStore {
+    bytes_per_second: u64,
+    free_at: Mutex<Option<Instant>>,
+}
+
+impl WeightStore {
+    /// Creates a store. A rate of zero counts as one byte per second.
+    pub fn new(bytes_per_second: u64) -> Self {
+        Self { bytes_per_second: bytes_per_second.max(1), free_at: Mutex::new(None) }
+    }
+
+    /// Reserves the store for a load and returns when it is complete.
+    fn reserve(&self, bytes: u64, now: Instant) -> Instant {
+        let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second as f64);
+        let mut free_at = self.free_at.lock().expect("no panic while locked");
+        let done = free_at.map_or(now, |at| at.max(now)) + time;
+        *free_at = Some(done);
+        done
+    }
+}
+
+#[derive(Debug)]
+struct Model {
+    name: ModelVersion,
+    loaded_at: Instant,
+}
+
+/// State of a model as `GET /models` reports it.
+#[derive(Debug, Serialize)]
+pub(super) struct ModelState {
+    model: Arc<str>,
+    version: Arc<str>,
+    state: &'static str,
+}
+
+/// Models of one run.
+#[derive(Debug)]
+pub(super) struct Models {
+    /// Whether any model is served, in its default version.
+    any: bool,
+    /// Sorted by model; one version of each.
+    models: Vec<Model>,
+    weight_bytes: u64,
+    store: Arc<WeightStore>,
+}
+
+impl Models {
+    pub(super) fn new(cfg: &EngineConfig, now: Instant) -> Self {
+        let mut models: Vec<Model> =
+            cfg.models.iter().map(|m| Model { name: m.clone(), loaded_at: now }).collect();
+        models.sort_by(|a, b| a.name.cmp(&b.name));
+        models.dedup_by(|a, b| a.name.model == b.name.model);
+        Self {
+            any: cfg.models.is_empty(),
+            models,
+            weight_bytes: cfg.weight_bytes,
+            store: cfg.weight_store.clone(),
+        }
+    }
+
+    /// Version of a model that is loaded.
+    pub(super) fn version(&self, model: &str, now: Instant) -> Option<Arc<str>> {
+        match self.find(model) {
+            Ok(i) if self.models[i].loaded_at <= now => Some(self.models[i].name.version.clone()),
+            Err(_) if self.any => Some(EngineConfig::default_version()),
+            _ => None,
+        }
+    }
+
+    /// Starts to load a model, unless it is loaded or loading. Another version takes its place.
+    pub(super) fn load(&mut self, name: ModelVersion, now: Instant) -> ModelState {
+        let found = self.find(&name.model);
+        if let Ok(i) = found
+            && self.models[i].name == name
+        {
+            return self.models[i].state(now);
+        }
+        let loaded_at = self.store.reserve(self.weight_bytes, now);
+        let model = Model { name, loaded_at };
+        let state = model.state(now);
+        match found {
+            Ok(i) => self.models[i] = model,
+            Err(i) => self.models.insert(i, model),
+        }
+        state
+    }
+
+    /// Unloads a model. An engine that served any model serves only loaded ones from then on.
+    pub(super) fn unload(&mut self, model: &str) {
+        self.any = false;
+        self.models.retain(|m| *m.name.model != *model);
+    }
+
+    pub(super) fn states(&self, now: Instant) -> Vec<ModelState> {
+        self.models.iter().map(|m| m.state(now)).collect()
+    }
+
+    fn find(&self, model: &str) -> Result<usize, usize> {
+        self.models.binary_search_by(|m| (*m.name.model).cmp(model))
+    }
+}
+
+impl Model {
+    fn state(&self, now: Instant) -> ModelState {
+        ModelState {
+            model: self.name.model.clone(),
+            version: self.name.version.clone(),
+            state: if self.loaded_at <= now { "loaded" } else { "loading" },
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/run.rs
@@ -0,0 +1,115 @@
+//! What an engine holds in memory during one run.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::time::Instant;
+
+use super::{
+    batch::{Admitted, Batch, CallSpec, Refused},
+    cache::{Cache, Stored},
+    events::{EventKind, EventLog},
+    models::Models,
+    orders::Fences,
+    transfer::Exports,
+};
+use crate::{
+    config::EngineConfig,
+    life::Run,
+    load::{Load, LoadHistory},
+};
+
+/// State of one run.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) batch: Batch,
+    pub(super) cache: Cache,
+    pub(super) events: EventLog,
+    pub(super) history: LoadHistory,
+    pub(super) fences: Fences,
+    pub(super) models: Models,
+    pub(super) exports: Exports,
+    pub(super) role: Option<Arc<str>>,
+}
+
+/// One run. Calls keep theirs until they end, also when the next one has begun.
+#[derive(Debug)]
+pub(super) struct EngineRun {
+    pub(super) number: u64,
+    state: Mutex<State>,
+}
+
+impl EngineRun {
+    pub(super) fn new(cfg: &EngineConfig, run: &Run) -> Self {
+        let state = State {
+            batch: Batch::new(cfg.clone(), run.started),
+            cache: Cache::new(cfg.cache_blocks),
+            events: EventLog::new(
+                cfg.event_gap_rate,
+                cfg.seed.wrapping_add(run.number),
+                run.started,
+            ),
+            history: LoadHistory::new(run.started, cfg.life.load_lag),
+            fences: Fences::default(),
+            models: Models::new(cfg, run.started),
+            exports: Exports::default(),
+            role: None,
+        };
+        Self { number: run.number, state: Mutex::new(state) }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic while locked")
+    }
+}
+
+impl State {
+    pub(super) fn enter(&mut self, spec: CallSpec, now: Instant) -> Result<Admitted, Refused> {
+        let admitted = self.batch.enter(spec, now)?;
+        self.note_load(now);
+        Ok(admitted)
+    }
+
+    pub(super) fn leave(&mut self, id: u64, now: Instant) {
+        self.batch.leave(id);
+        self.note_load(now);
+    }
+
+    /// Stores the blocks of a prompt and publishes the changes.
+    pub(super) fn store(&mut self, chain: &[u64], program: Option<&Arc<str>>, now: Instant) {
+        let Stored { stored, removed } = self.cache.store(chain, program);
+        self.events.push(EventKind::Removed, removed, now);
+        self.events.push(EventKind::Stored, stored, now);
+        self.note_load(now);
+    }
+
+    /// Programs that memory or streams are held for.
+    pub(super) fn held(&self) -> Vec<Arc<str>> {
+        let mut held: Vec<_> =
+            self.cache.programs().chain(self.batch.programs()).cloned().collect();
+        held.sort();
+        held.dedup();
+        held
+    }
+
+    /// Cancels the calls of a program and its descendants and frees their memory. With a claim,
+    /// only the call of that claim is cancelled, as the program goes on.
+    pub(super) fn release(&mut self, program: &str, claim: Option<u64>) {
+        let matches = |name: &str| {
+            name.strip_prefix(program).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        };
+        self.batch.release(matches, claim);
+        if claim.is_none() {
+            self.cache.release(matches);
+            self.exports.release(matches);
+        }
+    }
+
+    fn note_load(&mut self, now: Instant) {
+        let load = Load {
+            running: self.batch.running(),
+            queued: self.batch.queued(),
+            cache_blocks: u32::try_from(self.cache.len()).unwrap_or(u32::MAX),
+        };
+        self.history.note(now, load);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,8 +1,24 @@
 //! Stand-ins for endpoints, for tests and trials: a model engine and a plain service.
+//!
+//! They offer the interface of an endpoint and its faults; they do not simulate a cluster. All
+//! state is in memory and belongs to one run. A crash or a restart begins the next run with empty
+//! state, except for the counters of [`Counters`] and the executions of a [`Service`], which stand
+//! for effects in the outside world.
 
+mod config;
 mod engine;
+mod fault;
+mod life;
+mod load;
 mod server;
 mod service;
+mod start;
 
-pub use engine::{Engine, EngineConfig};
+pub use config::{
+    ConfigError, EngineConfig, EngineConfigBuilder, Fencing, ModelVersion, RampShape,
+    ServiceConfig, ServiceConfigBuilder,
+};
+pub use engine::{BLOCK_BYTES, BLOCK_TOKENS, Engine, WeightStore};
+pub use life::{Counters, Crashed};
 pub use service::Service;
+pub use start::{StandIn, StandInConfig};
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,73 @@
+//! Load reports with a lag.
+
+use std::{collections::VecDeque, time::Duration};
+
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// Figures of a load report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Load {
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+    pub(crate) cache_blocks: u32,
+}
+
+/// Answer of `GET /load`.
+#[derive(Debug, Serialize)]
+pub(crate) struct LoadReport {
+    run: u64,
+    uptime_ms: u64,
+    running: u32,
+    queued: u32,
+    age_ms: u64,
+    cache_blocks: u32,
+}
+
+/// Load of the last while, for reports about a moment that has passed.
+#[derive(Debug)]
+pub(crate) struct LoadHistory {
+    started: Instant,
+    lag: Duration,
+    samples: VecDeque<(Instant, Load)>,
+}
+
+impl LoadHistory {
+    pub(crate) fn new(started: Instant, lag: Duration) -> Self {
+        Self { started, lag, samples: VecDeque::from([(started, Load::default())]) }
+    }
+
+    /// Notes a change of the load.
+    pub(crate) fn note(&mut self, now: Instant, load: Load) {
+        self.samples.push_back((now, load));
+        let seen = self.seen(now);
+        // The first sample that is kept is the one in force at the reported moment.
+        while self.samples.get(1).is_some_and(|(at, _)| *at <= seen) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Reports the load of `lag` ago, or of the start if that is later.
+    pub(crate) fn report(&self, run: u64, now: Instant) -> LoadReport {
+        let seen = self.seen(now);
+        let next = self.samples.partition_point(|(at, _)| *at <= seen);
+        let load = self.samples[next.saturating_sub(1)].1;
+        LoadReport {
+            run,
+            uptime_ms: millis(seen.duration_since(self.started)),
+            running: load.running,
+            queued: load.queued,
+            age_ms: millis(now.duration_since(seen)),
+            cache_blocks: load.cache_blocks,
+        }
+    }
+
+    fn seen(&self, now: Instant) -> Instant {
+        now.checked_sub(self.lag).map_or(self.started, |at| at.max(self.started))
+    }
+}
+
+/// Whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,59 +1,188 @@
-//! HTTP/1.1 server that both stand-ins share.
+//! HTTP/1.1 server that both stand-ins share, with their faults, crashes and restarts.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use serde::Serialize;
+use serde_json::json;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    fault::{self, Cut, Fault},
+    life::{Crashed, Life},
+};
 
 /// Body of an answer.
-pub(crate) type AnswerBody = BoxBody<Bytes, std::io::Error>;
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Largest body of a request.
+const MAX_BODY_BYTES: usize = 64 << 20;
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const BIND_ATTEMPTS: u32 = 200;
+const BIND_PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers requests.
 pub(crate) trait Handler: Send + Sync + 'static {
+    /// Whether a request is executed before a fault keeps its answer back. The effect then exists
+    /// although the caller cannot know, which is the harder case for it.
+    const EXECUTES_BEFORE_FAULT: bool;
+
     /// Answers one request.
-    fn handle(
-        self: Arc<Self>,
-        request: Request<Incoming>,
-    ) -> BoxFuture<'static, Response<AnswerBody>>;
+    fn handle(self: Arc<Self>, request: Request<Bytes>)
+    -> BoxFuture<'static, Response<AnswerBody>>;
+
+    /// The runs of the stand-in.
+    fn life(&self) -> &Life;
+
+    /// Begins the next run, without what the former one held in memory.
+    fn begin_run(&self);
 }
 
-/// Serves a handler on a socket until the task is ended.
-pub(crate) async fn serve<H: Handler>(handler: Arc<H>, socket: TcpListener) -> Result<()> {
+/// Serves a handler on a socket until `stop` is cancelled, over all crashes.
+pub(crate) async fn serve<H: Handler>(
+    handler: Arc<H>,
+    mut socket: TcpListener,
+    stop: CancellationToken,
+) -> Result<()> {
+    let address = socket.local_addr()?;
+    handler.life().set_address(address);
     loop {
-        let (stream, _) = socket.accept().await?;
-        stream.set_nodelay(true)?;
-        let handler = handler.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let handler = handler.clone();
-            async move {
-                let id = request.headers().get("x-request-id").cloned();
-                let mut response = handler.handle(request).await;
-                if let Some(id) = id {
-                    response.headers_mut().insert("x-request-id", id);
-                }
-                Ok::<_, Infallible>(response)
+        let crashed = handler.life().run().crashed;
+        let mut open = JoinSet::new();
+        tokio::select! {
+            () = accept(&handler, &socket, &mut open) => {}
+            () = crashed.cancelled() => {}
+            () = stop.cancelled() => {}
+        }
+        drop(socket);
+        open.shutdown().await;
+        if stop.is_cancelled() {
+            return Ok(());
+        }
+        if handler.life().cfg.exit_on_crash {
+            return Err(Crashed.into());
+        }
+        tokio::select! {
+            () = tokio::time::sleep(handler.life().cfg.restart_after) => {}
+            () = stop.cancelled() => return Ok(()),
+        }
+        handler.begin_run();
+        socket = bind(address).await?;
+    }
+}
+
+/// Binds an address that a former run may have left a moment ago.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    for _ in 1..BIND_ATTEMPTS {
+        match TcpListener::bind(address).await {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {
+                tokio::time::sleep(BIND_PAUSE).await;
             }
-        });
-        tokio::spawn(
-            hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service),
-        );
+            other => return other.with_context(|| format!("cannot listen on {address}")),
+        }
+    }
+    TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
+}
+
+async fn accept<H: Handler>(handler: &Arc<H>, socket: &TcpListener, open: &mut JoinSet<()>) {
+    loop {
+        tokio::select! {
+            accepted = socket.accept() => match accepted {
+                Ok((stream, _)) => {
+                    open.spawn(connection(handler.clone(), stream));
+                }
+                Err(e) => {
+                    log::warn!("cannot accept a connection: {e}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = open.join_next() => {}
+        }
+    }
+}
+
+async fn connection<H: Handler>(handler: Arc<H>, stream: TcpStream) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("cannot disable the delay of small packets: {e}");
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(answer(handler, request).await) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(e) = served {
+        log::debug!("connection ended: {e}");
     }
 }
 
+/// Answers a request with the fault that it asks for.
+async fn answer<H: Handler>(handler: Arc<H>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+    let (head, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+        return refuse(StatusCode::BAD_REQUEST, "the body is not whole, or is too large");
+    };
+    let body = body.to_bytes();
+    let fault = match Fault::requested(&head.headers, &body) {
+        Ok(fault) => fault,
+        Err(message) => return refuse(StatusCode::BAD_REQUEST, &message),
+    };
+    let withheld = matches!(fault, Some(Fault::Crash | Fault::Hang | Fault::Error));
+    let mut response = if withheld && !H::EXECUTES_BEFORE_FAULT {
+        refuse(StatusCode::INTERNAL_SERVER_ERROR, "fault on request")
+    } else {
+        handler.clone().handle(Request::from_parts(head, body)).await
+    };
+    match fault {
+        Some(Fault::Crash) => {
+            handler.life().crash();
+            return pending().await;
+        }
+        Some(Fault::Hang) => return pending().await,
+        Some(Fault::Error) => {
+            response = refuse(StatusCode::INTERNAL_SERVER_ERROR, "fault on request");
+        }
+        Some(Fault::Late(delay)) => tokio::time::sleep(delay).await,
+        Some(Fault::Silent) => response = fault::cut(response, Cut::Silence).await,
+        Some(Fault::Truncate) => response = fault::cut(response, Cut::End).await,
+        Some(Fault::Crossed) | None => {}
+    }
+    let id = match fault {
+        Some(Fault::Crossed) => Some(HeaderValue::from_static("crossed")),
+        _ => id,
+    };
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    }
+    response
+}
+
 /// Builds a JSON answer.
-pub(crate) fn json(status: StatusCode, value: &serde_json::Value) -> Response<AnswerBody> {
-    let body = Full::new(Bytes::from(value.to_string())).map_err(|e| match e {}).boxed();
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let buf = serde_json::to_vec(value).expect("answers have string keys only");
+    let body = Full::new(Bytes::from(buf)).map_err(|e| match e {}).boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     let kind = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
 }
+
+/// Builds the answer of a request that cannot be served.
+pub(crate) fn refuse(status: StatusCode, message: &str) -> Response<AnswerBody> {
+    json(status, &json!({"error": message}))
+}
