standin: test the engine and service over loopback with a paused clock

The tests found one fault: an answer with a length whose body was cut by `truncate` never left the server, as hyper drops unwritten bytes when a body ends short. The cut body now ends one step after its first part, so that head and part arrive. The read timeout for request heads is removed, since it has no use here and would fire when the paused clock advances.

--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -1,9 +1,12 @@
 //! Faults that a request asks for.
 
-use std::{future::pending, time::Duration};
+use std::{
+    future::{pending, ready},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use futures::{StreamExt, TryStreamExt, stream};
+use futures::{Stream, StreamExt, TryStreamExt, stream};
 use http::{HeaderMap, HeaderValue, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame};
@@ -83,7 +86,13 @@
     let first = first.map_ok(Frame::data);
     let body = match cut {
         Cut::Silence => StreamBody::new(first.chain(stream::once(pending()))).boxed_unsync(),
-        Cut::End => StreamBody::new(first).boxed_unsync(),
+        Cut::End => StreamBody::new(first.chain(flushed_end())).boxed_unsync(),
     };
     Response::from_parts(head, body)
 }
+
+/// Ends a body one step later. The server drops what it has not written when a body ends short of
+/// its length, so the first part must be written before.
+fn flushed_end() -> impl Stream<Item = Result<Frame<Bytes>, std::io::Error>> + Send {
+    stream::once(tokio::task::yield_now()).filter_map(|()| ready(None))
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde_json::json;
 use tokio::{
@@ -121,7 +121,6 @@
         async move { Ok::<_, Infallible>(answer(handler, request).await) }
     });
     let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(e) = served {
--- /dev/null
+++ b/crates/standin/tests/release_orders.rs
@@ -0,0 +1,143 @@
+//! Orders: release, fencing, models and roles.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{chat, engine, get, post, prompt, stream, until, whole};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use poplarspan_standin::{Fencing, StandIn, WeightStore};
+use serde_json::{Value, json};
+
+async fn order(engine: &StandIn, order: Value) -> StatusCode {
+    post(engine, "/orders", &[], &order).await.unwrap().status
+}
+
+fn release(program: &str, fencing: u64, claim: Option<u64>) -> Value {
+    json!({"kind": "release", "fencing": fencing, "program": program, "claim": claim, "team": "t"})
+}
+
+/// Guards against a release that leaves sub-agents behind, or takes programs of similar names.
+#[tokio::test(start_paused = true)]
+async fn release_frees_a_program_and_its_descendants() {
+    let engine = engine(|e| e).await;
+    for program in ["t/p", "t/p/child", "t/p2", "u/p"] {
+        chat(&engine, &[("x-program", program)], &prompt("a", 2)).await.unwrap();
+    }
+    let held = json!(["t/p", "t/p/child", "t/p2", "u/p"]);
+    assert_eq!(get(&engine, "/held").await.json(), held);
+    assert_eq!(order(&engine, release("t/p", 1, None)).await, StatusCode::OK);
+    assert_eq!(get(&engine, "/held").await.json(), json!(["t/p2", "u/p"]));
+    assert_eq!(engine.counters().held_programs, 2);
+}
+
+/// Guards against streams that go on for a program that has ended, and against a broken stream
+/// that looks whole.
+#[tokio::test(start_paused = true)]
+async fn release_cancels_streams_and_waiting_calls() {
+    let engine = engine(|e| e.capacity(1)).await;
+    let mut running = stream(&engine, &[("x-program", "t/p")], 1000).await.unwrap();
+    running.body_mut().frame().await.unwrap().unwrap();
+    let queued = stream(&engine, &[("x-program", "t/p/child")], 1000);
+    let order = async {
+        until("one call waits", || engine.counters().queued == 1).await;
+        order(&engine, release("t/p", 1, None)).await
+    };
+    let (queued, status) = futures::future::join(queued, order).await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(queued.unwrap().status(), StatusCode::CONFLICT);
+    assert!(whole(running).await.is_err());
+    until("the calls have gone", || engine.engine().unwrap().held().is_empty()).await;
+    assert_eq!(engine.counters().cancelled, 2);
+}
+
+/// Guards against a release of one claim that ends the stream of a later one.
+#[tokio::test(start_paused = true)]
+async fn release_of_a_claim_spares_other_claims() {
+    let engine = engine(|e| e).await;
+    let first = stream(&engine, &[("x-program", "t/p"), ("x-claim", "4")], 10).await.unwrap();
+    let second = stream(&engine, &[("x-program", "t/p"), ("x-claim", "5")], 10).await.unwrap();
+    assert_eq!(order(&engine, release("t/p", 1, Some(4))).await, StatusCode::OK);
+    assert!(whole(first).await.is_err());
+    assert!(whole(second).await.is_ok());
+    assert_eq!(engine.engine().unwrap().held(), ["t/p".into()], "the program goes on");
+}
+
+/// Guards against a checking engine that obeys a stale order, and against numbers that are
+/// compared between different programs.
+#[tokio::test(start_paused = true)]
+async fn stale_orders_are_refused_if_checked() {
+    for (fencing, stale) in
+        [(Fencing::Check, StatusCode::CONFLICT), (Fencing::Ignore, StatusCode::OK)]
+    {
+        let engine = engine(|e| e.fencing(fencing)).await;
+        assert_eq!(order(&engine, release("t/p", 9, None)).await, StatusCode::OK);
+        chat(&engine, &[("x-program", "t/p")], &prompt("a", 1)).await.unwrap();
+        assert_eq!(order(&engine, release("t/p", 8, None)).await, stale);
+        assert_eq!(engine.engine().unwrap().held().is_empty(), stale == StatusCode::OK);
+        assert_eq!(order(&engine, release("t/q", 8, None)).await, StatusCode::OK);
+        assert_eq!(order(&engine, release("t/p", 9, None)).await, StatusCode::OK, "resent");
+    }
+}
+
+/// Guards against models that are served before their weights can have arrived, also when two
+/// engines load from one store.
+#[tokio::test(start_paused = true)]
+async fn loading_takes_the_time_of_the_weight_store() {
+    let store = Arc::new(WeightStore::new(100));
+    let start = || {
+        let store = store.clone();
+        engine(|e| e.models(vec!["m@1".parse().unwrap()]).weight_store(store).weight_bytes(6000))
+    };
+    let (a, b) = (start().await, start().await);
+    let load = json!({"kind": "load", "fencing": 1, "model": "n@2"});
+    assert_eq!(order(&a, load.clone()).await, StatusCode::ACCEPTED);
+    assert_eq!(order(&b, load).await, StatusCode::ACCEPTED);
+    let call = json!({"model": "n", "max_tokens": 1, "messages": []});
+    assert_eq!(chat(&a, &[], &call).await.unwrap().status, StatusCode::NOT_FOUND);
+    tokio::time::sleep(Duration::from_secs(61)).await;
+    assert_eq!(chat(&a, &[], &call).await.unwrap().status, StatusCode::OK);
+    assert_eq!(chat(&b, &[], &call).await.unwrap().status, StatusCode::NOT_FOUND);
+    tokio::time::sleep(Duration::from_secs(61)).await;
+    assert_eq!(chat(&b, &[], &call).await.unwrap().status, StatusCode::OK);
+    let unload = json!({"kind": "unload", "fencing": 2, "model": "n"});
+    assert_eq!(order(&a, unload).await, StatusCode::OK);
+    assert_eq!(chat(&a, &[], &call).await.unwrap().status, StatusCode::NOT_FOUND);
+}
+
+/// Guards against malformed orders that are acknowledged.
+#[tokio::test(start_paused = true)]
+async fn roles_are_set_and_malformed_orders_refused() {
+    let engine = engine(|e| e).await;
+    let role = json!({"kind": "role", "fencing": 1, "role": "prefill"});
+    assert_eq!(order(&engine, role).await, StatusCode::OK);
+    assert_eq!(get(&engine, "/models").await.json()["role"], "prefill");
+    for malformed in
+        [json!({"kind": "release", "fencing": 1}), json!({"kind": "drop", "fencing": 1})]
+    {
+        assert_eq!(order(&engine, malformed).await, StatusCode::BAD_REQUEST);
+    }
+}
+
+/// Guards against a transfer that loses blocks, and against references that outlive the release.
+#[tokio::test(start_paused = true)]
+async fn programs_move_between_engines_by_reference() {
+    let (from, to) = (engine(|e| e).await, engine(|e| e).await);
+    let program = [("x-program", "t/p")];
+    chat(&from, &program, &prompt("a", 3)).await.unwrap();
+    let export = json!({"program": "t/p"});
+    let exported = post(&from, "/kv/export", &[], &export).await.unwrap().json();
+    assert_eq!(exported["blocks"], 3);
+    let import = json!({"program": "t/p", "reference": exported["reference"]});
+    let imported = post(&to, "/kv/import", &[], &import).await.unwrap();
+    assert_eq!((imported.status, imported.json()["blocks"].clone()), (StatusCode::OK, json!(3)));
+    assert_eq!(to.engine().unwrap().held(), ["t/p".into()]);
+    let answer = chat(&to, &program, &prompt("a", 3)).await.unwrap().json();
+    assert_eq!(answer["usage"]["cached_tokens"], 192);
+    order(&from, release("t/p", 1, None)).await;
+    let gone = post(&to, "/kv/import", &[], &import).await.unwrap();
+    assert_eq!(gone.status, StatusCode::GONE);
+    let unknown = post(&from, "/kv/export", &[], &export).await.unwrap();
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+}
