Set the stand-ins of the endpoint command by flags

Trials need engines of different speed, memory, cold start and faults. Every setting of the stand-ins is a flag and an environment variable now.

--- a/crates/core/flags.rs
+++ b/crates/core/flags.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use poplarspan_server::{Limits, ReplicaAddress, TlsFiles};
+use poplarspan_standin::ModelVersion;
 
 /// A scheduler for agent programs.
 ///
@@ -323,6 +324,12 @@
     /// Address to listen on.
     #[arg(long, value_name = "IP:PORT", env = "POPLARSPAN_ENDPOINT_ADDRESS")]
     pub(crate) address: SocketAddr,
+    #[command(flatten)]
+    pub(crate) life: LifeFlags,
+    #[command(flatten)]
+    pub(crate) engine: Box<EngineFlags>,
+    #[command(flatten)]
+    pub(crate) service: ServiceFlags,
 }
 
 /// Kinds of stand-ins.
@@ -333,3 +340,119 @@
     /// A plain service that counts its executions.
     Service,
 }
+
+/// Flags of both kinds of stand-ins.
+#[derive(Args, Debug)]
+pub(crate) struct LifeFlags {
+    /// Lag of load reports.
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_LOAD_LAG")]
+    pub(crate) load_lag: Duration,
+    /// How long connections are refused after a crash.
+    #[arg(long, default_value = "1s", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_RESTART_AFTER")]
+    pub(crate) restart_after: Duration,
+    /// End the process at a crash, with status 70.
+    #[arg(long, env = "POPLARSPAN_ENDPOINT_EXIT_ON_CRASH")]
+    pub(crate) exit_on_crash: bool,
+    /// Number of the first run; by default the time of the start in milliseconds.
+    #[arg(long, value_name = "N", env = "POPLARSPAN_ENDPOINT_FIRST_RUN")]
+    pub(crate) first_run: Option<u64>,
+}
+
+/// Flags of plain services.
+#[derive(Args, Debug)]
+#[command(next_help_heading = "Plain service")]
+pub(crate) struct ServiceFlags {
+    /// Time that an execution takes.
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_DELAY")]
+    pub(crate) delay: Duration,
+}
+
+/// Flags of model engines.
+#[derive(Args, Debug)]
+#[command(next_help_heading = "Model engine")]
+pub(crate) struct EngineFlags {
+    /// Calls that run at once.
+    #[arg(long, default_value_t = 8, env = "POPLARSPAN_ENDPOINT_CAPACITY")]
+    pub(crate) capacity: u32,
+    /// Calls that wait; further ones are answered 503.
+    #[arg(long, default_value_t = 64, env = "POPLARSPAN_ENDPOINT_MAX_QUEUE")]
+    pub(crate) max_queue: u32,
+    /// Retry-After of these answers.
+    #[arg(long, default_value = "1s", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_RETRY_AFTER")]
+    pub(crate) retry_after: Duration,
+    /// Time per token of a call that runs alone.
+    #[arg(long, default_value = "5ms", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_TOKEN_INTERVAL")]
+    pub(crate) token_interval: Duration,
+    /// What each further running call adds to the time per token.
+    #[arg(long, default_value = "200us", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_TOKEN_INTERVAL_PER_CALL")]
+    pub(crate) token_interval_per_call: Duration,
+    /// Time that an uncached token of the prompt takes.
+    #[arg(long, default_value = "20us", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_PREFILL_PER_TOKEN")]
+    pub(crate) prefill_per_token: Duration,
+    /// Tokens of an answer when the request names no limit.
+    #[arg(long, default_value_t = 16, env = "POPLARSPAN_ENDPOINT_DEFAULT_TOKENS")]
+    pub(crate) default_tokens: u64,
+    /// Memory of the prefix cache, in blocks of 256 bytes.
+    #[arg(long, default_value_t = 4096, env = "POPLARSPAN_ENDPOINT_CACHE_BLOCKS")]
+    pub(crate) cache_blocks: u32,
+    /// Calls at once that a cold engine bears before it slows down; the capacity by default.
+    #[arg(long, value_name = "N", env = "POPLARSPAN_ENDPOINT_COLD_CAPACITY")]
+    pub(crate) cold_capacity: Option<u32>,
+    /// Calls at once above which a cold engine crashes; never by default.
+    #[arg(long, value_name = "N", env = "POPLARSPAN_ENDPOINT_COLD_CRASH_ABOVE")]
+    pub(crate) cold_crash_above: Option<u32>,
+    /// Factor by which a cold engine with too many calls slows down.
+    #[arg(long, default_value_t = 4.0, env = "POPLARSPAN_ENDPOINT_COLD_SLOWDOWN")]
+    pub(crate) cold_slowdown: f64,
+    /// How long the engine is cold after a start.
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_RAMP")]
+    pub(crate) ramp: Duration,
+    /// How the calls that a cold engine bears grow during the ramp.
+    #[arg(long, value_enum, default_value = "step", env = "POPLARSPAN_ENDPOINT_RAMP_SHAPE")]
+    pub(crate) ramp_shape: ShapeFlag,
+    /// Time after which cache events are published.
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration, env = "POPLARSPAN_ENDPOINT_EVENT_DELAY")]
+    pub(crate) event_delay: Duration,
+    /// Share of cache events that are lost, 0 to 1.
+    #[arg(long, default_value_t = 0.0, env = "POPLARSPAN_ENDPOINT_EVENT_GAP_RATE")]
+    pub(crate) event_gap_rate: f64,
+    /// What is done with the fencing numbers of orders.
+    #[arg(long, value_enum, default_value = "check", env = "POPLARSPAN_ENDPOINT_FENCING")]
+    pub(crate) fencing: FencingFlag,
+    /// Models that are loaded at the start, as model@version, separated by commas; by default the
+    /// engine serves every model.
+    #[arg(
+        long,
+        value_name = "MODEL@VERSION",
+        value_delimiter = ',',
+        env = "POPLARSPAN_ENDPOINT_MODELS"
+    )]
+    pub(crate) models: Vec<ModelVersion>,
+    /// Size of a model's weights, in bytes.
+    #[arg(long, default_value_t = 1 << 30, env = "POPLARSPAN_ENDPOINT_WEIGHT_BYTES")]
+    pub(crate) weight_bytes: u64,
+    /// Rate of the weight store, in bytes per second.
+    #[arg(long, default_value_t = 1 << 30, env = "POPLARSPAN_ENDPOINT_WEIGHT_RATE")]
+    pub(crate) weight_rate: u64,
+    /// Seed of random numbers.
+    #[arg(long, default_value_t = 0, env = "POPLARSPAN_ENDPOINT_SEED")]
+    pub(crate) seed: u64,
+}
+
+/// Shapes of the ramp.
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub(crate) enum ShapeFlag {
+    /// The cold capacity for the whole ramp.
+    Step,
+    /// Linearly from the cold capacity to the capacity.
+    Linear,
+}
+
+/// Ways to treat fencing numbers.
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub(crate) enum FencingFlag {
+    /// Refuse stale orders.
+    Check,
+    /// Carry out every order.
+    Ignore,
+}
