standin: add stalled connections and let orders release silent streams

A silent streamed answer dropped its call at the engine as soon as it fell silent, so that a missing release order could not be noticed; the call now goes on behind the silence and ends with the connection or a release. The time of one load of weights is bounded, as extreme sizes overflowed the clock.

--- a/crates/standin/src/engine/models.rs
+++ b/crates/standin/src/engine/models.rs
@@ -7,6 +7,9 @@
 
 use crate::config::{EngineConfig, ModelVersion};
 
+/// Longest time of one load, whatever its size and the rate.
+const MAX_LOAD_SECONDS: f64 = 1e9;
+
 /// A store of weights with a limited rate, which engines share: loads follow one another.
 #[derive(Debug)]
 pub struct WeightStore {
@@ -22,7 +25,8 @@
 
     /// Reserves the store for a load and returns when it is complete.
     fn reserve(&self, bytes: u64, now: Instant) -> Instant {
-        let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second as f64);
+        let time = bytes as f64 / self.bytes_per_second as f64;
+        let time = Duration::from_secs_f64(time.min(MAX_LOAD_SECONDS));
         let mut free_at = self.free_at.lock().expect("no panic while locked");
         let done = free_at.map_or(now, |at| at.max(now)) + time;
         *free_at = Some(done);
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -27,6 +27,8 @@
     Crash,
     /// There is never an answer.
     Hang,
+    /// All open connections stop responding; new ones work.
+    Stall,
     /// Head and first part of the body arrive, then nothing.
     Silent,
     /// The answer carries another request id.
@@ -50,6 +52,7 @@
         let fault = match value {
             "crash" => Self::Crash,
             "hang" => Self::Hang,
+            "stall" => Self::Stall,
             "silent" => Self::Silent,
             "crossed" => Self::Crossed,
             "truncate" => Self::Truncate,
@@ -71,7 +74,8 @@
 }
 
 /// Cuts the body of an answer. A body of known length keeps its `Content-Length`; a streamed one
-/// ends like a whole one, so that only the missing terminal frame gives it away.
+/// ends like a whole one, so that only the missing terminal frame gives it away. Behind a silent
+/// answer the call goes on, and an order can release it.
 pub(crate) async fn cut(response: Response<AnswerBody>, cut: Cut) -> Response<AnswerBody> {
     let (mut head, body) = response.into_parts();
     let first = match body.size_hint().exact() {
@@ -81,6 +85,11 @@
             let half = whole.slice(..whole.len() / 2);
             stream::iter([Ok::<Bytes, std::io::Error>(half)]).boxed()
         }
+        None if cut == Cut::Silence => {
+            let frames = body.into_data_stream().enumerate();
+            let heard = |n: usize, frame: &Result<_, _>| n < FRAMES_BEFORE_CUT || frame.is_err();
+            frames.filter_map(move |(n, f)| ready(heard(n, &f).then_some(f))).boxed()
+        }
         None => body.into_data_stream().take(FRAMES_BEFORE_CUT).boxed(),
     };
     let first = first.map_ok(Frame::data);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod load;
 mod server;
 mod service;
+mod stall;
 mod start;
 
 pub use config::{
--- a/crates/standin/src/life.rs
+++ b/crates/standin/src/life.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::config::LifeConfig;
+use crate::{config::LifeConfig, stall::Stalled};
 
 /// The stand-in crashed and is set to end then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,6 +88,8 @@
     pub(crate) cfg: LifeConfig,
     pub(crate) totals: Totals,
     run: Mutex<Run>,
+    /// Flag of the connections opened since the last stall.
+    stalled: Mutex<Stalled>,
     address: OnceLock<SocketAddr>,
 }
 
@@ -98,7 +100,13 @@
             started: Instant::now(),
             crashed: CancellationToken::new(),
         };
-        Self { cfg, totals: Totals::default(), run: Mutex::new(run), address: OnceLock::new() }
+        Self {
+            cfg,
+            totals: Totals::default(),
+            run: Mutex::new(run),
+            stalled: Mutex::default(),
+            address: OnceLock::new(),
+        }
     }
 
     pub(crate) fn run(&self) -> Run {
@@ -115,6 +123,17 @@
         }
     }
 
+    /// Flag of a new connection.
+    pub(crate) fn stalled(&self) -> Stalled {
+        self.stalled.lock().expect("no panic while locked").clone()
+    }
+
+    /// Makes all open connections stop responding. New ones work.
+    pub(crate) fn stall(&self) {
+        let stalled = std::mem::take(&mut *self.stalled.lock().expect("no panic while locked"));
+        stalled.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn begin_run(&self) {
         let mut run = self.run.lock().expect("no panic while locked");
         *run = Run {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -20,6 +20,7 @@
 use crate::{
     fault::{self, Cut, Fault},
     life::{Crashed, Life},
+    stall::StallingStream,
 };
 
 /// Body of an answer.
@@ -116,12 +117,13 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("cannot disable the delay of small packets: {e}");
     }
+    let stalled = handler.life().stalled();
     let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(answer(handler, request).await) }
     });
     let served = hyper::server::conn::http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(StallingStream::new(stream, stalled)), service)
         .await;
     if let Err(e) = served {
         log::debug!("connection ended: {e}");
@@ -152,6 +154,7 @@
             return pending().await;
         }
         Some(Fault::Hang) => return pending().await,
+        Some(Fault::Stall) => handler.life().stall(),
         Some(Fault::Error) => {
             response = refuse(StatusCode::INTERNAL_SERVER_ERROR, "fault on request");
         }
--- /dev/null
+++ b/crates/standin/src/stall.rs
@@ -0,0 +1,72 @@
+//! Connections that stop responding while the process lives and accepts new ones.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Set when the connections that share it have stopped responding.
+pub(crate) type Stalled = Arc<AtomicBool>;
+
+/// A connection that, once stalled, reads nothing and loses what it writes. The calls on it go on
+/// and end as if their answers were sent.
+#[derive(Debug)]
+pub(crate) struct StallingStream {
+    stream: TcpStream,
+    stalled: Stalled,
+}
+
+impl StallingStream {
+    pub(crate) fn new(stream: TcpStream, stalled: Stalled) -> Self {
+        Self { stream, stalled }
+    }
+
+    fn is_stalled(&self) -> bool {
+        self.stalled.load(Ordering::Relaxed)
+    }
+}
+
+impl AsyncRead for StallingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_stalled() {
+            // Nothing wakes the task, as a stalled connection stays so.
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for StallingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_stalled() {
+            return Poll::Ready(Ok(buf.len()));
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/standin/src/start.rs
+++ b/crates/standin/src/start.rs
@@ -100,6 +100,14 @@
         }
     }
 
+    /// Makes all open connections stop responding, without closing them. New ones work.
+    pub fn stall(&self) {
+        match &self.kind {
+            Kind::Engine(engine) => engine.life().stall(),
+            Kind::Service(service) => service.life().stall(),
+        }
+    }
+
     /// Closes all connections without an answer and refuses new ones from now on.
     ///
     /// # Errors
--- a/crates/standin/tests/request_faults.rs
+++ b/crates/standin/tests/request_faults.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{engine, get, open, whole};
+use common::{engine, get, open, post, whole};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use poplarspan_standin::{ServiceConfig, StandIn};
@@ -74,6 +74,37 @@
     }
 }
 
+/// Guards against a silent stream that no order can release, so that it would hold memory forever.
+#[tokio::test(start_paused = true)]
+async fn silent_streams_can_be_released() {
+    let [engine, _] = both().await;
+    let body = r#"{"model":"m","max_tokens":100000,"messages":["hi"],"stream":true}"#;
+    let headers = [("x-standin-fault", "silent"), ("x-program", "t/p")];
+    let response = open(&engine, Method::POST, "/v1/chat/completions", &headers, body);
+    let response = response.await.unwrap();
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(engine.counters().running, 1);
+    let order = serde_json::json!({"kind": "release", "fencing": 1, "program": "t/p"});
+    post(&engine, "/orders", &[], &order).await.unwrap();
+    assert!(timeout(LONG, whole(response)).await.unwrap().is_err());
+    assert!(engine.engine().unwrap().held().is_empty());
+}
+
+/// Guards against a stall that closes connections, or that new connections do not escape.
+#[tokio::test(start_paused = true)]
+async fn stall_silences_open_connections_only() {
+    for standin in both().await {
+        let slow = faulty(&standin, "late:60000", CALL);
+        let stall = async {
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            timeout(LONG, faulty(&standin, "stall", CALL)).await
+        };
+        let (slow, stall) = futures::future::join(timeout(LONG, slow), stall).await;
+        assert!(slow.is_err() && stall.is_err());
+        assert_eq!(get(&standin, "/load").await.json()["running"], 0);
+    }
+}
+
 /// Guards against a truncated answer that a check of length or terminal frame cannot find.
 #[tokio::test(start_paused = true)]
 async fn truncate_ends_the_body_early() {
