standin: keep the order of a prompt in exports

Exported blocks were sorted by hash, so that the importing cache evicted them in no useful order and kept an arbitrary part of a prompt larger than its memory. Held blocks are a hash set now, which also avoids quadratic insertion for long prompts, and exports are in the order of the prompt.

--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -1,7 +1,8 @@
 //! Prefix cache of limited memory. Programs hold the blocks of their prompts until released.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -27,8 +28,7 @@
 #[derive(Debug)]
 struct Program {
     name: Arc<str>,
-    /// Sorted.
-    blocks: Vec<u64>,
+    blocks: HashSet<u64>,
 }
 
 /// Changes made by storing a prompt.
@@ -39,7 +39,7 @@
 }
 
 /// Cache of one run. Blocks are in hash and tree maps, as prompts have thousands of blocks and
-/// insertion into a sorted vector is linear.
+/// insertion into a sorted vector takes linear time.
 #[derive(Debug)]
 pub(super) struct Cache {
     max_blocks: usize,
@@ -93,9 +93,13 @@
         change
     }
 
-    /// Blocks that a program holds, or none if it is unknown.
-    pub(super) fn held_by(&self, program: &str) -> Option<&[u64]> {
-        self.find(program).ok().map(|i| self.programs[i].blocks.as_slice())
+    /// Blocks that a program holds, or none if it is unknown. They are in the order of its last
+    /// prompt, as that order is also the reverse order of their last uses.
+    pub(super) fn held_by(&self, program: &str) -> Option<Vec<u64>> {
+        let program = &self.programs[self.find(program).ok()?];
+        let mut blocks: Vec<u64> = program.blocks.iter().copied().collect();
+        blocks.sort_unstable_by_key(|hash| Reverse(self.blocks.get(hash).map(|b| b.used)));
+        Some(blocks)
     }
 
     /// Programs that have not been released, sorted.
@@ -122,7 +126,7 @@
 
     fn program(&mut self, name: &Arc<str>) -> &mut Program {
         let i = self.find(name).unwrap_or_else(|i| {
-            self.programs.insert(i, Program { name: name.clone(), blocks: Vec::new() });
+            self.programs.insert(i, Program { name: name.clone(), blocks: HashSet::new() });
             i
         });
         &mut self.programs[i]
@@ -130,12 +134,10 @@
 
     fn touch(&mut self, hash: u64, program: Option<&Arc<str>>) {
         let mut new_holder = None;
-        if let Some(program) = program {
-            let held = &mut self.program(program).blocks;
-            if let Err(i) = held.binary_search(&hash) {
-                held.insert(i, hash);
-                new_holder = Some(program.clone());
-            }
+        if let Some(program) = program
+            && self.program(program).blocks.insert(hash)
+        {
+            new_holder = Some(program.clone());
         }
         self.uses += 1;
         let uses = self.uses;
@@ -158,10 +160,7 @@
             let Some((_, _, hash)) = self.eviction.pop_first() else { return };
             let block = self.blocks.remove(&hash).unwrap_or_default();
             for holder in &block.holders {
-                let held = &mut self.program(holder).blocks;
-                if let Ok(i) = held.binary_search(&hash) {
-                    held.remove(i);
-                }
+                self.program(holder).blocks.remove(&hash);
             }
             removed.push(hash);
         }
--- a/crates/standin/src/engine/transfer.rs
+++ b/crates/standin/src/engine/transfer.rs
@@ -77,7 +77,7 @@
         };
         let run = self.run();
         let mut state = run.lock();
-        let Some(blocks) = state.cache.held_by(&request.program).map(<[u64]>::to_vec) else {
+        let Some(blocks) = state.cache.held_by(&request.program) else {
             return refuse(StatusCode::NOT_FOUND, "nothing is held for the program");
         };
         let count = blocks.len();
--- a/crates/standin/tests/release_orders.rs
+++ b/crates/standin/tests/release_orders.rs
@@ -133,6 +133,9 @@
     let imported = post(&to, "/kv/import", &[], &import).await.unwrap();
     assert_eq!((imported.status, imported.json()["blocks"].clone()), (StatusCode::OK, json!(3)));
     assert_eq!(to.engine().unwrap().held(), ["t/p".into()]);
+    // The order of the prompt is kept, so that it is evicted from its end there too.
+    let events = [get(&from, "/events").await.json(), get(&to, "/events").await.json()];
+    assert_eq!(events[0]["events"][1]["blocks"], events[1]["events"][1]["blocks"]);
     let answer = chat(&to, &program, &prompt("a", 3)).await.unwrap().json();
     assert_eq!(answer["usage"]["cached_tokens"], 192);
     order(&from, release("t/p", 1, None)).await;
