Test the whole path over separate processes

Adds a harness that starts fleets of real processes with a relay in front of each peer port. Cause found with it: a call waited until its deadline while no endpoint of its group answered; it is now refused after two seconds with the time to come back. Calls name their claim to engines, so that a late release order cannot cancel a newer call of the same program.

--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -91,6 +91,7 @@
         zone: "zone-1".into(),
         entry_address: entry,
         peer_address: LOOPBACK,
+        advertise_address: None,
         probe_address: LOOPBACK,
         seeds: Vec::new(),
         replicas: Vec::new(),
--- a/crates/core/commands/serve.rs
+++ b/crates/core/commands/serve.rs
@@ -15,6 +15,7 @@
         zone: flags.zone.into(),
         entry_address: flags.entry_address,
         peer_address: flags.peer_address,
+        advertise_address: flags.advertise_address,
         probe_address: flags.probe_address,
         seeds: flags.seeds,
         replicas: flags.replicas,
--- a/crates/core/flags.rs
+++ b/crates/core/flags.rs
@@ -97,6 +97,9 @@
     /// Address for other instances and operators (UDP).
     #[arg(long, value_name = "IP:PORT", env = "POPLARSPAN_PEER_ADDRESS")]
     pub(crate) peer_address: SocketAddr,
+    /// Address at which others reach the peer address, if it is another one.
+    #[arg(long, value_name = "IP:PORT", env = "POPLARSPAN_ADVERTISE_ADDRESS")]
+    pub(crate) advertise_address: Option<SocketAddr>,
     /// Address for metrics, health and readiness (TCP).
     #[arg(long, value_name = "IP:PORT", env = "POPLARSPAN_PROBE_ADDRESS")]
     pub(crate) probe_address: SocketAddr,
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -66,6 +66,8 @@
     pub entry_address: SocketAddr,
     /// Where other instances and operators connect (UDP).
     pub peer_address: SocketAddr,
+    /// Where other instances reach `peer_address`, if a relay stands in front of it.
+    pub advertise_address: Option<SocketAddr>,
     /// Where metrics and health are served.
     pub probe_address: SocketAddr,
     /// Peer addresses of instances that may already run.
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -29,6 +29,8 @@
 const MAX_ATTEMPTS: usize = 3;
 /// Header of requests to engines that names the program, for its memory to be released later.
 const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
+/// Header of requests to engines that names the claim of the ledger, for orders that concern it.
+const ENGINE_CLAIM_HEADER: HeaderName = HeaderName::from_static("x-claim");
 const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -82,7 +84,12 @@
         self
     }
 
-    fn request(&self, endpoint: &Chosen, id: &HeaderValue) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        endpoint: &Chosen,
+        id: &HeaderValue,
+        claim: Option<u64>,
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.parse().unwrap_or_default();
@@ -90,6 +97,10 @@
         let host = HeaderValue::from_str(&endpoint.address.to_string()).expect("plain ASCII");
         request.headers_mut().insert(header::HOST, host);
         request.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+        request.headers_mut().remove(ENGINE_CLAIM_HEADER);
+        if let Some(claim) = claim {
+            request.headers_mut().insert(ENGINE_CLAIM_HEADER, HeaderValue::from(claim));
+        }
         request
     }
 }
@@ -173,6 +184,8 @@
     /// What is known of all attempts together.
     ran: Ran,
     last_cause: String,
+    /// Number of the claim under which the call runs, if the ledger records it.
+    pub(crate) claim: Option<u64>,
 }
 
 impl<'a> Attempts<'a> {
@@ -180,7 +193,8 @@
         if let Some(team) = &call.spec.team {
             entry.retries().attempted(team);
         }
-        Self { entry, call, tried: Vec::new(), ran: Ran::No, last_cause: String::new() }
+        let (ran, last_cause) = (Ran::No, String::new());
+        Self { entry, call, tried: Vec::new(), ran, last_cause, claim: None }
     }
 
     /// Waits for a place at an endpoint that was not tried yet.
@@ -242,7 +256,7 @@
             };
             return self.failed(slot, failed).await.map(|()| None);
         }
-        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id);
+        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id, self.claim);
         let fresh = !self.call.idempotent;
         let address = slot.endpoint.address;
         let sent = self.entry.pool.send(address, request, fresh, self.call.deadline).await;
--- a/crates/server/src/entry/program.rs
+++ b/crates/server/src/entry/program.rs
@@ -71,6 +71,7 @@
                 }
             }
         };
+        attempts.claim = Some(claim.number);
         match self.attempt_recorded(&mut attempts, claim.clone(), place).await {
             Ok((claim, begun)) if stream && is_event_stream(&begun.headers) => {
                 drop(attempts);
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -96,7 +96,8 @@
         let credentials = Credentials::load(&cfg.tls)?;
         let endpoint = quinn::Endpoint::server(credentials.server_config()?, cfg.peer_address)
             .with_context(|| format!("cannot listen on peer address {}", cfg.peer_address))?;
-        let peer_address = endpoint.local_addr()?;
+        let bound_address = endpoint.local_addr()?;
+        let peer_address = cfg.advertise_address.unwrap_or(bound_address);
         let client = PeerClient::with_endpoint(endpoint.clone(), &credentials)?;
         let entry_socket = listen(cfg.entry_address).await.context("entry address")?;
         let probe_socket = Arc::new(listen(cfg.probe_address).await.context("probe address")?);
--- a/crates/server/src/schedule/fair.rs
+++ b/crates/server/src/schedule/fair.rs
@@ -64,6 +64,8 @@
                 let mut state = self.locked(now);
                 state.endpoints.refresh_caps(now);
                 let mut decided = state.queues.expire(now);
+                let State { endpoints, queues } = &mut *state;
+                decided.extend(queues.give_up(endpoints, now));
                 for group in state.queues.waiting_groups() {
                     let State { endpoints, queues } = &mut *state;
                     decided.extend(queues.serve(&group, endpoints, now));
--- a/crates/server/src/schedule/queues.rs
+++ b/crates/server/src/schedule/queues.rs
@@ -16,12 +16,15 @@
 const OPEN_TEAM: &str = "";
 /// Weight of a new measurement in the average time that a call holds its place.
 const HELD_GAIN: f64 = 0.05;
+/// How long a call waits while no endpoint of its group answers.
+const OUTAGE_PATIENCE: Duration = Duration::from_secs(2);
 const COME_BACK: Duration = Duration::from_secs(1);
 
 /// A waiting call.
 pub(super) struct Waiting {
     pub(super) spec: Arc<CallSpec>,
     tried: Vec<Name>,
+    since: Duration,
     tx: oneshot::Sender<Result<Chosen, Refusal>>,
 }
 
@@ -98,7 +101,7 @@
             program: spec.program.clone(),
             cost: spec.cost(),
             deadline,
-            payload: Waiting { spec: spec.clone(), tried: tried.to_vec(), tx },
+            payload: Waiting { spec: spec.clone(), tried: tried.to_vec(), since: now, tx },
         };
         match group.queue.push(call, now) {
             Ok(id) => Ok((id, rx)),
@@ -155,6 +158,25 @@
             .collect()
     }
 
+    /// Refuses the calls of groups in which no endpoint has been healthy for a while.
+    pub(super) fn give_up(&mut self, endpoints: &Endpoints, now: Duration) -> Vec<Decided> {
+        let mut given_up = Vec::new();
+        for group in &mut self.list {
+            if endpoints.capacity(&group.group) == 0 {
+                let waited = |call: &Call<Waiting>| now > call.payload.since + OUTAGE_PATIENCE;
+                given_up.extend(group.queue.remove_where(waited));
+            }
+        }
+        let refusal = || {
+            let message = "no endpoint that could take the call answers";
+            Refusal::not_run(Code::Unavailable, message).retry_after(COME_BACK)
+        };
+        given_up
+            .into_iter()
+            .map(|entry| Decided { waiting: entry.call.payload, result: Err(refusal()) })
+            .collect()
+    }
+
     /// Removes a call whose caller has gone.
     pub(super) fn remove(&mut self, group: &str, id: QueueId) {
         if let Ok(at) = self.position(group) {
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,111 @@
+//! Processes of the program under test.
+
+use std::{
+    fs::File,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_poplarspan");
+
+/// A running process, killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program; its log goes to a file.
+    pub fn start(args: &[&str], log: &Path) -> Self {
+        let log = File::options().create(true).append(true).open(log).expect("log file");
+        let child = Command::new(PROGRAM)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("a pid"));
+        kill(pid, signal).expect("the process runs");
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(mut self) {
+        self.child.kill().expect("the process runs");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait(mut self) -> ExitStatus {
+        self.child.wait().expect("the process ends")
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Fails only when the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a command of the program has printed.
+pub struct Outcome {
+    pub status: ExitStatus,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Outcome {
+    /// Checks that the command succeeded.
+    pub fn success(self) -> Self {
+        assert!(self.status.success(), "{}{}", self.stdout, self.stderr);
+        self
+    }
+}
+
+/// Runs a command of the program to its end.
+pub fn run(args: &[&str]) -> Outcome {
+    let output = Command::new(PROGRAM).args(args).stdin(Stdio::null()).output().expect("it runs");
+    let text = |buf: Vec<u8>| String::from_utf8(buf).expect("UTF-8");
+    Outcome { status: output.status, stdout: text(output.stdout), stderr: text(output.stderr) }
+}
+
+/// An address on loopback whose port is free for TCP and UDP.
+pub fn free_port() -> SocketAddr {
+    loop {
+        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = tcp.local_addr().expect("bound");
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
