--- a/tests/support/objects.rs
+++ b/tests/support/objects.rs
@@ -16,6 +16,8 @@
     pub withdrawn: bool,
     /// Rate and burst of the first team.
     pub rate: (u32, u32),
+    /// Concurrent requests of each endpoint.
+    pub capacity: u32,
     /// Tokens of the budget of each program.
     pub budget_tokens: u64,
     /// More text at the end of the file.
@@ -40,6 +42,7 @@
             zones_out: Vec::new(),
             withdrawn: false,
             rate: (500, 500),
+            capacity: 64,
             budget_tokens: 100_000,
             extra: String::new(),
         }
@@ -112,10 +115,11 @@
             let _ = write!(
                 text,
                 "[[endpoint]]\nname = \"{}\"\nzone = \"zone-{}\"\naddress = \"{}\"\n{serves}\n\
-                 capacity = 64\nleaving = {}\n",
+                 capacity = {}\nleaving = {}\n",
                 e.name,
                 i % 3 + 1,
                 e.address,
+                self.capacity,
                 e.leaving,
             );
         }
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -33,6 +33,11 @@
         Self { child }
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("a pid"));
         kill(pid, signal).expect("the process runs");
