--- a/crates/ledger/src/catalog.rs
+++ b/crates/ledger/src/catalog.rs
@@ -160,11 +160,9 @@
 
     /// What an instance at `generation` needs in order to reach the current one.
     pub fn changes_since(&self, generation: u64) -> Changes {
-        match self.recent.since(generation, self.generation) {
-            Some(changes) if changes.is_empty() || changes.len() < self.objects.len() => {
-                Changes::Deltas { generation: self.generation, changes }
-            }
-            _ => Changes::FullSet { generation: self.generation, objects: self.objects() },
+        match self.recent.since(generation, self.generation, self.objects.len()) {
+            Some(changes) => Changes::Deltas { generation: self.generation, changes },
+            None => Changes::FullSet { generation: self.generation, objects: self.objects() },
         }
     }
 
--- a/crates/ledger/src/catalog/publish.rs
+++ b/crates/ledger/src/catalog/publish.rs
@@ -106,8 +106,14 @@
         self.list.get(usize::try_from(generation.checked_sub(first)?).ok()?)
     }
 
-    /// The merged changes after `generation`, or nothing if some are no longer kept.
-    pub(super) fn since(&self, generation: u64, current: u64) -> Option<Vec<ObjectChange>> {
+    /// The merged changes after `generation`, or nothing if some are no longer kept or there are at
+    /// least `max` before they are merged.
+    pub(super) fn since(
+        &self,
+        generation: u64,
+        current: u64,
+        max: usize,
+    ) -> Option<Vec<ObjectChange>> {
         if generation == current {
             return Some(Vec::new());
         }
@@ -116,7 +122,11 @@
         if generation > current {
             return None;
         }
-        let newer = self.list.iter().skip(usize::try_from(skip).ok()?);
+        let newer = self.list.range(usize::try_from(skip).ok()?.min(self.list.len())..);
+        // Counted first, because merging a large set only to discard it costs more than sending it.
+        if newer.clone().map(|publication| publication.changes.len()).sum::<usize>() >= max {
+            return None;
+        }
         let mut merged = BTreeMap::new();
         for change in newer.flat_map(|publication| &publication.changes) {
             merged.insert((change.kind.as_str(), change.name.as_str()), &change.body);
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -3,6 +3,33 @@
 //! The state belongs to the replicated log of the group. When its leader fails, another voter goes
 //! on with the same state, and open claims stay valid. When the instance that holds a claim fails,
 //! its idempotent calls become claimable again, and its other calls have an unknown outcome.
+//!
+//! # Order of the checks of a begin
+//!
+//! 1. A claimant that was declared gone, or has started again since, is fenced.
+//! 2. Programs of the lineage that are past their lifetime or idle limit end.
+//! 3. A begin that refers to an existing call, by key or by turn, gets that call's answer: replay,
+//!    running, unknown outcome, or body mismatch. This holds in ended programs too. Only a call
+//!    whose claimant is gone may be claimed again.
+//! 4. In an ended program, or below one, nothing new begins.
+//! 5. A turn that is not the next one is out of order.
+//! 6. The answer must fit the team's store, the turn must fit the turn limit, and the reservation
+//!    must fit the budget, of the program and each of its ancestors.
+//!
+//! A begin that is refused reserves nothing and creates no program. Programs are created by their
+//! first call, together with missing ancestors, all with the limits of that call.
+//!
+//! # Claims and release orders
+//!
+//! Claims and release orders take their numbers from one rising sequence, so that a claim never
+//! occurs twice, whatever was freed or dropped in between, and an endpoint that checks numbers can
+//! refuse a call that arrives after the order that ended it. A begin names the endpoint that the
+//! call will be sent to, which keeps a call at two entries of the log: one begins it and one ends
+//! it. A further endpoint costs one more entry, a dispatch, before the call is sent there. So the
+//! endpoints are known when the claimant dies.
+//!
+//! The run of a claimant that is gone may have cost up to its reservation, which therefore counts
+//! as spent; a repeated run reserves anew.
 
 mod begin;
 mod budget;
--- a/crates/ledger/src/ledger/call.rs
+++ b/crates/ledger/src/ledger/call.rs
@@ -118,7 +118,7 @@
             return Resend::Answer(Answer::BodyMismatch(BodyMismatch {}));
         }
         Resend::Answer(match &self.state {
-            State::Open(open) if open.is_same_proposal(begin) => {
+            State::Open(open) if self.kind == begin.kind() && open.is_same_proposal(begin) => {
                 Answer::Granted(Granted { claim: self.claim, turn })
             }
             State::Open(open) => open.running(turn),
--- a/crates/ledger/tests/arbitrary_bytes.rs
+++ b/crates/ledger/tests/arbitrary_bytes.rs
@@ -3,13 +3,19 @@
 
 mod common;
 
-use common::{Machine, call, keyed, non_idempotent};
+use common::{Machine, call, keyed, non_idempotent, with_budget};
 use poplarspan_ledger::{Catalog, Ledger};
+use poplarspan_proto::ledger::{Begin, LedgerCommand, ledger_command::Command};
 use proptest::prelude::*;
+use prost::Message;
 
 /// Commands that are applied after a damaged snapshot was accepted.
 fn exercise(ledger: Ledger) {
     let mut m = Machine { ledger, ..Machine::new() };
+    for status in ["p", "p/c", "q"].iter().filter_map(|p| m.ledger.status("t", p)) {
+        let sum = status.spent_tokens.checked_add(status.reserved_tokens);
+        assert!(sum.is_some_and(|sum| sum <= status.budget_tokens));
+    }
     for begin in [call("p", None, "z"), call("p/c", Some(2), "b"), keyed("k")] {
         m.begin(&begin);
     }
@@ -21,7 +27,7 @@
 
 fn busy() -> Machine {
     let mut m = Machine::new();
-    m.run(&call("p", None, "a"), 1);
+    m.run(&with_budget(13, call("p", None, "a")), 1);
     m.run(&call("p/c", None, "a"), 1);
     m.granted(&non_idempotent("p/c", None, "b"));
     m.granted(&call("q", None, "b"));
@@ -43,7 +49,20 @@
                 Err(_) => assert!(ledger == busy().ledger, "byte {at}: the state was kept"),
             }
         }
-        assert!(Ledger::new().restore(&snapshot[..at]).is_err() || at > 0);
+        assert!(Ledger::new().restore(&snapshot[..at]).is_err(), "truncated at {at}");
+    }
+}
+
+#[test]
+fn damaged_commands_never_panic() {
+    let begin = Begin { turn: Some(3), timeout_ms: 9, ..with_budget(99, call("p/c", None, "x")) };
+    let begin = Some(Command::Begin(begin));
+    let data = LedgerCommand { now_ms: 5, command: begin }.encode_to_vec();
+    for (at, flip) in (0..data.len()).flat_map(|at| [1, 2, 8, 0x80, 0xff].map(|f| (at, f))) {
+        let (mut m, mut damaged) = (busy(), data.clone());
+        damaged[at] ^= flip;
+        m.ledger.apply(m.index + 1, &damaged);
+        exercise(m.ledger);
     }
 }
 
--- a/crates/ledger/tests/body_replay.rs
+++ b/crates/ledger/tests/body_replay.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Machine, Reply, answer, call, claimant, digest, keyed};
+use common::{Machine, Reply, answer, call, digest, from, keyed};
 use poplarspan_proto::ledger::{Begin, BodyMismatch, Granted};
 
 const MISMATCH: Reply = Reply::BodyMismatch(BodyMismatch {});
@@ -51,8 +51,8 @@
     let first = m.granted(&begin);
     assert_eq!(m.granted(&begin), first);
     assert!(matches!(m.begin(&Begin { attempt: 8, ..begin.clone() }), Reply::Running(_)));
-    let other = Begin { claimant: Some(claimant("j", 1)), ..begin.clone() };
-    assert!(matches!(m.begin(&other), Reply::Running(_)));
+    assert!(matches!(m.begin(&Begin { kind: 2, ..begin.clone() }), Reply::Running(_)));
+    assert!(matches!(m.begin(&from("j", 1, begin.clone())), Reply::Running(_)));
     let recorded = Reply::Recorded(Default::default());
     assert_eq!(m.end(&begin, first, common::answered(1)), recorded);
     assert_eq!(m.end(&begin, first, common::answered(1)), recorded);
--- a/crates/ledger/tests/claim_takeover.rs
+++ b/crates/ledger/tests/claim_takeover.rs
@@ -3,16 +3,12 @@
 
 mod common;
 
-use common::{Machine, Reply, answer, answered, call, claimant, keyed, unknown};
+use common::{Machine, Reply, answer, answered, call, from, keyed, unknown};
 use poplarspan_proto::ledger::{Begin, Fenced, Stale};
 
 const FENCED: Reply = Reply::Fenced(Fenced {});
 const STALE: Reply = Reply::Stale(Stale {});
 
-fn from(instance: &str, incarnation: u64, begin: Begin) -> Begin {
-    Begin { claimant: Some(claimant(instance, incarnation)), ..begin }
-}
-
 #[test]
 fn gone_instance_loses_its_claims() {
     let mut m = Machine::new();
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -4,9 +4,9 @@
 use bytes::Bytes;
 use poplarspan_ledger::Ledger;
 use poplarspan_proto::ledger::{
-    Answer, Begin, CallId, CallKind, Claimant, Configure, End, Expire, Finish, Granted,
-    InstanceGone, LedgerAnswer, LedgerCommand, Limits, NotRun, Swept, Unknown, end::Outcome,
-    ledger_answer, ledger_command::Command,
+    Answer, Begin, CallId, CallKind, Claimant, End, Expire, Finish, Granted, InstanceGone,
+    LedgerAnswer, LedgerCommand, Limits, NotRun, Swept, Unknown, end::Outcome, ledger_answer,
+    ledger_command::Command,
 };
 use prost::Message;
 
@@ -37,10 +37,9 @@
     }
 
     pub fn granted(&mut self, begin: &Begin) -> Granted {
-        match self.begin(begin) {
-            Reply::Granted(granted) => granted,
-            other => panic!("expected a grant, got {other:?}"),
-        }
+        let reply = self.begin(begin);
+        let Reply::Granted(granted) = reply else { panic!("expected a grant, got {reply:?}") };
+        granted
     }
 
     pub fn end(&mut self, begin: &Begin, granted: Granted, outcome: Outcome) -> Reply {
@@ -61,17 +60,19 @@
 
     pub fn gone(&mut self, instance: &str, incarnation: u64) -> Swept {
         let gone = InstanceGone { instance: instance.into(), incarnation };
-        swept(self.apply(Command::InstanceGone(gone)))
+        self.swept(Command::InstanceGone(gone))
     }
 
     /// Lets time pass and expires what is due.
     pub fn expire_after(&mut self, ms: u64) -> Swept {
         self.now_ms += ms;
-        swept(self.apply(Command::Expire(Expire {})))
+        self.swept(Command::Expire(Expire {}))
     }
 
-    pub fn configure(&mut self, configure: Configure) {
-        swept(self.apply(Command::Configure(configure)));
+    fn swept(&mut self, command: Command) -> Swept {
+        let reply = self.apply(command);
+        let Reply::Swept(swept) = reply else { panic!("expected counts, got {reply:?}") };
+        swept
     }
 
     /// Endpoint and claim of the pending release orders.
@@ -80,13 +81,6 @@
     }
 }
 
-fn swept(reply: Reply) -> Swept {
-    match reply {
-        Reply::Swept(swept) => swept,
-        other => panic!("expected counts, got {other:?}"),
-    }
-}
-
 /// An idempotent call of team `t` with its own key, body, and a reservation of 10 tokens.
 pub fn call(program: &str, turn: Option<u32>, key: &str) -> Begin {
     Begin {
@@ -115,6 +109,11 @@
     Begin { program: None, ..non_idempotent("", None, key) }
 }
 
+/// The call as another instance sends it.
+pub fn from(instance: &str, incarnation: u64, begin: Begin) -> Begin {
+    Begin { claimant: Some(claimant(instance, incarnation)), ..begin }
+}
+
 pub fn with_budget(tokens: u64, begin: Begin) -> Begin {
     Begin { limits: Some(Limits { tokens: Some(tokens), ..Limits::default() }), ..begin }
 }
--- a/crates/ledger/tests/history_isolation.rs
+++ b/crates/ledger/tests/history_isolation.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Machine, Reply, call, non_idempotent, unknown};
+use common::{Machine, Reply, call, keyed, non_idempotent, unknown};
 use poplarspan_ledger::{group_of, group_of_key};
 use poplarspan_proto::ledger::{
     Begin, Finish, LedgerQuery, LedgerQueryAnswer, StatusQuery, ledger_command::Command,
@@ -14,9 +14,12 @@
 fn teams_see_their_own_programs_only() {
     let mut m = Machine::new();
     m.run(&call("p", None, "mine"), 1);
-    assert!(m.ledger.history("u", "p", 0, 1000).is_none());
-    assert!(m.ledger.status("u", "p").is_none());
-    assert!(m.ledger.call_by_key("u", Some("p"), "mine").is_none());
+    assert_eq!(m.ledger.history("u", "p", 0, 1000), None);
+    assert_eq!(m.ledger.status("u", "p"), None);
+    assert_eq!(m.ledger.call_by_key("u", Some("p"), "mine"), None);
+    m.run(&keyed("k"), 0);
+    assert_eq!(m.ledger.call_by_key("u", None, "k"), None);
+    m.granted(&Begin { team: "u".into(), ..keyed("k") });
     let finish = Finish { team: "u".into(), program: "p".into() };
     assert!(matches!(m.apply(Command::Finish(finish)), Reply::NotFound(_)));
     m.run(&Begin { team: "u".into(), ..call("p", None, "theirs") }, 1);
--- a/crates/ledger/tests/program_retention.rs
+++ b/crates/ledger/tests/program_retention.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{Machine, Reply, answer, answered, call, keyed};
-use poplarspan_proto::ledger::{Begin, Configure, EndCause, Limits};
+use poplarspan_proto::ledger::{Begin, Configure, EndCause, Limits, ledger_command::Command};
 
 const HOUR_MS: u64 = 3_600_000;
 
@@ -25,7 +25,8 @@
 #[test]
 fn full_store_refuses_new_calls_only() {
     let mut m = Machine::new();
-    m.configure(Configure { team_bytes: Some(4000), ..Configure::default() });
+    let configure = Configure { team_bytes: Some(4000), ..Configure::default() };
+    m.apply(Command::Configure(configure));
     m.run(&call("p", None, "a"), 1);
     let replies = (0..10).map(|n| m.begin(&call(&format!("p{n}"), None, "a"))).collect::<Vec<_>>();
     assert!(matches!(replies[0], Reply::Granted(_)) && matches!(replies[9], Reply::StoreFull(_)));
--- a/crates/ledger/tests/publishing.rs
+++ b/crates/ledger/tests/publishing.rs
@@ -12,8 +12,8 @@
 const DAY_MS: u64 = 24 * 3_600_000;
 
 fn apply(catalog: &mut Catalog, now_ms: u64, command: Command) -> Answer {
-    let data = CatalogCommand { now_ms, command: Some(command) }.encode_to_vec();
-    let answer = catalog.apply(catalog.index() + 1, &data);
+    let command = CatalogCommand { now_ms, command: Some(command) };
+    let answer = catalog.apply(catalog.index() + 1, &command.encode_to_vec());
     CatalogAnswer::decode(answer).expect("an answer").answer.expect("a known answer")
 }
 
@@ -22,13 +22,9 @@
     ObjectChange { kind: "team".into(), name: name.into(), body }
 }
 
-fn publish(expected: u64, id: &str, operator: &str, changes: &[ObjectChange]) -> Command {
-    Command::Publish(Publish {
-        expected_generation: expected,
-        request_id: id.into(),
-        operator: operator.into(),
-        changes: changes.to_vec(),
-    })
+fn publish(expected_generation: u64, id: &str, operator: &str, set: &[ObjectChange]) -> Command {
+    let (request_id, operator, changes) = (id.into(), operator.into(), set.to_vec());
+    Command::Publish(Publish { expected_generation, request_id, operator, changes })
 }
 
 fn published(generation: u64) -> Answer {
@@ -73,10 +69,8 @@
     }
     assert_eq!(apply(&mut c, DAY_MS - 1, nth(0)), published(1), "younger than a day");
     assert_eq!(apply(&mut c, DAY_MS, nth(10_100)), published(10_101));
-    assert!(
-        matches!(apply(&mut c, DAY_MS, nth(100)), Answer::Conflict(_)),
-        "old, and not among the last"
-    );
+    let reply = apply(&mut c, DAY_MS, nth(100));
+    assert!(matches!(reply, Answer::Conflict(_)), "old, and not among the last");
     assert_eq!(apply(&mut c, 9 * DAY_MS, nth(200)), published(201), "among the last 10,000");
 }
 
@@ -89,10 +83,8 @@
     for n in 1..200_u64 {
         let gone = set(&format!("t{}", n * 7 % 100), "");
         let changes = [set(&format!("t{}", n % 50), &n.to_string()), gone];
-        assert_eq!(
-            apply(&mut c, 0, publish(n, &format!("r{n}"), "ann", &changes)),
-            published(n + 1)
-        );
+        let command = publish(n, &format!("r{n}"), "ann", &changes);
+        assert_eq!(apply(&mut c, 0, command), published(n + 1));
         if n % 33 == 0 {
             sets.push((n + 1, current(&c)));
         }
@@ -123,22 +115,21 @@
 #[test]
 fn gone_incarnations_never_return() {
     let mut c = Catalog::new();
+    let instance = || "i".to_owned();
     let register = |incarnation| {
-        let instance = "i".into();
-        let register = RegisterInstance { instance, incarnation, ..RegisterInstance::default() };
-        Command::RegisterInstance(register)
+        let rest = RegisterInstance::default();
+        Command::RegisterInstance(RegisterInstance { instance: instance(), incarnation, ..rest })
     };
-    let gone =
-        |incarnation| Command::InstanceGone(InstanceGone { instance: "i".into(), incarnation });
+    let gone = |n| InstanceGone { instance: instance(), incarnation: n };
     let stale = |n| Answer::StaleIncarnation(StaleIncarnation { lowest_incarnation: n });
     apply(&mut c, 0, register(5));
     apply(&mut c, 0, register(5));
     assert_eq!(c.view().epoch, 1, "the same registration changes nothing");
     assert_eq!(apply(&mut c, 0, register(4)), stale(5));
     apply(&mut c, 0, register(6));
-    apply(&mut c, 0, gone(5));
+    apply(&mut c, 0, Command::InstanceGone(gone(5)));
     assert_eq!((c.view().epoch, c.view().instances.len()), (2, 1), "the newer one stays");
-    apply(&mut c, 0, gone(6));
+    apply(&mut c, 0, Command::InstanceGone(gone(6)));
     assert_eq!((c.view().epoch, c.view().instances.len()), (3, 0));
     assert_eq!(apply(&mut c, 0, register(6)), stale(7));
     assert!(matches!(apply(&mut c, 0, register(7)), Answer::Registered(_)));
--- a/crates/ledger/tests/random_commands.rs
+++ b/crates/ledger/tests/random_commands.rs
@@ -6,11 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use common::{Machine, Reply, answer, call, claimant, end, not_run, unknown};
+use common::{Machine, Reply, answer, call, end, from, not_run, unknown};
 use poplarspan_ledger::Ledger;
 use poplarspan_proto::ledger::{
-    Begin, Configure, Dispatch, End, Expire, Finish, Granted, InstanceGone, LedgerCommand, Limits,
-    ReleaseAcknowledged, end::Outcome, ledger_command::Command,
+    Begin, Configure, Dispatch, End, Expire, Finish, Granted, InstanceGone, LedgerAnswer,
+    LedgerCommand, Limits, ReleaseAcknowledged, end::Outcome, ledger_command::Command,
 };
 use prop::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use proptest::prelude::*;
@@ -21,19 +21,10 @@
 
 #[derive(Clone, Debug)]
 enum Op {
-    Begin {
-        begin: Box<Begin>,
-    },
-    /// Ends the call granted as number `pick` from the latest.
-    End {
-        pick: usize,
-        outcome: Outcome,
-    },
-    Dispatch {
-        pick: usize,
-    },
-    Finish(usize),
-    Gone(u64, u64),
+    Send(Command),
+    /// Ends the call that was granted this many grants ago.
+    End(usize, Outcome),
+    Dispatch(usize),
     Expire(u64),
     Restore,
 }
@@ -47,31 +38,34 @@
     /// were last known to be needed.
     may_have_run: BTreeMap<CallName, u64>,
     /// Answers of each program, by turn; nothing stands for an unknown outcome.
-    history: BTreeMap<(String, String), BTreeMap<u32, bytes::Bytes>>,
+    history: BTreeMap<ProgramName, BTreeMap<u32, bytes::Bytes>>,
     /// Tokens that each root has certainly spent.
-    spent: BTreeMap<(String, String), u64>,
-    closed_ms: BTreeMap<(String, String), u64>,
+    spent: BTreeMap<ProgramName, u64>,
+    closed_ms: BTreeMap<ProgramName, u64>,
 }
 
-type CallName = (String, Option<String>, u32, String);
+type CallName = (String, Option<String>, String);
+type ProgramName = (String, String);
 
-fn call_name(begin: &Begin, granted: Granted) -> CallName {
-    (begin.team.clone(), begin.program.clone(), granted.turn, begin.idempotency_key.clone())
+fn call_name(begin: &Begin) -> CallName {
+    (begin.team.clone(), begin.program.clone(), begin.idempotency_key.clone())
 }
 
-fn program_name(begin: &Begin) -> Option<(String, String)> {
+fn program_name(begin: &Begin) -> Option<ProgramName> {
     Some((begin.team.clone(), begin.program.clone()?))
 }
 
 impl Model {
     fn on_granted(&mut self, m: &Machine, begin: &Begin, granted: Granted) {
-        if self.granted.iter().any(|(b, g)| *g == granted && b == begin) {
-            return; // The same proposal again.
+        if let Some((first, _)) = self.granted.iter().find(|(_, g)| g.claim == granted.claim) {
+            let is_same = first.attempt == begin.attempt && first.claimant == begin.claimant;
+            assert!(is_same && begin.attempt != 0, "one claim for two proposals");
+            return;
         }
         assert!(granted.claim > self.last_claim, "claims rise");
         self.last_claim = granted.claim;
         if begin.kind == 2 {
-            let former = self.may_have_run.insert(call_name(begin, granted), m.now_ms);
+            let former = self.may_have_run.insert(call_name(begin), m.now_ms);
             assert_eq!(former, None, "a second run of {begin:?}");
         }
         if let Some(name) = program_name(begin) {
@@ -84,10 +78,10 @@
         self.granted.push((begin.clone(), granted));
     }
 
-    fn on_recorded(&mut self, now_ms: u64, begin: &Begin, granted: Granted, outcome: &Outcome) {
+    fn on_closed(&mut self, now_ms: u64, begin: &Begin, granted: Granted, outcome: &Outcome) {
         match outcome {
-            Outcome::NotRun(_) => self.may_have_run.remove(&call_name(begin, granted)),
-            _ if begin.kind == 2 => self.may_have_run.insert(call_name(begin, granted), now_ms),
+            Outcome::NotRun(_) => self.may_have_run.remove(&call_name(begin)),
+            _ if begin.kind == 2 => self.may_have_run.insert(call_name(begin), now_ms),
             _ => None,
         };
         let Some(name) = program_name(begin) else { return };
@@ -105,7 +99,7 @@
     /// Compares the programs with what is known of them, and forgets those that were dropped.
     fn check(&mut self, m: &Machine) {
         assert_eq!(m.ledger.violations(), 0);
-        self.may_have_run.retain(|(team, program, _, key), since_ms| {
+        self.may_have_run.retain(|(team, program, key), since_ms| {
             let is_kept = program.is_some() || m.ledger.call_by_key(team, None, key).is_some();
             assert!(is_kept || *since_ms + WINDOW_MS <= m.now_ms, "{key} was dropped early");
             is_kept
@@ -140,11 +134,19 @@
         1 => Just(unknown()),
     ];
     prop_oneof![
-        12 => begin().prop_map(|begin| Op::Begin { begin: Box::new(begin) }),
-        9 => (0..4_usize, outcome).prop_map(|(pick, outcome)| Op::End { pick, outcome }),
-        1 => (0..4_usize).prop_map(|pick| Op::Dispatch { pick }),
-        1 => (0..PROGRAMS.len()).prop_map(Op::Finish),
-        1 => (0..3_u64, 0..4_u64).prop_map(|(instance, n)| Op::Gone(instance, n)),
+        12 => begin().prop_map(|begin| Op::Send(Command::Begin(begin))),
+        9 => (0..4_usize, outcome).prop_map(|(ago, outcome)| Op::End(ago, outcome)),
+        1 => (0..4_usize).prop_map(Op::Dispatch),
+        1 => (0..PROGRAMS.len()).prop_map(|n| {
+            Op::Send(Command::Finish(Finish { team: "t".into(), program: PROGRAMS[n].into() }))
+        }),
+        1 => (0..3_u64, 0..4_u64).prop_map(|(n, incarnation)| {
+            let instance = format!("i{n}");
+            Op::Send(Command::InstanceGone(InstanceGone { instance, incarnation }))
+        }),
+        1 => (0..40_u64).prop_map(|n| {
+            Op::Send(Command::ReleaseAcknowledged(ReleaseAcknowledged { numbers: vec![n] }))
+        }),
         2 => (0..25_u64).prop_map(Op::Expire),
         1 => Just(Op::Restore),
     ]
@@ -153,10 +155,9 @@
 fn begin() -> impl Strategy<Value = Begin> {
     let program = prop_oneof![5 => (0..PROGRAMS.len()).prop_map(Some), 1 => Just(None)];
     let turn = prop_oneof![1 => Just(None), 2 => (1..7_u32).prop_map(Some)];
-    let claimant_parts = (0..3_u64, 0..3_u64);
-    let who = (any::<bool>(), program, turn, 0..12_u32, claimant_parts);
+    let who = (any::<bool>(), program, turn, 0..12_u32, (0..3_u64, 0..3_u64));
     let what = (any::<bool>(), 0..12_u64, prop::bool::weighted(0.1), 0..3_u64, 0..40_u64);
-    (who, what).prop_map(|((team, program, turn, key, from), what)| {
+    (who, what).prop_map(|((team, program, turn, key, (instance, incarnation)), what)| {
         let (is_idempotent, reserve_tokens, key_generated, attempt, timeout_ms) = what;
         let limits =
             Limits { tokens: Some(60), turns: Some(20), lifetime_ms: Some(200), idle_ms: Some(40) };
@@ -170,79 +171,67 @@
             attempt,
             timeout_ms,
             limits: Some(limits),
-            claimant: Some(claimant(&format!("i{}", from.0), from.1)),
-            ..call("", None, &format!("k{key}"))
+            ..from(&format!("i{instance}"), incarnation, call("", None, &format!("k{key}")))
         }
     })
 }
 
-fn command(op: &Op, model: &Model) -> Option<Command> {
-    let pick = |pick: usize| model.granted.iter().rev().nth(pick).cloned();
-    Some(match op {
-        Op::Begin { begin } => Command::Begin((**begin).clone()),
-        Op::End { pick: n, outcome } => {
-            let (begin, granted) = pick(*n)?;
-            Command::End(end(&begin, granted, outcome.clone()))
+/// Both replicas, the model, and the calls granted so far.
+struct Run {
+    m: Machine,
+    twin: Ledger,
+    model: Model,
+}
+
+impl Run {
+    fn step(&mut self, op: &Op) {
+        let granted = |ago: usize| self.model.granted.iter().rev().nth(ago).cloned();
+        match op {
+            Op::Send(command) => self.send(command.clone()),
+            Op::End(ago, outcome) => {
+                let Some((begin, granted)) = granted(*ago) else { return };
+                let open_before = self.m.ledger.open_count();
+                self.send(Command::End(end(&begin, granted, outcome.clone())));
+                if self.m.ledger.open_count() < open_before {
+                    self.model.on_closed(self.m.now_ms, &begin, granted, outcome);
+                }
+            }
+            Op::Dispatch(ago) => {
+                let Some((begin, granted)) = granted(*ago) else { return };
+                let End { call, claim, .. } = end(&begin, granted, not_run());
+                self.send(Command::Dispatch(Dispatch { call, claim, endpoint: "f".into() }));
+            }
+            Op::Expire(ms) => {
+                self.m.now_ms += ms;
+                self.send(Command::Expire(Expire {}));
+            }
+            Op::Restore => self.twin.restore(&self.m.ledger.snapshot()).expect("own snapshot"),
         }
-        Op::Dispatch { pick: n } => {
-            let (begin, granted) = pick(*n)?;
-            let End { call, claim, .. } = end(&begin, granted, not_run());
-            Command::Dispatch(Dispatch { call, claim, endpoint: "f".into() })
+        self.model.check(&self.m);
+    }
+
+    fn send(&mut self, command: Command) {
+        let begin = if let Command::Begin(begin) = &command { Some(begin.clone()) } else { None };
+        let now_ms = self.m.now_ms;
+        let data = LedgerCommand { now_ms, command: Some(command.clone()) }.encode_to_vec();
+        let reply = self.m.apply(command);
+        let twin_reply = LedgerAnswer::decode(self.twin.apply(self.m.index, &data));
+        assert_eq!(twin_reply.expect("an answer").answer.as_ref(), Some(&reply), "replicas differ");
+        if let (Some(begin), Reply::Granted(granted)) = (begin, reply) {
+            self.model.on_granted(&self.m, &begin, granted);
         }
-        Op::Finish(n) => Command::Finish(Finish { team: "t".into(), program: PROGRAMS[*n].into() }),
-        Op::Gone(instance, incarnation) => Command::InstanceGone(InstanceGone {
-            instance: format!("i{instance}"),
-            incarnation: *incarnation,
-        }),
-        Op::Expire(_) => Command::Expire(Expire {}),
-        Op::Restore => Command::ReleaseAcknowledged(ReleaseAcknowledged { numbers: vec![1, 2, 3] }),
-    })
+    }
 }
 
 fn run(ops: &[Op]) {
-    let (mut m, mut twin, mut model) = (Machine::new(), Ledger::new(), Model::default());
-    let window = Configure {
+    let mut run = Run { m: Machine::new(), twin: Ledger::new(), model: Model::default() };
+    run.send(Command::Configure(Configure {
         resend_window_ms: Some(WINDOW_MS),
         team_bytes: Some(20_000),
         ..Configure::default()
-    };
-    let mut commands = vec![(None, Command::Configure(window))];
-    for op in [None].into_iter().chain(ops.iter().map(Some)) {
-        if let Some(op) = op {
-            let Some(command) = command(op, &model) else { continue };
-            commands.push((Some(op), command));
-        }
-        let Some((op, command)) = commands.pop() else { continue };
-        if let Some(Op::Expire(ms)) = op {
-            m.now_ms += ms;
-        }
-        let data =
-            LedgerCommand { now_ms: m.now_ms, command: Some(command.clone()) }.encode_to_vec();
-        let open_before = m.ledger.open_count();
-        let reply = m.apply(command.clone());
-        let twin_reply = twin.apply(m.index, &data);
-        let twin_reply = poplarspan_proto::ledger::LedgerAnswer::decode(twin_reply);
-        assert_eq!(twin_reply.expect("an answer").answer.as_ref(), Some(&reply), "replicas differ");
-        match (&command, reply) {
-            (Command::Begin(begin), Reply::Granted(granted)) => {
-                model.on_granted(&m, begin, granted)
-            }
-            // The same proposal again closes nothing.
-            (Command::End(_), Reply::Recorded(_)) if m.ledger.open_count() == open_before => {}
-            (Command::End(sent), Reply::Recorded(_)) => {
-                let held = model.granted.iter().find(|(_, g)| g.claim == sent.claim).cloned();
-                let (begin, granted) = held.expect("only granted claims are ended");
-                let outcome = sent.outcome.as_ref().expect("outcome");
-                model.on_recorded(m.now_ms, &begin, granted, outcome);
-            }
-            _ => {}
-        }
-        model.check(&m);
-        if matches!(op, Some(Op::Restore)) {
-            twin.restore(&m.ledger.snapshot()).expect("own snapshot");
-        }
-    }
-    assert!(twin == m.ledger, "replicas differ");
+    }));
+    ops.iter().for_each(|op| run.step(op));
+    assert!(run.twin == run.m.ledger, "replicas differ");
 }
 
 #[test]
--- a/crates/ledger/tests/token_budgets.rs
+++ b/crates/ledger/tests/token_budgets.rs
@@ -64,7 +64,7 @@
     m.granted(&begin);
     m.gone("i", 1);
     assert_eq!(used(&m, "p"), (10, 0));
-    let begin = Begin { claimant: Some(common::claimant("i", 2)), ..begin };
+    let begin = common::from("i", 2, begin);
     let again = m.granted(&begin);
     assert_eq!(used(&m, "p"), (10, 10));
     m.end(&begin, again, unknown());
--- a/crates/ledger/tests/turn_order.rs
+++ b/crates/ledger/tests/turn_order.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Machine, Reply, answer, call, claimant, non_idempotent, not_run};
+use common::{Machine, Reply, answer, call, claimant, from, non_idempotent, not_run};
 use poplarspan_ledger::Ledger;
 use poplarspan_proto::ledger::{Begin, OutOfOrder, Running};
 
@@ -23,7 +23,7 @@
 fn calls_without_turn_take_the_next_one() {
     let mut m = Machine::new();
     let first = m.granted(&call("p", None, "a"));
-    let other = Begin { claimant: Some(claimant("j", 1)), ..call("p", None, "b") };
+    let other = from("j", 1, call("p", None, "b"));
     let running = Running { claimant: Some(claimant("i", 1)), turn: 1 };
     assert_eq!(m.begin(&other), Reply::Running(running));
     m.end(&call("p", None, "a"), first, common::answered(1));
@@ -57,18 +57,15 @@
     let (level, part) = ("a/".repeat(8) + "a", "a".repeat(65));
     let mut other = Ledger::new();
     other.apply(1, b"");
-    let bad = [
-        call("", None, "a"),
-        call("a//b", None, "a"),
-        call(&level, None, "a"),
-        call(&part, None, "a"),
+    let paths = ["", "a//b", "/a", "a b", &level, &part].map(|path| call(path, None, "a"));
+    let others = [
         call("p", Some(0), "a"),
         call("p", None, ""),
         Begin { claimant: None, ..call("p", None, "a") },
         Begin { kind: 7, ..call("p", None, "a") },
         Begin { body_digest: "short".into(), ..call("p", None, "a") },
     ];
-    for begin in bad {
+    for begin in paths.into_iter().chain(others) {
         m.index = 0;
         m.now_ms += 1;
         assert!(matches!(m.begin(&begin), Reply::Invalid(_)), "{begin:?}");
--- a/crates/ledger/tests/unknown_outcomes.rs
+++ b/crates/ledger/tests/unknown_outcomes.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
-use common::{Machine, Reply, answered, call, claimant, keyed, non_idempotent, not_run, unknown};
+use common::{Machine, Reply, answered, call, from, keyed, non_idempotent, not_run, unknown};
 use poplarspan_proto::ledger::{Begin, Granted, OutcomeUnknown, Stale};
 
 /// The unknown outcome stays whatever the former claimant reports, and no resend runs.
 fn assert_final(m: &mut Machine, begin: &Begin, granted: Granted) {
     let unknown_reply = Reply::OutcomeUnknown(OutcomeUnknown { turn: granted.turn });
-    let resend = Begin { claimant: Some(claimant("j", 1)), ..begin.clone() };
+    let resend = from("j", 1, begin.clone());
     assert_eq!(m.begin(&resend), unknown_reply);
     for outcome in [answered(1), not_run()] {
         assert_eq!(m.end(begin, granted, outcome), Reply::Stale(Stale {}));
@@ -39,13 +39,3 @@
     }
     assert_eq!(m.granted(&call("p", Some(2), "b")).turn, 2, "the program goes on");
 }
-
-#[test]
-fn key_belongs_to_its_team() {
-    let mut m = Machine::new();
-    m.run(&keyed("k"), 0);
-    let other = Begin { team: "u".into(), ..keyed("k") };
-    m.granted(&other);
-    assert!(m.ledger.call_by_key("u", None, "k").is_some());
-    assert!(m.ledger.call_by_key("v", None, "k").is_none());
-}
--- a/crates/proto/src/gen/poplarspan.ledger.v1.rs
+++ b/crates/proto/src/gen/poplarspan.ledger.v1.rs
@@ -157,8 +157,6 @@
 /// State of the catalog at one index of its log.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CatalogSnapshot {
-    #[prost(uint32, tag = "1")]
-    pub format: u32,
     #[prost(uint64, tag = "2")]
     pub now_ms: u64,
     #[prost(uint64, tag = "3")]
@@ -179,6 +177,9 @@
     pub gone: ::prost::alloc::vec::Vec<GoneInstance>,
     #[prost(uint64, tag = "11")]
     pub index: u64,
+    /// Encoded last, so that a truncated snapshot has none and is refused.
+    #[prost(uint32, tag = "15")]
+    pub format: u32,
 }
 /// A recent publication.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -701,8 +702,6 @@
 /// State of a program group at one index of its log.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LedgerSnapshot {
-    #[prost(uint32, tag = "1")]
-    pub format: u32,
     #[prost(uint64, tag = "2")]
     pub index: u64,
     #[prost(uint64, tag = "3")]
@@ -722,6 +721,9 @@
     pub instances: ::prost::alloc::vec::Vec<GoneInstance>,
     #[prost(uint64, tag = "10")]
     pub overruns: u64,
+    /// Encoded last, so that a truncated snapshot has none and is refused.
+    #[prost(uint32, tag = "15")]
+    pub format: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgramState {
