--- a/crates/ledger/tests/publishing.rs
+++ b/crates/ledger/tests/publishing.rs
@@ -153,5 +153,17 @@
     assert_eq!(other.changes_since(18), c.changes_since(18));
     let resend = publish(3, "r3", "ann", &[set("t0", "1")]);
     assert_eq!(apply(&mut other, 0, resend), published(4));
-    assert!(other.restore(b"").is_err() && other.generation() == 20);
+    assert_eq!(apply(&mut other, 0, publish(20, "new", "ann", &[])), published(21));
+    let snapshot = c.snapshot();
+    for at in 0..snapshot.len() {
+        assert!(other.restore(&snapshot[..at]).is_err() && other.generation() == 21);
+        let mut damaged = snapshot.to_vec();
+        damaged[at] ^= 1 << (at % 8);
+        let mut restored = Catalog::new();
+        if restored.restore(&damaged).is_ok() {
+            let expected = restored.generation();
+            apply(&mut restored, u64::MAX, publish(expected, "new", "ann", &[set("t0", "")]));
+            (0..25).for_each(|generation| drop(restored.changes_since(generation)));
+        }
+    }
 }
