--- a/crates/ledger/tests/publishing.rs
+++ b/crates/ledger/tests/publishing.rs
@@ -12,8 +12,8 @@
 const DAY_MS: u64 = 24 * 3_600_000;
 
 fn apply(catalog: &mut Catalog, now_ms: u64, command: Command) -> Answer {
-    let data = CatalogCommand { now_ms, command: Some(command) }.encode_to_vec();
-    let answer = catalog.apply(catalog.index() + 1, &data);
+    let command = CatalogCommand { now_ms, command: Some(command) };
+    let answer = catalog.apply(catalog.index() + 1, &command.encode_to_vec());
     CatalogAnswer::decode(answer).expect("an answer").answer.expect("a known answer")
 }
 
@@ -90,10 +90,8 @@
     }
     assert_eq!(apply(&mut c, DAY_MS - 1, nth(0)), published(1), "younger than a day");
     assert_eq!(apply(&mut c, DAY_MS, nth(10_100)), published(10_101));
-    assert!(
-        matches!(apply(&mut c, DAY_MS, nth(100)), Answer::Conflict(_)),
-        "old, and not among the last"
-    );
+    let reply = apply(&mut c, DAY_MS, nth(100));
+    assert!(matches!(reply, Answer::Conflict(_)), "old, and not among the last");
     assert_eq!(apply(&mut c, 9 * DAY_MS, nth(200)), published(201), "among the last 10,000");
 }
 
@@ -106,10 +104,8 @@
     for n in 1..200_u64 {
         let gone = set(&format!("t{}", n * 7 % 100), "");
         let changes = [set(&format!("t{}", n % 50), &n.to_string()), gone];
-        assert_eq!(
-            apply(&mut c, 0, publish(n, &format!("r{n}"), "ann", &changes)),
-            published(n + 1)
-        );
+        let command = publish(n, &format!("r{n}"), "ann", &changes);
+        assert_eq!(apply(&mut c, 0, command), published(n + 1));
         if n % 33 == 0 {
             sets.push((n + 1, current(&c)));
         }
@@ -140,22 +136,21 @@
 #[test]
 fn gone_incarnations_never_return() {
     let mut c = Catalog::new();
+    let instance = || "i".to_owned();
     let register = |incarnation| {
-        let instance = "i".into();
-        let register = RegisterInstance { instance, incarnation, ..RegisterInstance::default() };
-        Command::RegisterInstance(register)
+        let rest = RegisterInstance::default();
+        Command::RegisterInstance(RegisterInstance { instance: instance(), incarnation, ..rest })
     };
-    let gone =
-        |incarnation| Command::InstanceGone(InstanceGone { instance: "i".into(), incarnation });
+    let gone = |n| InstanceGone { instance: instance(), incarnation: n };
     let stale = |n| Answer::StaleIncarnation(StaleIncarnation { lowest_incarnation: n });
     apply(&mut c, 0, register(5));
     apply(&mut c, 0, register(5));
     assert_eq!(c.view().epoch, 1, "the same registration changes nothing");
     assert_eq!(apply(&mut c, 0, register(4)), stale(5));
     apply(&mut c, 0, register(6));
-    apply(&mut c, 0, gone(5));
+    apply(&mut c, 0, Command::InstanceGone(gone(5)));
     assert_eq!((c.view().epoch, c.view().instances.len()), (2, 1), "the newer one stays");
-    apply(&mut c, 0, gone(6));
+    apply(&mut c, 0, Command::InstanceGone(gone(6)));
     assert_eq!((c.view().epoch, c.view().instances.len()), (3, 0));
     assert_eq!(apply(&mut c, 0, register(6)), stale(7));
     assert!(matches!(apply(&mut c, 0, register(7)), Answer::Registered(_)));
@@ -179,5 +174,17 @@
     assert_eq!(other.changes_since(18), c.changes_since(18));
     let resend = publish(3, "r3", "ann", &[set("t0", "1")]);
     assert_eq!(apply(&mut other, 0, resend), published(4));
-    assert!(other.restore(b"").is_err() && other.generation() == 20);
+    assert_eq!(apply(&mut other, 0, publish(20, "new", "ann", &[])), published(21));
+    let snapshot = c.snapshot();
+    for at in 0..snapshot.len() {
+        assert!(other.restore(&snapshot[..at]).is_err() && other.generation() == 21);
+        let mut damaged = snapshot.to_vec();
+        damaged[at] ^= 1 << (at % 8);
+        let mut restored = Catalog::new();
+        if restored.restore(&damaged).is_ok() {
+            let expected = restored.generation();
+            apply(&mut restored, u64::MAX, publish(expected, "new", "ann", &[set("t0", "")]));
+            (0..25).for_each(|generation| drop(restored.changes_since(generation)));
+        }
+    }
 }
