--- a/crates/agreement/src/storage/disk.rs
+++ b/crates/agreement/src/storage/disk.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
 use super::StoreError;
@@ -15,7 +16,9 @@
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
     /// Creates a file; an existing one is replaced.
     fn create(&mut self, name: &str) -> io::Result<Box<dyn DiskFile>>;
-    /// Cuts a file to `keep` bytes, writes the bytes from `dirty_from` again and syncs them.
+    /// Creates a file of the log, which may be followed by zeros.
+    fn create_log(&mut self, name: &str) -> io::Result<Box<dyn DiskFile>>;
+    /// Cuts a file of the log to `keep` bytes, writes the bytes from `dirty_from` again and syncs them.
     ///
     /// A failed sync may have left pages in the kernel's cache that look written but are not on
     /// disk. Writing the same bytes again makes the next sync write them.
@@ -37,11 +40,12 @@
 /// A folder of the file system, locked while it is in use.
 pub(crate) struct FolderDisk {
     folder: PathBuf,
+    preallocate_bytes: usize,
     _lock: File,
 }
 
 impl FolderDisk {
-    pub(crate) fn open(folder: &Path) -> Result<Self, StoreError> {
+    pub(crate) fn open(folder: &Path, preallocate_bytes: usize) -> Result<Self, StoreError> {
         let path = folder.join(LOCK_FILE);
         let name = || path.display().to_string();
         let lock = OpenOptions::new()
@@ -51,7 +55,7 @@
             .open(&path)
             .map_err(|e| StoreError::io("open", name(), e))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Self { folder: folder.to_owned(), _lock: lock }),
+            Ok(()) => Ok(Self { folder: folder.to_owned(), preallocate_bytes, _lock: lock }),
             Err(TryLockError::WouldBlock) => Err(StoreError::Locked { path: name() }),
             Err(TryLockError::Error(e)) => Err(StoreError::io("lock", name(), e)),
         }
@@ -82,6 +86,11 @@
         Ok(Box::new(File::create(self.folder.join(name))?))
     }
 
+    fn create_log(&mut self, name: &str) -> io::Result<Box<dyn DiskFile>> {
+        let f = File::create(self.folder.join(name))?;
+        Ok(Box::new(LogFile::new(f, 0, self.preallocate_bytes)))
+    }
+
     fn reopen(&mut self, name: &str, dirty_from: u64, keep: u64) -> io::Result<Box<dyn DiskFile>> {
         let mut f = OpenOptions::new().read(true).write(true).open(self.folder.join(name))?;
         f.set_len(keep)?;
@@ -91,7 +100,7 @@
         f.seek(SeekFrom::Start(dirty_from))?;
         f.write_all(&buf)?;
         f.sync_all()?;
-        Ok(Box::new(f))
+        Ok(Box::new(LogFile::new(f, keep, self.preallocate_bytes)))
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
@@ -117,6 +126,45 @@
     }
 }
 
+/// A file with zeros ahead of its end, so that a sync rarely has to write new metadata.
+struct LogFile {
+    f: File,
+    end: u64,
+    allocated: u64,
+    preallocate_bytes: usize,
+}
+
+impl LogFile {
+    fn new(f: File, end: u64, preallocate_bytes: usize) -> Self {
+        Self { f, end, allocated: end, preallocate_bytes }
+    }
+
+    /// Makes zeros durable beyond `end`.
+    fn allocate(&mut self, end: u64) -> io::Result<()> {
+        let zeros = vec![0; self.preallocate_bytes];
+        self.f.write_all_at(&zeros, end)?;
+        self.f.sync_data()?;
+        self.allocated = end + zeros.len() as u64;
+        Ok(())
+    }
+}
+
+impl DiskFile for LogFile {
+    fn append(&mut self, buf: &[u8]) -> io::Result<()> {
+        let end = self.end + buf.len() as u64;
+        if end > self.allocated && self.preallocate_bytes > 0 {
+            self.allocate(end)?;
+        }
+        self.f.write_all_at(buf, self.end)?;
+        self.end = end;
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.f.sync_data()
+    }
+}
+
 /// Makes a folder's list of names durable.
 pub(crate) fn sync_folder(folder: &Path) -> io::Result<()> {
     File::open(folder)?.sync_all()
--- a/crates/agreement/src/storage/file.rs
+++ b/crates/agreement/src/storage/file.rs
@@ -26,11 +26,14 @@
 pub struct StoreOptions {
     /// Length at which a segment of the write-ahead log is followed by a new one.
     pub segment_bytes: u64,
+    /// Zeros that are written ahead of the log and cut off when the store is opened. A sync of an
+    /// append into them changes no metadata of the file.
+    pub preallocate_bytes: usize,
 }
 
 impl Default for StoreOptions {
     fn default() -> Self {
-        Self { segment_bytes: 64 << 20 }
+        Self { segment_bytes: 64 << 20, preallocate_bytes: 1 << 20 }
     }
 }
 
@@ -63,7 +66,7 @@
             let parent = folder.parent().filter(|p| !p.as_os_str().is_empty());
             sync_folder(parent.unwrap_or(Path::new("."))).map_err(io("sync"))?;
         }
-        Wal::create(&mut FolderDisk::open(folder)?)
+        Wal::create(&mut FolderDisk::open(folder, 0)?)
     }
 
     /// Opens a store and reads its log. Blocks; never creates a log.
@@ -76,7 +79,8 @@
         if !folder.is_dir() {
             return Err(StoreError::Missing { path: folder.display().to_string() });
         }
-        let wal = Wal::open(Box::new(FolderDisk::open(folder)?), options.segment_bytes)?;
+        let disk = FolderDisk::open(folder, options.preallocate_bytes)?;
+        let wal = Wal::open(Box::new(disk), options.segment_bytes)?;
         let counters = wal.counters();
         let (tx, rx) = mpsc::channel(QUEUE_REQUESTS);
         let worker = Worker { wal, rx, failed: None, snapshots: VecDeque::new() };
--- a/crates/agreement/src/storage/memory.rs
+++ b/crates/agreement/src/storage/memory.rs
@@ -149,6 +149,10 @@
         Ok(Box::new(FileHandle { disk: self.clone(), file }))
     }
 
+    fn create_log(&mut self, name: &str) -> io::Result<Box<dyn DiskFile>> {
+        self.create(name)
+    }
+
     fn reopen(&mut self, name: &str, _: u64, keep: u64) -> io::Result<Box<dyn DiskFile>> {
         let mut files = self.lock()?;
         let file = files.find(name)?;
--- a/crates/agreement/src/storage/replay.rs
+++ b/crates/agreement/src/storage/replay.rs
@@ -41,7 +41,9 @@
         let name = segment_name(number);
         let buf = read(disk, &name)?;
         let extent = replay_segment(disk, &buf, number, previous.as_ref(), &mut groups)?;
-        if extent.end < buf.len() {
+        // Zeros are written ahead of the log. Frames that became zeros are missed by the header of
+        // the next segment; at the end of the log they can't be told from a torn write.
+        if buf[extent.end..].iter().any(|b| *b != 0) {
             check_torn(disk, &buf, &extent, number == last)?;
             log::warn!(path = disk.path(&name), offset = extent.end, bytes = buf.len() - extent.end;
                 "cutting a torn write at the end of the log");
@@ -80,7 +82,8 @@
     };
     let name = segment_name(last);
     let buf = read(disk, &name)?;
-    if buf.len() <= SEGMENT_HEADER_LEN && SegmentHeader::decode(&buf).is_none() {
+    let frames = buf.get(SEGMENT_HEADER_LEN..).unwrap_or_default();
+    if SegmentHeader::decode(&buf).is_none() && frames.iter().all(|b| *b == 0) {
         disk.remove(&name)
             .and_then(|()| disk.sync_dir())
             .map_err(|e| StoreError::io("remove", disk.path(&name), e))?;
--- a/crates/agreement/src/storage/wal.rs
+++ b/crates/agreement/src/storage/wal.rs
@@ -318,7 +318,7 @@
 ) -> Result<(SegmentHeader, Box<dyn DiskFile>), StoreError> {
     let name = segment_name(number);
     let header = SegmentHeader { number, first_frame, salt: rand::random() };
-    let created = disk.create(&name).and_then(|mut f| {
+    let created = disk.create_log(&name).and_then(|mut f| {
         f.append(&header.encode())?;
         f.sync()?;
         disk.sync_dir()?;
