agreement: bound the bytes of open proposals and the indices of messages

Histories make single proposals large, so that a bound on their number alone would let a group hold gigabytes. An index near the end of its range would overflow in the core.

--- a/crates/agreement/src/convert/peer.rs
+++ b/crates/agreement/src/convert/peer.rs
@@ -106,14 +106,14 @@
         Pb::Append(m) => append_from_proto(term, m)?,
         Pb::AppendAnswer(m) => {
             let result = match m.result.ok_or(ConvertError("append answer without result"))? {
-                PbResult::Matched(index) => AppendResult::Matched(index),
+                PbResult::Matched(i) => AppendResult::Matched(index(i)?),
                 PbResult::Mismatch(m) => {
-                    AppendResult::Mismatch { rejected: m.rejected, hint: position(m.hint)? }
+                    AppendResult::Mismatch { rejected: index(m.rejected)?, hint: position(m.hint)? }
                 }
             };
             Message::AppendAnswer { term, result }
         }
-        Pb::Heartbeat(m) => Message::Heartbeat { term, round: m.round, commit: m.commit },
+        Pb::Heartbeat(m) => Message::Heartbeat { term, round: m.round, commit: index(m.commit)? },
         Pb::HeartbeatAnswer(m) => Message::HeartbeatAnswer { term, round: m.round },
         Pb::SnapshotChunk(m) => {
             let membership = m.membership.ok_or(ConvertError("snapshot without membership"))?;
@@ -137,21 +137,21 @@
     let previous = position(m.previous)?;
     let entries: Result<Vec<Entry>, _> = m.entries.into_iter().map(Entry::try_from).collect();
     let entries = entries?;
-    let mut index = previous.index;
-    for e in &entries {
-        index += 1;
-        if e.position.index != index {
-            return Err(ConvertError("entries are not consecutive"));
-        }
+    if (previous.index + 1..).zip(&entries).any(|(i, e)| e.position.index != i) {
+        return Err(ConvertError("entries are not consecutive"));
     }
-    Ok(Message::Append { term, previous, entries, commit: m.commit })
+    Ok(Message::Append { term, previous, entries, commit: index(m.commit)? })
 }
 
 fn position(p: Option<pb::LogPosition>) -> Result<LogPosition, ConvertError> {
     let p = p.ok_or(ConvertError("message without position"))?;
-    // Keeps sums with indices of a hostile message from overflowing.
-    if p.index > u64::MAX / 2 {
+    Ok(LogPosition { index: index(p.index)?, term: p.term })
+}
+
+/// Refuses indices with which the sums of the core could overflow.
+fn index(index: u64) -> Result<u64, ConvertError> {
+    if index > u64::MAX / 2 {
         return Err(ConvertError("index out of range"));
     }
-    Ok(p.into())
+    Ok(index)
 }
--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -67,6 +67,8 @@
     pub trailing_entries: u64,
     /// Proposals of a group that may be open at a time; more are refused.
     pub max_proposals: usize,
+    /// Bytes of the open proposals of a group; a single one may be larger, and then has to be alone.
+    pub max_proposal_bytes: usize,
     /// Messages and requests that wait for the node's task; more messages are dropped.
     pub queue: usize,
     /// Seed of the election timeouts; random by default.
@@ -85,6 +87,7 @@
             snapshot_bytes: 64 << 20,
             trailing_entries: 1024,
             max_proposals: 4096,
+            max_proposal_bytes: 64 << 20,
             queue: 4096,
             seed: rand::random(),
         }
--- a/crates/agreement/src/driver/handle.rs
+++ b/crates/agreement/src/driver/handle.rs
@@ -85,8 +85,8 @@
     reply: Option<Reply<Bytes, ProposeError>>,
     /// Whether the node's task has passed the proposal to the core.
     pub(crate) taken: bool,
-    /// Counts against the open proposals until it is dropped.
-    _permit: OwnedSemaphorePermit,
+    /// Count against the open proposals until they are dropped.
+    _permits: [OwnedSemaphorePermit; 2],
 }
 
 impl Proposer {
@@ -114,12 +114,43 @@
     Transfer(ReplicaId, Reply<(), ProposeError>),
 }
 
+/// Bounds the open proposals of a group.
+#[derive(Debug)]
+pub(crate) struct Limits {
+    count: Arc<Semaphore>,
+    /// In units of `LIMIT_UNIT_BYTES`, since a semaphore counts 32 bits at a time.
+    bytes: Arc<Semaphore>,
+    max_units: u32,
+}
+
+const LIMIT_UNIT_BYTES: usize = 1024;
+
+impl Limits {
+    pub(crate) fn new(max_proposals: usize, max_bytes: usize) -> Self {
+        let max_units = u32::try_from(max_bytes / LIMIT_UNIT_BYTES).unwrap_or(u32::MAX).max(1);
+        Self {
+            count: Arc::new(Semaphore::new(max_proposals)),
+            bytes: Arc::new(Semaphore::new(max_units as usize)),
+            max_units,
+        }
+    }
+
+    fn acquire(&self, bytes: usize) -> Result<[OwnedSemaphorePermit; 2], ProposeError> {
+        let overloaded = |_| ProposeError::Overloaded;
+        let units = u32::try_from(bytes.div_ceil(LIMIT_UNIT_BYTES)).unwrap_or(u32::MAX);
+        let units = units.min(self.max_units);
+        let count = Arc::clone(&self.count).try_acquire_owned().map_err(overloaded)?;
+        let bytes = Arc::clone(&self.bytes).try_acquire_many_owned(units).map_err(overloaded)?;
+        Ok([count, bytes])
+    }
+}
+
 /// Access to one group of a node.
 #[derive(Clone, Debug)]
 pub struct GroupHandle {
     pub(crate) group: GroupId,
     pub(crate) tx: mpsc::Sender<(GroupId, Request)>,
-    pub(crate) open: Arc<Semaphore>,
+    pub(crate) limits: Arc<Limits>,
     pub(crate) view: watch::Receiver<GroupView>,
 }
 
@@ -135,7 +166,7 @@
     ///
     /// All errors but `Unknown` say that the command is never executed.
     pub async fn propose(&self, data: Bytes) -> Result<Bytes, ProposeError> {
-        self.submit(|proposer| Request::Propose(data, proposer)).await
+        self.submit(data.len(), |proposer| Request::Propose(data, proposer)).await
     }
 
     /// Adds a replica that receives the log but does not vote.
@@ -166,17 +197,17 @@
     }
 
     async fn change(&self, change: VoterChange) -> Result<(), ProposeError> {
-        self.submit(|proposer| Request::Change(change, proposer)).await.map(|_| ())
+        self.submit(0, |proposer| Request::Change(change, proposer)).await.map(|_| ())
     }
 
     async fn submit(
         &self,
+        bytes: usize,
         request: impl FnOnce(Proposer) -> Request,
     ) -> Result<Bytes, ProposeError> {
-        let permit = Arc::clone(&self.open).try_acquire_owned();
-        let permit = permit.map_err(|_| ProposeError::Overloaded)?;
+        let permits = self.limits.acquire(bytes)?;
         let (reply, result) = oneshot::channel();
-        let request = request(Proposer { reply: Some(reply), taken: false, _permit: permit });
+        let request = request(Proposer { reply: Some(reply), taken: false, _permits: permits });
         self.tx.send((self.group, request)).await.map_err(|_| ProposeError::Stopped)?;
         result.await.unwrap_or(Err(ProposeError::Unknown))
     }
--- a/crates/agreement/src/driver/node.rs
+++ b/crates/agreement/src/driver/node.rs
@@ -3,10 +3,10 @@
 use std::future::pending;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::group::Group;
-use super::handle::GroupHandle;
+use super::handle::{GroupHandle, Limits};
 use super::task::{State, Stop, Task};
 use super::{NodeConfig, NodeError, StateMachine, Transport};
 use crate::{
@@ -65,8 +65,8 @@
             let (group, view) =
                 Group::new(id, self.replica, machine, stored, transport, Arc::clone(&cfg))?;
             groups.push(group);
-            let open = Arc::new(Semaphore::new(cfg.max_proposals));
-            handles.push(GroupHandle { group: id, tx: request_tx.clone(), open, view });
+            let limits = Arc::new(Limits::new(cfg.max_proposals, cfg.max_proposal_bytes));
+            handles.push(GroupHandle { group: id, tx: request_tx.clone(), limits, view });
         }
         let (storage, state) = (self.storage, State::default());
         let task = Task { groups, storage, cfg, messages, requests, stop, failed, state };
--- a/crates/agreement/tests/driver_faults.rs
+++ b/crates/agreement/tests/driver_faults.rs
@@ -94,6 +94,24 @@
     assert_eq!(group.propose(Bytes::from("d")).await, Ok(Bytes::from("3")));
 }
 
+#[tokio::test(start_paused = true)]
+async fn bytes_beyond_the_limit_are_refused() {
+    let cfg = NodeConfig { max_proposal_bytes: 10 << 10, ..NodeConfig::default() };
+    let (disk, _node, group) = start_single(&cfg).await;
+    let large = Bytes::from(vec![b'a'; 50 << 10]);
+    assert_eq!(group.propose(large.clone()).await, Ok(Bytes::from("1")));
+    disk.hold(true);
+    let open = tokio::spawn({
+        let (group, large) = (group.clone(), large.clone());
+        async move { group.propose(large).await }
+    });
+    tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    assert_eq!(group.propose(Bytes::from("b")).await, Err(ProposeError::Overloaded));
+    disk.hold(false);
+    assert_eq!(open.await.expect("no panic"), Ok(Bytes::from("2")));
+    assert_eq!(group.propose(Bytes::from("b")).await, Ok(Bytes::from("3")));
+}
+
 #[tokio::test(start_paused = true)]
 async fn follower_names_the_leader() {
     let voters = [1, 2, 3].map(ReplicaId);
--- a/crates/agreement/tests/storage_reopen.rs
+++ b/crates/agreement/tests/storage_reopen.rs
@@ -182,6 +182,34 @@
     assert_eq!(contents(folder.path()).expect("loaded"), model.0);
 }
 
+#[test]
+fn snapshots_are_written_side_by_side() {
+    let folder = tempfile::tempdir().expect("folder");
+    FileStore::create(folder.path()).expect("created");
+    let store = open(folder.path(), 1000).expect("opened");
+    let mut model = Model::default();
+    for group in [1, 2] {
+        run(&store, &mut model, 1, GroupId(group), &Op::Append { back: 0, data: vec![vec![1]; 9] });
+    }
+    // The large one is unfinished while those of the other group replace each other.
+    let large = snapshot(9, 1, &vec![7; 5 << 20]);
+    let install = |index| {
+        let s = snapshot(index, 1, &[1; 50]);
+        (GroupId(2), Persist { snapshot: Some(s), ..Persist::default() })
+    };
+    let mut futures = vec![store.save_snapshot(GroupId(1), large.clone())];
+    futures.extend((1..=8).map(|index| store.persist(vec![install(index)])));
+    for result in block_on(join_all(futures)) {
+        result.expect("saved");
+    }
+    model.apply(GroupId(1), &Persist { snapshot: Some(large), ..Persist::default() });
+    for index in 1..=8 {
+        model.apply(GroupId(2), &install(index).1);
+    }
+    block_on(store.close()).expect("closed");
+    assert_eq!(contents(folder.path()).expect("loaded"), model.0);
+}
+
 #[test]
 fn open_creates_nothing() {
     let folder = tempfile::tempdir().expect("folder");
