--- a/crates/agreement/tests/driver_faults.rs
+++ b/crates/agreement/tests/driver_faults.rs
@@ -114,18 +114,12 @@
 
 #[tokio::test(start_paused = true)]
 async fn follower_names_the_leader() {
-    let voters = [1, 2, 3].map(ReplicaId);
-    let network = Network::default();
-    let mut nodes = Vec::new();
-    for id in voters {
-        let disk = new_disk(&voters).await;
-        nodes.push(start(id, &disk, &network, &NodeConfig::default()).await);
-    }
-    let groups: Vec<_> = nodes.iter().map(|n| n.group(GROUP).expect("group")).collect();
+    let three = Three::start().await;
+    let leader = Some(three.leader);
+    let groups: Vec<_> = three.nodes.iter().map(|n| n.group(GROUP).expect("group")).collect();
     for group in &groups {
         group.watch().wait_for(|v| v.leader.is_some()).await.expect("running");
     }
-    let leader = groups[0].watch().borrow().leader;
     let follower = groups.iter().find(|g| g.watch().borrow().role == Role::Follower);
     let follower = follower.expect("follower");
     let not_leader = ProposeError::NotLeader { leader };
@@ -134,35 +128,73 @@
     assert_eq!(follower.add_learner(ReplicaId(9)).await, Err(not_leader));
 }
 
-#[tokio::test(start_paused = true)]
-async fn isolated_leader_gives_up_and_settles_its_proposals() {
-    let voters = [1, 2, 3].map(ReplicaId);
-    let network = Network::default();
-    let mut nodes = Vec::new();
-    for id in voters {
-        let disk = new_disk(&voters).await;
-        nodes.push(start(id, &disk, &network, &NodeConfig::default()).await);
+/// Three connected replicas with a leader.
+struct Three {
+    network: Network,
+    nodes: Vec<Arc<Node>>,
+    leader: ReplicaId,
+}
+
+impl Three {
+    async fn start() -> Self {
+        let voters = [1, 2, 3].map(ReplicaId);
+        let (network, mut nodes) = (Network::default(), Vec::new());
+        for id in voters {
+            let disk = new_disk(&voters).await;
+            nodes.push(start(id, &disk, &network, &NodeConfig::default()).await);
+        }
+        let mut three = Self { network, nodes, leader: ID };
+        three.leader = three.wait_for_leader(ID, None).await;
+        three.group(three.leader).watch().wait_for(|v| v.lease).await.expect("running");
+        three
     }
-    let group = |id: ReplicaId| {
-        let node = nodes.iter().find(|n| n.replica() == id).expect("node");
+
+    fn group(&self, id: ReplicaId) -> GroupHandle {
+        let node = self.nodes.iter().find(|n| n.replica() == id).expect("node");
         node.group(GROUP).expect("group")
-    };
-    let mut view = group(voters[0]).watch();
-    let old = view.wait_for(|v| v.leader.is_some()).await.expect("running").leader.expect("leader");
-    let mut view = group(old).watch();
-    view.wait_for(|v| v.lease).await.expect("running");
-    network.isolate(old, true);
-    assert_eq!(group(old).propose(Bytes::from("lost")).await, Err(ProposeError::Unknown));
-    assert!(!view.wait_for(|v| v.role != Role::Leader).await.expect("running").lease);
-    let other = voters.into_iter().find(|id| *id != old).expect("other");
-    let mut view = group(other).watch();
-    let elected = view.wait_for(|v| v.leader.is_some_and(|id| id != old)).await;
-    let new = elected.expect("running").leader.expect("leader");
-    assert_eq!(group(new).propose(Bytes::from("kept")).await, Ok(Bytes::from("1")));
-    network.isolate(old, false);
-    let mut view = group(old).watch();
-    view.wait_for(|v| v.leader == Some(new)).await.expect("running");
-    assert_eq!(group(new).query(|j: &Journal| j.0.clone()).await, Ok(vec![Bytes::from("kept")]));
+    }
+
+    /// Waits until the replica `at` knows a leader other than `old`.
+    async fn wait_for_leader(&self, at: ReplicaId, old: Option<ReplicaId>) -> ReplicaId {
+        let mut view = self.group(at).watch();
+        let view = view.wait_for(|v| v.leader.is_some() && v.leader != old).await;
+        view.expect("running").leader.expect("leader")
+    }
+
+    /// Isolates the leader; returns the next one.
+    async fn isolate_leader(&self) -> ReplicaId {
+        self.network.isolate(self.leader, true);
+        let other = self.nodes.iter().map(|n| n.replica()).find(|id| *id != self.leader);
+        self.wait_for_leader(other.expect("other"), Some(self.leader)).await
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn isolated_leader_gives_up_and_settles_its_proposals() {
+    let three = Three::start().await;
+    let old = three.group(three.leader);
+    three.network.isolate(three.leader, true);
+    assert_eq!(old.propose(Bytes::from("lost")).await, Err(ProposeError::Unknown));
+    let view = *old.watch().borrow();
+    assert!(view.role != Role::Leader && !view.lease, "{view:?}");
+    let new = three.isolate_leader().await;
+    assert_eq!(three.group(new).propose(Bytes::from("kept")).await, Ok(Bytes::from("1")));
+    three.network.isolate(three.leader, false);
+    assert_eq!(three.wait_for_leader(three.leader, Some(three.leader)).await, new);
+    let journal = three.group(new).query(|j: &Journal| j.0.clone()).await;
+    assert_eq!(journal, Ok(vec![Bytes::from("kept")]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn overwritten_proposal_is_known_not_to_run() {
+    let three = Three::start().await;
+    let old = three.group(three.leader);
+    three.network.isolate(three.leader, true);
+    let lost = tokio::spawn(async move { old.propose(Bytes::from("lost")).await });
+    let new = three.isolate_leader().await;
+    three.network.isolate(three.leader, false);
+    let result = lost.await.expect("no panic");
+    assert_eq!(result, Err(ProposeError::NotLeader { leader: Some(new) }));
 }
 
 struct Other;
--- a/crates/agreement/tests/storage_reopen.rs
+++ b/crates/agreement/tests/storage_reopen.rs
@@ -29,9 +29,9 @@
         back: u64,
         data: Vec<u8>,
     },
-    /// Snapshot from a leader, `ahead` entries after the end of the log.
+    /// Snapshot from a leader near the end of the log, whose entries it may contradict.
     Install {
-        ahead: u64,
+        ahead: i64,
         data: Vec<u8>,
     },
     Reopen,
@@ -43,7 +43,7 @@
         2 => (any::<u64>(), any::<Option<u64>>()).prop_map(|(term, vote)| Op::HardState { term, vote }),
         6 => (0..4u64, vec(data(), 1..5)).prop_map(|(back, data)| Op::Append { back, data }),
         2 => (0..3u64, data()).prop_map(|(back, data)| Op::Save { back, data }),
-        1 => (1..3u64, data()).prop_map(|(ahead, data)| Op::Install { ahead, data }),
+        1 => (-4..3i64, data()).prop_map(|(ahead, data)| Op::Install { ahead, data }),
         1 => Just(Op::Reopen),
     ]
 }
@@ -70,7 +70,7 @@
             return;
         }
         Op::Install { ahead, data } => {
-            let s = snapshot(last.index + ahead, term, data);
+            let s = snapshot(last.index.saturating_add_signed(*ahead).max(base + 1), term, data);
             Persist { snapshot: Some(s), ..Persist::default() }
         }
         Op::Reopen => return,
