--- a/crates/agreement/tests/storage_reopen.rs
+++ b/crates/agreement/tests/storage_reopen.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::path::Path;
+
 use common::{Model, contents, entry, hard_state, not_empty, open, persist, segments, snapshot};
 use futures::executor::block_on;
 use futures::future::join_all;
@@ -27,9 +29,9 @@
         back: u64,
         data: Vec<u8>,
     },
-    /// Snapshot from a leader, `ahead` entries after the end of the log.
+    /// Snapshot from a leader near the end of the log, whose entries it may contradict.
     Install {
-        ahead: u64,
+        ahead: i64,
         data: Vec<u8>,
     },
     Reopen,
@@ -41,7 +43,7 @@
         2 => (any::<u64>(), any::<Option<u64>>()).prop_map(|(term, vote)| Op::HardState { term, vote }),
         6 => (0..4u64, vec(data(), 1..5)).prop_map(|(back, data)| Op::Append { back, data }),
         2 => (0..3u64, data()).prop_map(|(back, data)| Op::Save { back, data }),
-        1 => (1..3u64, data()).prop_map(|(ahead, data)| Op::Install { ahead, data }),
+        1 => (-4..3i64, data()).prop_map(|(ahead, data)| Op::Install { ahead, data }),
         1 => Just(Op::Reopen),
     ]
 }
@@ -68,7 +70,7 @@
             return;
         }
         Op::Install { ahead, data } => {
-            let s = snapshot(last.index + ahead, term, data);
+            let s = snapshot(last.index.saturating_add_signed(*ahead).max(base + 1), term, data);
             Persist { snapshot: Some(s), ..Persist::default() }
         }
         Op::Reopen => return,
@@ -81,7 +83,13 @@
     #![proptest_config(common::proptest_config())]
 
     #[test]
-    fn keeps_every_record(ops in vec((0..3u32, op()), 1..40), segment_bytes in 64..2000u64) {
+    fn keeps_every_record(
+        ops in vec((0..3u32, op()), 1..40), segment_bytes in 64..2000u64,
+        preallocate_bytes in prop_oneof![Just(0), 1..2000usize],
+    ) {
+        let open = |folder: &Path, segment_bytes| {
+            FileStore::open(folder, StoreOptions { segment_bytes, preallocate_bytes })
+        };
         let folder = tempfile::tempdir()?;
         FileStore::create(folder.path())?;
         let mut store = open(folder.path(), segment_bytes)?;
@@ -104,7 +112,7 @@
         ops in vec((0..3u32, op()), 1..40), torn in 0..300usize, segment_bytes in 64..2000u64,
     ) {
         let disk = MemoryDisk::new();
-        let options = StoreOptions { segment_bytes };
+        let options = StoreOptions { segment_bytes, ..StoreOptions::default() };
         MemoryStore::create(&disk)?;
         let mut store = MemoryStore::open(&disk, options)?;
         let mut model = Model::default();
@@ -174,6 +182,34 @@
     assert_eq!(contents(folder.path()).expect("loaded"), model.0);
 }
 
+#[test]
+fn snapshots_are_written_side_by_side() {
+    let folder = tempfile::tempdir().expect("folder");
+    FileStore::create(folder.path()).expect("created");
+    let store = open(folder.path(), 1000).expect("opened");
+    let mut model = Model::default();
+    for group in [1, 2] {
+        run(&store, &mut model, 1, GroupId(group), &Op::Append { back: 0, data: vec![vec![1]; 9] });
+    }
+    // The large one is unfinished while those of the other group replace each other.
+    let large = snapshot(9, 1, &vec![7; 5 << 20]);
+    let install = |index| {
+        let s = snapshot(index, 1, &[1; 50]);
+        (GroupId(2), Persist { snapshot: Some(s), ..Persist::default() })
+    };
+    let mut futures = vec![store.save_snapshot(GroupId(1), large.clone())];
+    futures.extend((1..=8).map(|index| store.persist(vec![install(index)])));
+    for result in block_on(join_all(futures)) {
+        result.expect("saved");
+    }
+    model.apply(GroupId(1), &Persist { snapshot: Some(large), ..Persist::default() });
+    for index in 1..=8 {
+        model.apply(GroupId(2), &install(index).1);
+    }
+    block_on(store.close()).expect("closed");
+    assert_eq!(contents(folder.path()).expect("loaded"), model.0);
+}
+
 #[test]
 fn open_creates_nothing() {
     let folder = tempfile::tempdir().expect("folder");
