--- a/crates/agreement/tests/core_rules.rs
+++ b/crates/agreement/tests/core_rules.rs
@@ -124,6 +124,23 @@
     assert_eq!(answers(&second), [&Message::AppendAnswer { term: 2, result }]);
 }
 
+/// A vote that is lost in a crash could be given twice; so could the own vote of a candidate.
+#[test]
+fn votes_synced_first() {
+    let mut core = replica(3, 1, &[]);
+    core.step(ms(0), Input::Tick);
+    let request = Message::Vote { term: 2, last: at(1, 1), transfer: false };
+    let out = receive(&mut core, 301, A, request);
+    assert_eq!((answers(&out).len(), out.persist.is_some()), (0, true));
+    let out = core.step(ms(301), Input::Synced { ticket: 1 });
+    assert_eq!(out.messages, [(A, Message::VoteAnswer { term: 2, granted: true })]);
+    core.step(ms(1000), Input::Tick);
+    let out = receive(&mut core, 1000, A, Message::PreVoteAnswer { term: 3, granted: true });
+    assert_eq!((answers(&out).len(), out.persist.is_some()), (0, true));
+    let out = core.step(ms(1000), Input::Synced { ticket: 2 });
+    assert_eq!((answers(&out).len(), core.status().role.role), (2, Role::Candidate));
+}
+
 /// A vote against a lease lets another leader commit while the old one serves reads.
 #[test]
 fn votes_respect_leases() {
--- a/crates/agreement/tests/harness/faults.rs
+++ b/crates/agreement/tests/harness/faults.rs
@@ -30,28 +30,30 @@
     Change,
     Transfer,
     Compact,
+    /// Cuts a leader off until another one is elected.
+    Depose,
 }
 
 use Action::*;
 
-const ACTIONS: [Action; 15] = [
+const ACTIONS: [Action; 16] = [
     Deliver, Settle, Time, Sync, Propose, Read, Crash, Start, Cut, Heal, Freeze, Jump, Change,
-    Transfer, Compact,
+    Transfer, Compact, Depose,
 ];
 
 /// Weights of the actions, in their order.
 pub type Mix = [u32; ACTIONS.len()];
 
 /// Everything at once.
-pub const MIXED: Mix = [400, 40, 140, 120, 80, 50, 16, 40, 14, 10, 6, 6, 16, 6, 24];
+pub const MIXED: Mix = [400, 40, 140, 120, 80, 50, 16, 40, 14, 10, 6, 6, 16, 6, 24, 1];
 /// Crashes while writes are not synced.
-pub const CRASHES: Mix = [400, 40, 180, 100, 60, 0, 60, 120, 16, 12, 0, 0, 0, 10, 8];
+pub const CRASHES: Mix = [400, 20, 240, 60, 40, 0, 60, 140, 30, 20, 0, 20, 0, 10, 8, 1];
 /// Leaders that are cut off before their first entries reach a quorum.
-pub const ELECTIONS: Mix = [200, 120, 250, 120, 20, 0, 25, 100, 80, 60, 0, 0, 0, 0, 0];
+pub const ELECTIONS: Mix = [200, 100, 100, 120, 40, 0, 20, 100, 20, 20, 0, 0, 0, 0, 0, 20];
 /// Leaders that are cut off while reads arrive.
-pub const READS: Mix = [400, 40, 140, 160, 80, 120, 4, 20, 30, 12, 8, 0, 0, 12, 0];
+pub const READS: Mix = [400, 40, 140, 160, 80, 120, 4, 20, 30, 12, 8, 0, 0, 12, 0, 4];
 /// Changes of voters while replicas are cut off.
-pub const CHANGES: Mix = [400, 40, 140, 120, 60, 20, 8, 40, 24, 12, 0, 0, 60, 8, 24];
+pub const CHANGES: Mix = [400, 40, 140, 120, 60, 20, 8, 40, 24, 12, 0, 0, 60, 8, 24, 1];
 
 /// Draws a configuration with small limits, so that short runs reach them.
 fn adjust(seed: u64) -> impl Fn(&mut CoreConfig) {
@@ -121,7 +123,7 @@
             let i = pick_leader(c).unwrap_or(i);
             c.read(i);
         }
-        Crash => c.crash(i),
+        Crash => crash(c, i),
         Start => c.start(i),
         Cut => cut(c),
         Heal => c.cut.clear(),
@@ -136,6 +138,21 @@
             }
         }
         Compact => c.compact(i),
+        Depose => depose(c),
+    }
+}
+
+/// Kills a replica, half of the time one with an unsynced write, which often restarts at once.
+fn crash(c: &mut Cluster, i: usize) {
+    let unsynced: Vec<_> = (0..MAX_REPLICAS).filter(|&i| c.sims[i].pending.is_some()).collect();
+    match unsynced.choose(&mut c.rng) {
+        Some(&i) if c.rng.random_ratio(1, 2) => {
+            c.crash(i);
+            if c.rng.random_ratio(1, 2) {
+                c.start(i);
+            }
+        }
+        _ => c.crash(i),
     }
 }
 
@@ -181,6 +198,45 @@
     }
 }
 
+/// Cuts a leader off until the others elect a new one. Half of the time the old one is also slow:
+/// it is not ticked, and what was sent to it arrives only then, with reads in between.
+fn depose(c: &mut Cluster) {
+    let Some(old) = pick_leader(c) else { return };
+    let id = c.sims[old].id;
+    c.cut = c.sims.iter().flat_map(|s| [(s.id, id), (id, s.id)]).collect();
+    let slow = c.rng.random_ratio(1, 2);
+    for _ in 0..c.rng.random_range(30..100) {
+        c.now += ms(10);
+        for i in (0..MAX_REPLICAS).filter(|&i| !slow || i != old) {
+            c.step(i, Input::Tick);
+        }
+        settle_except(c, slow.then_some(id));
+        if c.leaders().iter().any(|&i| i != old) {
+            break;
+        }
+    }
+    if c.rng.random_ratio(1, 2) {
+        c.cut.clear();
+    }
+    if let Some(new) = c.leaders().into_iter().find(|&i| slow && i != old) {
+        c.propose(new);
+        (0..4).for_each(|_| settle_except(c, Some(id)));
+        c.read(old);
+        while let Some(k) = c.net.iter().position(|m| m.1 == id) {
+            c.deliver(k);
+            c.read(old);
+        }
+    }
+}
+
+/// Settles, but for the messages to one replica.
+fn settle_except(c: &mut Cluster, id: Option<ReplicaId>) {
+    let (late, net) = std::mem::take(&mut c.net).into_iter().partition(|m| Some(m.1) == id);
+    c.net = net;
+    c.settle();
+    c.net.splice(0..0, Vec::into_iter(late));
+}
+
 /// Asks a leader for up to three changes at once.
 fn change(c: &mut Cluster) {
     let Some(leader) = pick_leader(c) else { return };
