--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -103,8 +103,11 @@
         }
     }
 
-    /// Handles one input. `now` is the time of the replica's monotonic clock; a time before that of
-    /// an earlier step counts as that step's time.
+    /// Handles one input.
+    ///
+    /// `now` is the time of the replica's monotonic clock, read after the input arrived: a follower
+    /// that takes a heartbeat for older than it is would vote while the leader's lease still holds.
+    /// A time before that of an earlier step counts as that step's time.
     pub fn step(&mut self, now: Duration, input: Input) -> Output {
         self.now = self.now.max(now);
         if !self.started {
--- a/crates/agreement/src/core/api.rs
+++ b/crates/agreement/src/core/api.rs
@@ -134,6 +134,10 @@
     /// Messages to send; none depends on state that is not yet synced.
     pub messages: Vec<(ReplicaId, Message)>,
     /// State to make durable. No other one follows until this one is reported as synced.
+    ///
+    /// If it has a snapshot, storage keeps its entries after the snapshot's position only if it has
+    /// the entry at that position with the same term; otherwise it discards its whole log, because
+    /// entries of another history would follow the snapshot.
     pub persist: Option<Persist>,
     /// Snapshot that replaces the state machine's state. It is also part of a `Persist`.
     pub install: Option<Snapshot>,
--- a/crates/agreement/tests/core_rules.rs
+++ b/crates/agreement/tests/core_rules.rs
@@ -264,8 +264,7 @@
     assert_eq!(*previous, at(50, 1));
 }
 
-/// After a restart the leader has no snapshot in memory and must ask for one; it keeps the
-/// configured entries before a snapshot's position for followers that lag a little.
+/// After a restart a leader has no snapshot in memory and must ask for one.
 #[test]
 fn snapshot_wanted() {
     let restored = Restored {
