--- a/crates/agreement/src/core/api.rs
+++ b/crates/agreement/src/core/api.rs
@@ -150,7 +150,7 @@
     /// New role, term or leader, if one of them changed.
     pub role: Option<RoleChange>,
     /// Whether a peer needs a snapshot that is not in memory. The driver then takes one and passes
-    /// it to `Input::Compact`.
+    /// it to `Input::Compact`; asked again until then.
     pub snapshot_wanted: bool,
 }
 
