agreement: let a removed replica spread its removal

Soak (voter changes) left a group without a leader: the leader of voters 1 and 3 removed 1, sent the entry to 1 and crashed before its own sync. Replica 1 then had the longest log, so that 3 could not win, and did not campaign itself because the entry removed it.

A replica now campaigns while its removal is not known to be committed. It counts only the votes of the membership in force, commits the entry, and steps down at the next tick.

--- a/crates/agreement/src/core/election.rs
+++ b/crates/agreement/src/core/election.rs
@@ -117,11 +117,12 @@
         true
     }
 
-    /// Starts a pre-vote, if this replica is a voter.
+    /// Starts a pre-vote, if this replica is a voter or its removal is not known to be committed:
+    /// it may be the only one left with the entry that removes it, and then has to spread it.
     pub(super) fn election_timeout(&mut self) {
         self.reset_election_timer();
         self.leader = None;
-        if !self.is_voter() {
+        if !self.log.is_voter_from(self.commit, self.cfg.id) {
             return;
         }
         self.role = Role::PreCandidate;
@@ -226,13 +227,18 @@
         (last.term, last.index) >= (own.term, own.index)
     }
 
-    /// Checks a leader's quorum and sends what is due.
+    /// Checks that a leader still may lead, and sends what is due.
     pub(super) fn tick_leader(&mut self) {
         if !self.has_recent_quorum() {
             warn!("replica {}: no answer from a quorum; stepping down", self.cfg.id.0);
             self.become_follower(self.hard_state.term, None);
             return;
         }
+        if !self.is_voter() && self.log.membership_index() <= self.commit {
+            self.broadcast_heartbeat();
+            self.become_follower(self.hard_state.term, None);
+            return;
+        }
         if self.lead.transfer.as_ref().is_some_and(|t| self.now >= t.deadline) {
             self.lead.transfer = None;
         }
--- a/crates/agreement/src/core/log_view.rs
+++ b/crates/agreement/src/core/log_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::types::{Entry, LogPosition, Membership, Payload};
+use crate::types::{Entry, LogPosition, Membership, Payload, ReplicaId};
 
 /// Bytes that an entry takes in a message in addition to its command.
 const ENTRY_OVERHEAD_BYTES: usize = 32;
@@ -126,6 +126,12 @@
         self.memberships[self.memberships.len() - 1].0
     }
 
+    /// Returns whether a membership that is in force at `index` or later has `id` as a voter.
+    pub(super) fn is_voter_from(&self, index: u64, id: ReplicaId) -> bool {
+        let after = self.memberships.partition_point(|m| m.0 <= index);
+        self.memberships[after.saturating_sub(1)..].iter().any(|m| m.1.voters.contains(&id))
+    }
+
     /// Returns the membership at an index at or after the last snapshot.
     pub(super) fn membership_at(&self, index: u64) -> &Membership {
         let after = self.memberships.partition_point(|m| m.0 <= index);
--- a/crates/agreement/tests/core_rules.rs
+++ b/crates/agreement/tests/core_rules.rs
@@ -54,12 +54,12 @@
     for from in [A, B] {
         receive(core, 1000, from, Message::PreVoteAnswer { term, granted: true });
     }
-    core.step(ms(1000), Input::Synced { ticket: 1 });
+    (1..=2).for_each(|ticket| drop(core.step(ms(1000), Input::Synced { ticket })));
     for from in [A, B] {
         receive(core, 1000, from, Message::VoteAnswer { term, granted: true });
     }
     assert_eq!(core.status().role.role, Role::Leader);
-    core.step(ms(1000), Input::Synced { ticket: 2 });
+    (2..=3).for_each(|ticket| drop(core.step(ms(1000), Input::Synced { ticket })));
     term
 }
 
@@ -212,6 +212,24 @@
     }
 }
 
+/// A removed replica may be the only one with the entry that removes it; the others cannot win an
+/// election against its log.
+#[test]
+fn removal_is_spread() {
+    let mut core = replica(2, 1, &[1]);
+    let membership = Membership { voters: vec![A], learners: Vec::new() };
+    let removal = Entry { position: at(2, 1), payload: Payload::Membership(membership) };
+    receive(&mut core, 0, A, append(1, at(1, 1), vec![removal], 1));
+    core.step(ms(0), Input::Synced { ticket: 1 });
+    let term = lead(&mut core);
+    assert_eq!(matched(&mut core, 1001, A, term, 3).apply.len(), 2);
+    core.step(ms(1010), Input::Tick);
+    assert_eq!(core.status().role.role, Role::Follower);
+    for now in (2000..9000).step_by(100) {
+        assert_eq!(core.step(ms(now), Input::Tick).messages, []);
+    }
+}
+
 /// One sync covers the proposals that arrived during the one before.
 #[test]
 fn group_commit() {
