agreement: tell removed replicas that their removal is committed

A leader stopped sending to a replica as soon as it appended the removal, so the replica knew of an uncommitted removal at most and went on asking for pre-votes. The leader now keeps it as a peer until it acknowledges a heartbeat with the commit, at most for the longest election timeout.

--- a/crates/agreement/src/core/election.rs
+++ b/crates/agreement/src/core/election.rs
@@ -242,6 +242,7 @@
         if self.lead.transfer.as_ref().is_some_and(|t| self.now >= t.deadline) {
             self.lead.transfer = None;
         }
+        self.lead.forget_removed(self.now.checked_sub(self.cfg.election_timeout_max));
         if self.now >= self.lead.next_heartbeat {
             self.broadcast_heartbeat();
         }
--- a/crates/agreement/src/core/progress.rs
+++ b/crates/agreement/src/core/progress.rs
@@ -50,6 +50,10 @@
     pub(super) acked_round: u64,
     /// When that round was sent.
     pub(super) acked_sent_at: Option<Duration>,
+    /// When the peer was removed from the membership.
+    pub(super) removed_at: Option<Duration>,
+    /// First round that told the peer that its removal is committed.
+    pub(super) last_round: Option<u64>,
 }
 
 impl Progress {
@@ -62,6 +66,8 @@
             heard_at: now,
             acked_round: 0,
             acked_sent_at: None,
+            removed_at: None,
+            last_round: None,
         }
     }
 
@@ -138,7 +144,8 @@
         self.peers.binary_search_by_key(&id, |p| p.id).ok().map(|i| &mut self.peers[i])
     }
 
-    /// Adds and removes peers so that they are the members other than the leader.
+    /// Adds the members other than the leader as peers. Peers that are no longer members stay for a
+    /// while, so that they learn of their removal and stop asking for votes.
     pub(super) fn set_members(
         &mut self,
         leader: ReplicaId,
@@ -148,7 +155,10 @@
     ) {
         let is_member =
             |id: &ReplicaId| membership.voters.contains(id) || membership.learners.contains(id);
-        self.peers.retain(|p| is_member(&p.id));
+        for p in &mut self.peers {
+            p.removed_at = if is_member(&p.id) { None } else { p.removed_at.or(Some(now)) };
+            p.last_round = None;
+        }
         for &id in membership.voters.iter().chain(&membership.learners) {
             if id != leader
                 && let Err(i) = self.peers.binary_search_by_key(&id, |p| p.id)
@@ -158,6 +168,14 @@
         }
     }
 
+    /// Forgets the removed peers that know of their removal or were removed before `removed_by`.
+    pub(super) fn forget_removed(&mut self, removed_by: Option<Duration>) {
+        self.peers.retain(|p| {
+            let informed = p.last_round.is_some_and(|round| p.acked_round >= round);
+            p.removed_at.is_none_or(|at| !informed && removed_by.is_none_or(|by| at > by))
+        });
+    }
+
     /// Starts a heartbeat round and returns its number.
     pub(super) fn start_round(&mut self, now: Duration) -> u64 {
         self.round += 1;
--- a/crates/agreement/src/core/replication.rs
+++ b/crates/agreement/src/core/replication.rs
@@ -196,8 +196,11 @@
         self.lead.next_heartbeat = self.now + self.cfg.heartbeat_interval;
         let term = self.hard_state.term;
         for i in 0..self.lead.peers.len() {
-            let p = &self.lead.peers[i];
+            let p = &mut self.lead.peers[i];
             let (to, commit) = (p.id, self.commit.min(p.matched));
+            if p.removed_at.is_some() && commit >= self.log.membership_index() {
+                p.last_round = p.last_round.or(Some(round));
+            }
             self.send(to, Message::Heartbeat { term, round, commit });
         }
     }
@@ -226,6 +229,7 @@
         if behind {
             self.replicate_to(i, true);
         }
+        self.lead.forget_removed(None);
         self.release_reads();
     }
 }
--- a/crates/agreement/tests/core_rules.rs
+++ b/crates/agreement/tests/core_rules.rs
@@ -230,6 +230,23 @@
     }
 }
 
+/// A removed replica that is not told of the commit would ask for pre-votes for ever.
+#[test]
+fn removed_peers_informed() {
+    let mut core = replica(3, 1, &[]);
+    let term = lead(&mut core);
+    matched(&mut core, 1000, A, term, 1);
+    let change = VoterChange::RemoveVoter(B);
+    core.step(ms(1000), Input::ChangeVoters { change, ticket: 1 });
+    matched(&mut core, 1001, B, term, 2);
+    matched(&mut core, 1001, A, term, 2);
+    core.step(ms(1001), Input::Synced { ticket: 3 });
+    let out = core.step(ms(1050), Input::Tick);
+    assert!(out.messages.contains(&(B, Message::Heartbeat { term, round: 2, commit: 2 })));
+    receive(&mut core, 1060, B, Message::HeartbeatAnswer { term, round: 2 });
+    assert_eq!(core.status().peers, [(A, 2)]);
+}
+
 /// One sync covers the proposals that arrived during the one before.
 #[test]
 fn group_commit() {
