--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -9,7 +9,7 @@
 /// Parameters of a [`CostChooser`].
 ///
 /// The defaults come from `examples/compare.rs` (deployment A, 85% load, 200 s, seed 1): with them
-/// 4% of the tokens are prefilled a second time; in trials, with a prefill weight of 4 and `max_fill`
+/// 6% of the tokens are prefilled a second time; in trials, with a prefill weight of 4 and `max_fill`
 /// 1.25 it was 17%, and with a weight of 8 and `max_fill` 1 214%. While one team sends five times its
 /// programs, the worst other team keeps 92.5% of its service; in a trial with `max_fill` 1.5 and no
 /// `group_fill`, 83%.
