Keep leases, generations and publications right across changes of the leader

Found by reading and by the new process tests: - Merged changes remove objects that an instance never had. Such removals are passed over now. - A publication that expects a generation which does not exist yet was proposed without changes, and accepted when another one made that generation first. It is refused now. - The number of program groups comes with the view, which is sent again only at a new epoch. An instance that got its view before the number was fixed never learned it. No lease is granted before that now. - The lease table was tied to a polled flag, so a leadership that was lost and regained between two polls kept its old table. It is tied to the term now. - A generation was in force before it was saved. It is saved first now. - Only the leader of group 0 knew the address of a replica that joined later, so the leader of a program group could not reach it. All replicas learn it from the catalog now. - A leader answers heartbeats, status, get and publish after a read barrier, so that a new one has applied what was committed before. - publish claimed that its generation was in force when a newer one was only accepted; and it named the winner of a race with the wrong generation.

--- a/crates/core/commands/operator.rs
+++ b/crates/core/commands/operator.rs
@@ -47,6 +47,7 @@
     /// Sends a call to the leader, and again while the leader is not known. All operators' calls
     /// may be repeated: a publication is recognised by its request id.
     async fn call(&mut self, body: request::Body) -> Result<response::Body> {
+        let mut redirected = false;
         loop {
             let error = match self.client.call(self.target, body.clone(), CALL_TIMEOUT).await {
                 Ok(answer) => return Ok(answer),
@@ -58,6 +59,10 @@
                     FailureCode::NotLeader => {
                         if let Ok(leader) = failure.leader_address.parse() {
                             self.target = leader;
+                            // The first hint is followed at once; later ones may lead in circles.
+                            if !std::mem::replace(&mut redirected, true) {
+                                continue;
+                            }
                         }
                     }
                     FailureCode::UnknownOutcome | FailureCode::Unavailable => {}
@@ -129,7 +134,7 @@
     };
     if !result.accepted {
         eprintln!(
-            "not published: generation {} is current, last published by {}",
+            "not published: generation {} was published by {}",
             result.generation,
             if result.winner.is_empty() { "nobody" } else { &result.winner }
         );
@@ -146,7 +151,8 @@
 async fn wait_in_force(fleet: &mut Fleet, generation: u64) -> Result<()> {
     loop {
         let status = fleet.status().await?;
-        if status.generation > generation || (status.generation == generation && status.in_force) {
+        // A newer generation in force contains this one or replaces it.
+        if status.generation >= generation && status.in_force {
             return Ok(());
         }
         if Instant::now() > fleet.deadline {
--- a/crates/server/src/control/leases.rs
+++ b/crates/server/src/control/leases.rs
@@ -25,29 +25,23 @@
 #[derive(Default)]
 pub(crate) struct Leases {
     list: Vec<Lease>,
-    /// Start of this replica's present leadership.
-    since: Option<Instant>,
+    /// Term and start of this replica's present leadership.
+    leadership: Option<(u64, Instant)>,
 }
 
 impl Leases {
-    /// Notes whether this replica leads; the table of an earlier leadership is worthless.
-    pub(crate) fn set_leading(&mut self, leading: bool) {
-        match (leading, self.since) {
-            (true, None) => {
-                self.list.clear();
-                self.since = Some(Instant::now());
-            }
-            (false, Some(_)) => {
-                self.list.clear();
-                self.since = None;
-            }
-            _ => {}
+    /// Notes the term in which this replica leads, if it does. The table of an earlier leadership is
+    /// worthless: another replica may have led in between, and have granted leases.
+    pub(crate) fn set_leadership(&mut self, term: Option<u64>) {
+        if self.leadership.map(|(term, _)| term) != term {
+            self.list.clear();
+            self.leadership = term.map(|term| (term, Instant::now()));
         }
     }
 
     /// Whether leases that a former leader granted may still run.
     pub(crate) fn former_leases_may_run(&self) -> bool {
-        self.since.is_none_or(|since| since.elapsed() < LEASE)
+        self.leadership.is_none_or(|(_, since)| since.elapsed() < LEASE)
     }
 
     /// Grants a lease, unless the instance is being declared gone.
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -84,10 +84,23 @@
         self.leases.lock().expect("no panic while locked")
     }
 
-    /// Whether this replica may act for group 0 now.
+    /// Whether this replica may act for group 0 now. Starts the table of leases anew when it leads
+    /// in a new term.
     pub(crate) fn leads(&self) -> bool {
         let leadership = self.catalog_log.leadership();
-        leadership.is_leader && leadership.lease_valid
+        let leads = leadership.is_leader && leadership.lease_valid;
+        self.leases().set_leadership(leads.then_some(leadership.term));
+        leads
+    }
+
+    /// Returns once this replica, as the leader of group 0, has applied everything that was
+    /// committed before the call.
+    pub(crate) async fn lead_and_catch_up(&self) -> Result<(), peer::Failure> {
+        if !self.leads() {
+            return Err(self.not_leader(&*self.catalog_log));
+        }
+        let barrier = self.catalog_log.read_barrier().await;
+        barrier.map_err(|e| self.propose_failure(&*self.catalog_log, e))
     }
 
     /// The answer to a call that only the leader of `log` can carry out.
--- a/crates/server/src/control/publish.rs
+++ b/crates/server/src/control/publish.rs
@@ -15,17 +15,24 @@
         &self,
         publish: peer::Publish,
     ) -> Result<peer::PublishResult, peer::Failure> {
-        if !self.leads() {
-            return Err(self.not_leader(&*self.catalog_log));
-        }
+        self.lead_and_catch_up().await?;
         let operator = self.operator(&publish.operator_key)?;
         if publish.request_id.is_empty() {
             return Err(failed(FailureCode::Invalid, "the request id is empty"));
         }
         let wanted = read_set(&publish.objects)?;
         let (generation, current) = self.current_objects()?;
-        // With another expected generation the publication fails, or it is the resend of an earlier
-        // one: in both cases the changes are not used.
+        if generation < publish.expected_generation {
+            // It must not be proposed: if another publication makes the expected generation before
+            // this one is applied, it would be accepted without its changes.
+            let message = format!(
+                "generation {} does not exist: {generation} is current",
+                publish.expected_generation
+            );
+            return Err(failed(FailureCode::Invalid, &message));
+        }
+        // With an older expected generation the publication fails, or it is the resend of an
+        // earlier one: in both cases the changes are not used.
         let changes = if generation == publish.expected_generation {
             current.diff(&wanted).iter().map(catalog_change).collect()
         } else {
@@ -55,7 +62,7 @@
             }),
             catalog_answer::Answer::Conflict(conflict) => Ok(peer::PublishResult {
                 accepted: false,
-                generation: conflict.current_generation,
+                generation: conflict.generation,
                 winner: conflict.operator,
                 in_force: false,
             }),
@@ -72,9 +79,7 @@
 
     /// The current objects, for an operator.
     pub(crate) async fn objects(&self, key: &str) -> Result<peer::ObjectsReply, peer::Failure> {
-        if !self.leads() {
-            return Err(self.not_leader(&*self.catalog_log));
-        }
+        self.lead_and_catch_up().await?;
         self.operator(key)?;
         let (generation, objects) = self.current_objects()?;
         let all = ObjectSet::default().diff(&objects);
--- a/crates/server/src/control/replicas.rs
+++ b/crates/server/src/control/replicas.rs
@@ -2,33 +2,62 @@
 
 use std::{net::SocketAddr, sync::Mutex};
 
-/// Addresses by replica number. They come from the settings and from heartbeats, and are found
-/// again after a restart.
+/// Addresses by replica number. They come from the settings, from heartbeats and from the catalog,
+/// and are found again after a restart.
 #[derive(Default)]
 pub(crate) struct Replicas {
     // Sorted by number.
-    list: Mutex<Vec<(u64, SocketAddr)>>,
+    list: Mutex<Vec<Replica>>,
+}
+
+struct Replica {
+    number: u64,
+    address: SocketAddr,
+    /// Not in the settings.
+    registered: bool,
 }
 
 impl Replicas {
-    /// Notes where a replica is.
+    /// Notes where a replica is according to the settings.
+    pub(crate) fn configure(&self, replica: u64, address: SocketAddr) {
+        let new = Replica { number: replica, address, registered: false };
+        let mut list = self.list.lock().expect("no panic while locked");
+        match list.binary_search_by_key(&replica, |r| r.number) {
+            Ok(i) => list[i] = new,
+            Err(i) => list.insert(i, new),
+        }
+    }
+
+    /// Notes where a replica is according to itself or to an operator.
     pub(crate) fn learn(&self, replica: u64, address: SocketAddr) {
         let mut list = self.list.lock().expect("no panic while locked");
-        match list.binary_search_by_key(&replica, |(r, _)| *r) {
-            Ok(i) => list[i].1 = address,
-            Err(i) => list.insert(i, (replica, address)),
+        match list.binary_search_by_key(&replica, |r| r.number) {
+            Ok(i) => list[i].address = address,
+            Err(i) => list.insert(i, Replica { number: replica, address, registered: true }),
+        }
+    }
+
+    /// Notes where a replica was registered. The settings take precedence: after a move of all
+    /// replicas the catalog still has their old addresses.
+    pub(crate) fn learn_registered(&self, replica: u64, address: SocketAddr) {
+        let mut list = self.list.lock().expect("no panic while locked");
+        match list.binary_search_by_key(&replica, |r| r.number) {
+            Ok(i) if list[i].registered => list[i].address = address,
+            Ok(_) => {}
+            Err(i) => list.insert(i, Replica { number: replica, address, registered: true }),
         }
     }
 
     /// Address of a replica, if it is known.
     pub(crate) fn address(&self, replica: u64) -> Option<SocketAddr> {
         let list = self.list.lock().expect("no panic while locked");
-        let i = list.binary_search_by_key(&replica, |(r, _)| *r).ok()?;
-        Some(list[i].1)
+        let i = list.binary_search_by_key(&replica, |r| r.number).ok()?;
+        Some(list[i].address)
     }
 
     /// All replicas.
     pub(crate) fn list(&self) -> Vec<(u64, SocketAddr)> {
-        self.list.lock().expect("no panic while locked").clone()
+        let list = self.list.lock().expect("no panic while locked");
+        list.iter().map(|r| (r.number, r.address)).collect()
     }
 }
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -139,8 +139,15 @@
 
     /// Grants a lease, with everything that the instance needs to act under it.
     async fn heartbeat(&self, hb: peer::Heartbeat) -> Result<peer::LeaseGrant, peer::Failure> {
-        if !self.leads() {
-            return Err(self.not_leader(&*self.catalog_log));
+        // The instance counts its lease from when it sent the heartbeat, so a leadership that held
+        // at any later moment is enough: a later leader waits out the lease. The barrier comes
+        // before the changes are read, so that an instance without a disk never restarts from
+        // older objects than were in force.
+        self.lead_and_catch_up().await?;
+        if self.catalog().groups() == 0 {
+            // The number is part of the view, which is sent again only when its epoch changes.
+            let message = "the number of program groups is not fixed yet";
+            return Err(failed(FailureCode::Unavailable, message));
         }
         self.register(&hb).await?;
         // The grant is made before the changes are read, so that whatever is published later finds
@@ -150,10 +157,6 @@
         let duration = granted
             .ok_or_else(|| failed(FailureCode::Fenced, "the instance is being declared gone"))?;
         let mut grant = self.grant_for(&hb);
-        // Only a leader's grant counts. The process may have been suspended since the check above,
-        // so the leadership is checked against the clock after the grant was made.
-        let barrier = self.catalog_log.read_barrier().await;
-        barrier.map_err(|e| self.propose_failure(&*self.catalog_log, e))?;
         grant.duration_ms = duration.as_millis() as u64;
         Ok(grant)
     }
--- a/crates/server/src/control/status.rs
+++ b/crates/server/src/control/status.rs
@@ -9,9 +9,7 @@
 impl Control {
     /// Describes instances, replicas and endpoints, as the leader of group 0 sees them.
     pub(crate) async fn status(&self, key: &str) -> Result<peer::StatusReply, peer::Failure> {
-        if !self.leads() {
-            return Err(self.not_leader(&*self.catalog_log));
-        }
+        self.lead_and_catch_up().await?;
         self.operator(key)?;
         let (generation, objects) = self.current_objects()?;
         let view = self.catalog().view();
--- a/crates/server/src/control/sweep.rs
+++ b/crates/server/src/control/sweep.rs
@@ -25,6 +25,18 @@
     pub(crate) program_groups: u32,
 }
 
+impl Control {
+    /// Learns the addresses of replicas that joined after this process was configured. Any replica
+    /// may come to lead a group and has to reach them.
+    fn learn_replicas(&self) {
+        for instance in self.catalog().view().instances {
+            if let (Some(replica), Ok(address)) = (instance.replica, instance.address.parse()) {
+                self.replicas.learn_registered(replica, address);
+            }
+        }
+    }
+}
+
 impl Sweeper {
     /// Sweeps until the task is ended.
     pub(crate) async fn run(self: Arc<Self>) -> anyhow::Result<()> {
@@ -34,9 +46,8 @@
         let mut told = Vec::new();
         loop {
             ticks.tick().await;
-            let leads = self.control.leads();
-            self.control.leases().set_leading(leads);
-            if leads {
+            self.control.learn_replicas();
+            if self.control.leads() {
                 self.fix_groups().await?;
                 self.declare_expired().await?;
                 self.tell_groups(&mut told).await;
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -107,6 +107,7 @@
             Some(saved) => saved.load()?,
             None => (0, ObjectSet::default()),
         };
+        metrics::gauge!("poplarspan_generation").set(generation as f64);
         let membership = Arc::new(Membership::new(generation, objects));
         let started = start_replica(&cfg, &client, peer_address).await?;
         let control = started.as_ref().map(|s| s.control.clone());
@@ -243,9 +244,9 @@
     let dir = DataDir::open(path)?;
     let replicas = Arc::new(Replicas::default());
     for known in &cfg.replicas {
-        replicas.learn(known.replica, known.address);
+        replicas.configure(known.replica, known.address);
     }
-    replicas.learn(dir.replica().0, peer_address);
+    replicas.configure(dir.replica().0, peer_address);
     Ok(Some(control::start(dir, client.clone(), replicas).await?))
 }
 
--- a/crates/server/src/membership/heartbeat.rs
+++ b/crates/server/src/membership/heartbeat.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::{Directory, HEARTBEAT_INTERVAL, Membership, SavedObjects};
+use super::{Directory, HEARTBEAT_INTERVAL, Known, Membership, SavedObjects};
 use crate::peer::{CallError, PeerClient};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -104,9 +104,12 @@
         };
         self.directory.set_leader(Some(target));
         let more = grant.more;
-        let before = known.generation;
-        self.membership.accept(sent, grant)?;
-        self.save_if_newer(before).await?;
+        let newer = self.membership.read(sent, grant)?;
+        if newer.generation > known.generation {
+            // Saved before it is in force, so that a restart never goes back.
+            self.save(&newer).await?;
+        }
+        self.accept(newer);
         Ok(more)
     }
 
@@ -123,19 +126,27 @@
         }
     }
 
-    async fn save_if_newer(&self, before: u64) -> anyhow::Result<()> {
-        let known = self.membership.load();
-        if known.generation == before {
-            return Ok(());
-        }
-        log::info!(generation = known.generation; "objects in force");
-        metrics::gauge!("poplarspan_generation").set(known.generation as f64);
+    async fn save(&self, known: &Known) -> anyhow::Result<()> {
         match &self.saved {
             Some(saved) => saved.save(known.generation, known.objects.clone()).await,
             None => Ok(()),
         }
     }
 
+    fn accept(&self, known: Known) {
+        let generation = known.generation;
+        let newer = generation > self.membership.load().generation;
+        // An instance that has handed its lease back must not get it again from a late answer.
+        if self.leaving.load(Ordering::Relaxed) {
+            return;
+        }
+        self.membership.accept(known);
+        if newer {
+            log::info!(generation; "objects in force");
+            metrics::gauge!("poplarspan_generation").set(generation as f64);
+        }
+    }
+
     fn report(&self, failures: u32, error: &anyhow::Error) {
         metrics::counter!("poplarspan_heartbeat_failures_total").increment(1);
         // One line for each outage and one a while after, not three a second.
--- a/crates/server/src/membership/mod.rs
+++ b/crates/server/src/membership/mod.rs
@@ -102,12 +102,9 @@
         self.known.store(Arc::new(known));
     }
 
-    /// Takes over a grant that answers the heartbeat sent at `sent`.
-    ///
-    /// Only the heartbeat task calls this, so that reading and storing need no lock.
-    pub(crate) fn accept(&self, sent: Instant, grant: peer::LeaseGrant) -> anyhow::Result<()> {
+    /// Reads a grant that answers the heartbeat sent at `sent`: what is known once it is accepted.
+    pub(crate) fn read(&self, sent: Instant, grant: peer::LeaseGrant) -> anyhow::Result<Known> {
         let mut known = Known::clone(&self.known.load());
-        let before = (known.generation, known.view.epoch);
         if grant.generation < known.generation {
             metrics::counter!("poplarspan_invariant_violations_total", "invariant" => "generation")
                 .increment(1);
@@ -121,6 +118,9 @@
             let changes =
                 grant.changes.iter().map(read_change).collect::<anyhow::Result<Vec<_>>>()?;
             let base = if grant.full { ObjectSet::default() } else { (*known.objects).clone() };
+            // Changes of several generations are merged: an object that was added and removed in
+            // between appears as removed, and was never here.
+            let changes: Vec<_> = changes.into_iter().filter(|c| applies_to(c, &base)).collect();
             let objects = base.apply(&changes).map_err(|e| anyhow::anyhow!("{e}"))?;
             known.objects = Arc::new(objects);
             known.generation = grant.generation;
@@ -132,12 +132,26 @@
         }
         let until = sent + Duration::from_millis(grant.duration_ms);
         known.lease_until = Some(known.lease_until.map_or(until, |old| old.max(until)));
-        let after = (known.generation, known.view.epoch);
+        Ok(known)
+    }
+
+    /// Takes over what was read from a grant.
+    ///
+    /// Only the heartbeat task reads and accepts grants, so that no lock is needed.
+    pub(crate) fn accept(&self, known: Known) {
+        let old = self.known.load();
+        let changed = (old.generation, old.view.epoch) != (known.generation, known.view.epoch);
         self.known.store(Arc::new(known));
-        if before != after {
+        if changed {
             self.changes.send_modify(|count| *count += 1);
         }
-        Ok(())
+    }
+}
+
+fn applies_to(change: &Change, base: &ObjectSet) -> bool {
+    match change {
+        Change::Upsert(_) => true,
+        Change::Remove { kind, name } => base.record(*kind, name).is_some(),
     }
 }
 
--- /dev/null
+++ b/tests/leader_loss.rs
@@ -0,0 +1,33 @@
+//! Guards against the loss of anything acknowledged, and against a standstill, when the leader of
+//! a group is killed.
+
+mod support;
+
+use support::{Fleet, publisher::Publisher, traffic::Traffic};
+
+const GROUPS: u64 = 3;
+const ENTRY: usize = 3;
+const SERVICE: usize = 1;
+
+/// Publications and program calls go on past the death of each leader, and nothing is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaders_killed() {
+    let mut fleet = Fleet::start(3, 1).await;
+    let traffic = Traffic::start(&fleet, 3);
+    let publisher = Publisher::start(&fleet, &[ENTRY]);
+    for group in 0..GROUPS {
+        traffic.goes_on().await;
+        publisher.goes_on().await;
+        let leader = fleet.wait_group_leader(ENTRY, group).await;
+        fleet.kill(leader);
+        traffic.goes_on().await;
+        publisher.goes_on().await;
+        fleet.start_member(leader);
+        fleet.wait_ready(leader).await;
+    }
+    let generation = publisher.stop().await;
+    for i in 0..4 {
+        fleet.wait_generation(i, generation).await;
+    }
+    traffic.stop_and_check(&fleet, SERVICE).await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,19 +4,36 @@
 
 pub mod network;
 pub mod objects;
+pub mod operator;
 pub mod process;
+pub mod publisher;
+pub mod traffic;
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
 
 use network::Network;
 use objects::ObjectFile;
+use operator::Operator;
 use process::{Process, free_port, run};
 use tempfile::TempDir;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    time::{Instant, sleep},
+};
 
 /// Longest wait for a state that is expected to come; no test asserts how long it took.
 const PATIENCE: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(50);
+const LOG_LINES_SHOWN: usize = 20;
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Fleets that run at a time, so that a busy machine does not starve them of heartbeats.
+static PLACES: Semaphore = Semaphore::const_new(3);
 
 /// One instance of a fleet.
 pub struct Member {
@@ -38,7 +55,10 @@
     pub network: Network,
     pub client: reqwest::Client,
     generation: u64,
+    /// Numbers the files that operators' commands read.
+    files: Arc<AtomicU64>,
     folder: TempDir,
+    _place: SemaphorePermit<'static>,
 }
 
 /// A stand-in endpoint.
@@ -65,6 +85,7 @@
 
     /// Makes folders, certificates and addresses, but starts nothing.
     pub async fn prepare(replicas: u64, entries: u64) -> Self {
+        let place = PLACES.acquire().await.expect("never closed");
         let folder = tempfile::tempdir().expect("temporary folder");
         run(&["certs", "--out", &path(&folder, "tls")]).success();
         let network = Network::new();
@@ -85,7 +106,17 @@
         let client = reqwest::Client::builder().no_proxy().build().expect("client");
         let objects = ObjectFile::new();
         let stand_ins = Vec::new();
-        let fleet = Self { members, stand_ins, objects, network, client, generation: 0, folder };
+        let fleet = Self {
+            members,
+            stand_ins,
+            objects,
+            network,
+            client,
+            generation: 0,
+            files: Arc::default(),
+            folder,
+            _place: place,
+        };
         for replica in 1..=replicas {
             fleet.init_replica(replica, Some(replicas));
         }
@@ -143,6 +174,23 @@
         self.wait_for_leader().await;
     }
 
+    /// Adds a control replica that joins the fleet, without starting it. Returns its index.
+    pub async fn add_replica(&mut self, replica: u64, zone: &str) -> usize {
+        let (i, peer) = (self.members.len(), free_port());
+        self.members.push(Member {
+            name: format!("instance-{}", i + 1),
+            zone: zone.to_owned(),
+            entry: free_port(),
+            peer,
+            advertised: self.network.relay(i, peer).await,
+            probe: free_port(),
+            replica: Some(replica),
+            process: None,
+        });
+        self.init_replica(replica, None);
+        i
+    }
+
     /// Starts instance `i`, for the first time or again.
     pub fn start_member(&mut self, i: usize) {
         let replicas: Vec<String> = self
@@ -183,29 +231,26 @@
         flags.iter().map(|f| (*f).to_owned()).zip(files).flat_map(|(f, v)| [f, v]).collect()
     }
 
+    /// The operator of the object file.
+    pub fn operator(&self) -> Operator {
+        Operator {
+            folder: self.folder.path().to_owned(),
+            tls: self.tls("operator"),
+            key: self.objects.operator_key().to_owned(),
+            control: self.members.iter().map(|m| m.peer).collect(),
+            timeout: "30s",
+            files: self.files.clone(),
+        }
+    }
+
     /// Runs an operator's command through instance `i`.
     pub fn operate(&self, i: usize, args: &[&str]) -> process::Outcome {
-        let key = self.folder.path().join("operator-key");
-        std::fs::write(&key, self.objects.operator_key()).expect("key file");
-        let control = self.members[i].peer.to_string();
-        let mut all = args.to_vec();
-        all.extend(["--control", &control, "--timeout", "30s"]);
-        all.extend(["--operator-key-file", key.to_str().expect("plain path")]);
-        let tls = self.tls("operator");
-        all.extend(tls.iter().map(String::as_str));
-        run(&all)
+        self.operator().run(i, args)
     }
 
     /// Publishes the object file through instance `i`, expecting `generation`.
     pub fn publish(&self, i: usize, generation: u64, request: &str) -> process::Outcome {
-        let file = self.folder.path().join(format!("objects-{request}.toml"));
-        std::fs::write(&file, self.objects.text()).expect("object file");
-        let generation = generation.to_string();
-        let file = file.to_str().expect("plain path");
-        self.operate(
-            i,
-            &["publish", file, "--expect-generation", &generation, "--request-id", request],
-        )
+        self.operator().publish(i, &self.objects.text(), generation, request, &[])
     }
 
     /// Publishes the object file as the next generation and waits until it is in force.
@@ -219,10 +264,27 @@
         }
     }
 
+    /// Publishes the object file as the next generation, through a running instance, and waits
+    /// until it is in force.
+    pub async fn publish_and_wait_in_force(&mut self) {
+        let operator = self.operator();
+        let (text, generation) = (self.objects.text(), self.generation);
+        let i = self.live().next().expect("an instance runs");
+        let request = format!("request-{generation}");
+        let publish = move || operator.publish(i, &text, generation, &request, &[]).success();
+        tokio::task::spawn_blocking(publish).await.expect("accepted");
+        self.generation += 1;
+    }
+
     pub fn generation(&self) -> u64 {
         self.generation
     }
 
+    /// Notes that others have published up to a generation.
+    pub fn set_generation(&mut self, generation: u64) {
+        self.generation = generation;
+    }
+
     /// Running instances.
     pub fn live(&self) -> impl Iterator<Item = usize> {
         let running = |(i, m): (usize, &Member)| m.process.as_ref().map(|_| i);
@@ -231,8 +293,7 @@
 
     /// What `status` says, through instance `i`.
     pub fn status(&self, i: usize) -> serde_json::Value {
-        let outcome = self.operate(i, &["status", "--json"]);
-        serde_json::from_str(&outcome.stdout).unwrap_or(serde_json::Value::Null)
+        self.operator().status(i)
     }
 
     /// Index of the instance that leads a group, through instance `i`.
@@ -244,6 +305,17 @@
         self.members.iter().position(|m| m.replica == Some(replica))
     }
 
+    /// Waits until a group has a leader and returns its index.
+    pub async fn wait_group_leader(&self, i: usize, group: u64) -> usize {
+        let mut leader = None;
+        eventually("a leader of the group", async || {
+            leader = self.leader(i, group).filter(|l| self.members[*l].process.is_some());
+            leader.is_some()
+        })
+        .await;
+        leader.expect("just found")
+    }
+
     pub async fn wait_for_leader(&self) {
         let live = self.live().next().expect("an instance runs");
         eventually("a leader", async || !self.status(live)["replicas"].is_null()).await;
@@ -281,11 +353,58 @@
 
     /// How often the stand-in service ran the request with an idempotency key.
     pub async fn executions(&self, stand_in: usize, key: &str) -> u64 {
-        let url = format!("http://{}/executions", self.stand_ins[stand_in].address);
-        let list: serde_json::Value =
-            self.client.get(url).send().await.expect("answer").json().await.expect("JSON");
-        let list = list.as_array().expect("a list");
-        list.iter().find(|e| e["key"] == key).map_or(0, |e| e["executions"].as_u64().unwrap_or(0))
+        let all = self.all_executions(stand_in).await;
+        all.iter().find(|(k, _)| k == key).map_or(0, |(_, n)| *n)
+    }
+
+    /// How often the stand-in service ran each request, by idempotency key. Requests without a key
+    /// are left out.
+    pub async fn all_executions(&self, stand_in: usize) -> Vec<(String, u64)> {
+        let list = self.ask(stand_in, "/executions").await;
+        let read =
+            |e: &serde_json::Value| Some((e["key"].as_str()?.into(), e["executions"].as_u64()?));
+        let all = list.as_array().expect("a list").iter().filter_map(read);
+        all.filter(|(key, _): &(String, u64)| !key.is_empty()).collect()
+    }
+
+    /// What a stand-in answers on one of its own paths.
+    pub async fn ask(&self, stand_in: usize, path: &str) -> serde_json::Value {
+        let url = format!("http://{}{path}", self.stand_ins[stand_in].address);
+        self.client.get(url).send().await.expect("answer").json().await.expect("JSON")
+    }
+
+    /// Turns of a program of the first team with the contents of their prompts, once a running
+    /// instance answers.
+    pub async fn history(&self, program: &str) -> Vec<(u64, String)> {
+        let mut turns = Vec::new();
+        eventually("a history", async || {
+            for i in self.live() {
+                let url = format!("http://{}/v1/programs/{program}/history", self.members[i].entry);
+                let call = self.client.get(url).bearer_auth(self.objects.team_key());
+                let Ok(answer) = call.timeout(CALL_TIMEOUT).send().await else { continue };
+                let Ok(page) = answer.json::<serde_json::Value>().await else { continue };
+                if let Some(list) = page["turns"].as_array() {
+                    turns = list.iter().map(read_turn).collect();
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+        turns
+    }
+
+    /// Generation in force at instance `i`, as its metrics say; None while it does not answer.
+    pub async fn generation_at(&self, i: usize) -> Option<u64> {
+        generation_of(&self.client, self.members[i].probe).await
+    }
+
+    /// Waits until the objects of a generation are in force at instance `i`.
+    pub async fn wait_generation(&self, i: usize, generation: u64) {
+        eventually("a generation", async || {
+            self.generation_at(i).await.is_some_and(|g| g >= generation)
+        })
+        .await;
     }
 
     /// What all processes have logged, for the report of a failure.
@@ -294,6 +413,35 @@
     }
 }
 
+/// Shows what the processes have logged when a test fails.
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for i in 0..self.members.len() {
+                let log = self.log(i);
+                let lines: Vec<&str> = log.lines().collect();
+                let last = lines.len().saturating_sub(LOG_LINES_SHOWN);
+                println!("--- {}\n{}", self.members[i].name, lines[last..].join("\n"));
+            }
+        }
+    }
+}
+
+/// Generation in force at the instance with this probe address.
+pub async fn generation_of(client: &reqwest::Client, probe: SocketAddr) -> Option<u64> {
+    let call = client.get(format!("http://{probe}/metrics")).timeout(CALL_TIMEOUT);
+    let text = call.send().await.ok()?.text().await.ok()?;
+    text.lines().find_map(|l| l.strip_prefix("poplarspan_generation ")?.parse().ok())
+}
+
+fn read_turn(turn: &serde_json::Value) -> (u64, String) {
+    let number = turn["turn"].as_u64().expect("a number");
+    let request = turn["request"].as_str().expect("the body of the call");
+    let request: serde_json::Value = serde_json::from_str(request).expect("JSON");
+    let content = request["messages"][0]["content"].as_str().expect("a prompt");
+    (number, content.to_owned())
+}
+
 fn path(folder: &TempDir, name: &str) -> String {
     folder.path().join(name).to_str().expect("plain path").to_owned()
 }
--- /dev/null
+++ b/tests/support/traffic.rs
@@ -0,0 +1,200 @@
+//! Callers that go on through faults, and what was promised to them.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use reqwest::{Client, RequestBuilder, Response};
+use tokio::{task::JoinSet, time::sleep};
+
+use super::{Fleet, eventually};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+const PAUSE: Duration = Duration::from_millis(50);
+const TURNS: u32 = 30;
+
+/// An answer as callers judge it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub code: String,
+    pub ran: String,
+}
+
+impl Answer {
+    pub fn is(&self, code: &str, ran: &str) -> bool {
+        self.code == code && self.ran == ran
+    }
+}
+
+/// Sends a call; without an answer the status is 0.
+pub async fn answer(call: RequestBuilder) -> Answer {
+    match call.timeout(CALL_TIMEOUT).send().await {
+        Ok(response) => read(response).await,
+        Err(_) => Answer::default(),
+    }
+}
+
+async fn read(response: Response) -> Answer {
+    let status = response.status().as_u16();
+    let Ok(body) = response.json::<serde_json::Value>().await else { return Answer::default() };
+    let text = |name: &str| body["error"][name].as_str().unwrap_or_default().to_owned();
+    Answer { status, code: text("code"), ran: text("ran") }
+}
+
+/// What callers were promised.
+#[derive(Default)]
+struct Promises {
+    /// Programs with the number of turns that were answered.
+    turns: Mutex<Vec<(String, u32)>>,
+    /// Keys of all orders, with whether they were answered.
+    orders: Mutex<Vec<(String, bool)>>,
+}
+
+/// Callers that run programs and orders at all instances until they are stopped.
+pub struct Traffic {
+    promises: Arc<Promises>,
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicUsize>,
+    tasks: JoinSet<()>,
+}
+
+struct Caller {
+    client: Client,
+    entries: Vec<SocketAddr>,
+    key: String,
+    rng: StdRng,
+    promises: Arc<Promises>,
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicUsize>,
+}
+
+impl Traffic {
+    /// Starts callers of programs, and as many callers of orders.
+    pub fn start(fleet: &Fleet, callers: u64) -> Self {
+        let promises = Arc::<Promises>::default();
+        let stop = Arc::<AtomicBool>::default();
+        let answered = Arc::<AtomicUsize>::default();
+        let mut tasks = JoinSet::new();
+        for n in 0..callers {
+            let caller = || Caller {
+                client: fleet.client.clone(),
+                entries: fleet.members.iter().map(|m| m.entry).collect(),
+                key: fleet.objects.team_key().to_owned(),
+                rng: StdRng::seed_from_u64(n),
+                promises: promises.clone(),
+                stop: stop.clone(),
+                answered: answered.clone(),
+            };
+            tasks.spawn(caller().run_programs(n));
+            tasks.spawn(caller().run_orders(n));
+        }
+        Self { promises, stop, answered, tasks }
+    }
+
+    /// Waits until calls that begin from now on are answered.
+    pub async fn goes_on(&self) {
+        let enough = self.answered.load(Ordering::Relaxed) + 4 * self.tasks.len();
+        let what = "further answers";
+        eventually(what, async || self.answered.load(Ordering::Relaxed) >= enough).await;
+    }
+
+    /// Ends the callers and checks every promise: each answered turn is in the history, in order
+    /// and once; each answered order ran once, and no order ran twice.
+    pub async fn stop_and_check(mut self, fleet: &Fleet, stand_in: usize) {
+        self.stop.store(true, Ordering::Relaxed);
+        while let Some(ended) = self.tasks.join_next().await {
+            ended.expect("no caller panics");
+        }
+        let turns = std::mem::take(&mut *self.promises.turns.lock().expect("no panic"));
+        assert!(!turns.is_empty(), "no turn was answered");
+        for (program, answered) in turns {
+            let history = fleet.history(&program).await;
+            let whole: Vec<(u64, String)> = (1..=answered.max(history.len() as u32))
+                .map(|turn| (u64::from(turn), content(&program, turn)))
+                .collect();
+            assert_eq!(history, whole, "{program}: {answered} turns were answered");
+        }
+        let orders = std::mem::take(&mut *self.promises.orders.lock().expect("no panic"));
+        let executions = fleet.all_executions(stand_in).await;
+        for (key, answered) in orders {
+            let ran = executions.iter().find(|(k, _)| *k == key).map_or(0, |(_, n)| *n);
+            let allowed = if answered { 1..=1 } else { 0..=1 };
+            assert!(allowed.contains(&ran), "{key} ran {ran} times; answered: {answered}");
+        }
+    }
+}
+
+fn content(program: &str, turn: u32) -> String {
+    format!("{program}, question {turn}")
+}
+
+impl Caller {
+    async fn run_programs(mut self, caller: u64) {
+        for n in 0.. {
+            let program = format!("program-{caller}-{n}");
+            for turn in 1..=TURNS {
+                let body = serde_json::json!({
+                    "model": "chat-model", "max_tokens": 2,
+                    "messages": [{"role": "user", "content": content(&program, turn)}],
+                });
+                loop {
+                    if self.stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let call = self.call("/v1/chat/completions").json(&body);
+                    let call = call.header("x-poplarspan-program", &program);
+                    let got = answer(call.header("x-poplarspan-turn", turn)).await;
+                    if got.status == 200 {
+                        break;
+                    }
+                    sleep(PAUSE).await;
+                }
+                self.note_turn(&program, turn);
+            }
+        }
+    }
+
+    fn note_turn(&self, program: &str, turn: u32) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        let mut turns = self.promises.turns.lock().expect("no panic");
+        match turns.iter_mut().find(|(p, _)| p == program) {
+            Some(known) => known.1 = turn,
+            None => turns.push((program.to_owned(), turn)),
+        }
+    }
+
+    async fn run_orders(mut self, caller: u64) {
+        for n in 0.. {
+            let key = format!("order-{caller}-{n}");
+            let mut outcome = Answer::default();
+            while outcome.status != 200 && outcome.code != "outcome_unknown" {
+                if self.stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                let call = self.call("/orders").header("idempotency-key", &key).body("{}");
+                outcome = answer(call).await;
+                if outcome.status != 200 {
+                    sleep(PAUSE).await;
+                }
+            }
+            let answered = outcome.status == 200;
+            self.promises.orders.lock().expect("no panic").push((key, answered));
+            if self.stop.load(Ordering::Relaxed) {
+                return;
+            }
+            self.answered.fetch_add(usize::from(answered), Ordering::Relaxed);
+        }
+    }
+
+    fn call(&mut self, path: &str) -> RequestBuilder {
+        let entry = self.entries[self.rng.random_range(0..self.entries.len())];
+        self.client.post(format!("http://{entry}{path}")).bearer_auth(&self.key)
+    }
+}
