--- /dev/null
+++ b/tests/isolated_instance.rs
@@ -0,0 +1,118 @@
+//! Guards against calls and statements of an instance that is cut off from the rest.
+
+mod support;
+
+use reqwest::RequestBuilder;
+use support::{
+    Fleet, eventually,
+    traffic::{Answer, answer},
+};
+
+const ENTRY: usize = 3;
+
+/// Adds a route that needs no key.
+fn add_open_route(fleet: &mut Fleet) {
+    fleet.objects.extra += "[[route]]\nname = \"open\"\npath = \"/open\"\nkind = \"service\"\n\
+                            service = \"orders\"\nopen = true\n";
+}
+
+fn open_call(fleet: &Fleet, i: usize) -> RequestBuilder {
+    fleet.client.get(format!("http://{}/open", fleet.members[i].entry))
+}
+
+fn no_lease() -> Answer {
+    Answer { status: 503, code: "no_lease".to_owned(), ran: "no".to_owned() }
+}
+
+/// Checks that an instance without a lease refuses every keyed call and serves open routes.
+async fn check_without_lease(fleet: &Fleet, i: usize) {
+    let name = format!("refused-{i}");
+    eventually("the end of the lease", async || {
+        answer(fleet.chat(i, "cut off")).await == no_lease()
+    })
+    .await;
+    for _ in 0..10 {
+        assert_eq!(answer(fleet.chat(i, "cut off")).await, no_lease());
+        assert_eq!(answer(fleet.order(i, &name, "{}")).await, no_lease());
+        let url = format!("http://{}/v1/models", fleet.members[i].entry);
+        let models = fleet.client.get(url).bearer_auth(fleet.objects.team_key());
+        assert_eq!(answer(models).await, no_lease());
+        assert_eq!(answer(open_call(fleet, i)).await.status, 200, "open routes go on");
+    }
+    assert_eq!(fleet.executions(1, &name).await, 0);
+}
+
+async fn check_serving(fleet: &Fleet, i: usize) {
+    fleet.wait_ready(i).await;
+    assert_eq!(answer(fleet.chat(i, "back")).await.status, 200);
+    assert_eq!(answer(fleet.order(i, &format!("back-{i}"), "{}")).await.status, 200);
+}
+
+/// An entry instance that is cut off, in both directions or in one, stops keyed calls once its
+/// lease is out, does not hold publications up, and serves again afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_cut_off() {
+    let mut fleet = Fleet::start(3, 1).await;
+    add_open_route(&mut fleet);
+    fleet.publish_and_wait().await;
+    let replicas = 0..3;
+    let cuts: [&dyn Fn(&Fleet); 3] = [
+        &|f| f.network.isolate(ENTRY),
+        &|f| replicas.clone().for_each(|r| f.network.cut_one_way(ENTRY, r)),
+        &|f| replicas.clone().for_each(|r| f.network.cut_one_way(r, ENTRY)),
+    ];
+    for (n, cut) in cuts.iter().enumerate() {
+        cut(&fleet);
+        let generation = fleet.generation();
+        fleet.publish(0, generation, &format!("cut-{n}")).success();
+        fleet.set_generation(generation + 1);
+        check_without_lease(&fleet, ENTRY).await;
+        assert_eq!(fleet.generation_at(ENTRY).await, Some(generation), "nothing got through");
+        fleet.network.heal();
+        check_serving(&fleet, ENTRY).await;
+        fleet.wait_generation(ENTRY, generation + 1).await;
+    }
+}
+
+/// A leader that is cut off steps down: it gives itself no lease, and states nothing that is no
+/// longer so.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_cut_off() {
+    let mut fleet = Fleet::start(3, 0).await;
+    add_open_route(&mut fleet);
+    fleet.publish_and_wait().await;
+    for one_way in [false, true] {
+        let live = fleet.live().next().expect("an instance runs");
+        let old = fleet.wait_group_leader(live, 0).await;
+        let rest: Vec<usize> = (0..3).filter(|i| *i != old).collect();
+        if one_way {
+            rest.iter().for_each(|r| fleet.network.cut_one_way(*r, old));
+        } else {
+            fleet.network.isolate(old);
+        }
+        let generation = fleet.generation();
+        eventually("another leader", async || fleet.leader(rest[0], 0).is_some_and(|l| l != old))
+            .await;
+        fleet.publish(rest[0], generation, &format!("request-{generation}")).success();
+        fleet.set_generation(generation + 1);
+        for _ in 0..3 {
+            check_no_stale_statement(&fleet, old, generation + 1);
+        }
+        check_without_lease(&fleet, old).await;
+        fleet.network.heal();
+        for i in 0..3 {
+            check_serving(&fleet, i).await;
+            fleet.wait_generation(i, generation + 1).await;
+        }
+    }
+}
+
+/// The instance may pass the question on to the new leader, if it can reach it.
+fn check_no_stale_statement(fleet: &Fleet, old: usize, generation: u64) {
+    let operator = fleet.operator().with_timeout("1s");
+    let status = operator.status(old);
+    assert!(status.is_null() || status["generation"] == generation, "{status}");
+    let objects = operator.run(old, &["get"]);
+    let current = objects.stdout.starts_with(&format!("generation {generation}\n"));
+    assert!(!objects.status.success() || current, "{}", objects.stdout);
+}
