--- /dev/null
+++ b/tests/withdrawn_key.rs
@@ -0,0 +1,68 @@
+//! Guards against calls under a key that was withdrawn.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use support::{
+    Fleet, eventually,
+    traffic::{Answer, answer},
+};
+use tokio::task::JoinSet;
+
+const ENGINE: usize = 0;
+const SERVICE: usize = 1;
+const CALLS: usize = 40;
+/// Within this time an accepted publication is in force everywhere, by design section 1. Measured
+/// from the start of the operator's command to its end, which is more.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(7);
+
+fn unauthorized() -> Answer {
+    Answer { status: 401, code: "unauthorized".to_owned(), ran: "no".to_owned() }
+}
+
+/// A withdrawn key stops within seconds, on open connections and for calls that wait in the queue.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_calls() {
+    let mut fleet = Fleet::prepare(1, 1).await;
+    fleet.add_stand_in("engine-1", "engine", &["--capacity", "4", "--token-interval", "800ms"]);
+    fleet.add_stand_in("orders-1", "service", &["--delay", "3s"]);
+    fleet.objects.capacity = 4;
+    fleet.start_all().await;
+    fleet.publish_and_wait().await;
+    // Open connections, which the calls after the withdrawal use again.
+    for i in 0..2 {
+        let url = format!("http://{}/v1/models", fleet.members[i].entry);
+        let models = fleet.client.get(url).bearer_auth(fleet.objects.team_key());
+        assert_eq!(answer(models).await.status, 200);
+    }
+    let mut calls = JoinSet::new();
+    for n in 0..CALLS {
+        let program = fleet.chat(n % 2, "waits").header("x-poplarspan-program", format!("p-{n}"));
+        calls.spawn(answer(if n % 4 < 2 { program } else { fleet.chat(n % 2, "waits") }));
+        calls.spawn(answer(fleet.order(n % 2, &format!("order-{n}"), "{}")));
+    }
+    eventually("calls at the endpoints", async || {
+        !fleet.all_executions(SERVICE).await.is_empty()
+            && fleet.ask(ENGINE, "/load").await["running"] != 0
+    })
+    .await;
+    fleet.objects.withdrawn = true;
+    let started = Instant::now();
+    fleet.publish(0, 1, "withdrawal").success();
+    let took = started.elapsed();
+    assert!(took < IN_FORCE_WITHIN, "in force after {took:?}");
+    let ran = fleet.all_executions(SERVICE).await;
+    for i in 0..2 {
+        assert_eq!(answer(fleet.chat(i, "late")).await, unauthorized());
+        assert_eq!(answer(fleet.order(i, "late", "{}")).await, unauthorized());
+    }
+    let mut refused = 0;
+    while let Some(answer) = calls.join_next().await {
+        let answer = answer.expect("no panic");
+        assert!(answer.status == 200 || answer == unauthorized(), "{answer:?}");
+        refused += usize::from(answer == unauthorized());
+    }
+    assert_eq!(fleet.all_executions(SERVICE).await, ran, "orders that ran after the withdrawal");
+    assert!(refused >= CALLS, "most calls still waited; {refused} of {} refused", 2 * CALLS);
+}
