--- /dev/null
+++ b/tests/zone_out.rs
@@ -0,0 +1,111 @@
+//! Guards against new work for zones that were taken out and for endpoints that leave.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use support::{
+    Fleet, eventually,
+    traffic::{Answer, answer},
+};
+use tokio::{task::JoinSet, time::sleep};
+
+/// Stand-in services by index; the first stands in zone-1.
+const FIRST: usize = 0;
+const OTHERS: [usize; 2] = [1, 2];
+const CALLERS: usize = 24;
+/// For calls that had been sent before.
+const A_FEW_SECONDS: Duration = Duration::from_secs(1);
+
+/// Callers that keep queues at both instances, until they are stopped.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    tasks: JoinSet<Vec<Answer>>,
+}
+
+impl Callers {
+    fn start(fleet: &Fleet) -> Self {
+        let stop = Arc::<AtomicBool>::default();
+        let mut tasks = JoinSet::new();
+        for n in 0..CALLERS {
+            let (stop, client) = (stop.clone(), fleet.client.clone());
+            let url = format!("http://{}/orders", fleet.members[n % 2].entry);
+            let key = fleet.objects.team_key().to_owned();
+            tasks.spawn(async move {
+                let mut refused = Vec::new();
+                for call in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let request = client.get(&url).bearer_auth(&key);
+                    let key = format!("call-{n}-{call}");
+                    let got = answer(request.header("idempotency-key", key)).await;
+                    if got.status != 200 {
+                        refused.push(got);
+                    }
+                }
+                refused
+            });
+        }
+        Self { stop, tasks }
+    }
+
+    async fn stop(mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        while let Some(refused) = self.tasks.join_next().await {
+            assert_eq!(refused.expect("no panic"), [], "calls that were refused");
+        }
+    }
+}
+
+async fn served(fleet: &Fleet, stand_in: usize) -> usize {
+    fleet.all_executions(stand_in).await.len()
+}
+
+async fn served_by_others(fleet: &Fleet) -> usize {
+    served(fleet, OTHERS[0]).await + served(fleet, OTHERS[1]).await
+}
+
+/// Checks that the first endpoint gets nothing while the others go on, and gets calls again after
+/// `put_back` is published.
+async fn check_out_and_back(fleet: &mut Fleet, put_back: impl FnOnce(&mut Fleet)) {
+    fleet.publish_and_wait_in_force().await;
+    sleep(A_FEW_SECONDS).await;
+    let (first, others) = (served(fleet, FIRST).await, served_by_others(fleet).await);
+    eventually("calls elsewhere", async || served_by_others(fleet).await > others + 100).await;
+    assert_eq!(served(fleet, FIRST).await, first, "calls at the endpoint that was taken out");
+    put_back(fleet);
+    fleet.publish_and_wait_in_force().await;
+    eventually("calls at the endpoint again", async || served(fleet, FIRST).await > first).await;
+}
+
+/// While a zone, and then an endpoint, is out, it gets no call, queued ones included; callers are
+/// served elsewhere without a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_and_endpoint() {
+    let mut fleet = Fleet::prepare(1, 1).await;
+    for name in ["orders-1", "orders-2", "orders-3"] {
+        fleet.add_stand_in(name, "service", &["--delay", "50ms"]);
+    }
+    fleet.add_stand_in("engine-1", "engine", &[]);
+    fleet.objects.capacity = 6;
+    fleet.objects.rate = (5000, 5000);
+    fleet.start_all().await;
+    fleet.publish_and_wait().await;
+    let callers = Callers::start(&fleet);
+    eventually("calls at every endpoint", async || {
+        served(&fleet, FIRST).await > 10 && served_by_others(&fleet).await > 20
+    })
+    .await;
+    fleet.objects.zones_out = vec!["zone-1".to_owned()];
+    check_out_and_back(&mut fleet, |f| f.objects.zones_out.clear()).await;
+    fleet.objects.set_leaving("orders-1", true);
+    check_out_and_back(&mut fleet, |f| f.objects.set_leaving("orders-1", false)).await;
+    callers.stop().await;
+}
