--- a/tests/support/objects.rs
+++ b/tests/support/objects.rs
@@ -20,6 +20,8 @@
     pub capacity: u32,
     /// Tokens of the budget of each program.
     pub budget_tokens: u64,
+    /// Calls at once that each endpoint is said to bear.
+    pub capacity: u32,
     /// More text at the end of the file.
     pub extra: String,
 }
@@ -44,6 +46,7 @@
             rate: (500, 500),
             capacity: 64,
             budget_tokens: 100_000,
+            capacity: 64,
             extra: String::new(),
         }
     }
