--- a/tests/support/objects.rs
+++ b/tests/support/objects.rs
@@ -16,8 +16,6 @@
     pub withdrawn: bool,
     /// Rate and burst of the first team.
     pub rate: (u32, u32),
-    /// Concurrent requests of each endpoint.
-    pub capacity: u32,
     /// Tokens of the budget of each program.
     pub budget_tokens: u64,
     /// Calls at once that each endpoint is said to bear.
@@ -44,7 +42,6 @@
             zones_out: Vec::new(),
             withdrawn: false,
             rate: (500, 500),
-            capacity: 64,
             budget_tokens: 100_000,
             capacity: 64,
             extra: String::new(),
