--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod process;
 pub mod publisher;
 pub mod traffic;
+pub mod watch;
 
 use std::{
     net::SocketAddr,
--- /dev/null
+++ b/tests/support/watch.rs
@@ -0,0 +1,55 @@
+//! Watches that no instance goes back to an older generation.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{task::JoinHandle, time::sleep};
+
+use super::{Fleet, generation_of};
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Watches the generation in force at each instance until it is stopped.
+pub struct Watch {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<Vec<u64>>,
+}
+
+impl Watch {
+    pub fn start(fleet: &Fleet) -> Self {
+        let stop = Arc::<AtomicBool>::default();
+        let (client, stopped) = (fleet.client.clone(), stop.clone());
+        let members: Vec<_> =
+            fleet.members.iter().map(|m| (m.probe, m.replica.is_some())).collect();
+        let task = tokio::spawn(async move {
+            let mut highest = vec![0; members.len()];
+            while !stopped.load(Ordering::Relaxed) {
+                for (i, (probe, has_disk)) in members.iter().enumerate() {
+                    let Some(generation) = generation_of(&client, *probe).await else { continue };
+                    // Without a disk an instance starts without objects.
+                    let none_yet = generation == 0 && !has_disk;
+                    assert!(
+                        none_yet || generation >= highest[i],
+                        "instance {i} went back from generation {} to {generation}",
+                        highest[i]
+                    );
+                    highest[i] = highest[i].max(generation);
+                }
+                sleep(PAUSE).await;
+            }
+            highest
+        });
+        Self { stop, task }
+    }
+
+    /// Stops, and returns the highest generation of each instance.
+    pub async fn stop(self) -> Vec<u64> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.task.await.expect("no generation goes back")
+    }
+}
