Document each crate's purpose, owners, units and errors

The root modules of most crates had one sentence. Each now says what it is for, who owns its state and what happens when the owner fails, units, errors and the published algorithm where there is one, with a doc example. Missing sections were added: Errors of FairQueue::push and Chooser::choose, Panics of the Fleet methods that take an EndpointId, of Core::step and of NodeBuilder::start. No behaviour changes.

--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -108,6 +108,10 @@
     /// `now` is the time of the replica's monotonic clock, read after the input arrived: a follower
     /// that takes a heartbeat for older than it is would vote while the leader's lease still holds.
     /// A time before that of an earlier step counts as that step's time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the configured shortest election timeout is longer than the longest one.
     pub fn step(&mut self, now: Duration, input: Input) -> Output {
         self.now = self.now.max(now);
         if !self.started {
--- a/crates/agreement/src/driver/node.rs
+++ b/crates/agreement/src/driver/node.rs
@@ -50,6 +50,10 @@
     /// # Errors
     ///
     /// Fails when the store or a snapshot cannot be read.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a Tokio runtime, and if the queue of the configuration has no room at all.
     pub async fn start(self) -> Result<Node, NodeError> {
         let mut stored = self.storage.load().await?;
         let cfg = Arc::new(self.cfg);
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -1,4 +1,89 @@
 //! A replicated log for several groups, with storage, transport and clock behind traits.
+//!
+//! Replicas of a group agree on one order of commands, and a [`StateMachine`] at each of them
+//! applies the commands in this order. The protocol is Raft (Ongaro and Ousterhout, "In Search of
+//! an Understandable Consensus Algorithm", 2014), with pre-vote, check-quorum, leader leases,
+//! learners and leadership transfer.
+//!
+//! * [`Node`] runs all groups of a process; [`GroupHandle`] proposes commands and reads. To embed
+//!   it, implement [`StateMachine`] and [`Transport`]. See `examples/replicated_counter.rs`.
+//! * [`Core`] is the protocol of one group as a pure state machine, for other drivers.
+//! * [`FileStore`] keeps the logs of all groups on disk, [`MemoryStore`] in memory, with faults, for
+//!   tests. [`Storage`] is their interface.
+//! * [`DataDir`] identifies a replica's disk, so that a replica that lost it cannot vote again
+//!   under its former number.
+//!
+//! # Owners and failures
+//!
+//! A node's task owns the cores and state machines, its store the files; nothing else writes
+//! there. When a process dies, the other voters elect a leader and go on while a majority of them
+//! is left, and a restarted replica continues from what it had synced. When a write or sync fails,
+//! the node stops for good ([`Node::failed`]) and the process should end. A lost disk is replaced
+//! under a new replica number.
+//!
+//! # Units and errors
+//!
+//! Time is a [`Duration`](std::time::Duration) since an arbitrary start, from the runtime's
+//! clock; indices and terms count from 1. [`ProposeError`] distinguishes commands that will never
+//! be executed from those with an unknown outcome.
+//!
+//! # Example
+//!
+//! A group with a single voter and a store in memory:
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use bytes::Bytes;
+//! use poplarspan_agreement::{
+//!     GroupId, MemoryDisk, MemoryStore, Node, PeerMessage, ReplicaId, StateMachine, StoreOptions,
+//!     Transport, init_voters,
+//! };
+//!
+//! #[derive(Default)]
+//! struct Bytewise(u64);
+//!
+//! impl StateMachine for Bytewise {
+//!     fn apply(&mut self, _index: u64, data: &[u8]) -> Bytes {
+//!         self.0 += data.len() as u64;
+//!         self.snapshot()
+//!     }
+//!
+//!     fn snapshot(&self) -> Bytes {
+//!         Bytes::copy_from_slice(&self.0.to_be_bytes())
+//!     }
+//!
+//!     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
+//!         self.0 = u64::from_be_bytes(snapshot.try_into()?);
+//!         Ok(())
+//!     }
+//! }
+//!
+//! struct NoPeers;
+//!
+//! impl Transport for NoPeers {
+//!     fn send(&self, _to: ReplicaId, _message: PeerMessage) {}
+//! }
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> anyhow::Result<()> {
+//! let (id, group) = (ReplicaId(1), GroupId(1));
+//! let disk = MemoryDisk::new();
+//! MemoryStore::create(&disk)?;
+//! let store = MemoryStore::open(&disk, StoreOptions::default())?;
+//! init_voters(&store, &[group], &[id]).await?;
+//! let node = Node::builder(id, Box::new(store), Arc::new(NoPeers))
+//!     .group(group, Box::<Bytewise>::default())
+//!     .start()
+//!     .await?;
+//! let handle = node.group(group).expect("added above");
+//! handle.watch().wait_for(|view| view.lease).await?;
+//! handle.propose(Bytes::from_static(b"four")).await?;
+//! assert_eq!(handle.query(|machine: &Bytewise| machine.0).await?, 4);
+//! node.shutdown().await;
+//! # Ok(())
+//! # }
+//! ```
 
 mod convert;
 mod core;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -2,13 +2,50 @@
 //!
 //! [`Catalog`] (group 0) holds the object set, the results of publications and the registered
 //! instances. [`Ledger`] (one per program group) holds programs: the order of their turns, budgets,
-//! claims, answers, history, and the orders that make endpoints release memory.
+//! claims, answers, history, and the orders that make endpoints release memory. [`group_of`] and
+//! [`group_of_key`] say which group holds a program or a call.
+//!
+//! # Owners and failures
 //!
 //! The state belongs to the replicated log: every replica applies the same entries in the same
 //! order and reaches the same state. When a replica fails, another one that applied the same
-//! entries goes on. Commands, answers, queries and snapshots are protobuf messages of
-//! [`poplarspan_proto::ledger`]. Time is stamped on each command by the group's leader; a state
-//! machine never lets it fall.
+//! entries goes on. When the instance that claimed a call fails, an idempotent call may be claimed
+//! again; the outcome of any other is unknown and stays so.
+//!
+//! # Use
+//!
+//! Commands, answers, queries and snapshots are protobuf messages of [`poplarspan_proto::ledger`],
+//! encoded with `prost`. Neither state machine does I/O, so each also runs without a log, as in
+//! `examples/program_turns.rs` and `examples/publish_objects.rs`.
+//!
+//! Time is in milliseconds since the Unix epoch, stamped on each command by the group's leader; a
+//! state machine never lets it fall. Budgets are in tokens, sizes in bytes.
+//!
+//! A refusal is an answer like any other, because it is part of the replicated order; a malformed
+//! command is answered as `Invalid`. Only restoring a snapshot returns an error ([`RestoreError`]).
+//!
+//! # Example
+//!
+//! ```
+//! use poplarspan_ledger::Catalog;
+//! use poplarspan_proto::ledger::{
+//!     CatalogAnswer, CatalogCommand, Publish, Published, catalog_answer::Answer,
+//!     catalog_command::Command,
+//! };
+//! use prost::Message;
+//!
+//! let publish = Publish {
+//!     expected_generation: 0,
+//!     request_id: "first".into(),
+//!     operator: "ann".into(),
+//!     ..Publish::default()
+//! };
+//! let command = CatalogCommand { now_ms: 0, command: Some(Command::Publish(publish)) };
+//! let mut catalog = Catalog::new();
+//! let answer = CatalogAnswer::decode(catalog.apply(1, &command.encode_to_vec()))?;
+//! assert_eq!(answer.answer, Some(Answer::Published(Published { generation: 1 })));
+//! # Ok::<(), prost::DecodeError>(())
+//! ```
 
 mod catalog;
 mod error;
--- a/crates/policy/src/fair/queue.rs
+++ b/crates/policy/src/fair/queue.rs
@@ -107,6 +107,10 @@
     }
 
     /// Queues a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the call when its team or the whole queue has as many waiting as it may.
     pub fn push(&mut self, call: Call<T>, now: Duration) -> Result<QueueId, Full<T>> {
         if self.index.len() >= self.cfg.max_total {
             return Err(Full::Queue(call));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,11 +1,5 @@
 //! Decisions of the scheduler as pure functions and small state machines.
 //!
-//! Nothing in this crate reads a clock, opens a socket or spawns a task. Time is an argument: a
-//! [`std::time::Duration`] since an arbitrary start that is the same for all calls on one object
-//! (for example the elapsed time of the runtime's clock since the process started). Randomness is
-//! an argument too. All state belongs to the instance that holds it and is rebuilt after a crash;
-//! the module comments say how.
-//!
 //! * [`rate`]: rate limits of teams, counted over all instances.
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 //! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
@@ -13,6 +7,62 @@
 //! * [`retry`]: budget for retries.
 //! * [`containment`]: requests that crash the endpoints that run them.
 //! * [`placement`]: models on endpoints.
+//!
+//! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
+//! of them alone; `examples/compare.rs` simulates them together against baselines.
+//!
+//! # Owners and failures
+//!
+//! All state is in memory, belongs to the instance that holds it and is rebuilt after a crash; the
+//! module comments say how. Rate buckets have one owner in the fleet: when it dies, a successor
+//! waits until every grant of the former owner must have expired.
+//!
+//! # Units
+//!
+//! Nothing in this crate reads a clock, opens a socket or spawns a task. Time is an argument: a
+//! [`std::time::Duration`] since an arbitrary start that is the same for all calls on one object
+//! (for example the elapsed time of the runtime's clock since the process started); only
+//! [`containment`] takes wall-clock milliseconds, because its records travel between instances.
+//! Randomness is an argument too. A token of [`rate`] admits one request; the cost of a call in
+//! [`fair`] is in model tokens, and that of an endpoint in [`route`] in seconds.
+//!
+//! # Errors
+//!
+//! A refusal is a value that says what the caller may do next, for example
+//! [`Admission::Refused`](rate::Admission::Refused) or [`NoRoute`](route::NoRoute). A broken
+//! invariant panics in debug builds; in release builds it is logged and counted ([`violations`]).
+//!
+//! # Sources
+//!
+//! [`fair`] is start-time fair queueing (Goyal, Vin and Cheng, "Start-time Fair Queuing", 1996),
+//! and within a team orders programs by least attained service. [`rate::owner_of`] is rendezvous
+//! hashing (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998).
+//! Routing among near-equal costs uses two random choices (Mitzenmacher, "The Power of Two Choices
+//! in Randomized Load Balancing", 2001).
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use poplarspan_policy::fair::{Call, FairQueue, Fcfs, FixedLimit, QueueConfig};
+//!
+//! let now = Duration::ZERO;
+//! let mut queue = FairQueue::new(QueueConfig::default(), Box::new(Fcfs));
+//! for (team, number) in [("red", 1), ("red", 2), ("blue", 3)] {
+//!     let deadline = Duration::from_secs(60);
+//!     let (team, cost) = (team.into(), 100);
+//!     let call = Call { team, weight: 1, program: None, cost, deadline, payload: number };
+//!     queue.push(call, now).expect("room in the queue");
+//! }
+//! let mut limit = FixedLimit::new(2);
+//! let mut served = Vec::new();
+//! while let Some(entry) = queue.pop(&mut limit, now) {
+//!     served.push(entry.call.payload);
+//! }
+//! served.sort();
+//! assert_eq!(served, [1, 3], "one of each team");
+//! ```
 
 mod check;
 pub mod containment;
--- a/crates/policy/src/route/choose.rs
+++ b/crates/policy/src/route/choose.rs
@@ -46,6 +46,10 @@
 /// Chooses endpoints.
 pub trait Chooser: Send {
     /// Returns an endpoint for a call.
+    ///
+    /// # Errors
+    ///
+    /// Says whether no endpoint may receive the call at all, or whether all that may are full.
     fn choose(
         &mut self,
         fleet: &Fleet,
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -131,6 +131,10 @@
     }
 
     /// Sets whether an endpoint is healthy; an unhealthy one receives no new calls.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn set_healthy(&mut self, id: EndpointId, healthy: bool) {
         self.endpoints[id.0 as usize].healthy = healthy;
         self.refresh(id);
@@ -138,11 +142,19 @@
 
     /// Sets the calls that this instance may have in flight there, or none for no cap. It and
     /// [`Fleet::set_total`] follow [`Ramps::cap`](crate::ramp::Ramps::cap).
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn set_cap(&mut self, id: EndpointId, cap: Option<u32>) {
         self.hot[id.0 as usize].cap = cap.unwrap_or(u32::MAX);
     }
 
     /// Lowers the capacity of all instances together while an endpoint is cold, or restores it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn set_total(&mut self, id: EndpointId, total: Option<u32>) {
         let capacity = self.endpoints[id.0 as usize].spec.capacity.max(1);
         self.endpoints[id.0 as usize].total = total;
@@ -150,6 +162,10 @@
     }
 
     /// Takes note of a load report. Reports older than the last one are ignored.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn report(&mut self, id: EndpointId, report: &LoadReport) {
         let endpoint = &mut self.endpoints[id.0 as usize];
         if report.taken < endpoint.taken {
@@ -164,12 +180,20 @@
     }
 
     /// Notes that this instance dispatched a call.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn began(&mut self, id: EndpointId, now: Duration) {
         self.hot[id.0 as usize].own += 1;
         self.log(id, now, 1);
     }
 
     /// Notes that a call of this instance ended, with its service time if it succeeded.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn ended(&mut self, id: EndpointId, service: Option<Duration>, now: Duration) {
         let hot = &mut self.hot[id.0 as usize];
         hot.own = hot.own.saturating_sub(1);
@@ -181,21 +205,37 @@
     }
 
     /// Calls of this instance in flight at an endpoint.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn own_in_flight(&self, id: EndpointId) -> u32 {
         self.hot[id.0 as usize].own
     }
 
     /// Estimated load of an endpoint in calls.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn load(&self, id: EndpointId) -> f64 {
         f64::from(self.hot[id.0 as usize].load)
     }
 
     /// Whether an endpoint may receive new calls, apart from its cap and load.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn is_open(&self, id: EndpointId) -> bool {
         self.hot[id.0 as usize].open
     }
 
     /// Specification of an endpoint.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
     pub fn spec(&self, id: EndpointId) -> &EndpointSpec {
         &self.endpoints[id.0 as usize].spec
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -1,7 +1,20 @@
 //! Protobuf types of all messages between the processes of Poplarspan.
 //!
 //! The types are generated from `proto/*.proto` and committed, so that a build needs no generator.
-//! After a change run `cargo run -p poplarspan-proto --example generate`.
+//! After a change run `cargo run -p poplarspan-proto --example generate`. The `.proto` files state
+//! what the names leave open; units are part of field names (`_ms`, `_bytes`, `_tokens`).
+//!
+//! The crate holds no state. The types check only the encoding; whoever receives a message checks
+//! its content.
+//!
+//! ```
+//! use poplarspan_proto::ledger::Claimant;
+//! use prost::Message;
+//!
+//! let claimant = Claimant { instance: "i1".into(), incarnation: 7 };
+//! assert_eq!(Claimant::decode(&claimant.encode_to_vec()[..])?, claimant);
+//! # Ok::<(), prost::DecodeError>(())
+//! ```
 
 /// Messages and log records of the replicated log.
 #[allow(missing_docs, clippy::all)]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,9 +1,25 @@
 //! Stand-ins for endpoints, for tests and trials: a model engine and a plain service.
 //!
-//! They offer the interface of an endpoint and its faults; they do not simulate a cluster. All
-//! state is in memory and belongs to one run. A crash or a restart begins the next run with empty
-//! state, except for the counters of [`Counters`] and the executions of a [`Service`], which stand
-//! for effects in the outside world.
+//! They offer the interface of an endpoint and its faults; they do not simulate a cluster. Requests
+//! ask for faults with the header `x-standin-fault`.
+//!
+//! All state is in memory and belongs to one run. A crash or a restart begins the next run with
+//! empty state, except for the counters of [`Counters`] and the executions of a [`Service`], which
+//! stand for effects in the outside world.
+//!
+//! ```
+//! use poplarspan_standin::{ServiceConfig, StandIn};
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> anyhow::Result<()> {
+//! let mut service = StandIn::start(ServiceConfig::builder().build()?).await?;
+//! let address = service.address();
+//! service.restart().await?;
+//! assert_eq!(service.address(), address);
+//! service.stop().await?;
+//! # Ok(())
+//! # }
+//! ```
 
 mod config;
 mod engine;
