Report a node whose task has ended as failed

Cause: failed() waited for ever when the node's task had panicked, so that a process went on with a dead log. Found by a review of the API; the test of a panicking state machine now waits for the report and hangs without the change.

--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -108,6 +108,9 @@
         /// The state machine's error.
         source: Arc<anyhow::Error>,
     },
+    /// The node's task has ended: it was shut down, or a state machine panicked.
+    #[error("the task of the replicated log has ended")]
+    Ended,
 }
 
 /// Why a store cannot be initialised.
--- a/crates/agreement/src/driver/node.rs
+++ b/crates/agreement/src/driver/node.rs
@@ -1,6 +1,5 @@
 //! Start, message delivery and end of a node.
 
-use std::future::pending;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{mpsc, oneshot, watch};
@@ -125,16 +124,13 @@
         self.inbox.deliver(from, from_folder, message);
     }
 
-    /// Waits until the node has failed. Never returns for a node that was shut down.
+    /// Waits until the node has failed or ended.
     pub async fn failed(&self) -> NodeError {
         let mut failure = self.failure.clone();
-        let failed = match failure.wait_for(Option::is_some).await {
-            Ok(e) => e.clone(),
-            Err(_) => None,
-        };
-        match failed {
-            Some(e) => e,
-            None => pending().await,
+        // The other half is dropped when the node's task ends, be it by a panic.
+        match failure.wait_for(Option::is_some).await {
+            Ok(e) => e.clone().unwrap_or(NodeError::Ended),
+            Err(_) => NodeError::Ended,
         }
     }
 
--- a/crates/agreement/tests/driver_faults.rs
+++ b/crates/agreement/tests/driver_faults.rs
@@ -223,6 +223,8 @@
     group.watch().wait_for(|v| v.lease).await.expect("leads");
     assert_eq!(group.query(|_: &Journal| ()).await, Err(ReadError::WrongType));
     assert_eq!(group.propose(Bytes::new()).await, Err(ProposeError::Unknown));
+    // The process must learn of it: a log that is dead must not look alive.
+    assert!(matches!(node.failed().await, NodeError::Ended));
 }
 
 #[tokio::test(start_paused = true)]
