Give dispatched calls a priority by the team's excess

Cause: engines queue the calls of all instances first come first served, so calls of a team that sends five times its programs delay the others there. Engines honour priorities, but dispatches carried none.

A priority is a due time: the dispatch plus a delay that grows with the team's part of recent service over its part of the weights. Instances agree without messages, because the balancer gives each the same mix. A fixed class per team was ruled out: engines order strictly by number, so a class can starve. The simulated endpoints order their queues by the number for all policies; the baselines send none. Wall clocks of instances differ by 10 ms from one to the next.

--- a/crates/policy/examples/sim/admission.rs
+++ b/crates/policy/examples/sim/admission.rs
@@ -112,7 +112,7 @@
             let Some(entry) = this.queues[group].pop(&mut this.limits[group], us(self.now)) else {
                 return;
             };
-            let call = entry.call.payload;
+            let (call, cost) = (entry.call.payload, entry.call.cost);
             let c = &self.chains[self.calls[call].chain];
             let (blocks, tokens): (&[u64], _) =
                 if group == 0 { (&c.blocks, c.tokens) } else { (&[], 0) };
@@ -131,6 +131,11 @@
             }
             self.calls[call].endpoint = endpoint;
             self.calls[call].dispatched = self.now;
+            if group == 0 {
+                let team = self.team(call);
+                let name = &self.teams[team];
+                self.calls[call].priority = self.instances[i].priority(team, name, cost, self.now);
+            }
             let at = self.now + self.delay(i, self.endpoints[endpoint].zone);
             self.at(at, Event::AtEndpoint(call));
         }
--- a/crates/policy/examples/sim/endpoint.rs
+++ b/crates/policy/examples/sim/endpoint.rs
@@ -12,6 +12,8 @@
     pub output_tokens: u32,
     /// For plain services: the time the call takes.
     pub fixed_us: Option<u64>,
+    /// Lower ones start first; zero when the dispatch carried none.
+    pub priority: i64,
 }
 
 /// Prefix cache, least recently used first.
@@ -109,6 +111,12 @@
         self.cold_capacity + grown as u32
     }
 
+    /// Queues a call behind those of the same or a lower priority number.
+    pub fn enqueue(&mut self, work: Work) {
+        let at = self.queue.partition_point(|other| other.priority <= work.priority);
+        self.queue.insert(at, work);
+    }
+
     /// Starts the next queued call if a slot is free.
     pub fn start(&mut self, now: u64) -> Option<Started> {
         if self.running >= self.slots(now) {
--- a/crates/policy/examples/sim/instance.rs
+++ b/crates/policy/examples/sim/instance.rs
@@ -16,6 +16,9 @@
 /// Duration of membership leases.
 pub const LEASE_US: u64 = 2_000_000;
 
+/// Difference between the wall clocks of one instance and the next.
+const CLOCK_SKEW_US: u64 = 10_000;
+
 pub struct Instance {
     pub policy: Policy,
     pub fleet: Fleet,
@@ -24,6 +27,9 @@
     pub ramps: Ramps,
     pub queues: [FairQueue<usize>; 2],
     pub limits: [FixedLimit; 2],
+    pub priorities: Priorities,
+    /// How far the wall clock is ahead of that of the first instance.
+    pub clock_ahead_us: u64,
     pub shares: Vec<Share>,
     pub owners: Owners,
     pub names: Vec<Name>,
@@ -67,6 +73,8 @@
             ramps: Ramps::new(me.clone(), us(LEASE_US)),
             queues: [queue(), queue()],
             limits: [FixedLimit::new(in_flight), FixedLimit::new(u32::MAX)],
+            priorities: Priorities::new(PriorityConfig::default()),
+            clock_ahead_us: at as u64 * CLOCK_SKEW_US,
             shares: Vec::new(),
             owners: Owners::new(me.clone(), at as u64 + 1, us(LEASE_US), MIN_VALIDITY),
             names: (0..endpoints.len()).map(|i| Name::from(format!("e{i:02}"))).collect(),
@@ -127,12 +135,21 @@
 
     pub fn push(&mut self, group: usize, team: usize, call: Call<usize>, now: u64) {
         let fair = self.policy == Policy::Ours;
-        let weight = if group == 0 { (100.0 * TEAM_PARTS[team]) as u32 } else { 1 };
+        let weight = if group == 0 { weight_of(team) } else { 1 };
         let team = if fair { call.team } else { "all".into() };
         let call = Call { team, weight, ..call };
         self.queues[group].push(call, us(now)).expect("the queue is long enough");
     }
 
+    /// Priority of a call to an engine that is being dispatched; zero when the policy sends none.
+    pub fn priority(&mut self, team: usize, name: &Name, cost: u64, now: u64) -> i64 {
+        if self.policy != Policy::Ours {
+            return 0;
+        }
+        let unix = us(now + self.clock_ahead_us);
+        self.priorities.dispatch(name, weight_of(team), cost, us(now), unix)
+    }
+
     pub fn choose(
         &mut self,
         group: usize,
@@ -149,3 +166,7 @@
         Ok(choice.endpoint.0 as usize)
     }
 }
+
+fn weight_of(team: usize) -> u32 {
+    (100.0 * TEAM_PARTS[team]) as u32
+}
--- a/crates/policy/examples/sim/world.rs
+++ b/crates/policy/examples/sim/world.rs
@@ -46,6 +46,7 @@
     pub(super) within: bool,
     pub(super) endpoint: usize,
     pub(super) dispatched: u64,
+    pub(super) priority: i64,
 }
 
 pub(super) enum Event {
@@ -322,12 +323,13 @@
             within: false,
             endpoint: 0,
             dispatched: 0,
+            priority: 0,
         });
         self.at(arrived, Event::Arrive(self.calls.len() - 1));
     }
 
     fn at_endpoint(&mut self, call: usize) {
-        let Call { chain, group, endpoint, .. } = self.calls[call];
+        let Call { chain, group, endpoint, priority, .. } = self.calls[call];
         let c = &self.chains[chain];
         let turn = &c.turns[c.next];
         let work = if group == 0 {
@@ -337,12 +339,14 @@
                 prompt_tokens: c.tokens,
                 output_tokens: turn.output_tokens,
                 fixed_us: None,
+                priority,
             }
         } else {
             let fixed_us = Some(turn.tool_us);
-            Work { call, blocks: vec![], prompt_tokens: 0, output_tokens: 0, fixed_us }
+            let (blocks, prompt_tokens, output_tokens) = (vec![], 0, 0);
+            Work { call, blocks, prompt_tokens, output_tokens, fixed_us, priority }
         };
-        self.endpoints[endpoint].queue.push_back(work);
+        self.endpoints[endpoint].enqueue(work);
         self.start_queued(endpoint);
     }
 
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -12,15 +12,19 @@
 //! first. Service is counted per root program, so that a program gains nothing by sub-agents, and
 //! calls that are waiting count already, so that sub-agents that arrive together are spread out.
 //!
+//! Beyond the dispatch: [`Priorities`], by which the engines order the calls of all instances.
+//!
 //! Owner of the state: the entry instance. When it dies, its callers' connections die with it.
 
 mod order;
+mod priority;
 mod queue;
 mod service;
 
 use std::time::Duration;
 
 pub use order::{Fcfs, Las, LasDeadline, Pending, ProgramOrder};
+pub use priority::{Priorities, PriorityConfig};
 pub use queue::{FairQueue, QueueConfig};
 
 use crate::Name;
