Let teams within their part queue at engines beyond the group's capacity

Cause: the calls of the other teams waited longest in the fair queues of the instances (0.48 s of 0.85 s added per model call), since each instance sees few calls of a small team and two in a row wait for one another there.

Now only teams beyond 1.5 times their part wait for room in the group; the others may be dispatched up to 1.5 times its capacity, and priorities put them first at the engines.

--- a/crates/policy/examples/sim/admission.rs
+++ b/crates/policy/examples/sim/admission.rs
@@ -109,7 +109,7 @@
         }
         loop {
             let this = &mut self.instances[i];
-            let Some(entry) = this.queues[group].pop(&mut this.limits[group], us(self.now)) else {
+            let Some(entry) = this.next(group, self.now) else {
                 return;
             };
             let (call, cost) = (entry.call.payload, entry.call.cost);
--- a/crates/policy/examples/sim/instance.rs
+++ b/crates/policy/examples/sim/instance.rs
@@ -51,7 +51,10 @@
         let chooser: Box<dyn Chooser> = match policy {
             Policy::RoundRobin => Box::new(RoundRobin::default()),
             _ if ours => {
-                Box::new(CostChooser::new(format!("z{zone}").into(), CostConfig::default()))
+                // With priorities, the bound for teams beyond their part is in `next`.
+                let group_fill = if policy == Policy::Ours { PRIORITY_FILL } else { 1.0 };
+                let cfg = CostConfig { group_fill, ..CostConfig::default() };
+                Box::new(CostChooser::new(format!("z{zone}").into(), cfg))
             }
             _ => Box::new(LeastConnections),
         };
@@ -141,6 +144,15 @@
         self.queues[group].push(call, us(now)).expect("the queue is long enough");
     }
 
+    /// Takes the next call. Teams within their part may wait at the engines, whose priorities put
+    /// them first; the others wait here until there is room.
+    pub fn next(&mut self, group: usize, now: u64) -> Option<Entry<usize>> {
+        let all = self.policy != Policy::Ours || group == 1 || self.fleet.fill(GROUPS[group]) < 1.0;
+        let priorities = &self.priorities;
+        let may = |team: &Name| all || priorities.within_part(team);
+        self.queues[group].pop_where(&mut self.limits[group], us(now), may)
+    }
+
     /// Priority of a call to an engine that is being dispatched; zero when the policy sends none.
     pub fn priority(&mut self, team: usize, name: &Name, cost: u64, now: u64) -> i64 {
         if self.policy != Policy::Ours {
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 
 pub use order::{Fcfs, Las, LasDeadline, Pending, ProgramOrder};
-pub use priority::{Priorities, PriorityConfig};
+pub use priority::{PRIORITY_FILL, Priorities, PriorityConfig};
 pub use queue::{FairQueue, QueueConfig};
 
 use crate::Name;
--- a/crates/policy/src/fair/priority.rs
+++ b/crates/policy/src/fair/priority.rs
@@ -18,6 +18,12 @@
 //! number: a call is passed only by calls that are dispatched within `max_delay` after it (plus the
 //! skew), so nothing starves.
 //!
+//! The wait in the queue of the instance is the larger part: each instance sees few calls of a small
+//! team, and two of them in a row wait for one another there. So teams within their part, give or
+//! take `tolerance`, may be dispatched until the group of endpoints is at [`PRIORITY_FILL`] times
+//! its capacity, and only the others wait for a fill below 1 ([`super::FairQueue::pop_where`]). A
+//! team alone has an excess of 1 and is not held back.
+//!
 //! Owner of the state: the entry instance. After a restart all excesses are 1 until service has
 //! been counted again.
 
@@ -29,6 +35,10 @@
 /// Tokens of decayed service below which a team no longer counts as active.
 const FORGET_TOKENS: f64 = 1.0;
 
+/// Calls at a group of engines that honour priorities, as a multiple of its capacity, above which
+/// all calls wait in the queue of the instance.
+pub const PRIORITY_FILL: f32 = 1.5;
+
 /// Sweeps per half-life; between sweeps service does not decay.
 const SWEEPS: u32 = 16;
 
@@ -39,11 +49,18 @@
     pub half_life: Duration,
     /// Bound of the delay of a team that uses more than its part.
     pub max_delay: Duration,
+    /// Excess up to which a team counts as within its part. Above 1 because of sampling noise: with
+    /// 1.0 and 1.5 the worst-served team of the simulation has 93.8% and 98.4% of its share.
+    pub tolerance: f64,
 }
 
 impl Default for PriorityConfig {
     fn default() -> Self {
-        Self { half_life: Duration::from_secs(20), max_delay: Duration::from_secs(20) }
+        Self {
+            half_life: Duration::from_secs(20),
+            max_delay: Duration::from_secs(20),
+            tolerance: 1.5,
+        }
     }
 }
 
@@ -109,6 +126,11 @@
         recent.tokens / self.tokens * self.weights / recent.weight
     }
 
+    /// Whether calls of `team` may wait at the engines and not only in the queue of the instance.
+    pub fn within_part(&self, team: &str) -> bool {
+        self.excess(team) <= self.cfg.tolerance
+    }
+
     /// Teams whose service is counted.
     pub fn active(&self) -> usize {
         self.teams.len()
--- a/crates/policy/src/fair/queue.rs
+++ b/crates/policy/src/fair/queue.rs
@@ -123,10 +123,21 @@
     /// Takes the next call, if `limits` has room for it. Calls whose wait has ended are left to
     /// [`FairQueue::expire`].
     pub fn pop(&mut self, limits: &mut dyn InFlight, now: Duration) -> Option<Entry<T>> {
+        self.pop_where(limits, now, |_| true)
+    }
+
+    /// Takes the next call of a team for which `may` holds, if `limits` has room for it. The other
+    /// teams are passed over and keep their place.
+    pub fn pop_where(
+        &mut self,
+        limits: &mut dyn InFlight,
+        now: Duration,
+        may: impl Fn(&Name) -> bool,
+    ) -> Option<Entry<T>> {
         if !limits.has_room(now) {
             return None;
         }
-        // At most one pass over the teams: a team whose calls have all expired is passed over.
+        // At most one pass over the teams: one whose calls have all expired is passed over too.
         let mut after = None;
         loop {
             let (tag, name) = match &after {
@@ -134,6 +145,10 @@
                 Some(last) => self.backlog.range((Excluded(last), Unbounded)).next()?,
             }
             .clone();
+            if !may(&name) {
+                after = Some((tag, name));
+                continue;
+            }
             let at = self.find(&name).expect("a backlogged team is in the table");
             let calls = &self.teams[at].1.calls;
             let Some(key) = calls.iter().find(|(_, s)| s.expires > now).map(|(key, _)| *key) else {
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -227,6 +227,15 @@
         (free / f64::from(instances.max(1))).ceil() as u32
     }
 
+    /// Calls at the open endpoints of a group, as a multiple of their capacity.
+    pub fn fill(&self, group: &str) -> f64 {
+        let members = self.members(group).unwrap_or(&[]);
+        let open = members.iter().map(|id| &self.hot[id.0 as usize]).filter(|hot| hot.open);
+        let (load, capacity) =
+            open.fold((0.0, 0.0), |(load, all), hot| (load + hot.load, all + hot.capacity));
+        f64::from(load) / f64::from(capacity).max(1.0)
+    }
+
     pub(super) fn hot(&self) -> &[Hot] {
         &self.hot
     }
--- a/crates/policy/tests/call_priorities.rs
+++ b/crates/policy/tests/call_priorities.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use poplarspan_policy::Name;
-use poplarspan_policy::fair::{Priorities, PriorityConfig};
+use poplarspan_policy::fair::*;
 use proptest::prelude::*;
 
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
@@ -71,6 +71,26 @@
     assert_eq!(priorities.excess("b"), 0.0);
 }
 
+/// Guards against teams within their parts waiting behind one that is held back.
+#[test]
+fn held_back_team_is_passed() {
+    let mut priorities = Priorities::default();
+    rounds(&mut priorities, &[("greedy", 1, 500), ("small", 1, 100)]);
+    let mut queue = FairQueue::new(QueueConfig::default(), Box::new(Fcfs));
+    let mut limit = FixedLimit::new(10);
+    for team in ["greedy", "small"] {
+        let deadline = secs(60.0);
+        let call =
+            Call { team: team.into(), weight: 1, program: None, cost: 1, deadline, payload: () };
+        queue.push(call, secs(0.0)).unwrap();
+    }
+    let within = |team: &Name| priorities.within_part(team);
+    let taken = queue.pop_where(&mut limit, secs(0.0), within).unwrap();
+    assert_eq!(&*taken.call.team, "small");
+    assert!(queue.pop_where(&mut limit, secs(0.0), within).is_none());
+    assert_eq!(&*queue.pop(&mut limit, secs(0.0)).unwrap().call.team, "greedy");
+}
+
 proptest! {
     /// Guards against starvation: no call is passed by one dispatched `max_delay` after it.
     #[test]
