--- a/crates/policy/src/rate/mod.rs
+++ b/crates/policy/src/rate/mod.rs
@@ -74,8 +74,9 @@
     ///
     /// A rate under 10^-6 per second is raised to it, and a burst of zero to one.
     pub fn new(per_second: f64, burst: u32) -> Self {
-        // `max` passes a rate that is no number over.
-        let micro_per_second = (per_second * MICRO as f64).floor().max(1.0).min(1e15) as u64;
+        let micro = (per_second * MICRO as f64).floor();
+        // `max` takes the other operand when the rate is not a number.
+        let micro_per_second = micro.max(1.0).clamp(1.0, 1e15) as u64;
         Self { micro_per_second, burst: burst.max(1) }
     }
 
