schedule: ask plain services for no cache events

The load poller sent GET /events to every endpoint whose load report has a cache size, and a plain service executes it as a call: the stand-in counted 20 executions without a key in a few seconds, and its load was wrong. Only endpoints that serve models are asked now. The list of endpoints that serve a group becomes visible to the containment of crashes.

--- a/crates/server/src/schedule/fair.rs
+++ b/crates/server/src/schedule/fair.rs
@@ -97,6 +97,13 @@
         self.locked(self.now()).endpoints.run_of(endpoint)
     }
 
+    /// Whether the endpoint serves models, and so has a prefix cache.
+    pub(super) fn is_engine(&self, endpoint: &str) -> bool {
+        let known = self.membership.load();
+        let found = known.objects.endpoint(endpoint);
+        found.is_some_and(|e| matches!(e.serves, Serves::Models(_)))
+    }
+
     /// Takes note of a load report, or of its absence.
     pub(super) fn report(&self, endpoint: &Name, report: Option<Report>) {
         let now = self.now();
@@ -142,7 +149,10 @@
 }
 
 /// Endpoints that serve the group and may take new work.
-fn serving<'a>(objects: &'a ObjectSet, group: &'a str) -> impl Iterator<Item = &'a Name> {
+pub(crate) fn serving<'a>(
+    objects: &'a ObjectSet,
+    group: &'a str,
+) -> impl Iterator<Item = &'a Name> {
     let in_group = move |serves: &Serves| match serves {
         Serves::Models(models) => models.iter().any(|m| *model_group(m) == *group),
         Serves::Service(service) => *service_group(service) == *group,
--- a/crates/server/src/schedule/loads.rs
+++ b/crates/server/src/schedule/loads.rs
@@ -114,7 +114,9 @@
     async fn poll(&self, endpoint: Chosen, after: u64) -> (Name, u64) {
         let load: Option<LoadDocument> =
             get(&self.pool, &endpoint, Uri::from_static("/load"), false).await;
-        let has_cache = load.as_ref().is_some_and(|l| l.cache_blocks.is_some());
+        // A plain service may take any path for a call to be executed.
+        let has_cache = self.scheduler.is_engine(&endpoint.name)
+            && load.as_ref().is_some_and(|l| l.cache_blocks.is_some());
         let report = load.map(|l| Report {
             run: l.run,
             uptime: l.uptime_ms.map(Duration::from_millis),
--- a/crates/server/src/schedule/mod.rs
+++ b/crates/server/src/schedule/mod.rs
@@ -17,7 +17,7 @@
 use crate::entry::Refusal;
 
 pub(crate) use endpoints::BLOCK_TOKENS;
-pub(crate) use fair::FairScheduler;
+pub(crate) use fair::{FairScheduler, serving};
 pub(crate) use loads::{LoadPoller, RunProbe};
 
 /// Which endpoints may serve a call.
