entry: bound connections that send nothing, and turn callers above the limit away

The server waits without a limit for the first bytes that tell HTTP/1.1 from HTTP/2, so that silent connections kept their places for ever. They are now dropped after the time for a head. A caller above the connection limit waited in the backlog; it now gets 503 overloaded at once. The drain also waits for recorded calls whose callers have gone.

--- a/crates/server/src/entry/listener.rs
+++ b/crates/server/src/entry/listener.rs
@@ -10,30 +10,43 @@
     server::{conn::auto, graceful::GracefulShutdown},
 };
 use tokio::{
-    net::TcpListener,
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
 };
 use tokio_util::sync::CancellationToken;
 
-use super::handler::Entry;
+use super::{
+    handler::{Entry, HELD_UNIT_BYTES},
+    refusal::{Code, Refusal},
+};
 use crate::config::Limits;
 
 const MAX_STREAMS_PER_CONNECTION: u32 = 256;
 /// Pause after a failed accept, for instance when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections above the limit that are told so at the same time; further ones are only closed.
+const MAX_TURNED_AWAY: usize = 64;
+const TURN_AWAY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Start of every HTTP/2 connection.
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+const PREFACE_POLL: Duration = Duration::from_millis(10);
+
 /// Serves callers on one address.
 pub(crate) struct Listener {
     socket: TcpListener,
     entry: Arc<Entry>,
     limits: Limits,
     slots: Arc<Semaphore>,
+    turned_away: Arc<Semaphore>,
 }
 
 impl Listener {
     pub(crate) fn new(socket: TcpListener, entry: Arc<Entry>, limits: Limits) -> Self {
         let slots = Arc::new(Semaphore::new(limits.max_connections));
-        Self { socket, entry, limits, slots }
+        let turned_away = Arc::new(Semaphore::new(MAX_TURNED_AWAY));
+        Self { socket, entry, limits, slots, turned_away }
     }
 
     /// Accepts until `stop`, then waits for the open calls, at most `drain_timeout`. Returns the
@@ -46,16 +59,15 @@
         let server = self.builder();
         let graceful = GracefulShutdown::new();
         loop {
-            let permit = tokio::select! {
-                permit = self.slots.clone().acquire_owned() => permit?,
-                () = stop.cancelled() => break,
-            };
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
                 () = stop.cancelled() => break,
             };
             match accepted {
-                Ok((stream, _)) => self.serve(&server, &graceful, stream, permit),
+                Ok((stream, _)) => match self.slots.clone().try_acquire_owned() {
+                    Ok(permit) => self.serve(&server, &graceful, &stop, stream, permit),
+                    Err(_) => self.turn_away(stream),
+                },
                 Err(e) => {
                     let error = e.to_string();
                     log::warn!(error = error.as_str(); "cannot accept a connection");
@@ -66,12 +78,43 @@
         drop(self.socket);
         let open = graceful.count();
         log::info!(open; "no longer accepting; waiting for open calls");
-        match tokio::time::timeout(drain_timeout, graceful.shutdown()).await {
+        let all = (self.limits.max_held / HELD_UNIT_BYTES) as u32;
+        let drained = async {
+            graceful.shutdown().await;
+            // Recorded calls whose callers have gone go on without a connection.
+            let _ = self.entry.held.acquire_many(all).await;
+        };
+        match tokio::time::timeout(drain_timeout, drained).await {
             Ok(()) => Ok(0),
             Err(_) => Ok(self.limits.max_connections - self.slots.available_permits()),
         }
     }
 
+    /// Tells a caller that there are too many connections, and closes this one.
+    fn turn_away(&self, mut stream: TcpStream) {
+        metrics::counter!("poplarspan_turned_away_connections_total").increment(1);
+        let Ok(permit) = self.turned_away.clone().try_acquire_owned() else { return };
+        let refusal = Refusal::not_run(Code::Overloaded, "the instance has too many connections");
+        let body = refusal.to_json();
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
+             retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        tokio::spawn(async move {
+            let tell = async {
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(&body).await?;
+                stream.shutdown().await?;
+                // Data that is left unread would make the close discard the answer.
+                tokio::io::copy(&mut stream, &mut tokio::io::sink()).await
+            };
+            // A caller that does not listen needs no answer.
+            let _ = tokio::time::timeout(TURN_AWAY_TIMEOUT, tell).await;
+            drop(permit);
+        });
+    }
+
     fn builder(&self) -> auto::Builder<TokioExecutor> {
         let mut server = auto::Builder::new(TokioExecutor::new());
         server
@@ -93,7 +136,8 @@
         &self,
         server: &auto::Builder<TokioExecutor>,
         graceful: &GracefulShutdown,
-        stream: tokio::net::TcpStream,
+        stop: &CancellationToken,
+        stream: TcpStream,
         permit: OwnedSemaphorePermit,
     ) {
         // Small answers must not wait for more to send.
@@ -103,9 +147,20 @@
             let entry = entry.clone();
             async move { Ok::<_, Infallible>(entry.handle(request).await) }
         });
-        let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
-        let connection = graceful.watch(connection);
+        let (server, watcher, stop) = (server.clone(), graceful.watcher(), stop.clone());
+        let head_timeout = self.limits.head_timeout;
         tokio::spawn(async move {
+            let begun = tokio::select! {
+                // First, since a caller that has sent something is answered.
+                biased;
+                begun = tokio::time::timeout(head_timeout, begins(&stream)) => begun,
+                () = stop.cancelled() => return,
+            };
+            if !matches!(begun, Ok(true)) {
+                return;
+            }
+            let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
+            let connection = watcher.watch(connection);
             if let Err(e) = connection.await {
                 let error = e.to_string();
                 log::debug!(error = error.as_str(); "connection of a caller ended early");
@@ -114,3 +169,18 @@
         });
     }
 }
+
+/// Waits until it is clear which protocol the caller speaks; false when it hangs up before. The
+/// server itself would wait for that without a limit.
+async fn begins(stream: &TcpStream) -> bool {
+    let mut start = [0; PREFACE.len()];
+    loop {
+        match stream.peek(&mut start).await {
+            Ok(0) | Err(_) => return false,
+            Ok(len) if len < PREFACE.len() && start[..len] == PREFACE[..len] => {
+                tokio::time::sleep(PREFACE_POLL).await;
+            }
+            Ok(_) => return true,
+        }
+    }
+}
