entry: refuse calls with two keys

Of two authorization headers the first one counted, so that a caller could not tell which team was charged. tests/bad_input.rs was answered 200 before and 401 after.

--- a/crates/server/src/entry/auth.rs
+++ b/crates/server/src/entry/auth.rs
@@ -37,8 +37,12 @@
     }
 }
 
-/// The key in the headers, if any.
+/// The key in the headers, if there is exactly one: with two it would be unclear which team calls.
 fn secret(headers: &HeaderMap) -> Option<&str> {
+    let count = |name: &str| headers.get_all(name).iter().count();
+    if count(header::AUTHORIZATION.as_str()) + count(KEY_HEADER) != 1 {
+        return None;
+    }
     if let Some(value) = headers.get(header::AUTHORIZATION) {
         let (scheme, secret) = value.to_str().ok()?.split_once(' ')?;
         return scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim());
