--- a/crates/server/src/entry/refusal.rs
+++ b/crates/server/src/entry/refusal.rs
@@ -7,6 +7,9 @@
 
 use super::body::{self, AnswerBody};
 
+/// When a caller may come back, where nothing better is known.
+const COME_BACK: Duration = Duration::from_secs(1);
+
 /// Whether any part of the refused call was carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -61,6 +64,20 @@
         }
     }
 
+    /// Whether the cause passes without a change of the call.
+    fn is_passing(self) -> bool {
+        matches!(
+            self,
+            Self::RateLimited
+                | Self::Overloaded
+                | Self::NoLease
+                | Self::Unavailable
+                | Self::Deadline
+                | Self::EndpointFailed
+                | Self::ShuttingDown
+        )
+    }
+
     /// The code as it stands in answers and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -135,7 +152,8 @@
         *response.status_mut() = self.code.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Some(wait) = self.retry_after {
+        let may_return = self.ran == Ran::No && self.code.is_passing();
+        if let Some(wait) = self.retry_after.or_else(|| may_return.then_some(COME_BACK)) {
             // The header has whole seconds: rounded up, so that nobody comes back too early.
             let seconds = wait.as_millis().div_ceil(1000).max(1) as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
