entry: keep claims, answers and crashes right when callers or connections fail

A refusal after an earlier attempt no longer says that the call did not run because the ledger failed in between. A relayed answer is whole only with an explicit last chunk. Answers without length or chunking are not taken for whole. A request that has crashed one endpoint is tried at others in the same order at all instances, so that copies sent to several instances in parallel crash one more endpoint together. The run of an endpoint is noted before the call is sent. Connections to endpoints have TCP keep-alive and a user timeout; idempotent calls without a whole answer get a second attempt over a new connection, paid from the retry budget. The history of a program keeps only the messages after the last answer.

--- a/crates/server/src/crashes.rs
+++ b/crates/server/src/crashes.rs
@@ -20,7 +20,7 @@
     control::now_ms,
     membership::Membership,
     peer::PeerClient,
-    schedule::{Chosen, FairScheduler, RunProbe},
+    schedule::{Chosen, FairScheduler, RunProbe, serving},
 };
 
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
@@ -88,10 +88,38 @@
         begun.then(|| Suspect { crashes: self.clone(), endpoint: endpoint.clone(), fingerprint })
     }
 
+    /// The run of an endpoint as far as it is known, for [`Crashes::note_lost`].
+    pub(crate) fn run_of(&self, endpoint: &Name) -> Option<u64> {
+        self.scheduler.run_of(endpoint)
+    }
+
+    /// Endpoints of a group in the order in which a request that has crashed one tries others.
+    ///
+    /// The order is the same at all instances, so that copies of the request that were sent to
+    /// several instances in parallel crash one more endpoint together, and not one each.
+    pub(crate) fn order(&self, group: &str, fingerprint: Fingerprint) -> Vec<Name> {
+        let rank = |name: &Name| {
+            let mut hasher = blake3::Hasher::new_keyed(&fingerprint.0);
+            hasher.update(name.as_bytes());
+            *hasher.finalize().as_bytes()
+        };
+        let mut endpoints: Vec<Name> =
+            serving(&self.membership.load().objects, group).cloned().collect();
+        endpoints.sort_by_cached_key(rank);
+        endpoints
+    }
+
     /// Finds out whether the endpoint crashed while it ran the request. If so, returns only when
-    /// every live instance knows.
-    pub(crate) async fn note_lost(&self, endpoint: &Chosen, fingerprint: Fingerprint) {
-        let before = self.scheduler.run_of(&endpoint.name);
+    /// every live instance knows, or the call is out of time.
+    ///
+    /// `before` is the run of the endpoint when the call was sent.
+    pub(crate) async fn note_lost(
+        &self,
+        endpoint: &Chosen,
+        before: Option<u64>,
+        fingerprint: Fingerprint,
+        deadline: Instant,
+    ) {
         let after = self.probe.run_of(endpoint).await;
         if after.is_some() && after == before {
             return;
@@ -105,7 +133,8 @@
         let crash = Crash { fingerprint, endpoint: endpoint.name.clone(), at_ms };
         self.table().record(crash, &peers, at_ms);
         self.changed.notify_one();
-        while !self.table().is_settled(fingerprint) {
+        // An instance without a lease gets no new view, and so never sees who else has lost it.
+        while !self.table().is_settled(fingerprint) && Instant::now() < deadline {
             tokio::time::sleep(POLL).await;
         }
     }
--- a/crates/server/src/dispatch/answer.rs
+++ b/crates/server/src/dispatch/answer.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
-use crate::entry::{RelaySender, Truncated};
+use crate::entry::{Chunk, RelaySender};
 
 /// Last event of a streamed chat answer.
 const TERMINAL_EVENT: &[u8] = b"data: [DONE]";
@@ -23,6 +24,12 @@
     TooLarge(usize),
 }
 
+/// Whether the end of the body can be told from a lost connection.
+pub(crate) fn has_end(response: &Response<Incoming>) -> bool {
+    let chunked = response.headers().contains_key(http::header::TRANSFER_ENCODING);
+    chunked || response.body().size_hint().exact().is_some()
+}
+
 /// Reads an answer whole. hyper reports a body that ends before its content length or final chunk.
 pub(crate) async fn collect(
     mut body: Incoming,
@@ -114,7 +121,7 @@
             relayed.end = StreamEnd::Whole { last: chunk };
             return relayed;
         }
-        if tx.send(Ok(chunk)).await.is_err() {
+        if tx.send(Chunk::More(chunk)).await.is_err() {
             return relayed;
         }
     }
@@ -127,12 +134,6 @@
     }
 }
 
-/// Passes on that the answer is not whole.
-pub(crate) async fn cut_short(tx: &RelaySender) {
-    // An error means that the caller has gone and needs no word.
-    let _ = tx.send(Err(Truncated)).await;
-}
-
 fn count_events(chunk: &[u8]) -> u64 {
     chunk.windows(6).filter(|w| *w == b"data: ").count() as u64
 }
--- a/crates/server/src/dispatch/mod.rs
+++ b/crates/server/src/dispatch/mod.rs
@@ -7,6 +7,6 @@
 mod pool;
 
 pub(crate) use answer::{
-    AnswerError, RelayLimits, Relayed, StreamEnd, collect, cut_short, relay_stream,
+    AnswerError, RelayLimits, Relayed, StreamEnd, collect, has_end, relay_stream,
 };
 pub(crate) use pool::{Exchange, Pool, REQUEST_ID_HEADER, Reuse, SendError};
--- a/crates/server/src/dispatch/pool.rs
+++ b/crates/server/src/dispatch/pool.rs
@@ -12,12 +12,18 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::Instant};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Something between the two ends may lose track of an idle connection, so idle ones are not kept
 /// for long.
 const MAX_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+/// Longest time that sent data may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(6);
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 
@@ -38,6 +44,9 @@
     /// Nothing arrived within the time allowed.
     #[error("no answer in time")]
     Silent,
+    /// Nothing arrived on a connection that had been used before, while there is time for another.
+    #[error("no answer on a connection in use before")]
+    SilentReused,
     /// The answer belongs to another call.
     #[error("the answer carries the id of another call")]
     Crossed,
@@ -99,12 +108,33 @@
         request: Request<Full<Bytes>>,
         fresh: bool,
         deadline: Instant,
+    ) -> Result<Exchange, SendError> {
+        self.send_watched(address, request, fresh, deadline, deadline).await
+    }
+
+    /// As [`Pool::send`], but waits for the head of the answer only until `reused_until` when the
+    /// connection has been used before: it may have gone silent since.
+    pub(crate) async fn send_watched(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+        deadline: Instant,
+        reused_until: Instant,
     ) -> Result<Exchange, SendError> {
         let id = request.headers().get(REQUEST_ID_HEADER).cloned();
         let mut request = request;
         if !fresh {
             while let Some(mut sender) = self.take(address) {
-                match sender.try_send_request_until(request, deadline).await? {
+                let until = deadline.min(reused_until);
+                let sent = sender.try_send_request_until(request, until).await;
+                if matches!(sent, Err(SendError::Silent)) {
+                    self.discard(address);
+                    if until < deadline {
+                        return Err(SendError::SilentReused);
+                    }
+                }
+                match sent? {
                     Sent::Answer(response) => return self.check(response, sender, address, id),
                     Sent::Returned(unsent) => request = unsent,
                 }
@@ -158,6 +188,14 @@
         }
     }
 
+    /// Closes the idle connections to an endpoint, after one of them has gone silent.
+    pub(crate) fn discard(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().expect("no panic while locked");
+        if let Ok(i) = idle.binary_search_by_key(&address, |(a, _)| *a) {
+            idle.remove(i);
+        }
+    }
+
     /// Closes idle connections that are too old; called now and then.
     pub(crate) fn sweep(&self) {
         let mut idle = self.idle.lock().expect("no panic while locked");
@@ -199,12 +237,26 @@
     }
 }
 
+/// Makes the kernel notice a peer that no longer acknowledges anything.
+fn watch(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&probes)?;
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    Ok(())
+}
+
 async fn connect(address: SocketAddr, deadline: Instant) -> Result<Sender, SendError> {
     let not_sent = |cause: String| SendError::NotSent(cause);
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let open = async {
         let stream = TcpStream::connect(address).await.map_err(|e| not_sent(e.to_string()))?;
-        stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
+        watch(&stream).map_err(|e| not_sent(e.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -1,5 +1,7 @@
 //! Tries a call at one endpoint after another, as far as it may run again.
 
+mod hedge;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -7,20 +9,21 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use poplarspan_objects::{Name, ZoneState};
-use poplarspan_policy::containment::Fingerprint;
+use poplarspan_policy::containment::{Admission, Fingerprint};
 use tokio::time::Instant;
 
 use super::{
     auth::{self, Credential},
     call::ProgramCall,
     handler::Entry,
+    program::{Claim, is_event_stream},
     record::completion_tokens,
     refusal::{Code, Ran, Refusal},
 };
 use crate::{
     crashes::{Suspect, wait_admission},
-    dispatch::{AnswerError, Exchange, REQUEST_ID_HEADER, Reuse, SendError, collect},
-    membership::Known,
+    dispatch::{AnswerError, Exchange, REQUEST_ID_HEADER, Reuse, SendError, collect, has_end},
+    membership::{Known, LEASE},
     schedule::{CallSpec, Chosen, DispatchOutcome, Slot},
     telemetry,
 };
@@ -31,6 +34,12 @@
 const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
 /// Header of requests to engines that names the claim of the ledger, for orders that concern it.
 const ENGINE_CLAIM_HEADER: HeaderName = HeaderName::from_static("x-claim");
+/// Longest time in which the record of a crash reaches the other instances: after that an instance
+/// without the record has lost its lease.
+const RECORD_DELAY: Duration = LEASE;
+/// Time for the head of an answer on a connection that was used before.
+const REUSED_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(250);
 const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -140,6 +149,8 @@
     pub(crate) slot: Slot,
     /// Time from the dispatch to the head of the answer.
     pub(crate) first_byte: Duration,
+    /// Run of the endpoint when the call was sent.
+    pub(crate) run: Option<u64>,
     pub(crate) _suspect: Option<Suspect>,
 }
 
@@ -156,6 +167,8 @@
     outcome: DispatchOutcome,
     /// The connection was lost while the endpoint had the request.
     may_have_crashed: bool,
+    /// The endpoint may be tried again over another connection.
+    may_return: bool,
 }
 
 impl Failed {
@@ -163,16 +176,19 @@
         let (ran, outcome) = match error {
             SendError::NotSent(_) => (Ran::No, DispatchOutcome::Failed),
             SendError::Lost(_) | SendError::Silent => (Ran::Unknown, DispatchOutcome::Failed),
+            // The connection was at fault, and the endpoint may be well.
+            SendError::SilentReused => (Ran::Unknown, DispatchOutcome::Abandoned),
             SendError::Crossed => (Ran::Unknown, DispatchOutcome::Failed),
         };
         let may_have_crashed = matches!(error, SendError::Lost(_));
-        Self { ran, cause: error.to_string(), outcome, may_have_crashed }
+        let may_return = matches!(error, SendError::SilentReused);
+        Self { ran, cause: error.to_string(), outcome, may_have_crashed, may_return }
     }
 
     fn from_answer(error: &AnswerError) -> Self {
         let may_have_crashed = matches!(error, AnswerError::Truncated(_));
         let (ran, outcome) = (Ran::Yes, DispatchOutcome::Failed);
-        Self { ran, cause: error.to_string(), outcome, may_have_crashed }
+        Self { ran, cause: error.to_string(), outcome, may_have_crashed, may_return: false }
     }
 }
 
@@ -181,11 +197,13 @@
     entry: &'a Entry,
     call: &'a Prepared,
     tried: Vec<Name>,
+    /// Attempts that have failed.
+    sent: usize,
     /// What is known of all attempts together.
     ran: Ran,
     last_cause: String,
-    /// Number of the claim under which the call runs, if the ledger records it.
-    pub(crate) claim: Option<u64>,
+    /// The claim under which the call runs, if the ledger records it.
+    pub(crate) claim: Option<Claim>,
 }
 
 impl<'a> Attempts<'a> {
@@ -194,7 +212,7 @@
             entry.retries().attempted(team);
         }
         let (ran, last_cause) = (Ran::No, String::new());
-        Self { entry, call, tried: Vec::new(), ran, last_cause, claim: None }
+        Self { entry, call, tried: Vec::new(), sent: 0, ran, last_cause, claim: None }
     }
 
     /// Waits for a place at an endpoint that was not tried yet.
@@ -204,14 +222,34 @@
             return Ok(Place { slot: self.slot(&self.tried).await?, suspect: None });
         }
         let fingerprint = self.call.fingerprint();
+        let mut skipped = Vec::new();
         loop {
             let crashed = wait_admission(crashes, fingerprint, self.call.deadline).await;
             let crashed = crashed.ok_or_else(|| self.crashes_endpoints())?;
             if crashed.is_empty() {
                 return Ok(Place { slot: self.slot(&self.tried).await?, suspect: None });
             }
-            let avoid: Vec<Name> = self.tried.iter().chain(&crashed).cloned().collect();
-            let slot = self.slot(&avoid).await?;
+            let unreached = self.tried.last().filter(|name| !crashed.contains(name));
+            if unreached.is_some() && !self.settled(fingerprint, &crashed).await {
+                continue;
+            }
+            let passed: Vec<&Name> = self.tried.iter().chain(&crashed).chain(&skipped).collect();
+            let mut order = crashes.order(&self.call.spec.group, fingerprint);
+            let Some(at) = order.iter().position(|name| !passed.contains(&name)) else {
+                let message = "no endpoint is left for this call";
+                let refusal = Refusal::not_run(Code::Unavailable, message);
+                return Err(self.with_ran(refusal.retry_after(COME_BACK)));
+            };
+            let chosen = order.remove(at);
+            let slot = match self.slot(&order).await {
+                Ok(slot) => slot,
+                Err(refusal) if refusal.code == Code::Unavailable => {
+                    // It does not answer, for as long as its record may have been on the way.
+                    skipped.push(chosen);
+                    continue;
+                }
+                Err(refusal) => return Err(refusal),
+            };
             // Two requests that have crashed endpoints never run side by side: if the endpoint
             // crashes again, it must be clear which of them did it.
             if let Some(suspect) = crashes.begin_suspect(&slot.endpoint.name, fingerprint) {
@@ -222,6 +260,20 @@
         }
     }
 
+    /// Waits until another instance that saw the same endpoint crash has had time to say so; false
+    /// as soon as one has.
+    async fn settled(&self, fingerprint: Fingerprint, crashed: &[Name]) -> bool {
+        let until = self.call.deadline.min(Instant::now() + RECORD_DELAY);
+        while Instant::now() < until {
+            match self.entry.crashes.admission(fingerprint) {
+                Admission::OneMore(endpoints) if endpoints.len() == crashed.len() => {}
+                _ => return false,
+            }
+            tokio::time::sleep(SUSPECT_PAUSE).await;
+        }
+        true
+    }
+
     async fn slot(&self, avoid: &[Name]) -> Result<Slot, Refusal> {
         let started = Instant::now();
         let placed = self.entry.scheduler.acquire(&self.call.spec, avoid).await;
@@ -235,7 +287,7 @@
     }
 
     /// Says of a refusal what is known of the attempts before it.
-    fn with_ran(&self, mut refusal: Refusal) -> Refusal {
+    pub(crate) fn with_ran(&self, mut refusal: Refusal) -> Refusal {
         if self.ran != Ran::No {
             refusal.ran = self.ran;
             refusal.code = Code::EndpointFailed;
@@ -253,16 +305,22 @@
                 cause: "the endpoint has left".to_owned(),
                 outcome: DispatchOutcome::Abandoned,
                 may_have_crashed: false,
+                may_return: false,
             };
-            return self.failed(slot, failed).await.map(|()| None);
+            return self.failed(slot, None, failed).await.map(|()| None);
         }
-        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id, self.claim);
+        let claim = self.claim.as_ref().map(|c| c.number);
+        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id, claim);
         let fresh = !self.call.idempotent;
         let address = slot.endpoint.address;
-        let sent = self.entry.pool.send(address, request, fresh, self.call.deadline).await;
+        let run = self.entry.crashes.run_of(&slot.endpoint.name);
+        let deadline = self.call.deadline;
+        let until = halfway(deadline).min(Instant::now() + REUSED_HEAD_TIMEOUT);
+        let pool = &self.entry.pool;
+        let sent = pool.send_watched(address, request, fresh, deadline, until).await;
         match sent {
-            Ok(exchange) => self.head(exchange, slot, suspect).await,
-            Err(e) => self.failed(slot, Failed::from_send(&e)).await.map(|()| None),
+            Ok(exchange) => self.head(exchange, slot, run, suspect).await,
+            Err(e) => self.failed(slot, run, Failed::from_send(&e)).await.map(|()| None),
         }
     }
 
@@ -270,9 +328,11 @@
         &mut self,
         exchange: Exchange,
         slot: Slot,
+        run: Option<u64>,
         suspect: Option<Suspect>,
     ) -> Result<Option<Begun>, Refusal> {
         let (response, reuse) = exchange.into_parts();
+        let has_end = has_end(&response);
         let (head, body) = response.into_parts();
         let refused =
             matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
@@ -282,8 +342,14 @@
                 cause: format!("the endpoint refused with status {}", head.status),
                 outcome: DispatchOutcome::Refused,
                 may_have_crashed: false,
+                may_return: false,
             };
-            return self.failed(slot, failed).await.map(|()| None);
+            return self.failed(slot, run, failed).await.map(|()| None);
+        }
+        if !has_end && !is_event_stream(&head.headers) {
+            let cause = "nothing tells the end of the answer from a lost connection";
+            let error = AnswerError::Truncated(cause.to_owned());
+            return self.failed(slot, run, Failed::from_answer(&error)).await.map(|()| None);
         }
         let mut headers = head.headers;
         for name in NOT_FORWARDED {
@@ -291,7 +357,7 @@
         }
         let first_byte = slot.elapsed();
         let status = head.status;
-        Ok(Some(Begun { status, headers, body, reuse, slot, first_byte, _suspect: suspect }))
+        Ok(Some(Begun { status, headers, body, reuse, slot, first_byte, run, _suspect: suspect }))
     }
 
     /// Reads the answer whole. `Ok(None)` means that the call may be tried elsewhere.
@@ -305,12 +371,20 @@
                 begun.slot.finish(DispatchOutcome::Answered { first_byte, tokens });
                 Ok(Some(Answer { status: begun.status, headers: begun.headers, body }))
             }
-            Err(e) => self.failed(begun.slot, Failed::from_answer(&e)).await.map(|()| None),
+            Err(e) => {
+                let failed = Failed::from_answer(&e);
+                self.failed(begun.slot, begun.run, failed).await.map(|()| None)
+            }
         }
     }
 
     /// Notes a failure; an error when the call may not be tried again.
-    async fn failed(&mut self, slot: Slot, failed: Failed) -> Result<(), Refusal> {
+    async fn failed(
+        &mut self,
+        slot: Slot,
+        run: Option<u64>,
+        failed: Failed,
+    ) -> Result<(), Refusal> {
         let chosen = slot.endpoint.clone();
         let endpoint = chosen.name.clone();
         log::warn!(
@@ -322,17 +396,22 @@
         metrics::counter!("poplarspan_failed_attempts_total", "endpoint" => endpoint.to_string())
             .increment(1);
         slot.finish(failed.outcome);
-        self.tried.push(endpoint);
-        if failed.ran != Ran::No {
+        if !failed.may_return {
+            self.tried.push(endpoint);
+        }
+        self.sent += 1;
+        if failed.ran != Ran::No && self.ran != Ran::Yes {
             self.ran = failed.ran;
         }
         self.last_cause = failed.cause;
         if failed.may_have_crashed {
-            self.entry.crashes.note_lost(&chosen, self.call.fingerprint()).await;
+            let call = self.call;
+            let fingerprint = call.fingerprint();
+            self.entry.crashes.note_lost(&chosen, run, fingerprint, call.deadline).await;
         }
         let may_repeat = failed.ran == Ran::No || self.call.idempotent;
         let in_time = Instant::now() < self.call.deadline;
-        if may_repeat && in_time && self.tried.len() < MAX_ATTEMPTS && self.take_retry() {
+        if may_repeat && in_time && self.sent < MAX_ATTEMPTS && self.take_retry() {
             return Ok(());
         }
         Err(self.refusal())
@@ -365,6 +444,14 @@
     }
 }
 
+/// The middle of the time that is left.
+fn halfway(deadline: Instant) -> Instant {
+    let now = Instant::now();
+    let half = deadline.saturating_duration_since(now) / 2;
+    // Shortly before the deadline a working connection must not be given up for a moment's delay.
+    deadline.min(now + half.max(SHORTEST_PATIENCE))
+}
+
 impl Entry {
     /// Checks, at the last moment, that the call may still run, and returns whether it may go to
     /// this endpoint.
--- a/crates/server/src/entry/body.rs
+++ b/crates/server/src/entry/body.rs
@@ -27,16 +27,26 @@
 
 /// The receiving half of a relayed answer.
 pub(crate) struct RelayBody {
-    rx: mpsc::Receiver<Result<Bytes, Truncated>>,
+    rx: mpsc::Receiver<Chunk>,
+    whole: bool,
+}
+
+/// A piece of a relayed answer.
+#[derive(Debug)]
+pub(crate) enum Chunk {
+    /// More follows.
+    More(Bytes),
+    /// The answer is whole with this.
+    Last(Bytes),
 }
 
 /// The sending half of a relayed answer.
-pub(crate) type RelaySender = mpsc::Sender<Result<Bytes, Truncated>>;
+pub(crate) type RelaySender = mpsc::Sender<Chunk>;
 
 /// Creates a relayed answer.
 pub(crate) fn relay() -> (RelaySender, AnswerBody) {
     let (tx, rx) = mpsc::channel(RELAY_QUEUE);
-    (tx, Either::Right(RelayBody { rx }))
+    (tx, Either::Right(RelayBody { rx, whole: false }))
 }
 
 /// Creates an answer that is known whole.
@@ -52,7 +62,18 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        self.rx.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+        if self.whole {
+            return Poll::Ready(None);
+        }
+        // A sender that ends without the last chunk, for whatever reason, has cut the answer short.
+        match std::task::ready!(self.rx.poll_recv(cx)) {
+            Some(Chunk::More(chunk)) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+            Some(Chunk::Last(chunk)) => {
+                self.whole = true;
+                Poll::Ready(Some(Ok(Frame::data(chunk))))
+            }
+            None => Poll::Ready(Some(Err(Truncated))),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/server/src/entry/chat.rs
+++ b/crates/server/src/entry/chat.rs
@@ -1,7 +1,8 @@
 //! The parts of a chat request that decisions need.
 
-use std::{borrow::Cow, sync::Arc};
+use std::{borrow::Cow, collections::BTreeMap, sync::Arc};
 
+use bytes::Bytes;
 use poplarspan_policy::route::PrefixChain;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -64,3 +65,23 @@
         chain.blocks().into()
     }
 }
+
+/// The body with only those messages that follow the last one of the assistant; None when there is
+/// no such message, or the body has another shape.
+pub(crate) fn since_last_answer(body: &[u8]) -> Option<Bytes> {
+    #[derive(Deserialize)]
+    struct Role<'a> {
+        #[serde(borrow)]
+        role: Cow<'a, str>,
+    }
+    let fields: BTreeMap<Cow<'_, str>, &RawValue> = serde_json::from_slice(body).ok()?;
+    let messages: Vec<&RawValue> = serde_json::from_str(fields.get("messages")?.get()).ok()?;
+    let is_answer = |m: &&RawValue| {
+        serde_json::from_str::<Role<'_>>(m.get()).is_ok_and(|r| r.role == "assistant")
+    };
+    let last = messages.iter().rposition(is_answer)?;
+    let tail = serde_json::value::to_raw_value(&messages[last + 1..]).ok()?;
+    let mut kept = fields;
+    kept.insert(Cow::Borrowed("messages"), &tail);
+    serde_json::to_vec(&kept).ok().map(Bytes::from)
+}
--- a/crates/server/src/entry/handler.rs
+++ b/crates/server/src/entry/handler.rs
@@ -21,7 +21,7 @@
     auth::Credential,
     body::{self, AnswerBody},
     call::CallHead,
-    chat::ChatRequest,
+    chat::{ChatRequest, since_last_answer},
     own::OwnPath,
     refusal::{Code, Ran, Refusal},
 };
@@ -66,6 +66,15 @@
 }
 
 impl Accepted {
+    /// What the history of the program keeps of the request. A caller repeats the conversation so
+    /// far in every turn, and the earlier turns are in the history already.
+    pub(crate) fn kept_request(&self) -> Bytes {
+        let body = &self.prepared.parts.body;
+        let is_chat_turn = self.head.program.is_some() && self.prepared.spec.max_output_tokens > 0;
+        let shortened = if is_chat_turn { since_last_answer(body) } else { None };
+        shortened.unwrap_or_else(|| body.clone())
+    }
+
     pub(crate) fn team(&self) -> Option<&poplarspan_objects::Name> {
         self.prepared.credential.as_ref().map(|c| &c.team)
     }
@@ -174,8 +183,7 @@
         let mut attempts = Attempts::new(self, &accepted.prepared);
         loop {
             let place = attempts.place().await?;
-            let Some(begun) = attempts.send(place).await? else { continue };
-            if let Some(answer) = attempts.collect(begun).await? {
+            if let Some(answer) = attempts.exchange(place).await? {
                 return Ok(whole_response(answer.status, answer.headers, answer.body));
             }
         }
--- a/crates/server/src/entry/mod.rs
+++ b/crates/server/src/entry/mod.rs
@@ -16,7 +16,7 @@
 mod refusal;
 mod stream;
 
-pub(crate) use body::{RelaySender, Truncated};
+pub(crate) use body::{Chunk, RelaySender};
 pub(crate) use handler::{Entry, HELD_UNIT_BYTES};
 pub(crate) use listener::Listener;
 pub(crate) use refusal::{Code, Refusal};
--- a/crates/server/src/entry/program.rs
+++ b/crates/server/src/entry/program.rs
@@ -13,7 +13,7 @@
 use poplarspan_proto::ledger::{
     self, Begin, CallId, CallKind, Claimant, end, ledger_answer, ledger_command,
 };
-use tokio::time::Instant;
+use tokio::{sync::oneshot, time::Instant};
 
 use super::{
     attempt::{Answer, Attempts, Begun, Place},
@@ -40,6 +40,15 @@
     pub(crate) number: u64,
     /// Endpoints that the ledger knows to be used under this claim.
     named: Vec<Name>,
+    deadline: Instant,
+}
+
+/// Where the answer of a call goes.
+type Caller = oneshot::Sender<Result<Response<AnswerBody>, Refusal>>;
+
+/// Ends a call that has not begun; nobody reads this.
+fn caller_gone() -> Refusal {
+    Refusal::not_run(Code::Unavailable, "the caller has gone")
 }
 
 /// What the ledger says to the begin of a call.
@@ -52,16 +61,40 @@
 
 impl Entry {
     /// Runs a call under a claim of the ledger.
+    ///
+    /// It runs in a task of its own: a caller that hangs up must not leave the claim open, since
+    /// its resend would then find the call running for ever.
     pub(crate) async fn run_recorded(
         self: Arc<Self>,
         accepted: Accepted,
         stream: bool,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let (mut caller, answer) = oneshot::channel();
+        tokio::spawn(async move {
+            let result = self.run_claimed(accepted, stream, &mut caller).await;
+            // An error means that the caller has gone; the answer is recorded for its resend.
+            let _ = caller.send(result);
+        });
+        answer.await.unwrap_or_else(|_| {
+            let message = "the instance failed while it ran the call";
+            Err(Refusal::with_ran(Code::Unavailable, Ran::Unknown, message))
+        })
+    }
+
+    async fn run_claimed(
+        self: Arc<Self>,
+        accepted: Accepted,
+        stream: bool,
+        caller: &mut Caller,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let begin = self.begin_command(&accepted)?;
         let wait_until = accepted.prepared.deadline.min(Instant::now() + LONGEST_ORDER_WAIT);
         let mut attempts = Attempts::new(&self, &accepted.prepared);
         let (claim, place) = loop {
-            let place = attempts.place().await?;
+            let place = tokio::select! {
+                place = attempts.place() => place?,
+                () = caller.closed() => return Err(caller_gone()),
+            };
             match self.begin(&accepted, begin.clone(), &place.slot, wait_until).await? {
                 BeginAnswer::Granted(claim) => break (claim, place),
                 BeginAnswer::Replay(answer) => return replay(answer),
@@ -71,9 +104,14 @@
                 }
             }
         };
-        attempts.claim = Some(claim.number);
+        attempts.claim = Some(claim.clone());
+        if !stream {
+            let answer = self.exchange_recorded(&mut attempts, claim.clone(), place).await;
+            drop(attempts);
+            return self.conclude(&accepted, claim, answer).await;
+        }
         match self.attempt_recorded(&mut attempts, claim.clone(), place).await {
-            Ok((claim, begun)) if stream && is_event_stream(&begun.headers) => {
+            Ok((claim, begun)) if is_event_stream(&begun.headers) => {
                 drop(attempts);
                 Ok(self.relay(accepted, begun, Some(claim)))
             }
@@ -98,7 +136,8 @@
     ) -> Result<(Claim, Begun), Refusal> {
         loop {
             if !claim.named.contains(&place.slot.endpoint.name) {
-                self.name_endpoint(&mut claim, &place.slot).await?;
+                let named = self.name_endpoint(&mut claim, &place.slot).await;
+                named.map_err(|refusal| attempts.with_ran(refusal))?;
             }
             if let Some(begun) = attempts.send(place).await? {
                 return Ok((claim, begun));
@@ -107,6 +146,25 @@
         }
     }
 
+    /// Sends the call until an endpoint has answered it whole.
+    async fn exchange_recorded(
+        &self,
+        attempts: &mut Attempts<'_>,
+        mut claim: Claim,
+        mut place: Place,
+    ) -> Result<Answer, Refusal> {
+        loop {
+            if !claim.named.contains(&place.slot.endpoint.name) {
+                let named = self.name_endpoint(&mut claim, &place.slot).await;
+                named.map_err(|refusal| attempts.with_ran(refusal))?;
+            }
+            if let Some(answer) = attempts.exchange(place).await? {
+                return Ok(answer);
+            }
+            place = attempts.place().await?;
+        }
+    }
+
     async fn collect_recorded(
         &self,
         attempts: &mut Attempts<'_>,
@@ -149,8 +207,12 @@
                 (end::Outcome::Unknown(ledger::Unknown { cost_tokens: None }), Err(refusal))
             }
         };
-        self.record(claim, end).await?;
-        result
+        match (self.record(claim, end).await, result) {
+            (Ok(()), result) => result,
+            (Err(unrecorded), Ok(_)) => Err(unrecorded),
+            // What is known of the call stays true, whether it is recorded or not.
+            (Err(_), Err(refusal)) => Err(refusal),
+        }
     }
 
     fn begin_command(&self, accepted: &Accepted) -> Result<Begin, Refusal> {
@@ -193,7 +255,7 @@
             }),
             attempt: self.attempts.fetch_add(1, Ordering::Relaxed),
             endpoint: String::new(),
-            request: prepared.parts.body.clone(),
+            request: accepted.kept_request(),
             timeout_ms: (prepared.deadline.saturating_duration_since(Instant::now())
                 + RECORD_TIMEOUT)
                 .as_millis() as u64,
@@ -234,7 +296,9 @@
             ledger_answer::Answer::Granted(granted) => {
                 call.turn = granted.turn;
                 let named = vec![slot.endpoint.name.clone()];
-                Ok(BeginAnswer::Granted(Claim { group, call, number: granted.claim, named }))
+                let deadline = accepted.prepared.deadline;
+                let claim = Claim { group, call, number: granted.claim, named, deadline };
+                Ok(BeginAnswer::Granted(claim))
             }
             ledger_answer::Answer::Replay(answer) => Ok(BeginAnswer::Replay(answer)),
             ledger_answer::Answer::OutOfOrder(_) | ledger_answer::Answer::Running(_)
@@ -246,14 +310,18 @@
         }
     }
 
-    async fn name_endpoint(&self, claim: &mut Claim, slot: &Slot) -> Result<(), Refusal> {
+    pub(crate) async fn name_endpoint(
+        &self,
+        claim: &mut Claim,
+        slot: &Slot,
+    ) -> Result<(), Refusal> {
         let dispatch = ledger::Dispatch {
             call: Some(claim.call.clone()),
             claim: claim.number,
             endpoint: slot.endpoint.name.to_string(),
         };
         let command = ledger_command::Command::Dispatch(dispatch);
-        let deadline = Instant::now() + LONGEST_ORDER_WAIT;
+        let deadline = claim.deadline.min(Instant::now() + LONGEST_ORDER_WAIT);
         match self.ledger.command(claim.group, command, deadline).await {
             Ok(ledger_answer::Answer::Recorded(_)) => {
                 claim.named.push(slot.endpoint.name.clone());
--- a/crates/server/src/entry/stream.rs
+++ b/crates/server/src/entry/stream.rs
@@ -10,14 +10,14 @@
 
 use super::{
     attempt::{Attempts, Begun},
-    body::{self, AnswerBody, RelaySender},
+    body::{self, AnswerBody, Chunk, RelaySender},
     handler::{Accepted, Entry, whole_response},
     program::{Claim, is_event_stream},
     record::encode_headers,
     refusal::Refusal,
 };
 use crate::{
-    dispatch::{AnswerError, RelayLimits, Relayed, StreamEnd, cut_short, relay_stream},
+    dispatch::{AnswerError, RelayLimits, Relayed, StreamEnd, relay_stream},
     schedule::DispatchOutcome,
     telemetry,
 };
@@ -69,7 +69,7 @@
         claim: Option<Claim>,
         tx: RelaySender,
     ) {
-        let Begun { status, headers, mut body, reuse, slot, first_byte, _suspect } = begun;
+        let Begun { status, headers, mut body, reuse, slot, first_byte, run, _suspect } = begun;
         let started = Instant::now();
         let limits = RelayLimits {
             progress: PROGRESS_TIMEOUT,
@@ -98,7 +98,9 @@
                 let chosen = slot.endpoint.clone();
                 slot.finish(DispatchOutcome::Failed);
                 if let AnswerError::Truncated(_) = e {
-                    self.crashes.note_lost(&chosen, accepted.prepared.fingerprint()).await;
+                    let call = &accepted.prepared;
+                    let fingerprint = call.fingerprint();
+                    self.crashes.note_lost(&chosen, run, fingerprint, call.deadline).await;
                 }
             }
         }
@@ -131,13 +133,10 @@
             Some(claim) => self.record(claim, outcome).await,
             None => Ok(()),
         };
-        match (relayed.end, recorded) {
-            (StreamEnd::Whole { last }, Ok(())) => {
-                // An error means that the caller has gone.
-                let _ = tx.send(Ok(last)).await;
-            }
-            (StreamEnd::CallerGone, _) => {}
-            _ => cut_short(tx).await,
+        // Without its last chunk the answer is not whole for the caller.
+        if let (StreamEnd::Whole { last }, Ok(())) = (relayed.end, recorded) {
+            // An error means that the caller has gone.
+            let _ = tx.send(Chunk::Last(last)).await;
         }
     }
 }
