--- /dev/null
+++ b/tests/support/calls.rs
@@ -0,0 +1,187 @@
+//! What callers see of an answer, and what stand-ins say about the calls that reached them.
+
+use std::{
+    ops::{Deref, DerefMut},
+    sync::LazyLock,
+};
+
+use reqwest::{RequestBuilder, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+use super::{Fleet, PATIENCE, eventually, process::Process};
+
+/// Makes a new connection for each request.
+static FRESH: LazyLock<reqwest::Client> = LazyLock::new(|| {
+    let client = reqwest::Client::builder().no_proxy().pool_max_idle_per_host(0);
+    client.build().expect("client")
+});
+
+/// An answer as its caller saw it.
+#[derive(Debug)]
+pub struct Seen {
+    pub status: StatusCode,
+    pub headers: reqwest::header::HeaderMap,
+    /// The body, if it arrived whole.
+    pub body: Result<String, String>,
+}
+
+impl Seen {
+    /// Sends a request and reads its answer to the end.
+    pub async fn of(request: RequestBuilder) -> Self {
+        let request = request.timeout(PATIENCE);
+        let answer = request.send().await.expect("the head of an answer");
+        let (status, headers) = (answer.status(), answer.headers().clone());
+        let body = answer.text().await.map_err(|e| e.to_string());
+        Self { status, headers, body }
+    }
+
+    /// Field of the refusal; null when this is none.
+    fn field(&self, name: &str) -> Value {
+        let body = self.body.as_deref().unwrap_or_default();
+        let body: Value = serde_json::from_str(body).unwrap_or_default();
+        body["error"][name].clone()
+    }
+
+    pub fn code(&self) -> String {
+        self.field("code").as_str().unwrap_or_default().to_owned()
+    }
+
+    pub fn ran(&self) -> String {
+        self.field("ran").as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Code of the refusal, and whether the call ran.
+    pub fn refusal(&self) -> (String, String) {
+        (self.code(), self.ran())
+    }
+
+    pub fn is_replay(&self) -> bool {
+        self.headers.contains_key("x-poplarspan-replay")
+    }
+}
+
+/// Keeps the number of fleets of one test binary within what a busy machine bears.
+static FLEETS: Semaphore = Semaphore::const_new(3);
+
+/// A fleet with its place among those that run at once.
+pub struct CallFleet {
+    fleet: Fleet,
+    _place: SemaphorePermit<'static>,
+}
+
+impl Deref for CallFleet {
+    type Target = Fleet;
+
+    fn deref(&self) -> &Fleet {
+        &self.fleet
+    }
+}
+
+impl DerefMut for CallFleet {
+    fn deref_mut(&mut self) -> &mut Fleet {
+        &mut self.fleet
+    }
+}
+
+impl Fleet {
+    /// Starts one control replica, some entry instances, and stand-ins: name, kind and flags.
+    pub async fn with_stand_ins(
+        entries: u64,
+        stand_ins: &[(&str, &'static str, &[&str])],
+    ) -> CallFleet {
+        Self::configured(entries, stand_ins, |_| {}).await
+    }
+
+    /// As [`Fleet::with_stand_ins`], with changes before anything starts.
+    pub async fn configured(
+        entries: u64,
+        stand_ins: &[(&str, &'static str, &[&str])],
+        change: impl FnOnce(&mut Self),
+    ) -> CallFleet {
+        let place = FLEETS.acquire().await.expect("never closed");
+        let mut fleet = Self::prepare(1, entries).await;
+        change(&mut fleet);
+        for (name, kind, flags) in stand_ins {
+            fleet.add_stand_in(name, kind, flags);
+        }
+        if stand_ins.iter().all(|(_, kind, _)| *kind != "engine") {
+            // The object file has a chat route, which some endpoint must serve.
+            fleet.add_stand_in("spare-engine", "engine", &[]);
+        }
+        fleet.start_all().await;
+        fleet.publish_and_wait().await;
+        fleet.check_stand_ins();
+        fleet.warm_up().await;
+        CallFleet { fleet, _place: place }
+    }
+
+    /// Waits until every instance has answered a call of a program: rates start with a pause, and
+    /// the program groups are found first.
+    pub async fn warm_up(&self) {
+        for i in self.live() {
+            eventually("a first answer", async || {
+                if Seen::of(self.chat(i, "warm up")).await.status != 200 {
+                    return false;
+                }
+                let call = self.chat(i, "warm up").header("x-poplarspan-program", "warm-up");
+                let code = Seen::of(call).await;
+                code.status == 200 || code.code() == "program_ended"
+            })
+            .await;
+        }
+        let url = format!("http://{}/v1/programs/warm-up/finish", self.members[0].entry);
+        let finish = self.client.post(url).bearer_auth(self.objects.team_key());
+        assert_eq!(Seen::of(finish).await.status, 200);
+    }
+
+    /// Starts a chat call with a body of its own.
+    pub fn chat_with(&self, i: usize, content: &str, more: Value) -> RequestBuilder {
+        let url = format!("http://{}/v1/chat/completions", self.members[i].entry);
+        let mut body = json!({
+            "model": "chat-model", "max_tokens": 4,
+            "messages": [{"role": "user", "content": content}],
+        });
+        for (name, value) in more.as_object().expect("an object") {
+            body[name] = value.clone();
+        }
+        self.client.post(url).bearer_auth(self.objects.team_key()).json(&body)
+    }
+
+    /// Executions under a key at all services together.
+    pub async fn all_executions(&self, key: &str) -> u64 {
+        let mut sum = 0;
+        for i in 0..self.stand_ins.len() {
+            if self.stand_ins[i].kind == "service" && self.stand_ins[i].process.is_some() {
+                let list = self.ask_stand_in(i, "/executions").await.expect("a list");
+                let counted = list.as_array().expect("a list").iter().find(|e| e["key"] == key);
+                sum += counted.map_or(0, |e| e["executions"].as_u64().expect("a count"));
+            }
+        }
+        sum
+    }
+
+    /// What a stand-in answers to a `GET`, over a new connection, as open ones may be stalled.
+    pub async fn ask_stand_in(&self, i: usize, path: &str) -> Option<Value> {
+        let url = format!("http://{}{path}", self.stand_ins[i].address);
+        FRESH.get(url).timeout(PATIENCE).send().await.ok()?.json().await.ok()
+    }
+
+    /// Kills a stand-in without warning.
+    pub fn kill_stand_in(&mut self, i: usize) {
+        self.stand_ins[i].process.take().expect("the stand-in runs").kill();
+    }
+
+    /// What a stand-in has logged.
+    pub fn stand_in_log(&self, i: usize) -> String {
+        let path = self.folder.path().join(&self.stand_ins[i].name);
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Asks an instance to stop and returns its process.
+    pub fn terminate(&mut self, i: usize) -> Process {
+        let process = self.members[i].process.take().expect("the instance runs");
+        process.terminate();
+        process
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,9 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod calls;
 pub mod network;
 pub mod objects;
 pub mod process;
+pub mod raw;
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
--- a/tests/support/objects.rs
+++ b/tests/support/objects.rs
@@ -18,6 +18,8 @@
     pub rate: (u32, u32),
     /// Tokens of the budget of each program.
     pub budget_tokens: u64,
+    /// Calls that each endpoint takes at once.
+    pub capacity: u32,
     /// More text at the end of the file.
     pub extra: String,
 }
@@ -41,6 +43,7 @@
             withdrawn: false,
             rate: (500, 500),
             budget_tokens: 100_000,
+            capacity: 64,
             extra: String::new(),
         }
     }
@@ -112,10 +115,11 @@
             let _ = write!(
                 text,
                 "[[endpoint]]\nname = \"{}\"\nzone = \"zone-{}\"\naddress = \"{}\"\n{serves}\n\
-                 capacity = 64\nleaving = {}\n",
+                 capacity = {}\nleaving = {}\n",
                 e.name,
                 i % 3 + 1,
                 e.address,
+                self.capacity,
                 e.leaving,
             );
         }
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -38,6 +38,11 @@
         kill(pid, signal).expect("the process runs");
     }
 
+    /// Number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process without warning.
     pub fn kill(mut self) {
         self.child.kill().expect("the process runs");
