--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,130 @@
+//! Guards against a second run of a call that must run at most once, whatever its endpoint does.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use support::{Fleet, calls::Seen, eventually};
+
+const SERVICES: [(&str, &str, &[&str]); 2] = [
+    ("orders-1", "service", &["--restart-after", "100ms", "--delay", "50ms"]),
+    ("orders-2", "service", &["--restart-after", "100ms", "--delay", "50ms"]),
+];
+
+/// An endpoint that fails after it ran an order leads to a second run, by a retry or by a resend.
+#[tokio::test(flavor = "multi_thread")]
+async fn failing_endpoint() {
+    let fleet = Fleet::with_stand_ins(2, &SERVICES).await;
+    for fault in ["crash", "hang", "silent", "crossed", "truncate", "stall", "late:5000"] {
+        let key = format!("order-{fault}");
+        let body = format!("{{\"fault\": \"{fault}\"}}");
+        let order = |i: usize| fleet.order(i, &key, &body).header("x-standin-fault", fault);
+        let first = Seen::of(order(1).header("x-poplarspan-deadline", 1000)).await;
+        assert_eq!(first.code(), "outcome_unknown", "{fault}: {first:?}");
+        assert_ne!(first.ran(), "no", "{fault}: {first:?}");
+        for i in [1, 2, 0, 2] {
+            let again = Seen::of(fleet.order(i, &key, &body)).await;
+            let expected = ("outcome_unknown".to_owned(), "unknown".to_owned());
+            assert_eq!(again.refusal(), expected, "{fault}: {again:?}");
+        }
+        eventually("the services", async || {
+            fleet.ask_stand_in(0, "/load").await.is_some()
+                && fleet.ask_stand_in(1, "/load").await.is_some()
+        })
+        .await;
+        assert_eq!(fleet.all_executions(&key).await, 1, "{fault}");
+    }
+}
+
+/// A status of failure is an answer: the order ran, and the answer is kept for resends.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_order() {
+    let fleet = Fleet::with_stand_ins(1, &SERVICES).await;
+    for i in [0, 1, 0] {
+        let order = fleet.order(i, "order-1", "{}").header("x-standin-fault", "error");
+        assert_eq!(Seen::of(order).await.status, 500);
+    }
+    assert_eq!(fleet.all_executions("order-1").await, 1);
+}
+
+/// An endpoint that dies in the middle of an order leads to a run at another endpoint, and one that
+/// is dead before an order arrives leads to a refusal although the order could still run.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_endpoint() {
+    let flags: &[&str] = &["--delay", "800ms"];
+    let services = [("orders-1", "service", flags), ("orders-2", "service", flags)];
+    let mut fleet = Fleet::with_stand_ins(1, &services).await;
+    let call = tokio::spawn(Seen::of(fleet.order(1, "during", "{}")));
+    let mut at = None;
+    eventually("a running order", async || {
+        for i in 0..2 {
+            let load = fleet.ask_stand_in(i, "/load").await.expect("a load report");
+            if load["running"] == 1 {
+                at = Some(i);
+            }
+        }
+        at.is_some()
+    })
+    .await;
+    let killed = at.expect("a service");
+    fleet.kill_stand_in(killed);
+    let first = call.await.expect("no panic");
+    let unknown = ("outcome_unknown".to_owned(), "unknown".to_owned());
+    assert_eq!(first.refusal(), unknown, "{first:?}");
+    let again = Seen::of(fleet.order(0, "during", "{}")).await;
+    assert_eq!(again.refusal(), unknown, "{again:?}");
+    assert_eq!(fleet.all_executions("during").await, 0, "the other service got the order");
+    for n in 0..4 {
+        let key = format!("before-{n}");
+        let answer = Seen::of(fleet.order(n % 2, &key, &key)).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(fleet.all_executions(&key).await, 1);
+    }
+    fleet.kill_stand_in(1 - killed);
+    let refused = Seen::of(fleet.order(1, "nowhere", "{}").header("x-poplarspan-deadline", 3000));
+    let refused = refused.await;
+    assert_eq!(refused.ran(), "no", "{refused:?}");
+    assert!(refused.headers.contains_key("retry-after"), "{refused:?}");
+    fleet.start_stand_in(0);
+    fleet.start_stand_in(1);
+    eventually("an answer after all", async || {
+        Seen::of(fleet.order(0, "nowhere", "{}")).await.status == 200
+    })
+    .await;
+    assert_eq!(fleet.all_executions("nowhere").await, 1);
+}
+
+/// Copies of an order at several instances at the same moment run side by side.
+#[tokio::test(flavor = "multi_thread")]
+async fn parallel_copies() {
+    let fleet = Fleet::with_stand_ins(2, &SERVICES).await;
+    for n in 0..8 {
+        let key = format!("order-{n}");
+        let copies = (0..6).map(|i| Seen::of(fleet.order(i % 3, &key, &key)));
+        let answers = join_all(copies).await;
+        let first = answers.iter().filter(|a| a.status == 200 && !a.is_replay()).count();
+        assert_eq!(first, 1, "{answers:?}");
+        assert!(answers.iter().all(|a| a.status == 200 || a.code() == "conflict"), "{answers:?}");
+        assert_eq!(fleet.all_executions(&key).await, 1);
+        let other = Seen::of(fleet.order(n % 3, &key, "another body")).await;
+        assert_eq!(other.refusal(), ("conflict".to_owned(), "no".to_owned()));
+        assert_eq!(fleet.all_executions(&key).await, 1);
+    }
+}
+
+/// A caller that hangs up leaves its order open, so that a resend never learns how it ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_gone() {
+    let flags: &[&str] = &["--delay", "300ms"];
+    let fleet = Fleet::with_stand_ins(1, &[("orders-1", "service", flags)]).await;
+    let order = fleet.order(1, "order-1", "{}").timeout(Duration::from_millis(150));
+    order.send().await.expect_err("the caller hangs up");
+    eventually("the recorded answer", async || {
+        let again = Seen::of(fleet.order(0, "order-1", "{}")).await;
+        assert!(again.status == 200 || again.code() == "conflict", "{again:?}");
+        again.status == 200 && again.is_replay()
+    })
+    .await;
+    assert_eq!(fleet.all_executions("order-1").await, 1);
+}
