--- /dev/null
+++ b/tests/whole_answers.rs
@@ -0,0 +1,103 @@
+//! Guards against a part of an answer, or the answer to another call, that a caller takes for the
+//! whole answer to its own.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{Fleet, calls::Seen};
+
+const FAULTS: [&str; 5] = ["truncate", "crossed", "silent", "crash", "late:5000"];
+
+fn engines() -> [(&'static str, &'static str, &'static [&'static str]); 2] {
+    let flags: &[&str] = &["--token-interval", "2ms", "--restart-after", "100ms"];
+    [("engine-1", "engine", flags), ("engine-2", "engine", flags)]
+}
+
+/// A whole answer, or a refusal, or a body that fails.
+fn check(what: &str, seen: &Seen, stream: bool) {
+    let Ok(body) = &seen.body else { return };
+    if seen.status != 200 {
+        assert!(!seen.code().is_empty(), "{what}: {seen:?}");
+        return;
+    }
+    if stream {
+        assert!(body.ends_with("data: [DONE]\n\n"), "{what}: {seen:?}");
+        assert!(body.matches("data: ").count() >= 4, "{what}: {seen:?}");
+    } else {
+        let body: Value = serde_json::from_str(body).expect("whole JSON");
+        assert_eq!(body["usage"]["completion_tokens"], 4, "{what}: {seen:?}");
+    }
+}
+
+/// An answer that is cut, crossed or late is passed on as a whole one, or is kept for resends.
+#[tokio::test(flavor = "multi_thread")]
+async fn failing_answers() {
+    let fleet = Fleet::with_stand_ins(1, &engines()).await;
+    for fault in FAULTS {
+        for stream in [false, true] {
+            for program in [false, true] {
+                let what = format!("{fault} stream={stream} program={program}");
+                let id = format!("program-{}", what.replace([' ', '='], "-"));
+                let call = |i: usize| {
+                    let call = fleet.chat_with(i, &what, json!({"stream": stream}));
+                    let call = call.header("x-poplarspan-deadline", 1500);
+                    if program { call.header("x-poplarspan-program", &id) } else { call }
+                };
+                let seen = Seen::of(call(1).header("x-standin-fault", fault)).await;
+                check(&what, &seen, stream);
+                assert!(seen.status != 200 || seen.body.is_err(), "{what}: {seen:?}");
+                let again = Seen::of(call(0).header("idempotency-key", "other")).await;
+                check(&what, &again, stream);
+            }
+        }
+    }
+}
+
+/// A stream that is cut in its middle ends like a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_stream() {
+    let flags: &[&str] = &["--token-interval", "20ms"];
+    let mut fleet = Fleet::with_stand_ins(1, &[("engine-1", "engine", flags)]).await;
+    for http2 in [false, true] {
+        let client = reqwest::Client::builder().no_proxy();
+        let client = if http2 { client.http2_prior_knowledge() } else { client };
+        let url = format!("http://{}/v1/chat/completions", fleet.members[1].entry);
+        let body = json!({"model": "chat-model", "max_tokens": 500, "stream": true,
+            "messages": [{"role": "user", "content": format!("http2 {http2}")}]});
+        let client = client.build().expect("client");
+        let call = client.post(url).bearer_auth(fleet.objects.team_key()).json(&body);
+        let mut answer = call.send().await.expect("the head of an answer");
+        assert_eq!(answer.status(), 200);
+        answer.chunk().await.expect("a first event").expect("a first event");
+        fleet.kill_stand_in(0);
+        let rest = answer.text().await;
+        assert!(rest.is_err(), "http2={http2}: {rest:?}");
+        fleet.start_stand_in(0);
+        fleet.warm_up().await;
+    }
+}
+
+/// A call that may run again is lost with the first endpoint that fails it.
+#[tokio::test(flavor = "multi_thread")]
+async fn retried_call() {
+    let mut fleet = Fleet::with_stand_ins(1, &engines()).await;
+    for killed in [0, 1] {
+        fleet.kill_stand_in(killed);
+        for program in [false, true] {
+            for n in 0..4 {
+                let what = format!("killed={killed} program={program} {n}");
+                let call = fleet.chat_with(1, &what, json!({"stream": n % 2 == 1}));
+                let call = if program {
+                    call.header("x-poplarspan-program", what.replace([' ', '='], "-"))
+                } else {
+                    call
+                };
+                let seen = Seen::of(call).await;
+                assert_eq!(seen.status, 200, "{what}: {seen:?}");
+                check(&what, &seen, n % 2 == 1);
+            }
+        }
+        fleet.start_stand_in(killed);
+        fleet.warm_up().await;
+    }
+}
