--- /dev/null
+++ b/tests/crash_containment.rs
@@ -0,0 +1,75 @@
+//! Guards against one request that takes down endpoint after endpoint.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use support::{
+    Fleet,
+    calls::{CallFleet, Seen},
+};
+
+const FLAGS: &[&str] = &["--restart-after", "200ms"];
+
+async fn engines() -> CallFleet {
+    let names = ["engine-1", "engine-2", "engine-3", "engine-4", "engine-5"];
+    let engines = names.map(|name| (name, "engine", FLAGS));
+    Fleet::with_stand_ins(2, &engines).await
+}
+
+/// Number of endpoints that have crashed.
+fn crashed(fleet: &Fleet) -> usize {
+    let crashes = |i: &usize| fleet.stand_in_log(*i).contains("stand-in crashes");
+    (0..fleet.stand_ins.len()).filter(crashes).count()
+}
+
+/// A request that crashes endpoints reaches more than two of them, because its caller resends it to
+/// other instances, or gets no final answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn resent_request() {
+    let fleet = engines().await;
+    let refused = ("request_crashes_endpoints".to_owned(), "unknown".to_owned());
+    let first = Seen::of(fleet.chat(1, "crash-me")).await;
+    assert_eq!(first.refusal(), refused, "{first:?}");
+    assert_eq!(crashed(&fleet), 2);
+    for i in [2, 0, 1] {
+        let again = Seen::of(fleet.chat(i, "crash-me")).await;
+        assert_eq!(again.refusal(), (refused.0.clone(), "no".to_owned()), "{again:?}");
+    }
+    let copies = (0..12).map(|i| Seen::of(fleet.chat(i % 3, "crash-me")));
+    let copies = tokio::spawn(join_all(copies));
+    let others = (0..12).map(|i| Seen::of(fleet.chat(i % 3, "another question")));
+    for other in join_all(others).await {
+        assert_eq!(other.status, 200, "{other:?}");
+    }
+    for copy in copies.await.expect("no panic") {
+        assert_eq!(copy.code(), refused.0, "{copy:?}");
+    }
+    assert_eq!(crashed(&fleet), 2);
+}
+
+/// Copies that are sent to all instances in parallel, after an answer that leaves one more run,
+/// crash one endpoint each.
+#[tokio::test(flavor = "multi_thread")]
+async fn parallel_resends() {
+    let names = ["orders-1", "orders-2", "orders-3", "orders-4", "orders-5"];
+    let services = names.map(|name| (name, "service", FLAGS));
+    let fleet = Fleet::with_stand_ins(2, &services).await;
+    let first = Seen::of(fleet.order(1, "order-1", "crash-me")).await;
+    assert_eq!(first.code(), "outcome_unknown", "{first:?}");
+    assert_eq!(crashed(&fleet), 1);
+    for round in 0..3 {
+        let order = |i: usize| fleet.order(i % 3, &format!("copy-{round}-{i}"), "crash-me");
+        let copies = join_all((0..9).map(|i| Seen::of(order(i)))).await;
+        let final_codes = ["outcome_unknown", "request_crashes_endpoints"];
+        for copy in copies {
+            assert!(final_codes.contains(&copy.code().as_str()), "{copy:?}");
+        }
+        assert!(crashed(&fleet) <= 2, "round {round}");
+    }
+    assert_eq!(crashed(&fleet), 2);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let other = Seen::of(fleet.order(2, "order-2", "{}")).await;
+    assert_eq!(other.status, 200, "{other:?}");
+}
