--- /dev/null
+++ b/tests/graceful_drain.rs
@@ -0,0 +1,69 @@
+//! Guards against calls that are cut when an instance is asked to stop.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use serde_json::json;
+use support::{Fleet, calls::Seen, eventually};
+
+/// Open streams, waiting calls, calls of programs and orders are cut by SIGTERM, the balancer is
+/// told too late, or the exit status tells of a failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_calls() {
+    let engine: &[&str] = &["--token-interval", "20ms", "--capacity", "4"];
+    let service: &[&str] = &["--delay", "1500ms"];
+    let stand_ins = [("engine-1", "engine", engine), ("orders-1", "service", service)];
+    let mut fleet = Fleet::configured(2, &stand_ins, |fleet| {
+        // The engine runs four calls at once; further ones wait at the instance.
+        fleet.objects.capacity = 4;
+    })
+    .await;
+    let mut calls = Vec::new();
+    for n in 0..12 {
+        let more = json!({"stream": n % 2 == 0, "max_tokens": 20});
+        let call = fleet.chat_with(1, &format!("question {n}"), more);
+        let call = match n % 3 {
+            0 => call.header("x-poplarspan-program", format!("program-{n}")),
+            _ => call,
+        };
+        calls.push(tokio::spawn(Seen::of(call)));
+    }
+    let orders = (0..3).map(|n| fleet.order(1, &format!("order-{n}"), "{}"));
+    let orders: Vec<_> = orders.map(|order| tokio::spawn(Seen::of(order))).collect();
+    let gone = fleet.order(1, "order-gone", "{}").timeout(Duration::from_millis(500));
+    gone.send().await.expect_err("the caller hangs up");
+    eventually("running calls", async || {
+        let engine = fleet.ask_stand_in(0, "/load").await.expect("a load report");
+        let service = fleet.ask_stand_in(1, "/load").await.expect("a load report");
+        engine["running"].as_u64() >= Some(1) && service["running"].as_u64() >= Some(1)
+    })
+    .await;
+    let process = fleet.terminate(1);
+    let ready = format!("http://{}/readyz", fleet.members[1].probe);
+    eventually("the end of readiness", async || match fleet.client.get(&ready).send().await {
+        Ok(answer) => answer.status() == 503,
+        Err(_) => panic!("the instance ended before its readiness did"),
+    })
+    .await;
+    for (n, call) in join_all(calls).await.into_iter().enumerate() {
+        let seen = call.expect("no panic");
+        assert_eq!(seen.status, 200, "{n}: {seen:?}");
+        let body = seen.body.as_deref().expect("a whole body");
+        assert!(n % 2 == 1 || body.ends_with("data: [DONE]\n\n"), "{n}: {body}");
+        assert!(n % 2 == 0 || body.contains("\"completion_tokens\":20"), "{n}: {body}");
+    }
+    for order in join_all(orders).await {
+        assert_eq!(order.expect("no panic").status, 200);
+    }
+    let status = tokio::task::spawn_blocking(|| process.wait()).await.expect("no panic");
+    assert_eq!(status.code(), Some(0), "{}", fleet.log(1));
+    for n in ["order-0", "order-1", "order-2", "order-gone"] {
+        let again = Seen::of(fleet.order(2, n, "{}")).await;
+        assert!(again.status == 200 && again.is_replay(), "{n}: {again:?}");
+        assert_eq!(fleet.all_executions(n).await, 1, "{n}");
+    }
+    let next = fleet.chat(2, "next").header("x-poplarspan-program", "program-0");
+    assert_eq!(Seen::of(next.header("x-poplarspan-turn", 2)).await.status, 200);
+}
