--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,139 @@
+//! Guards against callers that make an instance fail, wait or grow by what they send.
+
+mod support;
+
+use futures::future::join_all;
+use serde_json::json;
+use support::{
+    Fleet,
+    calls::{CallFleet, Seen},
+    raw::{read_to_close, send_raw, send_slowly},
+};
+use tokio::net::{TcpStream, UdpSocket};
+
+const ENGINE: [(&str, &str, &[&str]); 1] = [("engine-1", "engine", &["--token-interval", "1ms"])];
+const GROWTH_BYTES: u64 = 64 << 20;
+
+async fn fleet() -> CallFleet {
+    Fleet::with_stand_ins(1, &ENGINE).await
+}
+
+async fn still_serves(fleet: &Fleet) {
+    let seen = Seen::of(fleet.chat(1, "still there?")).await;
+    assert_eq!(seen.status, 200, "{seen:?}\n{}", fleet.log(1));
+}
+
+/// A malformed call is answered without a clear error, or reaches an endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_calls() {
+    let fleet = fleet().await;
+    let (chat, key) = (|| fleet.chat(1, "question"), fleet.objects.team_key());
+    let with_body = |body: &'static str| chat().body(body);
+    let url = format!("http://{}/nowhere", fleet.members[1].entry);
+    let own = format!("http://{}/v1/models", fleet.members[1].entry);
+    let cases = [
+        ("two keys", chat().header("authorization", "Bearer ps_unknown"), 401, "unauthorized"),
+        ("unknown key", fleet.client.get(&own).bearer_auth("ps_unknown"), 401, "unauthorized"),
+        ("no key", fleet.client.get(&own), 401, "unauthorized"),
+        ("unknown route", fleet.client.get(&url).bearer_auth(key), 404, "not_found"),
+        ("no JSON", with_body("{"), 400, "bad_request"),
+        ("no messages", with_body("{\"model\": \"chat-model\"}"), 400, "bad_request"),
+        ("wrong type", with_body("{\"messages\": 7}"), 400, "bad_request"),
+        ("unknown model", fleet.chat_with(1, "", json!({"model": "none"})), 404, "not_found"),
+        ("bad turn", chat().header("x-poplarspan-turn", "first"), 400, "bad_request"),
+        ("bad program", chat().header("x-poplarspan-program", "a//b"), 400, "bad_request"),
+        ("bad deadline", chat().header("x-poplarspan-deadline", "-1"), 400, "bad_request"),
+        ("long key", chat().header("idempotency-key", "k".repeat(300)), 400, "bad_request"),
+        ("large body", chat().body("a".repeat(9 << 20)), 413, "too_large"),
+        (
+            "endless body",
+            chat().body(reqwest::Body::wrap_stream(futures::stream::repeat_with(|| {
+                Ok::<_, std::io::Error>(vec![b'a'; 1 << 16])
+            }))),
+            413,
+            "too_large",
+        ),
+    ];
+    let before = fleet.ask_stand_in(0, "/load").await;
+    for (what, call, status, code) in cases {
+        // A refused body may be answered while it is still being sent.
+        let Ok(answer) = call.send().await else {
+            assert!(what.ends_with("body"), "{what}");
+            continue;
+        };
+        assert_eq!(answer.status(), status, "{what}");
+        let answer: serde_json::Value = answer.json().await.expect("a refusal in JSON");
+        assert_eq!(answer["error"]["code"], code, "{what}");
+        assert_eq!(answer["error"]["ran"], "no", "{what}");
+    }
+    assert!(before.is_some());
+    still_serves(&fleet).await;
+}
+
+/// Bytes that are no HTTP, oversized heads and slow senders occupy an instance for ever, or end it.
+#[tokio::test(flavor = "multi_thread")]
+async fn raw_bytes() {
+    let fleet = fleet().await;
+    let (entry, probe) = (fleet.members[1].entry, fleet.members[1].probe);
+    let garbage: Vec<u8> =
+        (0..65_536_u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 24) as u8).collect();
+    let large_head = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "a".repeat(1 << 20));
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    let broken_frames = [&preface[..], &garbage].concat();
+    let memory = fleet.resident_bytes(1);
+    for address in [entry, probe] {
+        for bytes in [&garbage[..], large_head.as_bytes(), &broken_frames] {
+            let answer = send_raw(address, bytes).await.expect("a closed connection");
+            assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+        }
+        let slow = ["", "PRI * HTT", "GET /healthz HTTP/1.1\r\nhost: a\r\nx: "];
+        let slow = slow.map(|start| send_slowly(address, start.as_bytes()));
+        for answer in join_all(slow).await {
+            assert!(!answer.expect("a closed connection").starts_with("HTTP/1.1 2"));
+        }
+        // Neither may a connection without a byte stay open.
+        let silent = TcpStream::connect(address).await.expect("a connection");
+        assert!(read_to_close(silent).await.is_some());
+    }
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-length: 100000\r\n\r\n",
+        fleet.objects.team_key()
+    );
+    let answer = send_slowly(entry, head.as_bytes()).await.expect("a closed connection");
+    assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("bad_request"), "{answer}");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    for chunk in garbage.chunks(1200).cycle().take(2000) {
+        socket.send_to(chunk, fleet.members[1].peer).await.expect("sent");
+    }
+    still_serves(&fleet).await;
+    assert!(fleet.resident_bytes(1) < memory + GROWTH_BYTES, "{memory}");
+}
+
+/// Callers above the limits wait without an answer, or take the place of others for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn too_many() {
+    let mut fleet = fleet().await;
+    fleet.restart_with(1, &["--max-connections", "20", "--max-held", "1048576"]).await;
+    let memory = fleet.resident_bytes(1);
+    let entry = fleet.members[1].entry;
+    let fresh = reqwest::Client::builder().no_proxy().pool_max_idle_per_host(0).build();
+    fleet.client = fresh.expect("client");
+    let mut open = Vec::new();
+    for _ in 0..60 {
+        open.push(TcpStream::connect(entry).await.expect("a connection"));
+    }
+    let answers = join_all(open.into_iter().map(read_to_close)).await;
+    let told = answers.iter().flatten().filter(|answer| answer.contains("overloaded")).count();
+    assert!(answers.iter().all(Option::is_some), "a connection stays open");
+    assert!(told >= 30, "{told} callers were told");
+    still_serves(&fleet).await;
+    let large = "a".repeat(300_000);
+    let calls = (0..12).map(|n| Seen::of(fleet.chat(1, &format!("{n} {large}"))));
+    for seen in join_all(calls).await {
+        let clear = ["overloaded", "too_large"].contains(&seen.code().as_str());
+        assert!(seen.status == 200 || (clear && seen.ran() == "no"), "{seen:?}");
+    }
+    still_serves(&fleet).await;
+    assert!(fleet.resident_bytes(1) < memory + GROWTH_BYTES, "{memory}");
+}
