--- /dev/null
+++ b/tests/released_memory.rs
@@ -0,0 +1,82 @@
+//! Guards against memory and streams of engines that stay held when nobody needs them any more.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{Fleet, calls::Seen, eventually};
+
+const ENGINE: [(&str, &str, &[&str]); 1] =
+    [("engine-1", "engine", &["--token-interval", "20ms", "--capacity", "16"])];
+
+async fn wait_released(fleet: &Fleet) {
+    eventually("released memory", async || {
+        fleet.ask_stand_in(0, "/held").await == Some(json!([]))
+            && fleet.ask_stand_in(0, "/load").await.is_some_and(|load| load["running"] == 0)
+    })
+    .await;
+}
+
+async fn holds(fleet: &Fleet, program: &str) {
+    eventually("held memory", async || {
+        let held = fleet.ask_stand_in(0, "/held").await.unwrap_or(Value::Null);
+        let held = held.as_array().cloned().unwrap_or_default();
+        held.iter().any(|name| name.as_str() == Some(&format!("team-a/{program}")))
+    })
+    .await;
+}
+
+async fn finish(fleet: &Fleet, i: usize, program: &str) {
+    let url = format!("http://{}/v1/programs/{program}/finish", fleet.members[i].entry);
+    let finish = Seen::of(fleet.client.post(url).bearer_auth(fleet.objects.team_key())).await;
+    assert_eq!(finish.status, 200, "{finish:?}");
+}
+
+/// The memory of a program, of its sub-agents, and of its open stream outlives its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn finished_program() {
+    let fleet = Fleet::with_stand_ins(1, &ENGINE).await;
+    let question = "a question that is longer than a block ".repeat(40);
+    let root = fleet.chat(1, &question).header("x-poplarspan-program", "trip");
+    assert_eq!(Seen::of(root).await.status, 200);
+    let child = fleet.chat(0, &question).header("x-poplarspan-program", "hotel");
+    assert_eq!(Seen::of(child.header("x-poplarspan-parent", "trip")).await.status, 200);
+    holds(&fleet, "trip").await;
+    let stream = fleet.chat_with(1, "go on", json!({"stream": true, "max_tokens": 4000}));
+    let stream = stream.header("x-poplarspan-program", "trip").send().await.expect("a head");
+    assert_eq!(stream.status(), 200);
+    finish(&fleet, 0, "trip").await;
+    wait_released(&fleet).await;
+    assert!(stream.text().await.is_err(), "the stream of an ended program ends like a whole one");
+}
+
+/// A stream goes on at its engine after its instance was killed, or after its caller hung up.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_streams() {
+    let mut fleet = Fleet::with_stand_ins(2, &ENGINE).await;
+    let long = json!({"stream": true, "max_tokens": 4000});
+    let start = async |i: usize, program: &str| {
+        let call = fleet.chat_with(i, program, long.clone());
+        let mut answer = call.header("x-poplarspan-program", program).send().await.expect("a head");
+        answer.chunk().await.expect("an event").expect("an event");
+        answer
+    };
+    let hung_up = start(2, "hung-up").await;
+    holds(&fleet, "hung-up").await;
+    drop(hung_up);
+    eventually("the cancelled stream", async || {
+        fleet.ask_stand_in(0, "/load").await.is_some_and(|load| load["running"] == 0)
+    })
+    .await;
+    let lost = start(1, "lost").await;
+    holds(&fleet, "lost").await;
+    fleet.kill(1);
+    assert!(lost.text().await.is_err());
+    eventually("the cancelled stream", async || {
+        fleet.ask_stand_in(0, "/load").await.is_some_and(|load| load["running"] == 0)
+    })
+    .await;
+    for program in ["hung-up", "lost"] {
+        finish(&fleet, 0, program).await;
+    }
+    wait_released(&fleet).await;
+}
