--- /dev/null
+++ b/tests/fleet_rate.rs
@@ -0,0 +1,107 @@
+//! Guards against a team that gets more than its rate by calling many instances.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::Value;
+use support::{
+    Fleet,
+    calls::{CallFleet, Seen},
+};
+use tokio::time::Instant;
+
+const RATE: u32 = 40;
+const BURST: u32 = 40;
+
+async fn limited() -> CallFleet {
+    let stand_ins: &[(&str, &str, &[&str])] = &[("orders-1", "service", &[])];
+    Fleet::configured(3, stand_ins, |fleet| fleet.objects.rate = (RATE, BURST)).await
+}
+
+/// Calls of one team at one instance, at an even pace, until the time is over.
+async fn send(fleet: &Fleet, i: usize, key: &str, pace: Duration, until: Instant) -> Vec<Seen> {
+    let mut calls = Vec::new();
+    let url = format!("http://{}/orders", fleet.members[i].entry);
+    while Instant::now() < until {
+        let call = fleet.client.get(&url).bearer_auth(key).header("idempotency-key", key);
+        let call = call.header("x-poplarspan-deadline", 3000).timeout(Duration::from_secs(30));
+        calls.push(tokio::spawn(async move {
+            let answer = call.send().await.ok()?;
+            let (status, headers) = (answer.status(), answer.headers().clone());
+            Some(Seen { status, headers, body: answer.text().await.map_err(|e| e.to_string()) })
+        }));
+        tokio::time::sleep(pace).await;
+    }
+    let answers = futures::future::join_all(calls).await;
+    // A killed instance gives no answers.
+    answers.into_iter().filter_map(|answer| answer.expect("no panic")).collect()
+}
+
+/// Number of calls of the team that reached the service.
+async fn reached(fleet: &Fleet, key: &str) -> u64 {
+    let list: Value = fleet.ask_stand_in(0, "/executions").await.expect("a list");
+    let counted = list.as_array().expect("a list").iter().find(|e| e["key"] == key);
+    counted.map_or(0, |e| e["executions"].as_u64().expect("a count"))
+}
+
+fn check_bound(reached: u64, started: Instant) {
+    let most = f64::from(BURST) + f64::from(RATE) * started.elapsed().as_secs_f64();
+    assert!(reached as f64 <= most, "{reached} calls, and at most {most} are within the rate");
+    assert!(reached > u64::from(RATE), "the team got next to nothing: {reached}");
+}
+
+/// The instances together let more through than the rate, or refuse another team within its rate.
+#[tokio::test(flavor = "multi_thread")]
+async fn greedy_team() {
+    let fleet = limited().await;
+    let (greedy, modest) = (fleet.objects.team_key(), fleet.objects.second_key());
+    let started = Instant::now();
+    let until = started + Duration::from_secs(5);
+    let pace = Duration::from_millis(25);
+    let (a, b, c, d, other) = tokio::join!(
+        send(&fleet, 0, greedy, pace, until),
+        send(&fleet, 1, greedy, pace, until),
+        send(&fleet, 2, greedy, pace, until),
+        send(&fleet, 3, greedy, pace, until),
+        send(&fleet, 2, modest, pace, until),
+    );
+    check_bound(reached(&fleet, greedy).await, started);
+    for refused in [a, b, c, d].iter().flatten().filter(|seen| seen.status != 200) {
+        // A token that comes just before the deadline leaves no time for the call.
+        assert!(["rate_limited", "overloaded", "deadline"].contains(&refused.code().as_str()));
+        assert!(refused.ran() == "no" || refused.code() == "deadline", "{refused:?}");
+        assert!(refused.headers.contains_key("retry-after"), "{refused:?}");
+    }
+    assert!(other.iter().all(|seen| seen.status == 200), "{other:?}");
+    assert_eq!(reached(&fleet, modest).await, other.len() as u64);
+}
+
+/// A new owner of a team's bucket starts with a full one while grants of the former are in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_owner() {
+    let mut fleet = limited().await;
+    let greedy = fleet.objects.team_key().to_owned();
+    let started = Instant::now();
+    let pace = Duration::from_millis(25);
+    // Each entry instance in turn, as any of them may own the bucket.
+    for killed in 1..4 {
+        let until = Instant::now() + Duration::from_secs(4);
+        let victim = fleet.members[killed].process.take().expect("the instance runs");
+        let kill = async {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            victim.kill();
+        };
+        tokio::join!(
+            send(&fleet, 0, &greedy, pace, until),
+            send(&fleet, 1, &greedy, pace, until),
+            send(&fleet, 2, &greedy, pace, until),
+            send(&fleet, 3, &greedy, pace, until),
+            kill,
+        );
+        check_bound(reached(&fleet, &greedy).await, started);
+        fleet.start_member(killed);
+        fleet.wait_ready(killed).await;
+    }
+    check_bound(reached(&fleet, &greedy).await, started);
+}
