--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,11 +2,13 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod calls;
 pub mod network;
 pub mod objects;
 pub mod operator;
 pub mod process;
 pub mod publisher;
+pub mod raw;
 pub mod traffic;
 pub mod watch;
 
