--- /dev/null
+++ b/benches/idle.rs
@@ -0,0 +1,147 @@
+//! Processor time, memory and datagrams of instances without calls.
+//!
+//! Separate processes on loopback; datagrams between instances are counted by relays, so one that
+//! stays within a process is not seen. Run with `cargo bench --bench idle`. The figures are counts
+//! and processor time, which other load on the machine disturbs less than elapsed time.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::{fmt::Write, time::Duration};
+
+use poplarspan::objects::Digest;
+use support::Fleet;
+use tokio::time::{Instant, sleep};
+
+const SETTLE: Duration = Duration::from_secs(4);
+const RUN: Duration = Duration::from_secs(10);
+/// Kernel clock ticks in a second, as `/proc/PID/stat` counts them.
+const TICKS_PER_SECOND: f64 = 100.0;
+const FLEETS: [(u64, u64); 3] = [(3, 0), (3, 2), (3, 5)];
+const ENDPOINTS: [usize; 3] = [4, 12, 36];
+const TEAMS: [u32; 3] = [1000, 3000, 10_000];
+
+fn main() {
+    // Cargo passes `--bench`; a run by `cargo test --benches` must not measure anything.
+    if !std::env::args().any(|arg| arg == "--bench") {
+        return;
+    }
+    let wanted = |part: &str| std::env::args().skip(1).all(|a| a.starts_with('-') || a == part);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        if wanted("fleets") {
+            for (replicas, entries) in FLEETS {
+                let mut fleet = Fleet::prepare(replicas, entries).await;
+                fleet.start_all().await;
+                fleet.publish_and_wait().await;
+                print(&fleet, "no endpoints").await;
+            }
+        }
+        if wanted("endpoints") {
+            for count in ENDPOINTS {
+                let mut fleet = Fleet::prepare(1, 1).await;
+                for i in 0..count {
+                    fleet.add_stand_in(&format!("engine-{i}"), "engine", &[]);
+                }
+                fleet.start_all().await;
+                fleet.publish_and_wait().await;
+                print(&fleet, &format!("{count} engines polled")).await;
+            }
+        }
+        if wanted("teams") {
+            for teams in TEAMS {
+                large_set(teams).await;
+            }
+        }
+    });
+}
+
+/// Publishes a large set, then the same set with one difference.
+async fn large_set(teams: u32) {
+    let mut fleet = Fleet::prepare(3, 2).await;
+    fleet.start_all().await;
+    for i in 0..teams {
+        let digest = Digest::of_secret(&i.to_string());
+        let _ = write!(
+            fleet.objects.extra,
+            "[[team]]\nname = \"large-{i:05}\"\nrate = \"first\"\n\
+             [[key]]\nname = \"large-{i:05}\"\nteam = \"large-{i:05}\"\ndigest = \"{digest}\"\n"
+        );
+    }
+    let before = Sample::take(&fleet);
+    fleet.publish_and_wait().await;
+    sleep(SETTLE).await;
+    Sample::take(&fleet).print(&before, &fleet, &format!("first set of {teams} teams, total"));
+    fleet.objects.rate = (400, 400);
+    let before = Sample::take(&fleet);
+    fleet.publish_and_wait().await;
+    sleep(SETTLE).await;
+    Sample::take(&fleet).print(&before, &fleet, &format!("one change at {teams} teams, total"));
+    print(&fleet, &format!("{teams} teams")).await;
+}
+
+async fn print(fleet: &Fleet, what: &str) {
+    sleep(SETTLE).await;
+    let before = Sample::take(fleet);
+    sleep(RUN).await;
+    Sample::take(fleet).print(&before, fleet, what);
+}
+
+/// State of all processes at a time.
+struct Sample {
+    at: Instant,
+    /// Of each instance: processor seconds, resident KiB, and sent and received datagrams and
+    /// bytes.
+    members: Vec<(f64, u64, [(u64, u64); 2])>,
+}
+
+impl Sample {
+    fn take(fleet: &Fleet) -> Self {
+        let of = |(i, member): (usize, &support::Member)| {
+            let id = member.process.as_ref().expect("it runs").id();
+            (processor_seconds(id), resident_kib(id), fleet.network.traffic(i))
+        };
+        Self { at: Instant::now(), members: fleet.members.iter().enumerate().map(of).collect() }
+    }
+
+    fn print(&self, before: &Self, fleet: &Fleet, what: &str) {
+        let seconds = (self.at - before.at).as_secs_f64();
+        let leader = fleet.leader(0, 0);
+        println!("{} instances, {what}, {seconds:.1} s:", self.members.len());
+        for (i, (now, old)) in self.members.iter().zip(&before.members).enumerate() {
+            let role = match fleet.members[i].replica {
+                Some(_) if leader == Some(i) => "leader of group 0",
+                Some(_) => "replica",
+                None => "entry",
+            };
+            let cpu = now.0 - old.0;
+            let [sent, received] = [0, 1].map(|d| {
+                let (count, bytes) = (now.2[d].0 - old.2[d].0, now.2[d].1 - old.2[d].1);
+                format!(
+                    "{:.1} datagrams/s {:.0} bytes/s",
+                    count as f64 / seconds,
+                    bytes as f64 / seconds
+                )
+            });
+            println!(
+                "  {role}: {cpu:.2} s of processor time ({:.2}% of a core), {} KiB resident, sent \
+                 {sent}, received {received}",
+                100.0 * cpu / seconds,
+                now.1
+            );
+        }
+    }
+}
+
+fn processor_seconds(id: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("it runs");
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks: f64 = fields[11..13].iter().map(|f| f.parse::<f64>().expect("a number")).sum();
+    ticks / TICKS_PER_SECOND
+}
+
+fn resident_kib(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it runs");
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("resident size");
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
+}
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -22,6 +22,8 @@
     real: Vec<SocketAddr>,
     /// Pairs (from, to) that are cut.
     cut: Vec<(usize, usize)>,
+    /// Datagrams and bytes that passed, by sender and receiver.
+    passed: Vec<(usize, usize, u64, u64)>,
 }
 
 impl Network {
@@ -60,6 +62,7 @@
                     back
                 }
             };
+            self.count(self.index_of(sender), to, len);
             // A datagram that cannot be sent counts as lost.
             let _ = back.send_to(&buf[..len], real).await;
         }
@@ -75,6 +78,7 @@
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         while let Ok((len, _)) = back.recv_from(&mut buf).await {
             if !self.is_cut(Some(from), self.index_of(receiver).unwrap_or(usize::MAX)) {
+                self.count(Some(from), self.index_of(receiver).unwrap_or(usize::MAX), len);
                 let _ = front.send_to(&buf[..len], receiver).await;
             }
         }
@@ -90,6 +94,31 @@
         from.is_some_and(|from| inner.cut.contains(&(from, to)))
     }
 
+    /// Counts a datagram between instances; what operators send or receive is left out.
+    fn count(&self, from: Option<usize>, to: usize, len: usize) {
+        let mut inner = self.inner.lock().expect("no panic while locked");
+        let Some(from) = from.filter(|_| to != usize::MAX) else { return };
+        let place = match inner.passed.iter().position(|p| (p.0, p.1) == (from, to)) {
+            Some(place) => place,
+            None => {
+                inner.passed.push((from, to, 0, 0));
+                inner.passed.len() - 1
+            }
+        };
+        inner.passed[place].2 += 1;
+        inner.passed[place].3 += len as u64;
+    }
+
+    /// Datagrams and bytes that instance `i` has sent to, and received from, other instances.
+    pub fn traffic(&self, i: usize) -> [(u64, u64); 2] {
+        let inner = self.inner.lock().expect("no panic while locked");
+        let sum = |own: fn(&(usize, usize, u64, u64)) -> usize| {
+            let others = inner.passed.iter().filter(|p| p.0 != p.1 && own(p) == i);
+            others.fold((0, 0), |(count, bytes), p| (count + p.2, bytes + p.3))
+        };
+        [sum(|p| p.0), sum(|p| p.1)]
+    }
+
     /// Drops what `from` sends to `to`.
     pub fn cut_one_way(&self, from: usize, to: usize) {
         self.inner.lock().expect("no panic while locked").cut.push((from, to));
