--- a/benches/idle.rs
+++ b/benches/idle.rs
@@ -32,9 +32,10 @@
         if wanted("fleets") {
             for (replicas, entries) in FLEETS {
                 let mut fleet = Fleet::prepare(replicas, entries).await;
+                fleet.add_stand_in("engine-0", "engine", &[]);
                 fleet.start_all().await;
                 fleet.publish_and_wait().await;
-                print(&fleet, "no endpoints").await;
+                print(&fleet, "one engine").await;
             }
         }
         if wanted("endpoints") {
@@ -59,6 +60,7 @@
 /// Publishes a large set, then the same set with one difference.
 async fn large_set(teams: u32) {
     let mut fleet = Fleet::prepare(3, 2).await;
+    fleet.add_stand_in("engine-0", "engine", &[]);
     fleet.start_all().await;
     for i in 0..teams {
         let digest = Digest::of_secret(&i.to_string());
