--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -2,9 +2,10 @@
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
+    sync::Mutex,
 };
 
 use nix::{
@@ -99,12 +100,22 @@
     Outcome { status: output.status, stdout: text(output.stdout), stderr: text(output.stderr) }
 }
 
+/// Ports that were handed out.
+static PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 /// An address on loopback whose port is free for TCP and UDP.
+///
+/// Each test process has an IP address of its own, since the ports are bound later: other sockets
+/// on 127.0.0.1, such as outgoing connections, took some of them before.
 pub fn free_port() -> SocketAddr {
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, a | 128, b, c);
+    let mut ports = PORTS.lock().expect("no panic while locked");
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let tcp = TcpListener::bind((ip, 0)).expect("a free port");
         let address = tcp.local_addr().expect("bound");
-        if UdpSocket::bind(address).is_ok() {
+        if !ports.contains(&address.port()) && UdpSocket::bind(address).is_ok() {
+            ports.push(address.port());
             return address;
         }
     }
