Send the priority of each call to the engines

Cause: engines order waiting calls by x-priority, but the server sent none, and passed on one that a caller had set, by which a caller could go ahead of other teams.

The queue of a group of engines computes the priority when it places a call and settles it when the call ends; the slot carries it, and the request gets the header after the caller's own is removed. Plain services get none.

No test observes the header on the wire yet, and its effect in the server is not measured.

--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -31,6 +31,8 @@
 const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
 /// Header of requests to engines that names the claim of the ledger, for orders that concern it.
 const ENGINE_CLAIM_HEADER: HeaderName = HeaderName::from_static("x-claim");
+/// Header of requests to engines that orders the calls that wait there, lowest first.
+const ENGINE_PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
 const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -84,23 +86,23 @@
         self
     }
 
-    fn request(
-        &self,
-        endpoint: &Chosen,
-        id: &HeaderValue,
-        claim: Option<u64>,
-    ) -> Request<Full<Bytes>> {
+    fn request(&self, slot: &Slot, id: &HeaderValue, claim: Option<u64>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.parse().unwrap_or_default();
         *request.headers_mut() = self.headers.clone();
-        let host = HeaderValue::from_str(&endpoint.address.to_string()).expect("plain ASCII");
+        let host = HeaderValue::from_str(&slot.endpoint.address.to_string()).expect("plain ASCII");
         request.headers_mut().insert(header::HOST, host);
         request.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
         request.headers_mut().remove(ENGINE_CLAIM_HEADER);
         if let Some(claim) = claim {
             request.headers_mut().insert(ENGINE_CLAIM_HEADER, HeaderValue::from(claim));
         }
+        // A caller must not set its own priority.
+        request.headers_mut().remove(ENGINE_PRIORITY_HEADER);
+        if let Some(priority) = slot.priority {
+            request.headers_mut().insert(ENGINE_PRIORITY_HEADER, HeaderValue::from(priority));
+        }
         request
     }
 }
@@ -256,7 +258,7 @@
             };
             return self.failed(slot, failed).await.map(|()| None);
         }
-        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id, self.claim);
+        let request = self.call.parts.request(&slot, &self.call.request_id, self.claim);
         let fresh = !self.call.idempotent;
         let address = slot.endpoint.address;
         let sent = self.entry.pool.send(address, request, fresh, self.call.deadline).await;
--- a/crates/server/src/schedule/fair.rs
+++ b/crates/server/src/schedule/fair.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::{
-    CallSpec, Chosen, DispatchOutcome, Release, Scheduler, Slot, SlotEnd,
+    CallSpec, Chosen, DispatchOutcome, Placed, Release, Scheduler, Slot, SlotEnd,
     endpoints::{Endpoints, Report},
     model_group,
     queues::{Decided, Queues},
@@ -120,14 +120,14 @@
     /// Tells waiting calls of their places. Not under the lock, since a place that nobody takes is
     /// given back, which takes the lock.
     fn tell(&self, decided: Vec<Decided>) {
-        for (chosen, spec) in decided.into_iter().filter_map(Decided::tell) {
-            drop(self.slot(chosen, &spec));
+        for (placed, spec) in decided.into_iter().filter_map(Decided::tell) {
+            drop(self.slot(placed, &spec));
         }
     }
 
-    fn slot(&self, endpoint: Chosen, spec: &Arc<CallSpec>) -> Slot {
+    fn slot(&self, placed: Placed, spec: &Arc<CallSpec>) -> Slot {
         let release = self.this.upgrade().expect("called through an Arc");
-        Slot::new(endpoint, spec.clone(), release)
+        Slot::new(placed, spec.clone(), release)
     }
 
     /// Refuses at once when no endpoint of the group can ever take the call.
@@ -202,7 +202,7 @@
                     })
                 }
             };
-            result.map(|chosen| self.slot(chosen, spec))
+            result.map(|placed| self.slot(placed, spec))
         })
     }
 }
--- a/crates/server/src/schedule/mod.rs
+++ b/crates/server/src/schedule/mod.rs
@@ -43,6 +43,11 @@
     format!("model/{model}").into()
 }
 
+/// Whether the endpoints of the group are engines.
+fn is_model_group(group: &str) -> bool {
+    group.starts_with("model/")
+}
+
 pub(crate) fn service_group(service: &str) -> Name {
     format!("service/{service}").into()
 }
@@ -102,6 +107,14 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Where and how a call is to be dispatched.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    pub(crate) endpoint: Chosen,
+    /// Order among the calls that wait at an engine, lowest first; none for plain services.
+    pub(crate) priority: Option<i64>,
+}
+
 /// Takes back the place of a call at an endpoint.
 pub(crate) trait Release: Send + Sync {
     /// Called exactly once for each slot.
@@ -119,6 +132,7 @@
 /// A place at an endpoint. Dropping it gives the place back.
 pub(crate) struct Slot {
     pub(crate) endpoint: Chosen,
+    pub(crate) priority: Option<i64>,
     spec: Arc<CallSpec>,
     release: Arc<dyn Release>,
     outcome: DispatchOutcome,
@@ -126,9 +140,10 @@
 }
 
 impl Slot {
-    pub(crate) fn new(endpoint: Chosen, spec: Arc<CallSpec>, release: Arc<dyn Release>) -> Self {
+    pub(crate) fn new(placed: Placed, spec: Arc<CallSpec>, release: Arc<dyn Release>) -> Self {
         let outcome = DispatchOutcome::Abandoned;
-        Self { endpoint, spec, release, outcome, since: Instant::now() }
+        let Placed { endpoint, priority } = placed;
+        Self { endpoint, priority, spec, release, outcome, since: Instant::now() }
     }
 
     /// Ends the call.
--- a/crates/server/src/schedule/queues.rs
+++ b/crates/server/src/schedule/queues.rs
@@ -1,15 +1,18 @@
 //! Calls that wait for a place, one queue for each group of endpoints.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use poplarspan_objects::Name;
 use poplarspan_policy::{
-    fair::{Call, Entry, FairQueue, Full, InFlight, LasDeadline, QueueConfig, QueueId},
+    fair::{Call, Entry, FairQueue, Full, InFlight, LasDeadline, Priorities, QueueConfig, QueueId},
     route::NoRoute,
 };
 use tokio::sync::oneshot;
 
-use super::{CallSpec, Chosen, endpoints::Endpoints};
+use super::{CallSpec, Placed, endpoints::Endpoints, is_model_group};
 use crate::entry::{Code, Refusal};
 
 /// Name under which calls on open routes share the queue.
@@ -25,21 +28,21 @@
     pub(super) spec: Arc<CallSpec>,
     tried: Vec<Name>,
     since: Duration,
-    tx: oneshot::Sender<Result<Chosen, Refusal>>,
+    tx: oneshot::Sender<Result<Placed, Refusal>>,
 }
 
 /// A call that has its place, or its final answer.
 pub(super) struct Decided {
     pub(super) waiting: Waiting,
-    pub(super) result: Result<Chosen, Refusal>,
+    pub(super) result: Result<Placed, Refusal>,
 }
 
 impl Decided {
     /// Tells the waiting call. Returns the place when the caller has gone.
-    pub(super) fn tell(self) -> Option<(Chosen, Arc<CallSpec>)> {
+    pub(super) fn tell(self) -> Option<(Placed, Arc<CallSpec>)> {
         let spec = self.waiting.spec;
         match self.waiting.tx.send(self.result) {
-            Err(Ok(chosen)) => Some((chosen, spec)),
+            Err(Ok(placed)) => Some((placed, spec)),
             _ => None,
         }
     }
@@ -48,6 +51,8 @@
 struct GroupQueue {
     group: Name,
     queue: FairQueue<Waiting>,
+    /// None for groups of plain services, which honour no priorities.
+    priorities: Option<Priorities>,
     /// Average time that a call holds its place, in seconds.
     held_s: f64,
 }
@@ -83,7 +88,7 @@
         capacity: u32,
         deadline: Duration,
         now: Duration,
-    ) -> Result<(QueueId, oneshot::Receiver<Result<Chosen, Refusal>>), Refusal> {
+    ) -> Result<(QueueId, oneshot::Receiver<Result<Placed, Refusal>>), Refusal> {
         let at = self.find_or_add(&spec.group);
         let group = &mut self.list[at];
         let team = spec.team.clone().unwrap_or_else(|| OPEN_TEAM.into());
@@ -117,7 +122,7 @@
         now: Duration,
     ) -> Vec<Decided> {
         let Ok(at) = self.position(group) else { return Vec::new() };
-        let queue = &mut self.list[at].queue;
+        let GroupQueue { queue, priorities, .. } = &mut self.list[at];
         let mut decided = Vec::new();
         // Calls that no free endpoint may take, because they were already tried there.
         let mut passed = Vec::new();
@@ -128,9 +133,10 @@
                 continue;
             }
             match endpoints.place(&waiting.spec, &waiting.tried, now) {
-                Ok(chosen) => {
-                    let waiting = entry.call.payload;
-                    decided.push(Decided { waiting, result: Ok(chosen) });
+                Ok(endpoint) => {
+                    let priority = priorities.as_mut().map(|p| prioritize(p, &entry.call, now));
+                    let result = Ok(Placed { endpoint, priority });
+                    decided.push(Decided { waiting: entry.call.payload, result });
                 }
                 Err(NoRoute::Full | NoRoute::NoneOpen) => {
                     let fresh = waiting.tried.is_empty();
@@ -190,6 +196,9 @@
         let group = &mut self.list[at];
         let team = spec.team.clone().unwrap_or_else(|| OPEN_TEAM.into());
         group.queue.settle(&team, spec.program.as_ref(), spec.cost(), actual, now);
+        if let Some(priorities) = &mut group.priorities {
+            priorities.settle(&team, spec.cost(), actual);
+        }
         if actual > 0 {
             group.held_s += HELD_GAIN * (held.as_secs_f64() - group.held_s);
         }
@@ -207,7 +216,9 @@
     fn find_or_add(&mut self, group: &Name) -> usize {
         self.position(group).unwrap_or_else(|at| {
             let queue = FairQueue::new(QueueConfig::default(), Box::new(LasDeadline::default()));
-            self.list.insert(at, GroupQueue { group: group.clone(), queue, held_s: 0.0 });
+            let priorities = is_model_group(group).then(Priorities::default);
+            let group = group.clone();
+            self.list.insert(at, GroupQueue { group, queue, priorities, held_s: 0.0 });
             at
         })
     }
@@ -221,6 +232,12 @@
     }
 }
 
+fn prioritize(priorities: &mut Priorities, call: &Call<Waiting>, now: Duration) -> i64 {
+    // A clock before the epoch only changes the order of calls.
+    let unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    priorities.dispatch(&call.team, call.weight, call.cost, now, unix)
+}
+
 fn settle(queue: &mut FairQueue<Waiting>, entry: &Entry<Waiting>, actual: u64, now: Duration) {
     let call = &entry.call;
     queue.settle(&call.team, call.program.as_ref(), call.cost, actual, now);
