--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -34,6 +34,8 @@
 const ENGINE_PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program");
 /// Header of requests to engines that names the claim of the ledger, for orders that concern it.
 const ENGINE_CLAIM_HEADER: HeaderName = HeaderName::from_static("x-claim");
+/// Header of requests to engines that orders the calls that wait there, lowest first.
+const ENGINE_PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
 /// Longest time in which the record of a crash reaches the other instances: after that an instance
 /// without the record has lost its lease.
 const RECORD_DELAY: Duration = LEASE;
@@ -93,23 +95,23 @@
         self
     }
 
-    fn request(
-        &self,
-        endpoint: &Chosen,
-        id: &HeaderValue,
-        claim: Option<u64>,
-    ) -> Request<Full<Bytes>> {
+    fn request(&self, slot: &Slot, id: &HeaderValue, claim: Option<u64>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.parse().unwrap_or_default();
         *request.headers_mut() = self.headers.clone();
-        let host = HeaderValue::from_str(&endpoint.address.to_string()).expect("plain ASCII");
+        let host = HeaderValue::from_str(&slot.endpoint.address.to_string()).expect("plain ASCII");
         request.headers_mut().insert(header::HOST, host);
         request.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
         request.headers_mut().remove(ENGINE_CLAIM_HEADER);
         if let Some(claim) = claim {
             request.headers_mut().insert(ENGINE_CLAIM_HEADER, HeaderValue::from(claim));
         }
+        // A caller must not set its own priority.
+        request.headers_mut().remove(ENGINE_PRIORITY_HEADER);
+        if let Some(priority) = slot.priority {
+            request.headers_mut().insert(ENGINE_PRIORITY_HEADER, HeaderValue::from(priority));
+        }
         request
     }
 }
@@ -310,7 +312,7 @@
             return self.failed(slot, None, failed).await.map(|()| None);
         }
         let claim = self.claim.as_ref().map(|c| c.number);
-        let request = self.call.parts.request(&slot.endpoint, &self.call.request_id, claim);
+        let request = self.call.parts.request(&slot, &self.call.request_id, claim);
         let fresh = !self.call.idempotent;
         let address = slot.endpoint.address;
         let run = self.entry.crashes.run_of(&slot.endpoint.name);
