Keep small teams and idle instances from waiting behind a full group

Now teams within their part may wait at the engines, and an instance without a call there may send one.

Also: the permission to send is checked again after connecting, since a freeze may fall between the two; messages of the replicated log are split over frames by bytes, since 64 large ones do not fit into one; program groups are told of gone instances by a task of their own, since a group without a leader held up the others; a heartbeat no longer copies the view twice.

--- a/benches/idle.rs
+++ b/benches/idle.rs
@@ -89,12 +89,13 @@
     Sample::take(fleet).print(&before, fleet, what);
 }
 
+/// Processor seconds, resident KiB, and sent and received datagrams and bytes of an instance.
+type MemberSample = (f64, u64, [(u64, u64); 2]);
+
 /// State of all processes at a time.
 struct Sample {
     at: Instant,
-    /// Of each instance: processor seconds, resident KiB, and sent and received datagrams and
-    /// bytes.
-    members: Vec<(f64, u64, [(u64, u64); 2])>,
+    members: Vec<MemberSample>,
 }
 
 impl Sample {
--- a/crates/ledger/src/catalog.rs
+++ b/crates/ledger/src/catalog.rs
@@ -14,8 +14,8 @@
 
 use bytes::Bytes;
 use poplarspan_proto::ledger::{
-    CatalogAnswer, CatalogCommand, Groups, Invalid, ObjectChange, catalog_answer::Answer,
-    catalog_command::Command,
+    CatalogAnswer, CatalogCommand, Groups, Invalid, ObjectChange, RegisterInstance,
+    catalog_answer::Answer, catalog_command::Command,
 };
 use prost::Message;
 
@@ -172,6 +172,16 @@
         gone.map(|g| (g.instance.clone(), g.incarnation)).collect()
     }
 
+    /// Epoch of the view.
+    pub fn epoch(&self) -> u64 {
+        self.instances.epoch
+    }
+
+    /// The registration of a live instance.
+    pub fn instance(&self, name: &str) -> Option<&RegisterInstance> {
+        self.instances.live.get(name)
+    }
+
     /// The registered instances and their epoch.
     pub fn view(&self) -> View {
         self.instances.view()
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -185,8 +185,8 @@
                     .collect();
             }
         }
-        let view = catalog.view();
-        if view.epoch != hb.epoch {
+        if catalog.epoch() != hb.epoch {
+            let view = catalog.view();
             let members = view.instances.into_iter().map(|i| peer::Member {
                 instance: i.instance,
                 incarnation: i.incarnation,
@@ -211,12 +211,10 @@
             zone: hb.zone.clone(),
             replica: hb.replica,
         };
-        let known = self.catalog().view().instances;
         if let (Some(replica), Ok(address)) = (hb.replica, hb.peer_address.parse()) {
             self.replicas.learn(replica, address);
         }
-        let i = known.binary_search_by(|r| r.instance.cmp(&hb.instance));
-        if i.is_ok_and(|i| known[i] == register) {
+        if self.catalog().instance(&hb.instance) == Some(&register) {
             return Ok(());
         }
         match self.commit(catalog_command::Command::RegisterInstance(register)).await? {
--- a/crates/server/src/control/sweep.rs
+++ b/crates/server/src/control/sweep.rs
@@ -28,7 +28,11 @@
 impl Control {
     /// Learns the addresses of replicas that joined after this process was configured. Any replica
     /// may come to lead a group and has to reach them.
-    fn learn_replicas(&self) {
+    fn learn_replicas(&self, epoch: &mut u64) {
+        let current = self.catalog().epoch();
+        if std::mem::replace(epoch, current) == current {
+            return;
+        }
         for instance in self.catalog().view().instances {
             if let (Some(replica), Ok(address)) = (instance.replica, instance.address.parse()) {
                 self.replicas.learn_registered(replica, address);
@@ -43,16 +47,13 @@
         let mut ticks = tokio::time::interval(SWEEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut expire_at = Instant::now() + EXPIRE_INTERVAL;
-        let mut told = Vec::new();
+        let mut epoch = 0;
         loop {
             ticks.tick().await;
-            self.control.learn_replicas();
+            self.control.learn_replicas(&mut epoch);
             if self.control.leads() {
                 self.fix_groups().await?;
                 self.declare_expired().await?;
-                self.tell_groups(&mut told).await;
-            } else {
-                told.clear();
             }
             if Instant::now() >= expire_at {
                 expire_at = Instant::now() + EXPIRE_INTERVAL;
@@ -61,6 +62,22 @@
         }
     }
 
+    /// Tells the program groups of instances that are gone, until the task is ended. A task of its
+    /// own: a group without a leader must not hold up what concerns the others.
+    pub(crate) async fn run_telling(self: Arc<Self>) -> anyhow::Result<()> {
+        let mut ticks = tokio::time::interval(SWEEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut told = Vec::new();
+        loop {
+            ticks.tick().await;
+            if self.control.leads() {
+                self.tell_groups(&mut told).await;
+            } else {
+                told.clear();
+            }
+        }
+    }
+
     async fn fix_groups(&self) -> anyhow::Result<()> {
         if self.control.catalog().groups() != 0 {
             return Ok(());
--- a/crates/server/src/dispatch/pool.rs
+++ b/crates/server/src/dispatch/pool.rs
@@ -109,7 +109,7 @@
         fresh: bool,
         deadline: Instant,
     ) -> Result<Exchange, SendError> {
-        self.send_watched(address, request, fresh, deadline, deadline).await
+        self.send_watched(address, request, fresh, deadline, deadline, &|| true).await
     }
 
     /// As [`Pool::send`], but waits for the head of the answer only until `reused_until` when the
@@ -121,6 +121,7 @@
         fresh: bool,
         deadline: Instant,
         reused_until: Instant,
+        may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<Exchange, SendError> {
         let id = request.headers().get(REQUEST_ID_HEADER).cloned();
         let mut request = request;
@@ -141,6 +142,10 @@
             }
         }
         let mut sender = connect(address, deadline).await?;
+        // Connecting takes time, in which the permission may end or the process be suspended.
+        if !may_send() {
+            return Err(SendError::NotSent("the permission to send has ended".to_owned()));
+        }
         match sender.try_send_request_until(request, deadline).await? {
             Sent::Answer(response) => self.check(response, sender, address, id),
             Sent::Returned(_) => Err(SendError::NotSent("the endpoint closed at once".to_owned())),
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -319,7 +319,8 @@
         let deadline = self.call.deadline;
         let until = halfway(deadline).min(Instant::now() + REUSED_HEAD_TIMEOUT);
         let pool = &self.entry.pool;
-        let sent = pool.send_watched(address, request, fresh, deadline, until).await;
+        let may_send = || matches!(self.entry.may_dispatch(self.call, &slot.endpoint), Ok(true));
+        let sent = pool.send_watched(address, request, fresh, deadline, until, &may_send).await;
         match sent {
             Ok(exchange) => self.head(exchange, slot, run, suspect).await,
             Err(e) => self.failed(slot, run, Failed::from_send(&e)).await.map(|()| None),
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -262,7 +262,9 @@
         ledger: ledger.clone(),
         program_groups: PROGRAM_GROUPS,
     });
+    let telling = sweeper.clone();
     supervisor.start("sweeper", move || sweeper.clone().run());
+    supervisor.start("telling groups", move || telling.clone().run_telling());
     let orders =
         Arc::new(ReleaseOrders { control, membership: membership.clone(), pool: pool.clone() });
     supervisor.start("release orders", move || orders.clone().run());
--- a/crates/server/src/peer/agreement.rs
+++ b/crates/server/src/peer/agreement.rs
@@ -18,6 +18,8 @@
 const QUEUE: usize = 1024;
 /// Messages that go into one batch.
 const MAX_BATCH: usize = 64;
+/// Bytes of several messages in one frame.
+const MAX_BATCH_BYTES: usize = frame::MAX_FRAME_BYTES / 2;
 /// Time after which a peer that takes nothing is given up until the next message.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -83,6 +85,11 @@
     }
 }
 
+fn new_frame(cfg: &LaneConfig) -> AgreementBatch {
+    let folder = Bytes::copy_from_slice(&cfg.folder.0.to_be_bytes());
+    AgreementBatch { from: cfg.me.0, folder, messages: Vec::new() }
+}
+
 async fn send_batch(
     cfg: &LaneConfig,
     to: ReplicaId,
@@ -97,11 +104,17 @@
             stream.insert(connection.open_uni().await?)
         }
     };
-    let frame = AgreementBatch {
-        from: cfg.me.0,
-        folder: Bytes::copy_from_slice(&cfg.folder.0.to_be_bytes()),
-        messages: batch.iter().map(PeerMessage::encode).collect(),
-    };
     metrics::counter!("poplarspan_agreement_messages_total").increment(batch.len() as u64);
+    let mut frame = new_frame(cfg);
+    let mut bytes = 0;
+    for message in batch.iter().map(PeerMessage::encode) {
+        // Several large messages together may not fit into one frame.
+        if bytes + message.len() > MAX_BATCH_BYTES && !frame.messages.is_empty() {
+            frame::write(tx, &std::mem::replace(&mut frame, new_frame(cfg))).await?;
+            bytes = 0;
+        }
+        bytes += message.len();
+        frame.messages.push(message);
+    }
     Ok(frame::write(tx, &frame).await?)
 }
--- a/crates/server/src/schedule/endpoints.rs
+++ b/crates/server/src/schedule/endpoints.rs
@@ -4,11 +4,12 @@
 
 use poplarspan_objects::{Endpoint, Name, ObjectSet, Serves, ZoneState};
 use poplarspan_policy::{
+    fair::PRIORITY_FILL,
     ramp::{Outcome, RampSpec, Ramps},
     rate::View,
     route::{
-        CacheEvent, Choice, Chooser, CostChooser, EndpointId, EndpointSpec, Fleet, LoadReport,
-        NoRoute, PrefixIndex, RouteRequest,
+        CacheEvent, Choice, Chooser, CostChooser, CostConfig, EndpointId, EndpointSpec, Fleet,
+        LoadReport, NoRoute, PrefixIndex, RouteRequest,
     },
 };
 
@@ -75,7 +76,10 @@
         Self {
             fleet: Fleet::new(),
             prefixes: PrefixIndex::new(MAX_BLOCKS),
-            chooser: CostChooser::new(zone, Default::default()),
+            chooser: CostChooser::new(
+                zone,
+                CostConfig { group_fill: PRIORITY_FILL, ..Default::default() },
+            ),
             ramps: Ramps::new(me, LEASE),
             known: Vec::new(),
             last: Vec::new(),
@@ -178,11 +182,22 @@
         self.last.retain(|l| now < l.at + FORGET_PROGRAM);
     }
 
-    /// Whether this instance could send one more call to the group now.
+    /// Whether the group has room for a call of any team.
     pub(super) fn has_room(&self, group: &str) -> bool {
         self.fleet.room(group, 1) > 0
     }
 
+    /// Whether a call may be sent to wait at the group's endpoints.
+    pub(super) fn may_wait_there(&self, group: &str) -> bool {
+        self.fleet.fill(group) < f64::from(PRIORITY_FILL)
+    }
+
+    /// Whether this instance has no call at the group's endpoints.
+    pub(super) fn is_absent(&self, group: &str) -> bool {
+        let members = self.fleet.members(group).unwrap_or(&[]);
+        members.iter().all(|id| self.fleet.own_in_flight(*id) == 0)
+    }
+
     /// Calls that the group takes at once from all instances.
     pub(super) fn capacity(&self, group: &str) -> u32 {
         let members = self.fleet.members(group).unwrap_or(&[]);
--- a/crates/server/src/schedule/queues.rs
+++ b/crates/server/src/schedule/queues.rs
@@ -63,15 +63,14 @@
     list: Vec<GroupQueue>,
 }
 
-/// Room of a group, as the queue asks for it.
-struct Room<'a> {
-    endpoints: &'a Endpoints,
-    group: &'a str,
+/// Whether the queue may hand out a call, as decided before.
+struct Room {
+    is_there: bool,
 }
 
-impl InFlight for Room<'_> {
+impl InFlight for Room {
     fn has_room(&self, _now: Duration) -> bool {
-        self.endpoints.has_room(self.group)
+        self.is_there
     }
 
     // The endpoints count the calls themselves.
@@ -126,7 +125,7 @@
         let mut decided = Vec::new();
         // Calls that no free endpoint may take, because they were already tried there.
         let mut passed = Vec::new();
-        while let Some(entry) = queue.pop(&mut Room { endpoints, group }, now) {
+        while let Some(entry) = next(queue, priorities.as_ref(), endpoints, group, now) {
             let waiting = &entry.call.payload;
             if waiting.tx.is_closed() {
                 settle(queue, &entry, 0, now);
@@ -148,7 +147,7 @@
             }
         }
         for entry in passed {
-            queue.put_back(entry, &mut Room { endpoints, group }, now);
+            queue.put_back(entry, &mut Room { is_there: true }, now);
         }
         decided
     }
@@ -224,6 +223,31 @@
     }
 }
 
+/// Takes the next call. While the group is full, teams within their part may wait at the engines,
+/// whose priorities put them first; the others wait here.
+///
+/// An instance without a call at the group may send one all the same: it learns of room from reports
+/// only, and would find the group full each time, because the instances that have calls there see
+/// them end and send the next at once.
+fn next(
+    queue: &mut FairQueue<Waiting>,
+    priorities: Option<&Priorities>,
+    endpoints: &Endpoints,
+    group: &str,
+    now: Duration,
+) -> Option<Entry<Waiting>> {
+    let mut room = Room { is_there: endpoints.has_room(group) };
+    if room.is_there {
+        return queue.pop(&mut room, now);
+    }
+    room.is_there = endpoints.may_wait_there(group);
+    if endpoints.is_absent(group) {
+        return queue.pop(&mut room, now);
+    }
+    let priorities = priorities?;
+    queue.pop_where(&mut room, now, |team| priorities.within_part(team))
+}
+
 impl GroupQueue {
     /// Time until a call that is queued now is served, if the others take as long as usual.
     fn expected_wait(&self, capacity: u32) -> Duration {
