--- a/crates/server/src/entry/listener.rs
+++ b/crates/server/src/entry/listener.rs
@@ -145,7 +145,8 @@
         let entry = self.entry.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let entry = entry.clone();
-            async move { Ok::<_, Infallible>(entry.handle(request).await) }
+            // Boxed, so that its memory is free again while the answer is being relayed.
+            async move { Ok::<_, Infallible>(Box::pin(entry.handle(request)).await) }
         });
         let (server, watcher, stop) = (server.clone(), graceful.watcher(), stop.clone());
         let head_timeout = self.limits.head_timeout;
--- a/crates/server/src/entry/stream.rs
+++ b/crates/server/src/entry/stream.rs
@@ -105,7 +105,8 @@
             }
         }
         let head = (u32::from(status.as_u16()), encode_headers(&headers));
-        self.end_stream(&accepted, claim, head, relayed, &tx).await;
+        // Boxed, so that it takes no memory while the stream runs.
+        Box::pin(self.end_stream(&accepted, claim, head, relayed, &tx)).await;
     }
 
     /// Records the end of the stream, and only then passes on its last event.
