Replace a voter also while it leads

Cause: the operator's guide, followed step by step, replaced a replica that still ran and led group 0. A leader is not removed, so the command waited until its timeout. Now the leader passes the leadership to another voter first. A leader that is not in the program groups yet does not know who leads them, and asked nobody; it asks the replicas in turn. The command waits for the new replica to catch up, 90 s at most, instead of repeating the call every 2 s.

--- a/crates/core/commands/operator.rs
+++ b/crates/core/commands/operator.rs
@@ -12,6 +12,7 @@
 use crate::flags::{OperatorFlags, PublishFlags, ReplaceVoterFlags, StatusFlags};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const REPLACE_TIMEOUT: Duration = Duration::from_secs(90);
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// A connection to the fleet that follows the leader of group 0.
@@ -21,6 +22,7 @@
     target: SocketAddr,
     key: String,
     deadline: Instant,
+    call_timeout: Duration,
 }
 
 impl Fleet {
@@ -41,6 +43,7 @@
             target: flags.control,
             key,
             deadline: Instant::now() + flags.timeout,
+            call_timeout: CALL_TIMEOUT,
         })
     }
 
@@ -49,7 +52,7 @@
     async fn call(&mut self, body: request::Body) -> Result<response::Body> {
         let mut redirected = false;
         loop {
-            let error = match self.client.call(self.target, body.clone(), CALL_TIMEOUT).await {
+            let error = match self.client.call(self.target, body.clone(), self.call_timeout).await {
                 Ok(answer) => return Ok(answer),
                 Err(e) => e,
             };
@@ -260,6 +263,9 @@
         new: flags.new,
         new_address: flags.new_address.to_string(),
     };
+    // The new replica has to catch up first.
+    fleet.deadline = fleet.deadline.max(Instant::now() + REPLACE_TIMEOUT);
+    fleet.call_timeout = REPLACE_TIMEOUT;
     match fleet.call(request::Body::ReplaceVoter(request)).await? {
         response::Body::VoterReplaced(_) => {
             println!("replica {} has taken the place of replica {}", flags.new, flags.old);
--- a/crates/server/src/control/group.rs
+++ b/crates/server/src/control/group.rs
@@ -63,6 +63,9 @@
     /// Changes the voters by one step.
     fn change_voters(&self, step: VoterStep) -> BoxFuture<'_, Result<(), ProposeError>>;
 
+    /// Passes the leadership to another voter.
+    fn transfer(&self, to: u64) -> BoxFuture<'_, Result<(), ProposeError>>;
+
     /// Voters and learners.
     fn replicas(&self) -> BoxFuture<'_, Vec<ReplicaState>>;
 }
--- a/crates/server/src/control/node.rs
+++ b/crates/server/src/control/node.rs
@@ -70,6 +70,12 @@
         })
     }
 
+    fn transfer(&self, to: u64) -> BoxFuture<'_, Result<(), ProposeError>> {
+        Box::pin(async move {
+            self.handle.transfer_leadership(ReplicaId(to)).await.map_err(propose_error)
+        })
+    }
+
     fn replicas(&self) -> BoxFuture<'_, Vec<ReplicaState>> {
         Box::pin(async move {
             let Some(status) = self.handle.status().await else { return Vec::new() };
--- a/crates/server/src/control/voters.rs
+++ b/crates/server/src/control/voters.rs
@@ -46,7 +46,7 @@
         change: peer::ChangeVoters,
     ) -> Result<(), peer::Failure> {
         let deadline = Instant::now() + CATCH_UP_TIMEOUT;
-        loop {
+        for turn in 0usize.. {
             let failure = match self.change_voters(change).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
@@ -54,7 +54,10 @@
             if failure.code() != FailureCode::NotLeader || Instant::now() > deadline {
                 return Err(failure);
             }
-            if let Ok(leader) = failure.leader_address.parse() {
+            // A replica that is not in the group yet does not know who leads it.
+            let replicas = self.replicas.list();
+            let other = || replicas.get(turn % replicas.len().max(1)).map(|(_, a)| *a);
+            if let Some(leader) = failure.leader_address.parse().ok().or_else(other) {
                 let body = request::Body::ChangeVoters(change);
                 match client.call(leader, body, CALL_TIMEOUT).await {
                     Ok(response::Body::VoterReplaced(_)) => return Ok(()),
@@ -66,6 +69,7 @@
             }
             sleep(STEP_PAUSE).await;
         }
+        unreachable!("the loop ends by a return")
     }
 
     /// Replaces a voter in a program group that this replica leads.
@@ -82,6 +86,15 @@
         let deadline = Instant::now() + CATCH_UP_TIMEOUT;
         loop {
             let Some(step) = next_step(log, old, new).await else { return Ok(()) };
+            if step == VoterStep::Remove(old) && log.leadership().leader == Some(old) {
+                // A leader is not removed; the caller goes on at the new one.
+                let replicas = log.replicas().await;
+                let heir =
+                    replicas.iter().find(|r| r.voter && r.replica != old && r.replica != new);
+                let heir = heir.map_or(new, |r| r.replica);
+                log.transfer(heir).await.map_err(|e| self.propose_failure(log, e))?;
+                return Err(self.not_leader(log));
+            }
             match log.change_voters(step).await {
                 Ok(()) => {}
                 // Mostly the new replica has not caught up yet, or a change is not committed yet.
