--- a/crates/policy/src/route/prefix.rs
+++ b/crates/policy/src/route/prefix.rs
@@ -251,7 +251,7 @@
         }
     }
 
-    /// Finds how many leading blocks each endpoint has cached. Exact for the [`MAX_LEVELS`] longest
+    /// Finds how many leading blocks each endpoint has cached. Exact for the `MAX_LEVELS` longest
     /// prefixes that differ; endpoints with shorter ones count as having none.
     pub fn lookup(&self, blocks: &[u64], depths: &mut Depths) {
         depths.start(self.caches.len());
