--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -144,6 +144,12 @@
             membership: self.log.membership().clone(),
             membership_committed: self.log.membership_index() <= self.commit,
             peers: self.lead.peers.iter().map(|p| (p.id, p.matched)).collect(),
+            silence: self
+                .lead
+                .peers
+                .iter()
+                .map(|p| (p.id, self.now.saturating_sub(p.heard_at)))
+                .collect(),
             transfer: self.lead.transfer.as_ref().map(|t| t.to),
             violations: self.violations,
         }
--- a/crates/agreement/src/core/api.rs
+++ b/crates/agreement/src/core/api.rs
@@ -256,6 +256,8 @@
     pub membership_committed: bool,
     /// Peers and the index up to which their logs match; empty unless this replica leads.
     pub peers: Vec<(ReplicaId, u64)>,
+    /// Time since each peer last answered; empty unless this replica leads.
+    pub silence: Vec<(ReplicaId, Duration)>,
     /// Target of a leadership transfer under way.
     pub transfer: Option<ReplicaId>,
     /// Violated invariants since the start.
--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -46,9 +46,34 @@
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()>;
 }
 
+/// The clock that leases and election timeouts are measured with.
+pub trait Clock: std::fmt::Debug + Send + Sync {
+    /// Time since an arbitrary start. Never goes back.
+    fn now(&self) -> Duration;
+}
+
+/// The runtime's clock.
+#[derive(Debug)]
+pub struct RuntimeClock(tokio::time::Instant);
+
+impl Default for RuntimeClock {
+    fn default() -> Self {
+        Self(tokio::time::Instant::now())
+    }
+}
+
+impl Clock for RuntimeClock {
+    fn now(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
 /// Parameters of a node.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
+    /// Clock of leases and election timeouts. Where machines may be suspended, it has to count that
+    /// time, because a leader that wakes up must not count on its lease.
+    pub clock: Arc<dyn Clock>,
     /// Time between two ticks of the cores.
     pub tick: Duration,
     /// Time between two heartbeats of a leader.
@@ -78,6 +103,7 @@
 impl Default for NodeConfig {
     fn default() -> Self {
         Self {
+            clock: Arc::<RuntimeClock>::default(),
             tick: Duration::from_millis(10),
             heartbeat: Duration::from_millis(50),
             election_timeout_min: Duration::from_millis(300),
--- a/crates/agreement/src/driver/task.rs
+++ b/crates/agreement/src/driver/task.rs
@@ -43,7 +43,6 @@
 
 /// What the task is waiting for.
 pub(crate) struct State {
-    start: Instant,
     work: Work,
     /// The batch that storage makes durable. The next one collects meanwhile.
     syncing: Option<BoxFuture<'static, Synced>>,
@@ -55,7 +54,6 @@
 impl Default for State {
     fn default() -> Self {
         Self {
-            start: Instant::now(),
             work: Work::default(),
             syncing: None,
             saving: FuturesUnordered::new(),
@@ -116,7 +114,7 @@
     }
 
     fn now(&self) -> Duration {
-        self.state.start.elapsed()
+        self.cfg.clock.now()
     }
 
     fn find(&mut self, id: GroupId) -> Option<usize> {
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -99,8 +99,8 @@
 };
 pub use convert::{ConvertError, PeerMessage};
 pub use driver::{
-    GroupHandle, GroupStatus, GroupView, InitError, Node, NodeBuilder, NodeConfig, NodeError,
-    ProposeError, ReadError, StateMachine, Transport, init_voters,
+    Clock, GroupHandle, GroupStatus, GroupView, InitError, Node, NodeBuilder, NodeConfig,
+    NodeError, ProposeError, ReadError, RuntimeClock, StateMachine, Transport, init_voters,
 };
 pub use identity::{DataDir, IdentityError, PeerIdentities};
 pub use message::{AppendResult, Message};
--- a/crates/core/commands/certs.rs
+++ b/crates/core/commands/certs.rs
@@ -20,8 +20,15 @@
 const NAMES: [(&str, &str); 2] =
     [("instance", "instance.poplarspan.internal"), ("operator", "operator.poplarspan.internal")];
 
+/// The file that is written last.
+const LAST_FILE: &str = "operator.key";
+
 /// `certs`
 pub(crate) fn run(flags: &CertsFlags) -> Result<ExitCode> {
+    if flags.keep && flags.out.join(LAST_FILE).exists() {
+        println!("kept the certificates in {}", flags.out.display());
+        return Ok(ExitCode::SUCCESS);
+    }
     fs::create_dir_all(&flags.out)
         .with_context(|| format!("cannot make {}", flags.out.display()))?;
     write_all(&flags.out)?;
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -4,6 +4,7 @@
 mod dev;
 mod endpoint;
 mod files;
+mod node;
 mod operator;
 mod serve;
 
@@ -18,6 +19,7 @@
 pub(crate) fn run(command: Command) -> Result<ExitCode> {
     match command {
         Command::Serve(flags) => on_runtime(serve::run(*flags)),
+        Command::Node(flags) => on_one_thread(node::run(flags)),
         Command::Check(flags) => files::check(&flags),
         Command::Diff(flags) => files::diff(&flags),
         Command::Publish(flags) => on_runtime(operator::publish(flags)),
@@ -41,6 +43,11 @@
     }
 }
 
+/// Runs a command on a runtime of one thread, for machines that give a process part of a core.
+fn on_one_thread(command: impl Future<Output = Result<ExitCode>>) -> Result<ExitCode> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(command)
+}
+
 /// Runs a command that needs the asynchronous runtime.
 pub(crate) fn on_runtime(command: impl Future<Output = Result<ExitCode>>) -> Result<ExitCode> {
     tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(command)
--- /dev/null
+++ b/crates/core/commands/node.rs
@@ -0,0 +1,84 @@
+//! Runs one instance of a relay fleet, as the platform's settings file says.
+
+use std::{path::Path, process::ExitCode, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result};
+use poplarspan_platform::{Platform, read_settings};
+use poplarspan_relay::{Relay, Running, Settings};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::flags::NodeFlags;
+
+/// The settings file may change without a signal; it is looked at this often.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+
+/// `node`
+pub(crate) async fn run(flags: NodeFlags) -> Result<ExitCode> {
+    let text = read(&flags.settings)?;
+    let settings = parse(&text, &flags)?;
+    let dialect = Arc::new(Platform);
+    // Listening for signals starts before the instance does, so that none is missed.
+    let mut signals = Signals::new()?;
+    let running = Relay { settings, dialect, tls: flags.tls.files() }.start().await?;
+    let mut held = text;
+    let mut ticks = interval(RELOAD_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload(&running, &flags, &mut held),
+            _ = ticks.tick() => reload(&running, &flags, &mut held),
+            e = running.failed() => return Err(e).context("the instance has failed"),
+        }
+    }
+    let open = running.shutdown().await;
+    Ok(if open == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+struct Signals {
+    terminate: tokio::signal::unix::Signal,
+    interrupt: tokio::signal::unix::Signal,
+    hangup: tokio::signal::unix::Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+fn read(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
+fn parse(text: &str, flags: &NodeFlags) -> Result<Settings> {
+    read_settings(text, flags.metrics_port)
+        .with_context(|| format!("cannot use {}", flags.settings.display()))
+}
+
+/// Takes changed settings. A file that cannot be used changes nothing.
+fn reload(running: &Running, flags: &NodeFlags, held: &mut String) {
+    let changed = read(&flags.settings).and_then(|text| {
+        let settings = (text != *held).then(|| parse(&text, flags)).transpose()?;
+        Ok((text, settings))
+    });
+    match changed {
+        Ok((text, Some(settings))) => {
+            running.reload(&settings);
+            *held = text;
+        }
+        Ok((_, None)) => {}
+        Err(e) => {
+            let error = format!("{e:#}");
+            log::error!(error = error.as_str(); "settings are not reloaded");
+        }
+    }
+}
--- a/crates/core/flags.rs
+++ b/crates/core/flags.rs
@@ -6,6 +6,8 @@
 use poplarspan_server::{Limits, ReplicaAddress, TlsFiles};
 use poplarspan_standin::ModelVersion;
 
+use crate::logging::LogOutput;
+
 /// A scheduler for agent programs.
 ///
 /// It takes calls from agent programs, keeps the calls of each program in order, runs calls that
@@ -28,6 +30,8 @@
 pub(crate) enum Command {
     /// Run one instance.
     Serve(Box<ServeFlags>),
+    /// Run one instance of a relay fleet.
+    Node(NodeFlags),
     /// Check object files without publishing them.
     Check(FileFlags),
     /// Show what publishing object files would change.
@@ -57,6 +61,27 @@
     },
 }
 
+/// Flags of `node`.
+#[derive(Args, Clone, Debug)]
+pub(crate) struct NodeFlags {
+    /// Settings file of the platform.
+    #[arg(long, value_name = "FILE", env = "POPLARSPAN_BOOT")]
+    pub(crate) settings: PathBuf,
+    /// Port that serves metrics, on the machine's address.
+    #[arg(long, value_name = "PORT", default_value_t = 9464, env = "POPLARSPAN_METRICS_PORT")]
+    pub(crate) metrics_port: u16,
+    #[command(flatten)]
+    pub(crate) tls: TlsFlags,
+}
+
+impl Command {
+    /// Where the log goes: the platform takes it from standard output, everyone else expects results
+    /// there.
+    pub(crate) fn log_output(&self) -> LogOutput {
+        if matches!(self, Self::Node(_)) { LogOutput::Stdout } else { LogOutput::Stderr }
+    }
+}
+
 /// TLS files of the peer port.
 #[derive(Args, Clone, Debug)]
 pub(crate) struct TlsFlags {
@@ -303,6 +328,9 @@
     /// Folder to write to; it must not exist or must be empty.
     #[arg(long, value_name = "FOLDER")]
     pub(crate) out: PathBuf,
+    /// Keep the certificates that are in the folder already.
+    #[arg(long)]
+    pub(crate) keep: bool,
 }
 
 /// Flags of `dev`.
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -12,7 +12,7 @@
 
 fn main() -> ExitCode {
     let flags = Flags::parse();
-    logging::install(flags.log_level);
+    logging::install(flags.log_level, flags.command.log_output());
     match commands::run(flags.command) {
         Ok(code) => code,
         Err(e) => {
--- a/crates/server/src/peer/agreement.rs
+++ b/crates/node/src/peer/agreement.rs
@@ -24,12 +24,12 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Finds the address of a control replica.
-pub(crate) type FindReplica = Arc<dyn Fn(u64) -> Option<SocketAddr> + Send + Sync>;
+pub type FindReplica = Arc<dyn Fn(u64) -> Option<SocketAddr> + Send + Sync>;
 
 type Key = (ReplicaId, GroupId);
 
 /// Sends messages to the other replicas. It may lose them; it never blocks.
-pub(crate) struct AgreementTransport {
+pub struct AgreementTransport {
     lane: Arc<LaneConfig>,
     // Sorted by key.
     lanes: Mutex<Vec<(Key, mpsc::Sender<PeerMessage>)>>,
@@ -43,7 +43,8 @@
 }
 
 impl AgreementTransport {
-    pub(crate) fn new(
+    /// Returns a transport for the replica `me`, whose data folder is `folder`.
+    pub fn new(
         me: ReplicaId,
         folder: FolderId,
         client: PeerClient,
--- a/crates/server/src/peer/client.rs
+++ b/crates/node/src/peer/client.rs
@@ -59,10 +59,12 @@
         Self::with_endpoint(endpoint, credentials)
     }
 
-    pub(crate) fn with_endpoint(
-        mut endpoint: quinn::Endpoint,
-        credentials: &Credentials,
-    ) -> Result<Self> {
+    /// Creates a client that shares the socket of the peer port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the certificates cannot be used.
+    pub fn with_endpoint(mut endpoint: quinn::Endpoint, credentials: &Credentials) -> Result<Self> {
         endpoint.set_default_client_config(credentials.client_config()?);
         Ok(Self { endpoint, connections: Arc::default() })
     }
@@ -87,7 +89,11 @@
                 self.forget(address, &connection);
                 return Err(unknown(e.to_string()));
             }
-            Err(_) => return Err(unknown(format!("nothing arrived within {timeout:?}"))),
+            Err(_) => {
+                // The peer may have been restarted, in which case it does not know the connection.
+                self.forget(address, &connection);
+                return Err(unknown(format!("nothing arrived within {timeout:?}")));
+            }
         };
         match answer.body {
             Some(response::Body::Failure(failure)) => Err(CallError::Failed(failure)),
@@ -97,10 +103,7 @@
     }
 
     /// Returns an open connection to the peer, making one if needed.
-    pub(crate) async fn connection(
-        &self,
-        address: SocketAddr,
-    ) -> Result<quinn::Connection, CallError> {
+    pub async fn connection(&self, address: SocketAddr) -> Result<quinn::Connection, CallError> {
         if let Some(connection) = self.open_connection(address) {
             return Ok(connection);
         }
@@ -128,7 +131,8 @@
         connection.close_reason().is_none().then(|| connection.clone())
     }
 
-    pub(crate) fn forget(&self, address: SocketAddr, connection: &quinn::Connection) {
+    /// Makes the next call to the peer use a new connection instead of this one.
+    pub fn forget(&self, address: SocketAddr, connection: &quinn::Connection) {
         let mut open = self.connections.lock().expect("no panic while locked");
         if let Ok(i) = open.binary_search_by_key(&address, |(a, _)| *a)
             && open[i].1.stable_id() == connection.stable_id()
--- a/crates/server/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -4,12 +4,12 @@
 use prost::Message;
 
 /// Largest frame, in bytes.
-pub(crate) const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 const PREFIX_BYTES: usize = 4;
 
 /// A frame that cannot be read or written.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum FrameError {
+pub enum FrameError {
     #[error("frame of {0} bytes is larger than the limit of {MAX_FRAME_BYTES}")]
     TooLarge(usize),
     #[error("malformed frame: {0}")]
@@ -21,7 +21,7 @@
 }
 
 /// Writes one message with its length in front.
-pub(crate) async fn write<M: Message>(
+pub async fn write<M: Message>(
     stream: &mut quinn::SendStream,
     message: &M,
 ) -> Result<(), FrameError> {
@@ -37,9 +37,7 @@
 }
 
 /// Reads one message.
-pub(crate) async fn read<M: Message + Default>(
-    stream: &mut quinn::RecvStream,
-) -> Result<M, FrameError> {
+pub async fn read<M: Message + Default>(stream: &mut quinn::RecvStream) -> Result<M, FrameError> {
     let mut prefix = [0; PREFIX_BYTES];
     stream.read_exact(&mut prefix).await?;
     let len = u32::from_be_bytes(prefix) as usize;
--- a/crates/server/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -9,7 +9,7 @@
 mod server;
 mod tls;
 
-pub(crate) use agreement::AgreementTransport;
+pub use agreement::{AgreementTransport, FindReplica};
 pub use client::{CallError, PeerClient};
-pub(crate) use server::{AgreementSink, PeerServer, PeerService, Role};
-pub use tls::Credentials;
+pub use server::{AgreementSink, PeerServer, PeerService, Role, failure};
+pub use tls::{Credentials, TlsFiles};
--- a/crates/server/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -4,13 +4,14 @@
 
 use anyhow::Result;
 use futures::future::BoxFuture;
+use poplarspan_agreement::{FolderId, Node, PeerMessage, ReplicaId};
 use poplarspan_proto::peer::{self, AgreementBatch, FailureCode, request, response};
 
 use super::{frame, tls};
 
 /// What the certificate of a peer allows it to ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Role {
+pub enum Role {
     /// Another instance of the fleet.
     Instance,
     /// An operator; each call carries the operator's key as well.
@@ -18,26 +19,43 @@
 }
 
 /// Answers the calls of peers.
-pub(crate) trait PeerService: Send + Sync {
+pub trait PeerService: Send + Sync {
     /// Carries out one call.
     fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body>;
 }
 
 /// Receives messages of the replicated log.
-pub(crate) trait AgreementSink: Send + Sync {
+pub trait AgreementSink: Send + Sync {
     /// Takes one batch; it may be dropped.
     fn deliver(&self, batch: AgreementBatch);
 }
 
+impl AgreementSink for Node {
+    fn deliver(&self, batch: AgreementBatch) {
+        let Ok(folder) = <[u8; 16]>::try_from(&batch.folder[..]) else { return };
+        let folder = FolderId(u128::from_be_bytes(folder));
+        for message in batch.messages {
+            match PeerMessage::decode(message) {
+                Ok(message) => Self::deliver(self, ReplicaId(batch.from), folder, message),
+                Err(e) => {
+                    let (from, error) = (batch.from, e.to_string());
+                    log::warn!(from, error = error.as_str(); "malformed message of a replica");
+                }
+            }
+        }
+    }
+}
+
 /// Accepts the connections of peers.
-pub(crate) struct PeerServer {
+pub struct PeerServer {
     endpoint: quinn::Endpoint,
     service: Arc<dyn PeerService>,
     agreement: Option<Arc<dyn AgreementSink>>,
 }
 
 impl PeerServer {
-    pub(crate) fn new(
+    /// Returns a server for the peer port.
+    pub fn new(
         endpoint: quinn::Endpoint,
         service: Arc<dyn PeerService>,
         agreement: Option<Arc<dyn AgreementSink>>,
@@ -46,7 +64,7 @@
     }
 
     /// Accepts connections until the endpoint is closed.
-    pub(crate) async fn run(self: Arc<Self>) -> Result<()> {
+    pub async fn run(self: Arc<Self>) -> Result<()> {
         while let Some(incoming) = self.endpoint.accept().await {
             tokio::spawn(self.clone().serve(incoming));
         }
@@ -105,7 +123,7 @@
 }
 
 /// Builds the answer to a call that could not be carried out.
-pub(crate) fn failure(code: FailureCode, message: &str) -> response::Body {
+pub fn failure(code: FailureCode, message: &str) -> response::Body {
     response::Body::Failure(peer::Failure {
         code: code.into(),
         message: message.to_owned(),
--- a/crates/server/src/peer/tls.rs
+++ b/crates/node/src/peer/tls.rs
@@ -3,7 +3,7 @@
 //! One authority signs every certificate. The name in a certificate says whether its holder is an
 //! instance or an operator.
 
-use std::{sync::Arc, time::Duration};
+use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
@@ -13,12 +13,10 @@
     server::WebPkiClientVerifier,
 };
 
-use crate::config::TlsFiles;
-
 /// Version of the protocol between instances, agreed in the TLS handshake.
 const PROTOCOL: &[u8] = b"poplarspan/1";
 /// Subject name in the certificates of instances.
-pub(crate) const INSTANCE_NAME: &str = "instance.poplarspan.internal";
+pub const INSTANCE_NAME: &str = "instance.poplarspan.internal";
 /// A connection on which nothing arrives for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 const KEEP_ALIVE: Duration = Duration::from_millis(800);
@@ -27,6 +25,17 @@
 /// Streams of the replicated log: one for each group.
 const MAX_OPEN_ONE_WAY: u32 = 256;
 
+/// PEM files of one side of a mutual TLS connection.
+#[derive(Clone, Debug)]
+pub struct TlsFiles {
+    /// Certificates of the authority that signs all instances and operators.
+    pub authority: PathBuf,
+    /// Certificate chain of this process.
+    pub certificate: PathBuf,
+    /// Private key of this process.
+    pub key: PathBuf,
+}
+
 /// Certificates and key of one process, read from files.
 pub struct Credentials {
     roots: Arc<RootCertStore>,
@@ -51,7 +60,12 @@
         Ok(Self { roots: Arc::new(roots), chain, key })
     }
 
-    pub(crate) fn server_config(&self) -> Result<quinn::ServerConfig> {
+    /// Settings for accepting connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the certificates cannot be used.
+    pub fn server_config(&self) -> Result<quinn::ServerConfig> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let verifier =
             WebPkiClientVerifier::builder_with_provider(self.roots.clone(), provider.clone())
@@ -66,7 +80,12 @@
         Ok(cfg)
     }
 
-    pub(crate) fn client_config(&self) -> Result<quinn::ClientConfig> {
+    /// Settings for opening connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the certificates cannot be used.
+    pub fn client_config(&self) -> Result<quinn::ClientConfig> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let mut tls = rustls::ClientConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])?
@@ -99,7 +118,7 @@
 }
 
 /// Whether the certificate that the peer presented belongs to an instance.
-pub(crate) fn is_instance(connection: &quinn::Connection) -> bool {
+pub fn is_instance(connection: &quinn::Connection) -> bool {
     let Some(identity) = connection.peer_identity() else { return false };
     let Ok(chain) = identity.downcast::<Vec<CertificateDer<'static>>>() else { return false };
     let Some(certificate) = chain.first() else { return false };
--- a/crates/server/src/dispatch/pool.rs
+++ b/crates/node/src/pool.rs
@@ -8,33 +8,66 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time::Instant};
+use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Something between the two ends may lose track of an idle connection, so idle ones are not kept
-/// for long.
-const MAX_IDLE: Duration = Duration::from_secs(5);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 3;
-/// Longest time that sent data may stay unacknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(6);
+/// A connection is not used again this long before its endpoint closes it, so that a call and the
+/// close do not cross.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1000);
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 
-/// Header that ties an answer to its call.
-pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// How a [`Pool`] treats its connections.
+#[derive(Clone, Debug)]
+pub struct PoolConfig {
+    /// Header that ties an answer to its call.
+    pub id_header: HeaderName,
+    /// Time after which an attempt to connect is given up.
+    pub connect_timeout: Duration,
+    /// Something between the two ends may lose track of an idle connection, so idle ones are not
+    /// kept for longer than this.
+    pub max_idle: Duration,
+    /// Longest time that sent data may stay unacknowledged.
+    pub unacknowledged: Duration,
+}
+
+impl PoolConfig {
+    /// Returns the defaults for a header.
+    pub fn new(id_header: HeaderName) -> Self {
+        Self {
+            id_header,
+            connect_timeout: Duration::from_secs(2),
+            max_idle: Duration::from_secs(5),
+            unacknowledged: Duration::from_secs(6),
+        }
+    }
+}
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+/// One end of a connection. Dropping it closes the connection at once, which cancels a call that is
+/// open on it.
+struct Sender {
+    http: http1::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    /// Time for which the endpoint keeps the connection open while it is idle, as far as it has said.
+    keep_alive: Option<Duration>,
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
 
 /// Why an endpoint gave no answer.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum SendError {
+pub enum SendError {
     /// Not a byte of the call has left this process.
     #[error("not sent: {0}")]
     NotSent(String),
@@ -57,15 +90,32 @@
     since: Instant,
 }
 
+impl std::fmt::Debug for Idle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Idle").field("since", &self.since).finish_non_exhaustive()
+    }
+}
+
+impl Idle {
+    /// Whether the endpoint can be expected to still have the connection open.
+    fn is_fresh(&self, max_idle: Duration) -> bool {
+        let told = self.sender.keep_alive.map(|t| t.saturating_sub(KEEP_ALIVE_MARGIN));
+        self.since.elapsed() < told.map_or(max_idle, |t| t.min(max_idle))
+    }
+}
+
 /// Idle connections, by endpoint.
-pub(crate) struct Pool {
+#[derive(Debug)]
+pub struct Pool {
+    cfg: PoolConfig,
     // Sorted by address.
     idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
 }
 
 /// An answer whose body is still to be read, and the connection that it arrives on.
-pub(crate) struct Exchange {
-    pub(crate) response: Response<Incoming>,
+pub struct Exchange {
+    /// Head of the answer, and its body, which is still arriving.
+    pub response: Response<Incoming>,
     sender: Sender,
     address: SocketAddr,
     pool: Arc<Pool>,
@@ -73,14 +123,14 @@
 
 impl Exchange {
     /// Splits the answer from its connection, which is given back with [`Reuse::finish`].
-    pub(crate) fn into_parts(self) -> (Response<Incoming>, Reuse) {
+    pub fn into_parts(self) -> (Response<Incoming>, Reuse) {
         let reuse = Reuse { sender: self.sender, address: self.address, pool: self.pool };
         (self.response, reuse)
     }
 }
 
 /// A connection that may be used again once its answer has been read whole. Dropping it closes it.
-pub(crate) struct Reuse {
+pub struct Reuse {
     sender: Sender,
     address: SocketAddr,
     pool: Arc<Pool>,
@@ -88,21 +138,22 @@
 
 impl Reuse {
     /// Puts the connection back.
-    pub(crate) fn finish(self) {
+    pub fn finish(self) {
         self.pool.put(self.address, self.sender);
     }
 }
 
 impl Pool {
-    pub(crate) fn new() -> Arc<Self> {
-        Arc::new(Self { idle: Mutex::default() })
+    /// Returns an empty pool.
+    pub fn new(cfg: PoolConfig) -> Arc<Self> {
+        Arc::new(Self { cfg, idle: Mutex::default() })
     }
 
     /// Sends a call and waits for the head of its answer, at most until `deadline`.
     ///
     /// With `fresh`, a new connection is made: a call that must not run twice cannot be repeated
     /// when an old connection turns out to be silent.
-    pub(crate) async fn send(
+    pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
@@ -114,7 +165,7 @@
 
     /// As [`Pool::send`], but waits for the head of the answer only until `reused_until` when the
     /// connection has been used before: it may have gone silent since.
-    pub(crate) async fn send_watched(
+    pub async fn send_watched(
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
@@ -123,7 +174,7 @@
         reused_until: Instant,
         may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<Exchange, SendError> {
-        let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+        let id = request.headers().get(&self.cfg.id_header).cloned();
         let mut request = request;
         if !fresh {
             while let Some(mut sender) = self.take(address) {
@@ -141,7 +192,7 @@
                 }
             }
         }
-        let mut sender = connect(address, deadline).await?;
+        let mut sender = connect(address, deadline, &self.cfg).await?;
         // Connecting takes time, in which the permission may end or the process be suspended.
         if !may_send() {
             return Err(SendError::NotSent("the permission to send has ended".to_owned()));
@@ -159,11 +210,13 @@
         address: SocketAddr,
         id: Option<HeaderValue>,
     ) -> Result<Exchange, SendError> {
-        let answered = response.headers().get(REQUEST_ID_HEADER);
+        let answered = response.headers().get(&self.cfg.id_header);
         if answered.is_some() && answered != id.as_ref() {
             metrics::counter!("poplarspan_crossed_answers_total").increment(1);
             return Err(SendError::Crossed);
         }
+        let mut sender = sender;
+        sender.keep_alive = keep_alive(&response).or(sender.keep_alive);
         Ok(Exchange { response, sender, address, pool: self.clone() })
     }
 
@@ -171,7 +224,7 @@
         let mut idle = self.idle.lock().expect("no panic while locked");
         let i = idle.binary_search_by_key(&address, |(a, _)| *a).ok()?;
         while let Some(last) = idle[i].1.pop() {
-            if last.since.elapsed() < MAX_IDLE && last.sender.is_ready() {
+            if last.is_fresh(self.cfg.max_idle) && last.sender.http.is_ready() {
                 return Some(last.sender);
             }
         }
@@ -184,7 +237,7 @@
         match idle.binary_search_by_key(&address, |(a, _)| *a) {
             Ok(i) => {
                 let list = &mut idle[i].1;
-                list.retain(|old| old.since.elapsed() < MAX_IDLE && !old.sender.is_closed());
+                list.retain(|old| old.is_fresh(self.cfg.max_idle) && !old.sender.http.is_closed());
                 if list.len() < MAX_IDLE_PER_ENDPOINT {
                     list.push(entry);
                 }
@@ -194,7 +247,7 @@
     }
 
     /// Closes the idle connections to an endpoint, after one of them has gone silent.
-    pub(crate) fn discard(&self, address: SocketAddr) {
+    pub fn discard(&self, address: SocketAddr) {
         let mut idle = self.idle.lock().expect("no panic while locked");
         if let Ok(i) = idle.binary_search_by_key(&address, |(a, _)| *a) {
             idle.remove(i);
@@ -202,15 +255,22 @@
     }
 
     /// Closes idle connections that are too old; called now and then.
-    pub(crate) fn sweep(&self) {
+    pub fn sweep(&self) {
         let mut idle = self.idle.lock().expect("no panic while locked");
         for (_, list) in idle.iter_mut() {
-            list.retain(|old| old.since.elapsed() < MAX_IDLE && !old.sender.is_closed());
+            list.retain(|old| old.is_fresh(self.cfg.max_idle) && !old.sender.http.is_closed());
         }
         idle.retain(|(_, list)| !list.is_empty());
     }
 }
 
+/// Time for which the endpoint says that it keeps an idle connection.
+fn keep_alive(response: &Response<Incoming>) -> Option<Duration> {
+    let value = response.headers().get("keep-alive")?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
 enum Sent {
     Answer(Response<Incoming>),
     /// The connection was closed before the request was sent.
@@ -231,7 +291,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Sent, SendError> {
-        match tokio::time::timeout_at(deadline, self.try_send_request(request)).await {
+        match tokio::time::timeout_at(deadline, self.http.try_send_request(request)).await {
             Ok(Ok(response)) => Ok(Sent::Answer(response)),
             Ok(Err(mut e)) => match e.take_message() {
                 Some(request) => Ok(Sent::Returned(request)),
@@ -243,7 +303,7 @@
 }
 
 /// Makes the kernel notice a peer that no longer acknowledges anything.
-fn watch(stream: &TcpStream) -> std::io::Result<()> {
+fn watch(stream: &TcpStream, cfg: &PoolConfig) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -252,24 +312,27 @@
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&probes)?;
     #[cfg(target_os = "linux")]
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(cfg.unacknowledged))?;
     Ok(())
 }
 
-async fn connect(address: SocketAddr, deadline: Instant) -> Result<Sender, SendError> {
+async fn connect(
+    address: SocketAddr,
+    deadline: Instant,
+    cfg: &PoolConfig,
+) -> Result<Sender, SendError> {
     let not_sent = |cause: String| SendError::NotSent(cause);
-    let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let limit = deadline.min(Instant::now() + cfg.connect_timeout);
     let open = async {
         let stream = TcpStream::connect(address).await.map_err(|e| not_sent(e.to_string()))?;
-        watch(&stream).map_err(|e| not_sent(e.to_string()))?;
+        watch(&stream, cfg).map_err(|e| not_sent(e.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
-        // Ends by itself when the sender is dropped or the endpoint closes.
-        tokio::spawn(connection);
-        Ok(sender)
+        let task = tokio::spawn(connection).abort_handle();
+        Ok(Sender { http: sender, task, keep_alive: None })
     };
     tokio::time::timeout_at(limit, open)
         .await
--- a/crates/server/src/supervisor.rs
+++ b/crates/node/src/supervisor.rs
@@ -11,19 +11,19 @@
 const STABLE_AFTER: Duration = Duration::from_secs(30);
 
 /// A group of supervised tasks. Dropping it ends them all.
-pub(crate) struct Supervisor {
+pub struct Supervisor {
     children: JoinSet<()>,
     stop: CancellationToken,
 }
 
 impl Supervisor {
     /// Creates a supervisor whose children end when `stop` is cancelled.
-    pub(crate) fn new(stop: CancellationToken) -> Self {
+    pub fn new(stop: CancellationToken) -> Self {
         Self { children: JoinSet::new(), stop }
     }
 
     /// Starts a child. `run` is called again, after a backoff, each time its future fails or panics.
-    pub(crate) fn start<F, Fut>(&mut self, name: &'static str, mut run: F)
+    pub fn start<F, Fut>(&mut self, name: &'static str, mut run: F)
     where
         F: FnMut() -> Fut + Send + 'static,
         Fut: Future<Output = anyhow::Result<()>> + Send + 'static,
@@ -58,7 +58,7 @@
     }
 
     /// Waits until every child has ended.
-    pub(crate) async fn join(mut self) {
+    pub async fn join(mut self) {
         while self.children.join_next().await.is_some() {}
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,9 +1,11 @@
 //! Decisions of the scheduler as pure functions and small state machines.
 //!
 //! * [`rate`]: rate limits of teams, counted over all instances.
+//! * [`quota`]: rate limits of teams, shared out by one allocator to the instances that lease from it.
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 //! * [`route`]: choice of an endpoint, with the baselines round robin and least connections.
 //! * [`ramp`]: load of endpoints that have just started.
+//! * [`starts`]: bound on the calls that start at a cold endpoint in a second.
 //! * [`retry`]: budget for retries.
 //! * [`containment`]: requests that crash the endpoints that run them.
 //! * [`placement`]: models on endpoints.
@@ -68,10 +70,12 @@
 pub mod containment;
 pub mod fair;
 pub mod placement;
+pub mod quota;
 pub mod ramp;
 pub mod rate;
 pub mod retry;
 pub mod route;
+pub mod starts;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/policy/src/quota.rs
@@ -0,0 +1,244 @@
+//! A team's rate, shared out by one allocator to the instances that lease from it.
+//!
+//! It answers uneven and changing load: most calls of a busy team are admitted by the instance
+//! itself from its [`Share`], in the proportion in which the team's calls arrive there. A team with
+//! few calls at an instance borrows single tokens from what the [`Allocator`] keeps back, so that
+//! its burst is not cut into pieces too small to admit anything.
+//!
+//! Over any window, all instances together admit no more than the rate times the window plus the
+//! burst: the shares handed out never exceed [`SHARED_RATE`] and [`SHARED_BURST`] of the limit, and
+//! the reserve has what is left. A share that shrinks counts as held until its instance reports the
+//! smaller one or its lease has run out. Growing a share never adds tokens, only room for them.
+//!
+//! Owner of the state: the instance that all others lease from. Its successor does not know the
+//! shares; for the length of a lease it only renews what instances report. Its reserve starts empty,
+//! with the part of the rate that is never shared out.
+
+use std::time::Duration;
+
+use crate::Name;
+use crate::rate::Limit;
+
+/// Part of a team's rate that instances may hold as shares.
+pub const SHARED_RATE: f64 = 0.8;
+/// Part of a team's burst that instances may hold as shares.
+pub const SHARED_BURST: f64 = 0.5;
+/// Share of an instance as a multiple of what the team asks of it, so that it need not borrow for
+/// every fluctuation.
+const HEADROOM: f64 = 1.25;
+/// Burst of a share, as the time in which the instance's demand would use it up.
+const BURST_S: f64 = 0.5;
+/// Smallest burst of the share of an instance that is asked at all, in tokens.
+const MIN_BURST: f64 = 2.0;
+/// An instance is asked by a team if it gets at least one call in this many seconds.
+const ACTIVE_S: f64 = 10.0;
+
+/// Part of a team's rate and burst that an instance may admit by itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    /// Calls a second.
+    pub per_second: f64,
+    /// Calls at once.
+    pub burst: f64,
+}
+
+impl Share {
+    fn max(self, other: Self) -> Self {
+        Self {
+            per_second: self.per_second.max(other.per_second),
+            burst: self.burst.max(other.burst),
+        }
+    }
+}
+
+/// Tokens that refill at a rate up to a burst.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Bucket {
+    share: Share,
+    level: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    /// Returns an empty bucket.
+    pub fn new(share: Share, now: Duration) -> Self {
+        Self { share, level: 0.0, at: now }
+    }
+
+    /// The share in force.
+    pub fn share(&self) -> Share {
+        self.share
+    }
+
+    /// Changes the share. What is in the bucket beyond the new burst is lost; nothing is added.
+    pub fn set(&mut self, share: Share, now: Duration) {
+        self.refill(now);
+        self.share = share;
+        self.level = self.level.min(share.burst);
+    }
+
+    /// Takes one token.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which one will be there; none if the rate is zero.
+    pub fn take(&mut self, now: Duration) -> Result<(), Option<Duration>> {
+        self.refill(now);
+        if self.level >= 1.0 {
+            self.level -= 1.0;
+            return Ok(());
+        }
+        // A bucket that holds less than one token never has a whole one.
+        let refills = self.share.per_second > 0.0 && self.share.burst >= 1.0;
+        Err(refills.then(|| Duration::from_secs_f64((1.0 - self.level) / self.share.per_second)))
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.level = (self.level + elapsed * self.share.per_second).min(self.share.burst);
+    }
+}
+
+/// How often a team's calls arrive, as an average over the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand {
+    per_second: f64,
+    arrived: u32,
+    at: Duration,
+}
+
+/// Time constant of [`Demand`].
+const DEMAND_S: f64 = 1.5;
+
+impl Demand {
+    /// Counts an arrival.
+    pub fn arrive(&mut self) {
+        self.arrived += 1;
+    }
+
+    /// Returns the average, brought up to `now`.
+    pub fn read(&mut self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        if elapsed > 0.0 {
+            let current = f64::from(self.arrived) / elapsed;
+            let weight = 1.0 - (-elapsed / DEMAND_S).exp();
+            self.per_second += weight * (current - self.per_second);
+            self.arrived = 0;
+            self.at = now;
+        }
+        self.per_second
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    instance: Name,
+    demand: f64,
+    /// Most that the instance may hold until `until`.
+    held: Share,
+    until: Duration,
+}
+
+/// Shares out the rate of one team.
+#[derive(Clone, Debug)]
+pub struct Allocator {
+    limit: Option<Limit>,
+    /// Until then there may be holders that this allocator does not know.
+    settled_at: Duration,
+    lease: Duration,
+    // Sorted by instance.
+    holders: Vec<Holder>,
+    reserve: Bucket,
+}
+
+impl Allocator {
+    /// Returns an allocator. `settled_at` is when every share that another allocator has given out
+    /// has run out; `lease` is for how long a share is given out.
+    pub fn new(settled_at: Duration, lease: Duration, now: Duration) -> Self {
+        let reserve = Bucket::new(Share::default(), now);
+        Self { limit: None, settled_at, lease, holders: Vec::new(), reserve }
+    }
+
+    /// Changes the team's limit; none for no limit.
+    pub fn set_limit(&mut self, limit: Option<Limit>, now: Duration) {
+        if self.limit != limit {
+            self.limit = limit;
+            self.refresh_reserve(now);
+        }
+    }
+
+    /// Takes an instance's report of what the team asks of it and of the share it holds. Returns the
+    /// share that it may hold from now on, for the length of the lease.
+    pub fn report(&mut self, instance: &Name, demand: f64, held: Share, now: Duration) -> Share {
+        self.holders.retain(|h| now < h.until);
+        let until = now + self.lease;
+        let at = match self.holders.binary_search_by(|h| h.instance.cmp(instance)) {
+            Ok(at) => at,
+            Err(at) => {
+                let holder = Holder { instance: instance.clone(), demand, held, until };
+                self.holders.insert(at, holder);
+                at
+            }
+        };
+        let holder = &mut self.holders[at];
+        (holder.demand, holder.held, holder.until) = (demand, held, until);
+        let share = if now < self.settled_at { held } else { self.next_share(at) };
+        self.holders[at].held = held.max(share);
+        self.refresh_reserve(now);
+        share
+    }
+
+    /// Takes one token from the reserve.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which one may be there.
+    pub fn borrow(&mut self, now: Duration) -> Result<(), Option<Duration>> {
+        if self.limit.is_none() {
+            return Ok(());
+        }
+        self.holders.retain(|h| now < h.until);
+        self.refresh_reserve(now);
+        self.reserve.take(now)
+    }
+
+    /// Share that the holder should have, as far as the others leave room for it.
+    fn next_share(&self, at: usize) -> Share {
+        let Some(limit) = self.limit else { return Share::default() };
+        let rate = limit.per_second() * SHARED_RATE;
+        let burst = f64::from(limit.burst()) * SHARED_BURST;
+        let holder = &self.holders[at];
+        if holder.demand < 1.0 / ACTIVE_S {
+            return Share::default();
+        }
+        let active = self.holders.iter().filter(|h| h.demand >= 1.0 / ACTIVE_S);
+        let (demand, count) = active.fold((0.0, 0.0), |(d, n), h| (d + h.demand, n + 1.0));
+        let others = self.holders.iter().enumerate().filter(|(i, _)| *i != at);
+        let (rate_held, burst_held) =
+            others.fold((0.0, 0.0), |(r, b), (_, h)| (r + h.held.per_second, b + h.held.burst));
+        let fair_rate = rate * holder.demand / demand;
+        let wanted_burst = (holder.demand * BURST_S).max(MIN_BURST);
+        let fair_burst = burst * (0.5 * holder.demand / demand + 0.5 / count);
+        Share {
+            per_second: (holder.demand * HEADROOM).min(fair_rate).min(rate - rate_held).max(0.0),
+            burst: wanted_burst.min(fair_burst).min(burst - burst_held).max(0.0),
+        }
+    }
+
+    fn refresh_reserve(&mut self, now: Duration) {
+        let Some(limit) = self.limit else { return };
+        let (rate, burst) = (limit.per_second(), f64::from(limit.burst()));
+        let (mut rate_held, mut burst_held) = self
+            .holders
+            .iter()
+            .fold((0.0, 0.0), |(r, b), h| (r + h.held.per_second, b + h.held.burst));
+        if now < self.settled_at {
+            rate_held = rate * SHARED_RATE;
+            burst_held = burst * SHARED_BURST;
+        }
+        let per_second = (rate - rate_held).max(0.0);
+        let burst = (burst - burst_held).max(0.0);
+        self.reserve.set(Share { per_second, burst }, now);
+    }
+}
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -71,6 +71,8 @@
     /// Own starts (+1) and ends (-1) after `taken`.
     log: VecDeque<(Duration, i8)>,
     since: i64,
+    /// Part of the reported load of other instances that still counts.
+    trust: f32,
 }
 
 #[derive(Debug)]
@@ -175,6 +177,7 @@
             return;
         }
         endpoint.taken = report.taken;
+        endpoint.trust = 1.0;
         endpoint.reported = i64::from(report.running) + i64::from(report.queued);
         while let Some((_, change)) = endpoint.log.pop_front_if(|(at, _)| *at <= report.taken) {
             endpoint.since -= i64::from(change);
@@ -303,7 +306,21 @@
         let endpoint = &self.endpoints[id.0 as usize];
         let hot = &mut self.hot[id.0 as usize];
         // Own calls in flight are a lower bound, whatever the report says.
-        hot.load = (endpoint.reported + endpoint.since).max(i64::from(hot.own)) as f32;
+        let own = i64::from(hot.own);
+        let others = (endpoint.reported + endpoint.since - own).max(0);
+        hot.load = own as f32 + others as f32 * endpoint.trust;
+    }
+
+    /// Lets the reported load of other instances fade with the age of the report.
+    ///
+    /// For fleets whose endpoints report their load with answers only: without it, an endpoint that
+    /// was once seen full would never get a call, and so would never be seen empty.
+    pub fn fade(&mut self, half_life: Duration, now: Duration) {
+        for at in 0..self.endpoints.len() {
+            let age = now.saturating_sub(self.endpoints[at].taken).as_secs_f32();
+            self.endpoints[at].trust = (-age / half_life.as_secs_f32()).exp2();
+            self.refresh_load(EndpointId(at as u32));
+        }
     }
 
     fn refresh(&mut self, id: EndpointId) {
@@ -341,6 +358,7 @@
             taken: Duration::ZERO,
             log: VecDeque::new(),
             since: 0,
+            trust: 1.0,
         };
         let unused = |(e, h): (&Endpoint, &Hot)| !e.present && h.own == 0;
         if let Some(at) = self.endpoints.iter().zip(&self.hot).position(unused) {
--- a/crates/proto/examples/generate.rs
+++ b/crates/proto/examples/generate.rs
@@ -9,7 +9,7 @@
 }
 
 fn generate(root: &Path, out: &Path) {
-    let files = ["agreement.proto", "ledger.proto", "peer.proto"];
+    let files = ["agreement.proto", "ledger.proto", "peer.proto", "relay.proto"];
     let set = protox::compile(files, [root.join("proto")]).expect("the .proto files compile");
     let mut cfg = prost_build::Config::new();
     cfg.bytes(["."]).out_dir(out);
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -2,7 +2,10 @@
 /// A call from an instance or an operator to an instance. One bidirectional stream each.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Request {
-    #[prost(oneof = "request::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "request::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     pub body: ::core::option::Option<request::Body>,
 }
 /// Nested message and enum types in `Request`.
@@ -31,11 +34,24 @@
         ChangeVoters(super::ChangeVoters),
         #[prost(message, tag = "11")]
         Crashes(super::CrashReports),
+        #[prost(message, tag = "12")]
+        Beat(super::Beat),
+        #[prost(message, tag = "13")]
+        Join(super::Join),
+        #[prost(message, tag = "14")]
+        Borrow(super::Borrow),
+        #[prost(message, tag = "15")]
+        TurnBegin(super::TurnBegin),
+        #[prost(message, tag = "16")]
+        TurnEnds(super::TurnEnds),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Response {
-    #[prost(oneof = "response::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "response::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     pub body: ::core::option::Option<response::Body>,
 }
 /// Nested message and enum types in `Response`.
@@ -64,6 +80,16 @@
         Peers(super::PeersReply),
         #[prost(message, tag = "11")]
         Crashes(super::CrashReports),
+        #[prost(message, tag = "12")]
+        Beat(super::BeatAnswer),
+        #[prost(message, tag = "13")]
+        Joined(super::Joined),
+        #[prost(message, tag = "14")]
+        Borrowed(super::Borrowed),
+        #[prost(message, tag = "15")]
+        TurnBegun(super::TurnBegun),
+        #[prost(message, tag = "16")]
+        TurnsEnded(super::TurnsEnded),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -464,6 +490,220 @@
     #[prost(uint64, tag = "3")]
     pub new: u64,
 }
+/// Sent by each instance of a relay fleet to the leader of its control group; the answer is a lease.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Beat {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Random number chosen at each process start.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+    /// Address of the instance's peer port.
+    #[prost(string, tag = "4")]
+    pub peer_address: ::prost::alloc::string::String,
+    #[prost(enumeration = "Duty", tag = "5")]
+    pub duty: i32,
+    /// Version of the publication that the instance has in force; 0 for none.
+    #[prost(uint64, tag = "6")]
+    pub version: u64,
+    /// Number of the list of endpoints that the instance has in force.
+    #[prost(uint64, tag = "7")]
+    pub directory: u64,
+    #[prost(message, repeated, tag = "8")]
+    pub demand: ::prost::alloc::vec::Vec<TeamDemand>,
+    #[prost(bool, tag = "9")]
+    pub draining: bool,
+    /// Absent unless the duty is to store.
+    #[prost(message, optional, tag = "10")]
+    pub store: ::core::option::Option<StoreState>,
+}
+/// What a team asks of an instance, and the share of the team's rate that the instance holds.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TeamDemand {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(float, tag = "2")]
+    pub per_second: f32,
+    #[prost(float, tag = "3")]
+    pub share_per_second: f32,
+    #[prost(float, tag = "4")]
+    pub share_burst: f32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoreState {
+    #[prost(uint64, tag = "1")]
+    pub replica: u64,
+    #[prost(bool, tag = "2")]
+    pub leads: bool,
+    /// Committed voters of the group, as the instance knows them.
+    #[prost(uint64, repeated, tag = "3")]
+    pub voters: ::prost::alloc::vec::Vec<u64>,
+}
+/// Counted by the instance from when it sent the beat.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BeatAnswer {
+    #[prost(uint64, tag = "1")]
+    pub lease_ms: u64,
+    /// Absent when the instance's version is the newest.
+    #[prost(message, optional, tag = "2")]
+    pub publication: ::core::option::Option<Published>,
+    /// Absent when the instance's list is the newest.
+    #[prost(message, optional, tag = "3")]
+    pub directory: ::core::option::Option<Directory>,
+    #[prost(string, repeated, tag = "4")]
+    pub zones_out: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Live instances that serve callers, and the place of this one among them.
+    #[prost(uint32, tag = "5")]
+    pub fronts: u32,
+    #[prost(uint32, tag = "6")]
+    pub rank: u32,
+    #[prost(message, repeated, tag = "7")]
+    pub shares: ::prost::alloc::vec::Vec<TeamShare>,
+    /// Peer addresses of the control replicas.
+    #[prost(string, repeated, tag = "8")]
+    pub cores: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Peer addresses of the instances that store programs, the leader first if it is known.
+    #[prost(string, repeated, tag = "9")]
+    pub stores: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// First voters of the group of the stores; empty until they are decided.
+    #[prost(uint64, repeated, tag = "10")]
+    pub store_founders: ::prost::alloc::vec::Vec<u64>,
+    /// Replicas of stores that are to be emptied.
+    #[prost(uint64, repeated, tag = "11")]
+    pub retiring: ::prost::alloc::vec::Vec<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Published {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Directory {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub endpoints: ::prost::alloc::vec::Vec<DirectoryEntry>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DirectoryEntry {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    #[prost(uint64, tag = "7")]
+    pub cold_left_ms: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TeamShare {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(float, tag = "2")]
+    pub per_second: f32,
+    #[prost(float, tag = "3")]
+    pub burst: f32,
+}
+/// Asks the leader of a group to make the sender a voter.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Join {
+    #[prost(uint64, tag = "1")]
+    pub replica: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Joined {
+    #[prost(bool, tag = "1")]
+    pub voter: bool,
+}
+/// Asks for one token of a team's rate beyond the instance's share.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Borrow {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub team: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Borrowed {
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+    /// When to ask again, if not granted.
+    #[prost(uint64, tag = "2")]
+    pub retry_after_ms: u64,
+}
+/// Reserves tokens for a turn of a program, and reads the turns before it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnBegin {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub program: ::prost::alloc::string::String,
+    /// Name of the turn; one that is sent again gets the first answer.
+    #[prost(string, tag = "3")]
+    pub turn: ::prost::alloc::string::String,
+    /// Most tokens that the turn may generate.
+    #[prost(uint64, tag = "4")]
+    pub most: u64,
+    /// Tokens that all turns of the program may generate; absent for no limit.
+    #[prost(uint64, optional, tag = "5")]
+    pub budget: ::core::option::Option<u64>,
+    /// Turn that this one continues.
+    #[prost(string, optional, tag = "6")]
+    pub previous: ::core::option::Option<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnBegun {
+    #[prost(enumeration = "TurnVerdict", tag = "1")]
+    pub verdict: i32,
+    /// Inputs and outputs of the turns before, oldest first.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub history: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "3")]
+    pub remaining: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TurnEnds {
+    #[prost(message, repeated, tag = "1")]
+    pub ends: ::prost::alloc::vec::Vec<TurnEnd>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnEnd {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub program: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub turn: ::prost::alloc::string::String,
+    /// Tokens generated; what was reserved beyond that is returned.
+    #[prost(uint64, tag = "4")]
+    pub used: u64,
+    /// Absent for turns that nothing continues.
+    #[prost(message, optional, tag = "5")]
+    pub kept: ::core::option::Option<KeptTurn>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeptTurn {
+    #[prost(string, optional, tag = "1")]
+    pub previous: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub input: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub output: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "4")]
+    pub retain_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnsEnded {}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum FailureCode {
@@ -508,3 +748,68 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Duty {
+    Unspecified = 0,
+    /// Serves callers.
+    Front = 1,
+    /// Keeps programs and their turns.
+    Store = 2,
+}
+impl Duty {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "DUTY_UNSPECIFIED",
+            Self::Front => "DUTY_FRONT",
+            Self::Store => "DUTY_STORE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "DUTY_UNSPECIFIED" => Some(Self::Unspecified),
+            "DUTY_FRONT" => Some(Self::Front),
+            "DUTY_STORE" => Some(Self::Store),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum TurnVerdict {
+    Unspecified = 0,
+    Granted = 1,
+    /// The budget does not hold one more turn.
+    Spent = 2,
+    /// The team has no turn of the name of `previous`.
+    UnknownTurn = 3,
+}
+impl TurnVerdict {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "TURN_VERDICT_UNSPECIFIED",
+            Self::Granted => "TURN_VERDICT_GRANTED",
+            Self::Spent => "TURN_VERDICT_SPENT",
+            Self::UnknownTurn => "TURN_VERDICT_UNKNOWN_TURN",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "TURN_VERDICT_UNSPECIFIED" => Some(Self::Unspecified),
+            "TURN_VERDICT_GRANTED" => Some(Self::Granted),
+            "TURN_VERDICT_SPENT" => Some(Self::Spent),
+            "TURN_VERDICT_UNKNOWN_TURN" => Some(Self::UnknownTurn),
+            _ => None,
+        }
+    }
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -33,3 +33,9 @@
 pub mod peer {
     include!("gen/poplarspan.peer.v1.rs");
 }
+
+/// Commands and snapshots of the state machines of a relay fleet.
+#[allow(missing_docs, clippy::all)]
+pub mod relay {
+    include!("gen/poplarspan.relay.v1.rs");
+}
--- /dev/null
+++ b/crates/relay/src/control/leading.rs
@@ -0,0 +1,283 @@
+//! What the leader of the control group knows in memory: live instances, the list of endpoints, and
+//! the shares of each team's rate.
+//!
+//! Owner: the leader of a term. A successor starts with nothing, and learns instances from their
+//! next beats, endpoints from the platform's list, and shares from what instances report.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use poplarspan_policy::{
+    Name,
+    quota::{Allocator, Share},
+    starts::Place,
+};
+use poplarspan_proto::peer::{self, Duty as PeerDuty};
+
+use crate::{ListedEndpoint, Publication};
+
+/// Time by which the clocks of two machines may drift apart during a lease.
+const DRIFT_MARGIN: Duration = Duration::from_millis(100);
+/// Time after the first store was seen in which the other founders must have been seen: all
+/// instances of a new fleet start together.
+const FORMING_TIME: Duration = Duration::from_millis(1_500);
+/// A new leader knows all live instances after this time: each sends several beats in it.
+const KNOWS_ALL_AFTER: Duration = Duration::from_millis(1_500);
+
+/// A live instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) name: Name,
+    pub(crate) zone: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) duty: PeerDuty,
+    pub(crate) store: Option<peer::StoreState>,
+    first_seen: Duration,
+    until: Duration,
+}
+
+/// The list of endpoints, and when it was read.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Directory {
+    /// Differs between lists, also between those of different leaders; 0 until one was read.
+    pub(crate) number: u64,
+    pub(crate) endpoints: Vec<ListedEndpoint>,
+    read_at: Duration,
+}
+
+/// State of a leader in one term.
+pub(crate) struct Leading {
+    pub(crate) term: u64,
+    since: Duration,
+    lease: Duration,
+    // Sorted by name.
+    members: Vec<Member>,
+    directory: Directory,
+    // Sorted by team.
+    teams: Vec<(Name, Allocator)>,
+    /// Instances that joined or were lost, for the log.
+    changes: VecDeque<(Name, &'static str)>,
+}
+
+impl Leading {
+    pub(crate) fn new(term: u64, lease: Duration, now: Duration) -> Self {
+        Self {
+            term,
+            since: now,
+            lease,
+            members: Vec::new(),
+            directory: Directory::default(),
+            teams: Vec::new(),
+            changes: VecDeque::new(),
+        }
+    }
+
+    /// Whether every live instance has had the time to send a beat to this leader.
+    pub(crate) fn knows_all(&self, now: Duration) -> bool {
+        now >= self.since + KNOWS_ALL_AFTER
+    }
+
+    /// Takes note of the sender of a beat.
+    pub(crate) fn note(&mut self, beat: &peer::Beat, now: Duration) -> Option<()> {
+        let address = beat.peer_address.parse().ok()?;
+        self.expire(now);
+        let name = Name::from(&*beat.instance);
+        let until = now + self.lease + DRIFT_MARGIN;
+        let at = self.members.binary_search_by(|m| m.name.cmp(&name));
+        let first_seen = at.map_or(now, |at| self.members[at].first_seen);
+        let member = Member {
+            name: name.clone(),
+            zone: Name::from(&*beat.zone),
+            address,
+            duty: beat.duty(),
+            store: beat.store.clone(),
+            first_seen,
+            until,
+        };
+        match at {
+            Ok(at) => self.members[at] = member,
+            Err(at) => {
+                self.changes.push_back((name, "instance joined"));
+                self.members.insert(at, member);
+            }
+        }
+        Some(())
+    }
+
+    /// Forgets instances whose lease has run out.
+    fn expire(&mut self, now: Duration) {
+        let Self { members, changes, .. } = self;
+        members.retain(|m| {
+            let lives = now < m.until;
+            if !lives {
+                changes.push_back((m.name.clone(), "instance lost"));
+            }
+            lives
+        });
+    }
+
+    /// Changes of the live instances since the last call.
+    pub(crate) fn take_changes(&mut self) -> impl Iterator<Item = (Name, &'static str)> + '_ {
+        self.changes.drain(..)
+    }
+
+    /// Live instances with a duty.
+    pub(crate) fn members(&self, duty: PeerDuty) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |m| m.duty == duty)
+    }
+
+    pub(crate) fn member(&self, name: &str) -> Option<&Member> {
+        let at = self.members.binary_search_by(|m| (*m.name).cmp(name)).ok()?;
+        Some(&self.members[at])
+    }
+
+    /// Place of an instance among those that serve callers.
+    pub(crate) fn place(&self, name: &str) -> Place {
+        let fronts = || self.members(PeerDuty::Front);
+        let rank = fronts().take_while(|m| *m.name < *name).count();
+        Place { rank: rank as u32, of: fronts().count().max(1) as u32 }
+    }
+
+    /// The store that leads, as far as a live one says so.
+    pub(crate) fn store_leader(&self) -> Option<&Member> {
+        let leads = |m: &&Member| m.store.as_ref().is_some_and(|s| s.leads);
+        self.members(PeerDuty::Store).filter(leads).max_by_key(|m| m.until)
+    }
+
+    /// Replicas of the live stores among `names`.
+    pub(crate) fn store_replicas(&self, names: &[Name]) -> Vec<u64> {
+        let replica = |name: &Name| Some(self.member(name)?.store.as_ref()?.replica);
+        names.iter().filter_map(replica).collect()
+    }
+
+    /// Peer addresses of the stores, the leader first.
+    pub(crate) fn store_addresses(&self) -> Vec<String> {
+        let leader = self.store_leader().map(|m| m.address);
+        let others = self.members(PeerDuty::Store).map(|m| m.address);
+        let others = others.filter(|a| Some(*a) != leader);
+        leader.into_iter().chain(others).map(|a| a.to_string()).collect()
+    }
+
+    /// First voters of the stores' group, when it is time to decide them. Of many stores, as many as
+    /// a group has voters, spread over the zones.
+    pub(crate) fn store_founders(&self, most: usize, now: Duration) -> Option<Vec<u64>> {
+        let stores: Vec<&Member> = self.members(PeerDuty::Store).collect();
+        let first = stores.iter().map(|m| m.first_seen).min()?;
+        if now < first + FORMING_TIME || !self.knows_all(now) {
+            return None;
+        }
+        let mut ranked: Vec<(usize, u64)> = Vec::new();
+        for (at, member) in stores.iter().enumerate() {
+            let earlier = stores[..at].iter().filter(|m| m.zone == member.zone).count();
+            ranked.push((earlier, member.store.as_ref()?.replica));
+        }
+        ranked.sort_unstable();
+        let mut voters: Vec<u64> = ranked.into_iter().take(most).map(|(_, id)| id).collect();
+        voters.sort_unstable();
+        Some(voters)
+    }
+
+    /// Replaces the list of endpoints. Returns whether it changed.
+    pub(crate) fn set_directory(&mut self, endpoints: Vec<ListedEndpoint>, now: Duration) -> bool {
+        let same = |a: &ListedEndpoint, b: &ListedEndpoint| {
+            // A countdown that goes on is no change.
+            let (a_until, b_until) = (self.directory.read_at + a.cold_left, now + b.cold_left);
+            let is_warm = a.cold_left.is_zero() && b.cold_left.is_zero();
+            let is_as_cold = !a.cold_left.is_zero()
+                && !b.cold_left.is_zero()
+                && a_until.abs_diff(b_until) < Duration::from_millis(500);
+            (is_warm || is_as_cold)
+                && ListedEndpoint { cold_left: Duration::ZERO, ..a.clone() }
+                    == ListedEndpoint { cold_left: Duration::ZERO, ..b.clone() }
+        };
+        let old = &self.directory.endpoints;
+        let unchanged = self.directory.number != 0
+            && old.len() == endpoints.len()
+            && old.iter().zip(&endpoints).all(|(a, b)| same(a, b));
+        if unchanged {
+            return false;
+        }
+        let number = match self.directory.number {
+            0 => rand::random::<u64>() | 1,
+            n => n.wrapping_add(1).max(1),
+        };
+        self.directory = Directory { number, endpoints, read_at: now };
+        true
+    }
+
+    pub(crate) fn directory_number(&self) -> u64 {
+        self.directory.number
+    }
+
+    /// The list of endpoints for an instance that holds the list `held`. None if it is current.
+    pub(crate) fn directory_for(&self, held: u64, now: Duration) -> Option<peer::Directory> {
+        if self.directory.number == 0 || self.directory.number == held {
+            return None;
+        }
+        let age = now.saturating_sub(self.directory.read_at);
+        let entry = |e: &ListedEndpoint| peer::DirectoryEntry {
+            name: e.name.to_string(),
+            service: e.service.to_string(),
+            address: e.address.to_string(),
+            zone: e.zone.to_string(),
+            slots: e.slots,
+            leaving: e.leaving,
+            cold_left_ms: e.cold_left.saturating_sub(age).as_millis() as u64,
+        };
+        let endpoints = self.directory.endpoints.iter().map(entry).collect();
+        Some(peer::Directory { number: self.directory.number, endpoints })
+    }
+
+    /// Shares out the rates of the teams that an instance reports.
+    pub(crate) fn share(
+        &mut self,
+        instance: &Name,
+        demand: &[peer::TeamDemand],
+        publication: &Publication,
+        now: Duration,
+    ) -> Vec<peer::TeamShare> {
+        let mut shares = Vec::with_capacity(demand.len());
+        for d in demand {
+            let Some(team) = publication.team(&d.team) else { continue };
+            let allocator = self.allocator(&team.name, now);
+            allocator.set_limit(team.limit, now);
+            let held = Share {
+                per_second: f64::from(d.share_per_second),
+                burst: f64::from(d.share_burst),
+            };
+            let share = allocator.report(instance, f64::from(d.per_second), held, now);
+            shares.push(peer::TeamShare {
+                team: d.team.clone(),
+                per_second: share.per_second as f32,
+                burst: share.burst as f32,
+            });
+        }
+        shares
+    }
+
+    /// Takes one token of a team's reserve.
+    pub(crate) fn borrow(
+        &mut self,
+        team: &Name,
+        publication: &Publication,
+        now: Duration,
+    ) -> Result<(), Option<Duration>> {
+        let Some(team) = publication.team(team) else { return Err(None) };
+        let limit = team.limit;
+        let allocator = self.allocator(&team.name, now);
+        allocator.set_limit(limit, now);
+        allocator.borrow(now)
+    }
+
+    fn allocator(&mut self, team: &Name, now: Duration) -> &mut Allocator {
+        let at = match self.teams.binary_search_by(|(t, _)| t.cmp(team)) {
+            Ok(at) => at,
+            Err(at) => {
+                let settled_at = self.since + self.lease + DRIFT_MARGIN;
+                let allocator = Allocator::new(settled_at, self.lease + DRIFT_MARGIN, now);
+                self.teams.insert(at, (team.clone(), allocator));
+                at
+            }
+        };
+        &mut self.teams[at].1
+    }
+}
--- /dev/null
+++ b/crates/relay/src/control/list.rs
@@ -0,0 +1,115 @@
+//! Reads the platform's list of endpoints, for the whole fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::{Context, Result, ensure};
+use bytes::Bytes;
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use poplarspan_node::pool::{Pool, PoolConfig};
+use tokio::time::{Instant, sleep};
+
+use super::Control;
+use crate::ListedEndpoint;
+
+/// Time between two readings. With the age of the list itself and the time until the next beat it
+/// stays well below the time that a leaving endpoint goes on serving.
+const INTERVAL: Duration = Duration::from_millis(600);
+/// Pause after a reading that failed.
+const RETRY: Duration = Duration::from_millis(250);
+const TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_PAGE_BYTES: usize = 4 << 20;
+/// Pages of one reading; a list that has more is not taken.
+const MAX_PAGES: usize = 256;
+
+/// Reads the list while its replica leads.
+pub(crate) struct ListReader {
+    control: Arc<Control>,
+    pool: Arc<Pool>,
+    is_failing: bool,
+}
+
+impl ListReader {
+    pub(crate) fn new(control: Arc<Control>) -> Self {
+        let cfg = PoolConfig::new(control.dialect.id_header());
+        Self { control, pool: Pool::new(cfg), is_failing: false }
+    }
+
+    /// Reads until the task is ended.
+    pub(crate) async fn run(mut self) -> Result<()> {
+        loop {
+            if self.control.leading().is_none() {
+                sleep(RETRY).await;
+                continue;
+            }
+            match self.read().await {
+                Ok(endpoints) => {
+                    if std::mem::take(&mut self.is_failing) {
+                        log::info!("the list of endpoints can be read again");
+                    }
+                    self.take(endpoints);
+                    sleep(INTERVAL).await;
+                }
+                Err(e) => {
+                    metrics::counter!("poplarspan_relay_list_failures_total").increment(1);
+                    if !std::mem::replace(&mut self.is_failing, true) {
+                        let error = format!("{e:#}");
+                        log::warn!(error = error.as_str(); "cannot read the list of endpoints");
+                    }
+                    sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, endpoints: Vec<ListedEndpoint>) {
+        let Some(mut state) = self.control.leading() else { return };
+        let count = endpoints.len();
+        let leaving = endpoints.iter().filter(|e| e.leaving).count();
+        if state.leading.set_directory(endpoints, self.control.clock.now()) {
+            let number = state.leading.directory_number();
+            log::info!(count, leaving, number; "the list of endpoints has changed");
+        }
+    }
+
+    /// Reads all pages, sorted by name.
+    async fn read(&self) -> Result<Vec<ListedEndpoint>> {
+        let mut endpoints: Vec<ListedEndpoint> = Vec::new();
+        let mut unreadable = 0;
+        let mut token: Option<String> = None;
+        for _ in 0..MAX_PAGES {
+            let body = self.page(token.as_deref()).await?;
+            let page = self.control.dialect.list_page(&body)?;
+            endpoints.extend(page.endpoints);
+            unreadable += page.unreadable;
+            token = page.next;
+            if token.is_none() {
+                metrics::gauge!("poplarspan_relay_unreadable_entries").set(unreadable);
+                endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+                endpoints.dedup_by(|a, b| a.name == b.name);
+                return Ok(endpoints);
+            }
+        }
+        anyhow::bail!("the list has more than {MAX_PAGES} pages")
+    }
+
+    async fn page(&self, token: Option<&str>) -> Result<Bytes> {
+        metrics::counter!("poplarspan_relay_list_calls_total").increment(1);
+        let address = self.control.settings.list;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = self.control.dialect.list_request(token);
+        let host = HeaderValue::from_str(&address.to_string()).context("an address is ASCII")?;
+        request.headers_mut().insert(header::HOST, host);
+        let deadline = Instant::now() + TIMEOUT;
+        let exchange = self.pool.send(address, request, false, deadline).await?;
+        let (response, reuse) = exchange.into_parts();
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_PAGE_BYTES).collect();
+        let body =
+            tokio::time::timeout_at(deadline, body).await.context("no whole page in time")?;
+        let body = body.map_err(|e| anyhow::anyhow!(e))?.to_bytes();
+        reuse.finish();
+        ensure!(status.is_success(), "the platform answered {status}");
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/control/mod.rs
@@ -0,0 +1,234 @@
+//! Duties of a control replica: it replicates the board, and while it leads, it gives leases to the
+//! other instances, reads the list of endpoints and carries out orders.
+
+mod leading;
+mod list;
+mod orders;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use poplarspan_agreement::{Clock, ProposeError, ReplicaId};
+use poplarspan_node::peer::{PeerService, Role, failure};
+use poplarspan_policy::Name;
+use poplarspan_proto::{
+    peer::{self, FailureCode, request, response},
+    relay::{self as pb, board_command},
+};
+use prost::Message;
+
+use crate::{
+    Board, Dialect, Duty, Publication, Settings, board,
+    replica::{
+        Replica,
+        plan::{TARGET_VOTERS, machine},
+    },
+};
+use leading::Leading;
+
+pub(crate) use list::ListReader;
+pub(crate) use orders::OrderServer;
+
+/// Part of the bound for withdrawn keys that a lease lasts. The rest covers the time until an
+/// instance asks again.
+const LEASE_PART: f64 = 0.6;
+
+/// Length of the leases of fronts.
+pub(crate) fn lease_length(settings: &Settings) -> Duration {
+    settings.bounds.revoke.mul_f64(LEASE_PART)
+}
+
+/// A control replica.
+pub(crate) struct Control {
+    settings: Arc<Settings>,
+    replica: Arc<Replica>,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+struct State {
+    leading: Leading,
+    /// The publication in force, for its limits.
+    publication: Option<Arc<Publication>>,
+}
+
+impl Control {
+    pub(crate) fn new(
+        settings: Arc<Settings>,
+        replica: Arc<Replica>,
+        dialect: Arc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        let leading = Leading::new(0, lease_length(&settings), clock.now());
+        let state = Mutex::new(State { leading, publication: None });
+        Arc::new(Self { settings, replica, dialect, clock, state })
+    }
+
+    /// The state of the current term. None when this replica does not lead.
+    fn leading(&self) -> Option<MutexGuard<'_, State>> {
+        let term = self.replica.leads()?;
+        let mut state = self.state.lock().expect("no panic while locked");
+        if state.leading.term != term {
+            log::info!(term; "leads the control group");
+            metrics::counter!("poplarspan_relay_terms_led_total").increment(1);
+            state.leading = Leading::new(term, lease_length(&self.settings), self.clock.now());
+        }
+        Some(state)
+    }
+
+    /// The publication in force, read anew when the board has another version.
+    fn publication(&self, state: &mut State, board: &Board) -> Option<Arc<Publication>> {
+        if board.version() == 0 {
+            return None;
+        }
+        if state.publication.as_ref().is_none_or(|p| p.version != board.version()) {
+            match read_publication(&*self.dialect, board.version(), board.body()) {
+                Ok(publication) => state.publication = Some(Arc::new(publication)),
+                Err(error) => {
+                    let version = board.version();
+                    log::error!(version, error = error.as_str(); "cannot read the publication");
+                }
+            }
+        }
+        state.publication.clone()
+    }
+
+    /// A lease for an instance, with what changed since its last one.
+    async fn beat(&self, beat: peer::Beat) -> Result<peer::BeatAnswer, peer::Failure> {
+        let board = self.board().await?;
+        let voters = self.replica.voters().await;
+        let now = self.clock.now();
+        let mut state = self.leading().ok_or_else(|| self.replica.not_leader())?;
+        let publication = self.publication(&mut state, &board);
+        let leading = &mut state.leading;
+        leading.note(&beat, now).ok_or_else(|| invalid("the address of the instance"))?;
+        for (instance, change) in leading.take_changes() {
+            log::info!(instance = &*instance; "{change}");
+        }
+        let place = leading.place(&beat.instance);
+        let shares = publication.map_or_else(Vec::new, |publication| {
+            leading.share(&Name::from(&*beat.instance), &beat.demand, &publication, now)
+        });
+        let published = (board.version() > beat.version)
+            .then(|| peer::Published { version: board.version(), body: board.body().clone() });
+        let names = |list: &[Name]| list.iter().map(|n| n.to_string()).collect();
+        Ok(peer::BeatAnswer {
+            lease_ms: lease_length(&self.settings).as_millis() as u64,
+            publication: published,
+            directory: leading.directory_for(beat.directory, now),
+            zones_out: names(board.zones_out()),
+            fronts: place.of,
+            rank: place.rank,
+            shares,
+            cores: voters.iter().map(|id| self.control_peer(*id)).collect(),
+            stores: leading.store_addresses(),
+            store_founders: board.store_founders().to_vec(),
+            retiring: leading.store_replicas(board.retiring()),
+        })
+    }
+
+    fn control_peer(&self, id: ReplicaId) -> String {
+        self.settings.peer_of(machine(id), Duty::Control).to_string()
+    }
+
+    /// The board, read behind a read barrier.
+    async fn board(&self) -> Result<Board, peer::Failure> {
+        let board = self.replica.query(Board::clone).await;
+        board.ok_or_else(|| self.replica.not_leader())
+    }
+
+    async fn borrow(&self, borrow: peer::Borrow) -> Result<peer::Borrowed, peer::Failure> {
+        // Tokens are given out by a leader whose lease holds, so that two leaders never do.
+        let board = self.board().await?;
+        let now = self.clock.now();
+        let mut state = self.leading().ok_or_else(|| self.replica.not_leader())?;
+        let publication = self.publication(&mut state, &board);
+        let publication = publication.ok_or_else(|| invalid("no publication is in force"))?;
+        let lent = state.leading.borrow(&Name::from(borrow.team), &publication, now);
+        Ok(match lent {
+            Ok(()) => peer::Borrowed { granted: true, retry_after_ms: 0 },
+            Err(after) => {
+                let after = after.unwrap_or(Duration::from_secs(1));
+                peer::Borrowed { granted: false, retry_after_ms: after.as_millis() as u64 }
+            }
+        })
+    }
+
+    /// Commits a command of the board.
+    async fn commit(&self, body: board_command::Body) -> Result<u64, ProposeError> {
+        let result = self.replica.propose(board::command(body)).await?;
+        Ok(pb::BoardResult::decode(result).map_or(0, |r| r.version))
+    }
+
+    /// Decides the first voters of the stores' group, once the stores are known.
+    pub(crate) async fn run_forming(self: Arc<Self>) -> anyhow::Result<()> {
+        const INTERVAL: Duration = Duration::from_millis(200);
+        loop {
+            tokio::time::sleep(INTERVAL).await;
+            let Ok(board) = self.board().await else { continue };
+            if !board.store_founders().is_empty() {
+                return Ok(());
+            }
+            let now = self.clock.now();
+            let founders =
+                self.leading().and_then(|s| s.leading.store_founders(TARGET_VOTERS, now));
+            let Some(voters) = founders else { continue };
+            let count = voters.len();
+            match self.commit(board_command::Body::Form(pb::FormStore { voters })).await {
+                Ok(_) => log::info!(count; "decided the first voters of the stores"),
+                Err(e) => {
+                    let error = e.to_string();
+                    log::warn!(error = error.as_str(); "cannot decide the voters of the stores");
+                }
+            }
+        }
+    }
+}
+
+/// Reads and checks a set of objects.
+pub(crate) fn read_publication(
+    dialect: &dyn Dialect,
+    version: u64,
+    body: &Bytes,
+) -> Result<Publication, String> {
+    let objects = dialect.objects(body).map_err(|e| e.to_string())?;
+    let publication = Publication::new(objects).map_err(|e| e.to_string())?;
+    if publication.version != version {
+        return Err(format!("the set has version {}, not {version}", publication.version));
+    }
+    Ok(publication)
+}
+
+pub(crate) fn invalid(message: &str) -> peer::Failure {
+    peer::Failure {
+        code: FailureCode::Invalid.into(),
+        message: message.to_owned(),
+        leader_address: String::new(),
+    }
+}
+
+impl PeerService for Control {
+    fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body> {
+        Box::pin(async move {
+            if role != Role::Instance {
+                return failure(FailureCode::Unauthorized, "only instances may ask for this");
+            }
+            let answer = match body {
+                request::Body::Beat(beat) => self.beat(beat).await.map(response::Body::Beat),
+                request::Body::Borrow(borrow) => {
+                    self.borrow(borrow).await.map(response::Body::Borrowed)
+                }
+                request::Body::Join(join) => {
+                    self.replica.join(join).await.map(response::Body::Joined)
+                }
+                _ => Err(invalid("a control replica does not carry out this call")),
+            };
+            answer.unwrap_or_else(response::Body::Failure)
+        })
+    }
+}
--- /dev/null
+++ b/crates/relay/src/fleet.rs
@@ -0,0 +1,324 @@
+//! Keeps an instance's lease, and what it knows of the fleet.
+//!
+//! Owner: each instance for itself. The lease is counted from when the instance asked for it, on a
+//! clock that includes suspension. When the leader of the control group is lost, the instance goes
+//! on under its lease until a successor answers; publications never go back while it runs.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Result;
+use arc_swap::ArcSwap;
+use futures::future::BoxFuture;
+use poplarspan_agreement::Clock;
+use poplarspan_node::{CallError, PeerClient};
+use poplarspan_policy::{Name, starts::Place};
+use poplarspan_proto::peer::{self, request, response};
+use tokio::{
+    sync::{Notify, watch},
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{Dialect, ListedEndpoint, Publication, Settings, control};
+
+/// Time between two beats. A change reaches an instance after this long at most, plus the way.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Pause before the next candidate is asked.
+const RETRY: Duration = Duration::from_millis(50);
+const BEAT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What an instance knows of the fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct View {
+    /// None until the first one has arrived.
+    pub(crate) publication: Option<Arc<Publication>>,
+    pub(crate) directory: Arc<Directory>,
+    /// Sorted.
+    pub(crate) zones_out: Vec<Name>,
+    pub(crate) place: Place,
+    /// Peer addresses of the stores, the leader first if it is known.
+    pub(crate) stores: Vec<SocketAddr>,
+    pub(crate) store_founders: Vec<u64>,
+    /// Replicas of stores that are to be emptied.
+    pub(crate) retiring: Vec<u64>,
+}
+
+/// The list of endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    pub(crate) number: u64,
+    pub(crate) endpoints: Vec<ListedEndpoint>,
+    /// When it arrived, by the instance's clock; times in the entries count from then.
+    pub(crate) at: Duration,
+}
+
+/// What an instance adds to its beats, and takes from the answers.
+pub(crate) trait Report: Send + Sync {
+    /// Completes a beat.
+    fn fill<'a>(&'a self, beat: &'a mut peer::Beat) -> BoxFuture<'a, ()>;
+
+    /// Takes note of the shares in an answer.
+    fn take_shares(&self, shares: &[peer::TeamShare]);
+}
+
+/// An instance's tie to the control group.
+pub(crate) struct Fleet {
+    settings: Arc<Settings>,
+    dialect: Arc<dyn Dialect>,
+    client: PeerClient,
+    clock: Arc<dyn Clock>,
+    incarnation: u64,
+    duty: peer::Duty,
+    view: ArcSwap<View>,
+    changed: watch::Sender<u64>,
+    /// End of the lease, in microseconds of the clock.
+    lease_until_us: AtomicU64,
+    draining: AtomicBool,
+    known: Mutex<Known>,
+    /// Wakes the beats, for changes that the leader should hear of at once.
+    hurry: Notify,
+}
+
+/// Where the leader may be found.
+#[derive(Default)]
+struct Known {
+    leader: Option<SocketAddr>,
+    cores: Vec<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    turn: usize,
+}
+
+impl Fleet {
+    pub(crate) fn new(
+        settings: Arc<Settings>,
+        dialect: Arc<dyn Dialect>,
+        client: PeerClient,
+        clock: Arc<dyn Clock>,
+        duty: peer::Duty,
+    ) -> Arc<Self> {
+        let view = View {
+            publication: None,
+            directory: Arc::default(),
+            zones_out: Vec::new(),
+            place: Place { rank: 0, of: 1 },
+            stores: Vec::new(),
+            store_founders: Vec::new(),
+            retiring: Vec::new(),
+        };
+        let known = Known { seeds: settings.control_peers(), ..Known::default() };
+        Arc::new(Self {
+            settings,
+            dialect,
+            client,
+            clock,
+            incarnation: rand::random(),
+            duty,
+            view: ArcSwap::from_pointee(view),
+            changed: watch::Sender::new(0),
+            lease_until_us: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            known: Mutex::new(known),
+            hurry: Notify::new(),
+        })
+    }
+
+    /// What is known now.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Tells of each change of the view.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Time left on the lease; none if it has run out.
+    pub(crate) fn lease_left(&self) -> Option<Duration> {
+        let until = Duration::from_micros(self.lease_until_us.load(Ordering::Acquire));
+        until.checked_sub(self.clock.now()).filter(|left| !left.is_zero())
+    }
+
+    /// Says that the instance is shutting down.
+    pub(crate) fn set_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Sends the next beat at once.
+    pub(crate) fn hurry(&self) {
+        self.hurry.notify_one();
+    }
+
+    /// Takes the seeds of changed settings.
+    pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.known.lock().expect("no panic while locked").seeds = seeds;
+    }
+
+    /// Peer address of the leader of the control group, if it is known.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.known.lock().expect("no panic while locked").leader
+    }
+
+    /// Sends beats until the task is ended.
+    pub(crate) async fn run(self: Arc<Self>, report: Arc<dyn Report>) -> Result<()> {
+        loop {
+            let started = Instant::now();
+            let is_answered = self.beat(&*report).await;
+            let pause = if is_answered { INTERVAL } else { RETRY };
+            let rest = pause.saturating_sub(started.elapsed()).max(RETRY);
+            // Running out means that it is time for the next beat.
+            let _ = timeout(rest, self.hurry.notified()).await;
+            if !is_answered {
+                sleep(RETRY).await;
+            }
+        }
+    }
+
+    /// Sends one beat. Returns whether it was answered by the leader.
+    async fn beat(&self, report: &dyn Report) -> bool {
+        let Some(address) = self.candidate() else { return false };
+        let view = self.view();
+        let mut beat = peer::Beat {
+            instance: self.settings.instance.to_string(),
+            incarnation: self.incarnation,
+            zone: self.settings.zone.to_string(),
+            peer_address: self.settings.peer_address().to_string(),
+            duty: self.duty.into(),
+            version: view.publication.as_ref().map_or(0, |p| p.version),
+            directory: view.directory.number,
+            demand: Vec::new(),
+            draining: self.is_draining(),
+            store: None,
+        };
+        report.fill(&mut beat).await;
+        let asked_at = self.clock.now();
+        let answer = self.client.call(address, request::Body::Beat(beat), BEAT_TIMEOUT).await;
+        match answer {
+            Ok(response::Body::Beat(answer)) => {
+                report.take_shares(&answer.shares);
+                self.found(address);
+                self.take(answer, asked_at);
+                true
+            }
+            Err(CallError::Failed(failure)) => {
+                self.lost(address, failure.leader_address.parse().ok());
+                false
+            }
+            Ok(_) | Err(_) => {
+                self.lost(address, None);
+                false
+            }
+        }
+    }
+
+    /// Whom to ask: the leader, or the next one that may know it.
+    fn candidate(&self) -> Option<SocketAddr> {
+        let mut known = self.known.lock().expect("no panic while locked");
+        if known.leader.is_some() {
+            return known.leader;
+        }
+        known.turn = known.turn.wrapping_add(1);
+        let all: Vec<_> = known.cores.iter().chain(&known.seeds).copied().collect();
+        all.get(known.turn % all.len().max(1)).copied()
+    }
+
+    fn found(&self, address: SocketAddr) {
+        let mut known = self.known.lock().expect("no panic while locked");
+        if known.leader.replace(address) != Some(address) {
+            let leader = address.to_string();
+            log::info!(leader = leader.as_str(); "found the leader of the control group");
+        }
+    }
+
+    fn lost(&self, address: SocketAddr, hint: Option<SocketAddr>) {
+        let mut known = self.known.lock().expect("no panic while locked");
+        if known.leader == Some(address) {
+            let leader = address.to_string();
+            log::warn!(leader = leader.as_str(); "lost the leader of the control group");
+            metrics::counter!("poplarspan_relay_leader_losses_total").increment(1);
+        }
+        known.leader = hint.filter(|hint| *hint != address);
+    }
+
+    fn take(&self, answer: peer::BeatAnswer, asked_at: Duration) {
+        let old = self.view();
+        let publication = self.next_publication(&old, answer.publication);
+        let directory = answer.directory.map(|d| Arc::new(read_directory(d, self.clock.now())));
+        let names = |list: Vec<String>| list.into_iter().map(Name::from).collect::<Vec<_>>();
+        let addresses = |list: Vec<String>| -> Vec<SocketAddr> {
+            list.iter().filter_map(|a| a.parse().ok()).collect()
+        };
+        let cores = addresses(answer.cores);
+        if !cores.is_empty() {
+            self.known.lock().expect("no panic while locked").cores = cores;
+        }
+        let view = View {
+            publication,
+            directory: directory.unwrap_or_else(|| old.directory.clone()),
+            zones_out: names(answer.zones_out),
+            place: Place { rank: answer.rank, of: answer.fronts.max(1) },
+            stores: addresses(answer.stores),
+            store_founders: answer.store_founders,
+            retiring: answer.retiring,
+        };
+        if view.zones_out != old.zones_out {
+            let zones = view.zones_out.join(",");
+            log::info!(zones = zones.as_str(); "zones that are out have changed");
+        }
+        self.view.store(Arc::new(view));
+        let length =
+            Duration::from_millis(answer.lease_ms).min(control::lease_length(&self.settings));
+        let until = asked_at + length;
+        if self.lease_left().is_none() {
+            log::info!("the lease holds");
+        }
+        self.lease_until_us.fetch_max(until.as_micros() as u64, Ordering::AcqRel);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    fn next_publication(
+        &self,
+        old: &View,
+        published: Option<peer::Published>,
+    ) -> Option<Arc<Publication>> {
+        let held = old.publication.clone();
+        let held_version = held.as_ref().map_or(0, |p| p.version);
+        let Some(published) = published.filter(|p| p.version > held_version) else { return held };
+        let version = published.version;
+        match control::read_publication(&*self.dialect, version, &published.body) {
+            Ok(publication) => {
+                log::info!(version, before = held_version; "publication in force");
+                Some(Arc::new(publication))
+            }
+            Err(error) => {
+                log::error!(version, error = error.as_str(); "cannot read the publication");
+                held
+            }
+        }
+    }
+}
+
+fn read_directory(directory: peer::Directory, at: Duration) -> Directory {
+    let endpoint = |e: peer::DirectoryEntry| {
+        Some(ListedEndpoint {
+            name: e.name.into(),
+            service: e.service.into(),
+            address: e.address.parse().ok()?,
+            zone: e.zone.into(),
+            slots: e.slots,
+            leaving: e.leaving,
+            cold_left: Duration::from_millis(e.cold_left_ms),
+        })
+    };
+    let endpoints = directory.endpoints.into_iter().filter_map(endpoint).collect();
+    Directory { number: directory.number, endpoints, at }
+}
--- /dev/null
+++ b/crates/relay/src/front/attempt.rs
@@ -0,0 +1,280 @@
+//! Sends a call to one endpoint after another, as far as it may be repeated.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use poplarspan_node::pool::{Reuse, SendError};
+use poplarspan_policy::Name;
+use tokio::time::Instant;
+
+use super::{
+    Front,
+    endpoints::Outcome,
+    refusal::Refusal,
+    schedule::{NoPlace, Slot, Want},
+};
+use crate::{AnswerHead, CallHead, Forward, Route, RouteKind};
+
+/// Endpoints that may refuse a call, or not be reached, before it is given up.
+const MAX_UNSENT: u32 = 6;
+/// Endpoints that keep refusing are asked again after this pause.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+/// When a call that was given up unsent may come back.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// A call that was admitted.
+pub(crate) struct Call {
+    pub(crate) head: CallHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) team: Option<Name>,
+    pub(crate) want: Arc<Want>,
+    pub(crate) urgency: Option<u8>,
+    /// When the caller has to have an answer.
+    pub(crate) deadline: Instant,
+}
+
+impl Call {
+    /// Whether it may run at a second endpoint, if it may have run at a first one.
+    fn may_run_again(&self) -> bool {
+        match self.route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::Stream { resumable } => resumable,
+            RouteKind::Once => false,
+        }
+    }
+
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// An answer that has begun.
+pub(crate) struct Begun {
+    pub(crate) parts: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) reuse: Reuse,
+    pub(crate) slot: Slot,
+}
+
+/// The attempts of one call.
+pub(crate) struct Attempts {
+    front: Arc<Front>,
+    pub(crate) call: Arc<Call>,
+    tried: Vec<Name>,
+    /// Endpoints that may have run it.
+    pub(crate) ran: u32,
+    /// Endpoints that have certainly not run it.
+    pub(crate) unsent: u32,
+    /// Time spent waiting for places.
+    pub(crate) waited: Duration,
+    /// The endpoint that was tried last.
+    pub(crate) last: Option<Name>,
+}
+
+/// What became of one attempt that gave no answer.
+enum Missed {
+    /// The endpoint has not run the call and will not.
+    NotRun,
+    /// The endpoint may have run the call.
+    Unknown,
+}
+
+impl Attempts {
+    pub(crate) fn new(front: Arc<Front>, call: Arc<Call>) -> Self {
+        Self {
+            front,
+            call,
+            tried: Vec::new(),
+            ran: 0,
+            unsent: 0,
+            waited: Duration::ZERO,
+            last: None,
+        }
+    }
+
+    /// Sends the call until an endpoint begins to answer. A stream goes on after `last_event`.
+    pub(crate) async fn next(&mut self, last_event: Option<&Name>) -> Result<Begun, Refusal> {
+        loop {
+            let since = Instant::now();
+            let placed = self.front.schedule.acquire(&self.call.want, &self.tried).await;
+            self.waited += since.elapsed();
+            let slot = match placed {
+                Ok(slot) => slot,
+                Err(NoPlace::NoneOpen { .. }) if self.may_start_over() => {
+                    tokio::time::sleep(REFUSED_PAUSE).await;
+                    self.tried.clear();
+                    continue;
+                }
+                Err(NoPlace::NoneOpen { come_back }) => {
+                    return Err(self.give_up("no_endpoint", "no endpoint is open", come_back));
+                }
+                Err(NoPlace::TooLate { come_back }) => {
+                    let message = "the call cannot be served in time";
+                    return Err(self.give_up("too_late", message, come_back));
+                }
+            };
+            self.last = Some(slot.endpoint.name.clone());
+            match self.send(slot, last_event).await {
+                Ok(begun) => return Ok(begun),
+                Err(Missed::NotRun) => {
+                    self.unsent += 1;
+                    if self.unsent >= MAX_UNSENT {
+                        let message = "endpoints refuse the call or cannot be reached";
+                        return Err(self.give_up("refused", message, COME_BACK));
+                    }
+                }
+                Err(Missed::Unknown) => {
+                    self.ran += 1;
+                    if !self.may_retry() {
+                        return Err(self.lost());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether endpoints that refused the call may be asked again.
+    fn may_start_over(&self) -> bool {
+        self.unsent > 0 && self.ran == 0 && self.call.time_left() > 4 * REFUSED_PAUSE
+    }
+
+    /// Whether the call may be sent to one more endpoint after one that may have run it.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.call.may_run_again()
+            && self.ran < self.call.route.max_endpoints
+            && !self.call.time_left().is_zero()
+    }
+
+    /// Takes note that an endpoint that began to answer did not complete.
+    pub(crate) fn failed(&mut self, slot: Slot) {
+        self.ran += 1;
+        self.tried.push(slot.endpoint.name.clone());
+        slot.finish(Outcome::Failed);
+    }
+
+    async fn send(&mut self, slot: Slot, last_event: Option<&Name>) -> Result<Begun, Missed> {
+        let call = self.call.clone();
+        let endpoint = slot.endpoint.clone();
+        self.tried.push(endpoint.name.clone());
+        if !self.may_send() {
+            self.unsent = MAX_UNSENT;
+            return Err(Missed::NotRun);
+        }
+        let request = self.request(&endpoint.name, last_event);
+        let front = self.front.clone();
+        let may_send = move || front.fleet.lease_left().is_some();
+        let sent = self
+            .front
+            .pool
+            .send_watched(endpoint.address, request, false, call.deadline, call.deadline, &may_send)
+            .await;
+        let exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(e) => return Err(self.note_failure(slot, &e)),
+        };
+        let (response, reuse) = exchange.into_parts();
+        let (parts, body) = response.into_parts();
+        let head = self.front.dialect.answer(&parts);
+        if let Some(load) = head.load {
+            slot.report(load);
+        }
+        if head.not_run || head.is_other_endpoint {
+            self.log_miss(&slot, "endpoint has not run the call", parts.status.as_u16());
+            drain(body, reuse, call.deadline).await;
+            slot.finish(if head.is_other_endpoint { Outcome::Failed } else { Outcome::Refused });
+            return Err(Missed::NotRun);
+        }
+        if !is_genuine(parts.status, &head) {
+            self.log_miss(&slot, "answer is not the endpoint's", parts.status.as_u16());
+            metrics::counter!("poplarspan_relay_foreign_answers_total").increment(1);
+            slot.finish(Outcome::Failed);
+            return Err(Missed::Unknown);
+        }
+        Ok(Begun { parts, body, reuse, slot })
+    }
+
+    fn request(&self, endpoint: &Name, last_event: Option<&Name>) -> Request<Full<Bytes>> {
+        let call = &self.call;
+        let forward = Forward {
+            endpoint: endpoint.clone(),
+            team: call.team.clone(),
+            time_left: call.time_left(),
+            urgency: call.urgency,
+            last_event: last_event.cloned(),
+        };
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = self.front.dialect.forward(&call.headers, &forward);
+        request
+    }
+
+    /// Whether the lease still holds; checked right before each dispatch.
+    fn may_send(&self) -> bool {
+        self.front.fleet.lease_left().is_some()
+    }
+
+    fn note_failure(&self, slot: Slot, error: &SendError) -> Missed {
+        let (cause, endpoint, id) = (error.to_string(), &*slot.endpoint.name, &*self.call.head.id);
+        log::warn!(id, endpoint, cause = cause.as_str(); "endpoint gave no answer");
+        match error {
+            SendError::NotSent(_) => {
+                slot.finish(Outcome::Failed);
+                Missed::NotRun
+            }
+            SendError::Silent if self.call.time_left().is_zero() => {
+                // The call's own time limit says little about the endpoint.
+                slot.finish(Outcome::Abandoned);
+                Missed::Unknown
+            }
+            _ => {
+                slot.finish(Outcome::Failed);
+                Missed::Unknown
+            }
+        }
+    }
+
+    fn log_miss(&self, slot: &Slot, what: &'static str, status: u16) {
+        let (id, endpoint) = (&*self.call.head.id, &*slot.endpoint.name);
+        log::info!(id, endpoint, status; "{what}");
+    }
+
+    /// The answer for a call that gets no further place.
+    fn give_up(&self, code: &'static str, message: &'static str, come_back: Duration) -> Refusal {
+        if self.ran > 0 { self.lost() } else { Refusal::not_now(code, message, come_back) }
+    }
+
+    /// The answer for a call that may have run, but has no answer.
+    pub(crate) fn lost(&self) -> Refusal {
+        if self.call.time_left().is_zero() {
+            let message = "no answer in time";
+            return Refusal::new(StatusCode::GATEWAY_TIMEOUT, "timeout", message);
+        }
+        Refusal::new(StatusCode::BAD_GATEWAY, "lost", "the answer was lost")
+    }
+}
+
+/// Whether an answer comes from the endpoint itself.
+fn is_genuine(status: StatusCode, head: &AnswerHead) -> bool {
+    !head.is_encoded && (head.is_sealed || !status.is_success())
+}
+
+/// Reads a short body to its end, so that its connection can be used again.
+async fn drain(mut body: Incoming, reuse: Reuse, deadline: Instant) {
+    use http_body_util::BodyExt;
+    const MAX_FRAMES: usize = 4;
+    for _ in 0..MAX_FRAMES {
+        match tokio::time::timeout_at(deadline, body.frame()).await {
+            Ok(None) => return reuse.finish(),
+            Ok(Some(Ok(_))) => {}
+            Ok(Some(Err(_))) | Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/front/endpoints.rs
@@ -0,0 +1,346 @@
+//! What the front knows of endpoints: load, cached prompts, failures, cold starts.
+//!
+//! It answers uneven load and shared prompts on calm days, and crashes, restarts and releases on the
+//! others. Owner: each front for itself; rebuilt after a restart from the list of endpoints and from
+//! answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use poplarspan_policy::{
+    Name,
+    route::{
+        Choice, Chooser, CostChooser, CostConfig, EndpointId, EndpointSpec, Fleet, LoadReport,
+        NoRoute, PrefixIndex, RouteRequest,
+    },
+    starts::{Place, StartGate},
+};
+
+use super::schedule::Want;
+use crate::{ListedEndpoint, Load, PromptPart, Publication, fleet::View};
+
+/// Tokens of one block of a prompt in the index of cached prompts.
+const BLOCK_TOKENS: u32 = 256;
+/// Blocks that the index holds: some 8 million tokens.
+const MAX_BLOCKS: usize = 32_768;
+/// Prefill speed that is assumed for engines, in tokens a second; of the order of what a large
+/// accelerator reads of a mixture-of-experts model.
+const PREFILL_PER_SECOND: f64 = 300_000.0;
+/// Service time that is assumed until one has been measured, in seconds.
+const SERVICE_S: f64 = 0.2;
+/// A load report of an answer counts half after this time, which is about that of one answer.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(600);
+/// First pause after a failure, doubled with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Calls that an endpoint gets at a time after it has failed, until it has answered one.
+const TRIAL_CALLS: u32 = 1;
+/// Longest life of what is known of a line's last endpoint.
+const FORGET_LINE: Duration = Duration::from_secs(30);
+const MAX_LINES: usize = 8_192;
+
+struct Known {
+    name: Name,
+    service: Name,
+    id: EndpointId,
+    address: SocketAddr,
+    /// Until when the endpoint counts as cold.
+    cold_until: Duration,
+    gate: StartGate,
+    failures: u32,
+    /// No calls until then, and few until an answer has come.
+    paused_until: Option<Duration>,
+}
+
+/// A chosen endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) name: Name,
+    pub(crate) address: SocketAddr,
+}
+
+/// How a call at an endpoint has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// A whole answer has arrived.
+    Answered,
+    /// The endpoint has refused the call and works.
+    Refused,
+    /// The caller has gone, or the call was not sent.
+    Abandoned,
+    /// No connection, a lost one, or an answer that is not the endpoint's.
+    Failed,
+}
+
+struct Line {
+    name: Name,
+    id: EndpointId,
+    at: Duration,
+}
+
+/// The endpoints of the list in force.
+pub(crate) struct Endpoints {
+    fleet: Fleet,
+    prefixes: PrefixIndex,
+    chooser: CostChooser,
+    // Sorted by name.
+    known: Vec<Known>,
+    // Sorted by name.
+    lines: Vec<Line>,
+    place: Place,
+    directory: u64,
+    version: u64,
+    zones_out: Vec<Name>,
+}
+
+impl Endpoints {
+    pub(crate) fn new(zone: Name) -> Self {
+        Self {
+            fleet: Fleet::new(),
+            prefixes: PrefixIndex::new(MAX_BLOCKS),
+            chooser: CostChooser::new(zone, CostConfig::default()),
+            known: Vec::new(),
+            lines: Vec::new(),
+            place: Place { rank: 0, of: 1 },
+            directory: 0,
+            version: 0,
+            zones_out: Vec::new(),
+        }
+    }
+
+    /// Follows changes of the list, the publication and the zones.
+    pub(crate) fn observe(&mut self, view: &View, now: Duration) {
+        self.place = view.place;
+        let version = view.publication.as_ref().map_or(0, |p| p.version);
+        let is_new_list = view.directory.number != self.directory;
+        if is_new_list || version != self.version {
+            self.directory = view.directory.number;
+            self.version = version;
+            self.follow(view, now);
+        }
+        if view.zones_out != self.zones_out {
+            for zone in view.zones_out.iter().chain(&self.zones_out) {
+                self.fleet.set_zone_out(zone, view.zones_out.contains(zone));
+            }
+            self.zones_out.clone_from(&view.zones_out);
+        }
+    }
+
+    fn follow(&mut self, view: &View, now: Duration) {
+        let listed = &view.directory.endpoints;
+        let Self { known, fleet, .. } = self;
+        known.retain(|k| {
+            let stays = listed.iter().any(|e| e.name == k.name && e.address == k.address);
+            if !stays {
+                fleet.remove(&k.name);
+            }
+            stays
+        });
+        let age = now.saturating_sub(view.directory.at);
+        for endpoint in listed {
+            self.upsert(endpoint, view.publication.as_deref(), age, now);
+        }
+        for zone in &view.zones_out {
+            self.fleet.set_zone_out(zone, true);
+        }
+    }
+
+    fn upsert(
+        &mut self,
+        endpoint: &ListedEndpoint,
+        publication: Option<&Publication>,
+        age: Duration,
+        now: Duration,
+    ) {
+        let service = publication.and_then(|p| p.service(&endpoint.service));
+        let engine = service.and_then(|s| s.engine);
+        let capacity = engine.map_or(endpoint.slots, |e| e.slots).max(1);
+        let id = self.fleet.upsert(EndpointSpec {
+            name: endpoint.name.clone(),
+            zone: endpoint.zone.clone(),
+            groups: vec![endpoint.service.clone()],
+            capacity,
+            prefill_per_second: engine.map_or(f64::INFINITY, |_| PREFILL_PER_SECOND),
+            service_s: SERVICE_S,
+            leaving: endpoint.leaving,
+        });
+        let cold_until = now + endpoint.cold_left.saturating_sub(age);
+        match self.known.binary_search_by(|k| k.name.cmp(&endpoint.name)) {
+            Ok(at) => {
+                let known = &mut self.known[at];
+                known.cold_until = known.cold_until.max(cold_until);
+            }
+            Err(at) => {
+                let blocks = engine.map_or(0, |e| e.cache_tokens / u64::from(BLOCK_TOKENS));
+                self.prefixes.declare(id, u32::try_from(blocks).unwrap_or(u32::MAX));
+                let known = Known {
+                    name: endpoint.name.clone(),
+                    service: endpoint.service.clone(),
+                    id,
+                    address: endpoint.address,
+                    cold_until,
+                    gate: StartGate::default(),
+                    failures: 0,
+                    paused_until: None,
+                };
+                self.known.insert(at, known);
+            }
+        }
+    }
+
+    /// Lets reported loads fade, and tries endpoints again that have failed.
+    pub(crate) fn tick(&mut self, now: Duration) {
+        self.fleet.fade(LOAD_HALF_LIFE, now);
+        for known in &mut self.known {
+            if known.paused_until.is_some_and(|until| now >= until) {
+                known.paused_until = None;
+                self.fleet.set_healthy(known.id, true);
+                self.fleet.set_cap(known.id, Some(TRIAL_CALLS));
+            }
+        }
+        if self.lines.len() > MAX_LINES {
+            self.lines.retain(|l| now < l.at + FORGET_LINE / 10);
+        }
+        self.lines.retain(|l| now < l.at + FORGET_LINE);
+    }
+
+    /// Chooses an endpoint and counts the call there.
+    pub(crate) fn place(
+        &mut self,
+        want: &Want,
+        tried: &[Name],
+        publication: Option<&Publication>,
+        now: Duration,
+    ) -> Result<Chosen, NoRoute> {
+        let cold_rate =
+            publication.and_then(|p| p.service(&want.service)).map_or(0.0, |s| s.cold_per_second);
+        let avoid = self.avoid(want, tried, cold_rate, now);
+        let request = RouteRequest {
+            group: &want.service,
+            blocks: &want.blocks,
+            block_tokens: BLOCK_TOKENS,
+            prompt_tokens: want.prompt_tokens,
+            last: want.line.as_ref().and_then(|line| self.last_of(line)),
+            avoid: &avoid,
+        };
+        let mut rng = rand::rng();
+        let choice = self.chooser.choose(&self.fleet, &self.prefixes, &request, &mut rng)?;
+        Ok(self.count(want, &choice, now))
+    }
+
+    /// Endpoints that must not get the call: those that were tried, and cold ones that have had as
+    /// many calls in this second as they bear from this front.
+    fn avoid(&mut self, want: &Want, tried: &[Name], rate: f64, now: Duration) -> Vec<EndpointId> {
+        let place = self.place;
+        let mut avoid = Vec::new();
+        for known in self.known.iter_mut().filter(|k| k.service == want.service) {
+            let is_cold = rate > 0.0 && now < known.cold_until;
+            let is_tried = tried.contains(&known.name);
+            if is_tried || (is_cold && !known.gate.is_open(rate, place, offset(&known.name), now)) {
+                avoid.push(known.id);
+            }
+        }
+        avoid
+    }
+
+    fn count(&mut self, want: &Want, choice: &Choice, now: Duration) -> Chosen {
+        let id = choice.endpoint;
+        self.fleet.began(id, now);
+        self.prefixes.dispatched(id, &want.blocks, now);
+        let cached = u64::from(choice.cached_blocks) * u64::from(BLOCK_TOKENS);
+        metrics::counter!("poplarspan_relay_prompt_tokens_total")
+            .increment(u64::from(want.prompt_tokens));
+        metrics::counter!("poplarspan_relay_cached_prompt_tokens_total")
+            .increment(cached.min(u64::from(want.prompt_tokens)));
+        if let Some(line) = &want.line {
+            let entry = Line { name: line.clone(), id, at: now };
+            match self.lines.binary_search_by(|l| l.name.cmp(line)) {
+                Ok(at) => self.lines[at] = entry,
+                Err(at) => self.lines.insert(at, entry),
+            }
+        }
+        let name = self.fleet.spec(id).name.clone();
+        let at = self.position(&name).expect("the fleet holds known endpoints");
+        let known = &mut self.known[at];
+        if now < known.cold_until {
+            known.gate.start(now);
+        }
+        Chosen { name, address: known.address }
+    }
+
+    fn last_of(&self, line: &Name) -> Option<EndpointId> {
+        let at = self.lines.binary_search_by(|l| l.name.cmp(line)).ok()?;
+        Some(self.lines[at].id)
+    }
+
+    /// Takes a call back from its endpoint.
+    pub(crate) fn end(&mut self, name: &Name, outcome: Outcome, held: Duration, now: Duration) {
+        let Ok(at) = self.position(name) else { return };
+        let known = &mut self.known[at];
+        let id = known.id;
+        self.fleet.ended(id, (outcome == Outcome::Answered).then_some(held), now);
+        match outcome {
+            Outcome::Answered | Outcome::Refused => {
+                if known.failures > 0 {
+                    log::info!(endpoint = &**name; "endpoint answers again");
+                    known.failures = 0;
+                    self.fleet.set_cap(id, None);
+                }
+            }
+            Outcome::Failed => {
+                let pause = (FIRST_PAUSE * 2u32.pow(known.failures.min(8))).min(LONGEST_PAUSE);
+                known.failures += 1;
+                if known.paused_until.is_none() {
+                    let failures = known.failures;
+                    log::warn!(endpoint = &**name, failures; "endpoint fails; no calls for a while");
+                    metrics::counter!("poplarspan_relay_endpoint_failures_total").increment(1);
+                }
+                known.paused_until = Some(now + pause);
+                self.fleet.set_healthy(id, false);
+            }
+            Outcome::Abandoned => {}
+        }
+    }
+
+    /// Takes note of the load that an answer reports.
+    pub(crate) fn report(&mut self, name: &Name, load: Load, now: Duration) {
+        if let Ok(at) = self.position(name) {
+            let report = LoadReport { running: load.running, queued: load.waiting, taken: now };
+            self.fleet.report(self.known[at].id, &report);
+        }
+    }
+
+    /// Calls that the open endpoints of a service run at once.
+    pub(crate) fn capacity(&self, service: &str) -> u32 {
+        let members = self.fleet.members(service).unwrap_or(&[]);
+        let open = members.iter().filter(|id| self.fleet.is_open(**id));
+        open.map(|id| self.fleet.spec(*id).capacity).sum()
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.known.binary_search_by(|k| (*k.name).cmp(name))
+    }
+}
+
+/// A number that is the same for an endpoint at all fronts.
+fn offset(name: &str) -> u32 {
+    let digest = blake3::hash(name.as_bytes());
+    u32::from_le_bytes(*digest.as_bytes().first_chunk().expect("a digest has 32 bytes"))
+}
+
+/// Splits a prompt into blocks, each named by its part and by all that is before it.
+pub(crate) fn blocks(parts: &[PromptPart]) -> Vec<u64> {
+    const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mut blocks = Vec::new();
+    let mut chain = 0u64;
+    let mix = |chain: u64, n: u64| {
+        let product = u128::from(chain ^ n.wrapping_add(MIX)) * u128::from(MIX);
+        (product as u64) ^ (product >> 64) as u64
+    };
+    for part in parts {
+        for n in 0..u64::from(part.tokens / BLOCK_TOKENS) {
+            chain = mix(mix(chain, part.id), n);
+            blocks.push(chain);
+        }
+    }
+    blocks
+}
--- /dev/null
+++ b/crates/relay/src/front/events.rs
@@ -0,0 +1,99 @@
+//! Events of a stream.
+
+use bytes::{Bytes, BytesMut};
+
+/// One event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The event as it arrived, with the empty line at its end.
+    pub raw: Bytes,
+    /// Its id, if it has one.
+    pub id: Option<Bytes>,
+}
+
+impl Event {
+    /// Appends the data of the event, each line followed by a line feed.
+    pub fn write_data(&self, buf: &mut BytesMut) {
+        for line in lines(&self.raw) {
+            if let Some(data) = field(line, b"data") {
+                buf.extend_from_slice(data);
+                buf.extend_from_slice(b"\n");
+            }
+        }
+    }
+
+    /// Whether the event carries data.
+    pub fn has_data(&self) -> bool {
+        lines(&self.raw).any(|line| field(line, b"data").is_some())
+    }
+}
+
+/// Splits the bytes of a stream into events.
+#[derive(Debug, Default)]
+pub struct EventReader {
+    buf: BytesMut,
+    /// Bytes at the start of `buf` in which no end of an event is.
+    searched: usize,
+}
+
+impl EventReader {
+    /// Adds bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Bytes of an event whose end has not arrived.
+    pub fn pending(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Forgets an event whose end has not arrived.
+    pub fn clear(&mut self) {
+        self.buf.clear();
+        self.searched = 0;
+    }
+
+    /// Takes the bytes that are left when a stream has ended.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buf.split().freeze()
+    }
+
+    /// Takes the next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let Some(end) = event_end(&self.buf, self.searched) else {
+            // An end may be split between what is here and what follows.
+            self.searched = self.buf.len().saturating_sub(3);
+            return None;
+        };
+        self.searched = 0;
+        let raw = self.buf.split_to(end).freeze();
+        let id = lines(&raw).filter_map(|line| field(line, b"id")).next_back();
+        let id = id.map(|id| raw.slice_ref(id));
+        Some(Event { raw, id })
+    }
+}
+
+/// Length of the first event, with the empty line after it.
+fn event_end(buf: &[u8], from: usize) -> Option<usize> {
+    let mut at = from;
+    while let Some(found) = buf[at..].iter().position(|b| *b == b'\n') {
+        let next = at + found + 1;
+        match &buf[next..] {
+            [b'\n', ..] => return Some(next + 1),
+            [b'\r', b'\n', ..] => return Some(next + 2),
+            _ => at = next,
+        }
+    }
+    None
+}
+
+fn lines(raw: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    raw.split(|b| *b == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Value of a line with this field name.
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
--- /dev/null
+++ b/crates/relay/src/front/handler.rs
@@ -0,0 +1,456 @@
+//! Admits a call and answers it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::{HeaderMap, Request, Response, StatusCode, header, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use poplarspan_policy::Name;
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    Front,
+    attempt::{Attempts, Begun, Call},
+    body::{self, AnswerBody},
+    endpoints::{Outcome, blocks},
+    events::EventReader,
+    programs::{OpenTurn, TurnName},
+    refusal::Refusal,
+    schedule::Want,
+    stream::{Keeping, Relaying, tokens_per_event},
+};
+use crate::{CallHead, ProgramHead, Publication, Route, RouteKind, Team};
+
+/// Largest answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Time in which the body of a request must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When a call may come back while the front holds no lease; about the time of an election.
+const COME_BACK: Duration = Duration::from_millis(400);
+/// Cost of a call to a plain service, in tokens.
+const SERVICE_COST: u64 = 64;
+/// Prompt tokens that cost as much as one generated token, as most of a prompt is cached.
+const PROMPT_DISCOUNT: u64 = 16;
+/// Urgency at an engine of the most urgent calls; more urgent values are left free.
+const FIRST_URGENCY: u8 = 3;
+/// Steps of urgency between two priorities.
+const URGENCY_STEP: u8 = 2;
+const LEAST_URGENCY: u8 = 9;
+/// Of the calls that end well, one in this many is logged; of all others, each.
+const SAMPLE: u64 = 16;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [header::HeaderName; 6] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+];
+
+/// Writes the log line of a call when it has ended.
+pub(crate) struct Ending {
+    id: Name,
+    program: Option<Name>,
+    route: Option<Name>,
+    team: Option<Name>,
+    endpoint: Option<Name>,
+    version: u64,
+    lease_left: Duration,
+    status: u16,
+    ran: u32,
+    unsent: u32,
+    waited: Duration,
+    started: Instant,
+    outcome: &'static str,
+}
+
+impl Ending {
+    fn new(head: &CallHead, started: Instant) -> Self {
+        Self {
+            id: head.id.clone(),
+            program: head.program.as_ref().map(|p| p.id.clone()),
+            route: None,
+            team: None,
+            endpoint: None,
+            version: 0,
+            lease_left: Duration::ZERO,
+            status: 0,
+            ran: 0,
+            unsent: 0,
+            waited: Duration::ZERO,
+            started,
+            outcome: "caller_gone",
+        }
+    }
+
+    /// Says how the call has ended.
+    pub(crate) fn finish(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
+    fn attempts(&mut self, attempts: &Attempts) {
+        self.endpoint = attempts.last.clone();
+        (self.ran, self.unsent, self.waited) = (attempts.ran, attempts.unsent, attempts.waited);
+    }
+
+    fn is_logged(&self) -> bool {
+        if !matches!(self.outcome, "answered" | "whole") {
+            return true;
+        }
+        let digest = blake3::hash(self.id.as_bytes());
+        u64::from(digest.as_bytes()[0]) % SAMPLE == 0
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let took = self.started.elapsed();
+        let outcome = self.outcome;
+        metrics::histogram!("poplarspan_relay_call_seconds", "outcome" => outcome)
+            .record(took.as_secs_f64());
+        metrics::counter!("poplarspan_relay_calls_total", "outcome" => outcome).increment(1);
+        if !self.is_logged() {
+            return;
+        }
+        let name = |name: &Option<Name>| name.as_deref().unwrap_or("").to_owned();
+        let (program, route, team) = (name(&self.program), name(&self.route), name(&self.team));
+        let endpoint = name(&self.endpoint);
+        log::info!(
+            id = &*self.id,
+            program = program.as_str(),
+            route = route.as_str(),
+            team = team.as_str(),
+            endpoint = endpoint.as_str(),
+            version = self.version,
+            lease_left_ms = self.lease_left.as_millis() as u64,
+            status = self.status,
+            ran = self.ran,
+            unsent = self.unsent,
+            waited_ms = self.waited.as_millis() as u64,
+            took_ms = took.as_millis() as u64,
+            outcome;
+            "call"
+        );
+    }
+}
+
+impl Front {
+    /// Answers a call.
+    pub(crate) async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+        let started = Instant::now();
+        let (parts, body) = req.into_parts();
+        let mut answer = match self.dialect.call(&parts) {
+            Ok(head) => {
+                let ending = Ending::new(&head, started);
+                self.clone().answer(parts, head, body, ending).await
+            }
+            Err(e) => {
+                let error = e.to_string();
+                log::info!(error = error.as_str(); "malformed call");
+                self.refuse(&Refusal::new(StatusCode::BAD_REQUEST, "malformed", error))
+            }
+        };
+        if self.fleet.is_draining() {
+            let close = header::HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
+        answer
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        parts: request::Parts,
+        head: CallHead,
+        body: Incoming,
+        mut ending: Ending,
+    ) -> Response<AnswerBody> {
+        let admitted = match self.admit(parts, head, body, &mut ending).await {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                ending.status = refusal.status.as_u16();
+                ending.finish(refusal.code);
+                return self.refuse(&refusal);
+            }
+        };
+        self.run(admitted, ending).await
+    }
+
+    fn refuse(&self, refusal: &Refusal) -> Response<AnswerBody> {
+        metrics::counter!("poplarspan_relay_refusals_total", "code" => refusal.code).increment(1);
+        let text = self.dialect.fault(&refusal.message);
+        let mut answer = Response::new(body::whole(text));
+        *answer.status_mut() = refusal.status;
+        if let Some(after) = refusal.come_back {
+            let (name, value) = self.dialect.come_back(after);
+            answer.headers_mut().insert(name, value);
+        }
+        answer
+    }
+
+    /// Checks whether and as whom a call may run.
+    async fn admit(
+        self: &Arc<Self>,
+        parts: request::Parts,
+        head: CallHead,
+        body: Incoming,
+        ending: &mut Ending,
+    ) -> Result<Admitted, Refusal> {
+        let view = self.fleet.view();
+        let Some(publication) = view.publication.clone() else {
+            return Err(Refusal::not_now("not_ready", "nothing has been published", COME_BACK));
+        };
+        ending.version = publication.version;
+        let Some(lease_left) = self.fleet.lease_left() else {
+            return Err(Refusal::not_now("no_lease", "the front holds no lease", COME_BACK));
+        };
+        ending.lease_left = lease_left;
+        let Some(route) = publication.route(&head.host, parts.uri.path()).cloned() else {
+            return Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_route", "no such route"));
+        };
+        ending.route = Some(route.name.clone());
+        let team = team_of(&publication, &route, &head)?.cloned();
+        ending.team = team.as_ref().map(|t| t.name.clone());
+        let time = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+        let deadline = ending.started + time;
+        let body = read_body(body, publication.limits.max_body, deadline).await?;
+        if let Some(team) = &team {
+            self.rates.admit(team).await?;
+        }
+        let (turn, keeping, body) =
+            self.begin_turn(&route, &head, team.as_ref(), body, deadline).await?;
+        let call = self.call(parts, head, body, route, team.as_ref(), deadline, &publication);
+        Ok(Admitted { call: Arc::new(call), turn, keeping })
+    }
+
+    /// Begins a turn, if the call is one whose tokens are counted or whose history is kept.
+    async fn begin_turn(
+        &self,
+        route: &Route,
+        head: &CallHead,
+        team: Option<&Team>,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<(Option<OpenTurn>, Option<Keeping>, Bytes), Refusal> {
+        let is_stream = matches!(route.kind, RouteKind::Stream { .. });
+        let Some(program) = head.program.as_ref().filter(|_| is_stream) else {
+            return Ok((None, None, body));
+        };
+        let previous = program.previous_turn.as_ref().filter(|_| route.retain.is_some());
+        if program.token_budget.is_none() && route.retain.is_none() {
+            return Ok((None, None, body));
+        }
+        let name = TurnName {
+            team: team.map_or_else(|| "".into(), |t| t.name.clone()),
+            program: program.id.clone(),
+            turn: head.id.clone(),
+        };
+        let most = u64::from(head.max_output_tokens);
+        let (turn, history) =
+            self.programs.begin(&name, most, program.token_budget, previous, deadline).await?;
+        let keeping = route.retain.map(|_| Keeping {
+            input: body.clone(),
+            previous: previous.cloned(),
+            output: BytesMut::new(),
+        });
+        let body = if history.is_empty() {
+            body
+        } else {
+            let mut whole = BytesMut::with_capacity(history.len() + body.len());
+            whole.put(history);
+            whole.put(body);
+            whole.freeze()
+        };
+        Ok((Some(turn), keeping, body))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn call(
+        &self,
+        parts: request::Parts,
+        head: CallHead,
+        body: Bytes,
+        route: Route,
+        team: Option<&Team>,
+        deadline: Instant,
+        publication: &Publication,
+    ) -> Call {
+        let line = line_of(&head);
+        let hash = blake3::hash(line.as_ref().unwrap_or(&head.id).as_bytes());
+        let hash = u64::from_le_bytes(*hash.as_bytes().first_chunk().expect("32 bytes"));
+        let service = route.service(hash).clone();
+        let is_engine = publication.service(&service).is_some_and(|s| s.engine.is_some());
+        let priority = team.and_then(|t| t.priority).unwrap_or(route.priority);
+        let urgency = FIRST_URGENCY.saturating_add(priority.saturating_mul(URGENCY_STEP));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let want = Want {
+            service,
+            team: team.map_or_else(|| "".into(), |t| t.name.clone()),
+            program: head.program.as_ref().map(|p| p.id.clone()),
+            line,
+            blocks: blocks(&head.prompt).into(),
+            prompt_tokens: head.prompt.iter().map(|p| p.tokens).sum(),
+            cost: cost(&head),
+            deadline: self.clock.now() + left,
+        };
+        Call {
+            method: parts.method,
+            uri: parts.uri.path_and_query().map_or_else(|| parts.uri.clone(), |p| p.clone().into()),
+            headers: parts.headers,
+            body,
+            route,
+            team: team.map(|t| t.name.clone()),
+            want: Arc::new(want),
+            urgency: is_engine.then_some(urgency.min(LEAST_URGENCY)),
+            deadline,
+            head,
+        }
+    }
+
+    async fn run(self: Arc<Self>, admitted: Admitted, mut ending: Ending) -> Response<AnswerBody> {
+        let mut attempts = Attempts::new(self.clone(), admitted.call.clone());
+        let refusal = loop {
+            let begun = attempts.next(None).await;
+            ending.attempts(&attempts);
+            let begun = match begun {
+                Ok(begun) => begun,
+                Err(refusal) => break refusal,
+            };
+            ending.status = begun.parts.status.as_u16();
+            let is_stream = matches!(admitted.call.route.kind, RouteKind::Stream { .. });
+            if is_stream && begun.parts.status.is_success() {
+                return self.stream(admitted, attempts, begun, ending);
+            }
+            match collect(begun, admitted.call.deadline).await {
+                Ok(answer) => {
+                    ending.finish("answered");
+                    return answer;
+                }
+                Err(slot) => attempts.failed(slot),
+            }
+            if !attempts.may_retry() {
+                break attempts.lost();
+            }
+        };
+        debug_assert!(attempts.ran == 0 || !refusal.promises_not_run());
+        ending.status = refusal.status.as_u16();
+        ending.finish(refusal.code);
+        self.refuse(&refusal)
+    }
+
+    /// Hands on a stream.
+    fn stream(
+        self: &Arc<Self>,
+        admitted: Admitted,
+        attempts: Attempts,
+        begun: Begun,
+        ending: Ending,
+    ) -> Response<AnswerBody> {
+        let Admitted { call, turn, keeping } = admitted;
+        let mut answer = Response::new(());
+        *answer.status_mut() = begun.parts.status;
+        *answer.headers_mut() = end_to_end(&begun.parts.headers);
+        answer.headers_mut().remove(header::CONTENT_LENGTH);
+        let relaying = Relaying {
+            attempts,
+            begun: Some(begun),
+            reader: EventReader::default(),
+            last_event: call.head.last_event.clone(),
+            events: 0,
+            tokens_per_event: tokens_per_event(self, &call.want.service),
+            turn,
+            keeping,
+            ending,
+            is_done: false,
+        };
+        answer.map(|()| relaying.into_body())
+    }
+}
+
+/// A call that may run.
+struct Admitted {
+    call: Arc<Call>,
+    turn: Option<OpenTurn>,
+    keeping: Option<Keeping>,
+}
+
+/// Reads an answer whole. Returns the place at the endpoint if it was cut short.
+async fn collect(
+    begun: Begun,
+    deadline: Instant,
+) -> Result<Response<AnswerBody>, super::schedule::Slot> {
+    let Begun { parts, body, reuse, slot } = begun;
+    let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    match timeout_at(deadline, read).await {
+        Ok(Ok(body)) => {
+            reuse.finish();
+            slot.finish(Outcome::Answered);
+            let mut answer = Response::new(body::whole(body.to_bytes()));
+            *answer.status_mut() = parts.status;
+            *answer.headers_mut() = end_to_end(&parts.headers);
+            answer.headers_mut().remove(header::CONTENT_LENGTH);
+            Ok(answer)
+        }
+        Ok(Err(_)) | Err(_) => Err(slot),
+    }
+}
+
+/// Headers of an answer without those that concern one connection only.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers
+}
+
+/// The team whose key a call carries; none on open routes.
+fn team_of<'a>(
+    publication: &'a Publication,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<&'a Team>, Refusal> {
+    if route.open || !publication.needs_keys() {
+        return Ok(None);
+    }
+    let refusal =
+        |message: &'static str| Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key", message);
+    let Some(key) = &head.key else { return Err(refusal("a key is needed")) };
+    publication.team_of(key).map(Some).ok_or_else(|| refusal("the key is unknown"))
+}
+
+async fn read_body(body: Incoming, max: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let until = deadline.min(Instant::now() + BODY_TIMEOUT);
+    match timeout_at(until, Limited::new(body, max).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let message = format!("the body is larger than {max} bytes");
+            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message))
+        }
+        Ok(Err(e)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "broken_body", e.to_string())),
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "late_body", message))
+        }
+    }
+}
+
+/// What keeps calls together at an endpoint: the line of turns, or the object that they are about.
+fn line_of(head: &CallHead) -> Option<Name> {
+    let line = |p: &ProgramHead| p.line.clone().unwrap_or_else(|| p.id.clone());
+    if head.prompt.is_empty() {
+        return head.affinity.clone();
+    }
+    head.program.as_ref().map(line)
+}
+
+/// Estimated service, in generated tokens.
+fn cost(head: &CallHead) -> u64 {
+    if head.prompt.is_empty() {
+        return SERVICE_COST;
+    }
+    u64::from(head.prompt_tokens) / PROMPT_DISCOUNT + u64::from(head.max_output_tokens)
+}
--- /dev/null
+++ b/crates/relay/src/front/listener.rs
@@ -0,0 +1,104 @@
+//! Accepts callers' connections.
+
+use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
+
+use anyhow::Result;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+};
+
+use super::Front;
+
+/// Connections from callers. With those to endpoints they stay below the platform's limit of
+/// descriptors.
+const MAX_CONNECTIONS: usize = 2_500;
+/// Pause after a failed accept, for instance when the process is out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer that hyper allows.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Read buffer beyond the largest head, for the start of the body.
+const BUFFER_ROOM_BYTES: usize = 4 * 1024;
+
+/// Serves callers on one address.
+pub(crate) struct Listener {
+    front: Arc<Front>,
+    slots: Arc<Semaphore>,
+    /// Set once idle connections are to be closed.
+    closing: watch::Sender<bool>,
+}
+
+impl Listener {
+    pub(crate) fn new(front: Arc<Front>) -> Arc<Self> {
+        let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        Arc::new(Self { front, slots, closing: watch::Sender::new(false) })
+    }
+
+    /// Accepts connections until the task is ended.
+    pub(crate) async fn run(self: Arc<Self>, socket: Arc<TcpListener>) -> Result<()> {
+        loop {
+            let permit = self.slots.clone().acquire_owned().await?;
+            match socket.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream, permit));
+                }
+                Err(e) => {
+                    let error = e.to_string();
+                    log::warn!(error = error.as_str(); "cannot accept a connection");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Closes idle connections, and the others after their answers.
+    pub(crate) fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Connections that are open.
+    pub(crate) fn open(&self) -> usize {
+        MAX_CONNECTIONS - self.slots.available_permits()
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
+        if let Err(e) = stream.set_nodelay(true) {
+            let error = e.to_string();
+            log::debug!(error = error.as_str(); "cannot set an option of a connection");
+        }
+        let view = self.front.fleet.view();
+        let limits = view.publication.as_ref().map(|p| p.limits).unwrap_or_default();
+        let front = self.front.clone();
+        let service = service_fn(move |req| {
+            let front = front.clone();
+            async move { Ok::<_, Infallible>(front.handle(req).await) }
+        });
+        let buffer = (limits.max_head + BUFFER_ROOM_BYTES).max(MIN_BUFFER_BYTES);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            // The timer also runs while a connection is idle, so it has the longer of both bounds.
+            .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+            .max_buf_size(buffer)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        let mut closing = self.closing.subscribe();
+        let asked = async {
+            // Fails only when the listener is gone.
+            let _ = closing.wait_for(|closing| *closing).await;
+        };
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            () = asked => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(e) = served {
+            let error = e.to_string();
+            log::debug!(error = error.as_str(); "a caller's connection has failed");
+        }
+        drop(permit);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/front/mod.rs
@@ -0,0 +1,101 @@
+//! A front: serves callers.
+//!
+//! A call goes one way: it is decoded ([`crate::Dialect`]), admitted ([`handler`]: route, key, rate,
+//! budget), placed ([`schedule`]), sent ([`attempt`]), and its answer is handed on whole
+//! ([`handler`]) or as it arrives ([`stream`]).
+
+mod attempt;
+mod body;
+pub(crate) mod endpoints;
+pub(crate) mod events;
+mod handler;
+pub(crate) mod listener;
+pub(crate) mod programs;
+pub(crate) mod rates;
+mod refusal;
+pub(crate) mod schedule;
+mod stream;
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::BoxFuture;
+use poplarspan_agreement::Clock;
+use poplarspan_node::{
+    Readiness,
+    pool::{Pool, PoolConfig},
+};
+use poplarspan_proto::peer;
+
+use crate::{
+    Dialect,
+    fleet::{Fleet, Report},
+};
+use programs::Programs;
+use rates::Rates;
+use schedule::Schedule;
+
+/// A new connection to an endpoint that takes longer is given up; the way there and back is a few
+/// milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle connections to endpoints are closed after this time; reopening one has its price.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+/// An endpoint that acknowledges nothing for this long is not reached any more.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// What the calls of a front share.
+pub(crate) struct Front {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) schedule: Arc<Schedule>,
+    pub(crate) rates: Arc<Rates>,
+    pub(crate) programs: Arc<Programs>,
+    pub(crate) pool: Arc<Pool>,
+}
+
+impl Front {
+    /// Connections to endpoints.
+    pub(crate) fn pool(dialect: &dyn Dialect) -> Arc<Pool> {
+        Pool::new(PoolConfig {
+            connect_timeout: CONNECT_TIMEOUT,
+            max_idle: MAX_IDLE,
+            unacknowledged: UNACKNOWLEDGED,
+            ..PoolConfig::new(dialect.id_header())
+        })
+    }
+
+    /// Closes connections that have been idle for too long, until the task is ended.
+    pub(crate) async fn run_sweep(self: Arc<Self>) -> anyhow::Result<()> {
+        const INTERVAL: Duration = Duration::from_secs(1);
+        loop {
+            tokio::time::sleep(INTERVAL).await;
+            self.pool.sweep();
+            metrics::gauge!("poplarspan_relay_waiting_calls").set(self.schedule.waiting() as f64);
+            let lease = self.fleet.lease_left().unwrap_or_default();
+            metrics::gauge!("poplarspan_relay_lease_seconds").set(lease.as_secs_f64());
+        }
+    }
+}
+
+impl Readiness for Front {
+    fn not_ready(&self) -> Option<&'static str> {
+        if self.fleet.is_draining() {
+            return Some("the instance is shutting down");
+        }
+        if self.fleet.lease_left().is_none() {
+            return Some("the instance holds no lease");
+        }
+        self.fleet.view().publication.is_none().then_some("nothing has been published yet")
+    }
+}
+
+impl Report for Front {
+    fn fill<'a>(&'a self, beat: &'a mut peer::Beat) -> BoxFuture<'a, ()> {
+        beat.demand = self.rates.demand();
+        Box::pin(std::future::ready(()))
+    }
+
+    fn take_shares(&self, shares: &[peer::TeamShare]) {
+        self.rates.set_shares(shares);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/front/stream.rs
@@ -0,0 +1,212 @@
+//! Streamed answers, handed on event by event.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures::stream;
+use http_body_util::BodyExt;
+use poplarspan_policy::Name;
+use poplarspan_proto::peer;
+use tokio::time::timeout_at;
+
+use super::{
+    Front,
+    attempt::{Attempts, Begun},
+    body::{AnswerBody, Cut, pieces},
+    endpoints::Outcome,
+    events::EventReader,
+    handler::Ending,
+    programs::OpenTurn,
+};
+
+/// Largest event, and largest rest without an end, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// What is kept of a turn.
+pub(crate) struct Keeping {
+    pub(crate) input: Bytes,
+    pub(crate) previous: Option<Name>,
+    pub(crate) output: BytesMut,
+}
+
+/// A stream on its way from an endpoint to a caller. Dropping it cancels the call at the endpoint.
+pub(crate) struct Relaying {
+    pub(crate) attempts: Attempts,
+    pub(crate) begun: Option<Begun>,
+    pub(crate) reader: EventReader,
+    pub(crate) last_event: Option<Name>,
+    pub(crate) events: u64,
+    pub(crate) tokens_per_event: u64,
+    pub(crate) turn: Option<OpenTurn>,
+    pub(crate) keeping: Option<Keeping>,
+    pub(crate) ending: Ending,
+    pub(crate) is_done: bool,
+}
+
+/// What came next from the endpoint.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+    Late,
+}
+
+impl Relaying {
+    /// The body of the answer.
+    pub(crate) fn into_body(self) -> AnswerBody {
+        // Boxed, since the state of a step is large and most of the time is spent between steps.
+        pieces(stream::unfold(Box::new(self), |mut relaying| async move {
+            let piece = relaying.step().await?;
+            Some((piece, relaying))
+        }))
+    }
+
+    /// The next piece for the caller: all events that have arrived whole.
+    async fn step(&mut self) -> Option<Result<Bytes, Cut>> {
+        if self.is_done {
+            return None;
+        }
+        loop {
+            let piece = self.take_events();
+            if !piece.is_empty() {
+                return Some(Ok(piece));
+            }
+            match self.read().await {
+                Next::Bytes(bytes) => self.reader.push(&bytes),
+                Next::End => return self.end().await,
+                Next::Broken(cause) => {
+                    if let Err(cut) = self.go_on_elsewhere(&cause).await {
+                        return Some(Err(cut));
+                    }
+                }
+                Next::Late => {
+                    self.is_done = true;
+                    self.ending.finish("late");
+                    return Some(Err(Cut("its time is over")));
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Next {
+        let deadline = self.attempts.call.deadline;
+        let Some(begun) = &mut self.begun else { return Next::Broken("no answer".to_owned()) };
+        loop {
+            return match timeout_at(deadline, begun.body.frame()).await {
+                Err(_) => Next::Late,
+                Ok(None) => Next::End,
+                Ok(Some(Err(e))) => Next::Broken(e.to_string()),
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(_) if self.reader.pending() > MAX_EVENT_BYTES => {
+                        Next::Broken("an event is too large".to_owned())
+                    }
+                    Ok(bytes) => Next::Bytes(bytes),
+                    Err(_) => continue,
+                },
+            };
+        }
+    }
+
+    /// Takes the whole events, as one piece.
+    fn take_events(&mut self) -> Bytes {
+        let Some(first) = self.reader.next_event() else { return Bytes::new() };
+        let mut piece: Option<BytesMut> = None;
+        let mut event = first;
+        let raw = event.raw.clone();
+        loop {
+            self.note(&event);
+            match self.reader.next_event() {
+                None => break,
+                Some(next) => {
+                    piece
+                        .get_or_insert_with(|| BytesMut::from(&raw[..]))
+                        .extend_from_slice(&next.raw);
+                    event = next;
+                }
+            }
+        }
+        piece.map_or(raw, BytesMut::freeze)
+    }
+
+    fn note(&mut self, event: &super::events::Event) {
+        if let Some(id) = &event.id
+            && let Ok(id) = std::str::from_utf8(id)
+        {
+            self.last_event = Some(id.into());
+        }
+        if event.has_data() {
+            self.events += 1;
+            if let Some(turn) = &mut self.turn {
+                turn.used += self.tokens_per_event;
+            }
+        }
+        if let Some(keeping) = &mut self.keeping {
+            event.write_data(&mut keeping.output);
+        }
+    }
+
+    /// The endpoint has ended its answer. A kept turn is made durable before the caller sees the end.
+    async fn end(&mut self) -> Option<Result<Bytes, Cut>> {
+        self.is_done = true;
+        if let Some(begun) = self.begun.take() {
+            begun.reuse.finish();
+            begun.slot.finish(Outcome::Answered);
+        }
+        let rest = self.reader.take_rest();
+        if let (Some(keeping), Some(turn)) = (self.keeping.take(), &mut self.turn) {
+            let call = &self.attempts.call;
+            let kept = peer::KeptTurn {
+                previous: keeping.previous.map(|p| p.to_string()),
+                input: keeping.input,
+                output: keeping.output.freeze(),
+                retain_ms: call.route.retain.unwrap_or_default().as_millis() as u64,
+            };
+            if let Err(refusal) = turn.keep(kept, call.deadline).await {
+                self.ending.finish(refusal.code);
+                return Some(Err(Cut("the turn could not be kept")));
+            }
+        }
+        self.ending.finish("whole");
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Lets another endpoint go on after the last whole event, where the route allows it.
+    async fn go_on_elsewhere(&mut self, cause: &str) -> Result<(), Cut> {
+        let id = self.attempts.call.head.id.clone();
+        let events = self.events;
+        log::warn!(id = &*id, cause, events; "stream broke off");
+        metrics::counter!("poplarspan_relay_broken_streams_total").increment(1);
+        self.reader.clear();
+        if let Some(begun) = self.begun.take() {
+            // The connection goes first, so that the endpoint stops before another one goes on.
+            drop((begun.body, begun.reuse));
+            self.attempts.failed(begun.slot);
+        }
+        if !self.attempts.may_retry() {
+            self.is_done = true;
+            self.ending.finish("broken");
+            return Err(Cut("the endpoint broke off"));
+        }
+        let last_event = self.last_event.clone();
+        match self.attempts.next(last_event.as_ref()).await {
+            Ok(begun) if begun.parts.status.is_success() => {
+                let endpoint = begun.slot.endpoint.name.clone();
+                log::info!(id = &*id, endpoint = &*endpoint; "stream goes on at another endpoint");
+                self.begun = Some(begun);
+                Ok(())
+            }
+            Ok(_) | Err(_) => {
+                self.is_done = true;
+                self.ending.finish("not_resumed");
+                Err(Cut("no other endpoint goes on"))
+            }
+        }
+    }
+}
+
+/// Tokens that an event stands for at the service of a call.
+pub(crate) fn tokens_per_event(front: &Arc<Front>, service: &str) -> u64 {
+    let view = front.fleet.view();
+    let engine = view.publication.as_ref().and_then(|p| p.service(service)?.engine);
+    engine.map_or(1, |e| u64::from(e.tokens_per_event))
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,50 @@
+//! A relay fleet: instances that forward calls of agent programs to endpoints, control replicas that
+//! keep what operators publish, and stores that keep programs and their turns.
+//!
+//! The protocols of callers, endpoints and operators are behind [`Dialect`]; this crate knows calls,
+//! teams, programs, endpoints and zones only.
+//!
+//! # Owners and failures
+//!
+//! * What operators publish belongs to a replicated log on the control replicas, and survives any
+//!   minority of them. Its leader also owns, in memory, the list of endpoints, the shares of each
+//!   team's rate and the list of live instances; a successor rebuilds them from the next reports.
+//! * Budgets and kept turns belong to a replicated log on the stores.
+//! * A front owns the calls in flight, its queues and its connections, which are lost with it. It
+//!   serves calls only under a lease from the leader of the control replicas, which is counted from
+//!   when the front asked for it and includes time for which the machine was suspended.
+//!
+//! # Units and errors
+//!
+//! Times are [`Duration`](std::time::Duration)s, sizes are in bytes, lengths of prompts in tokens.
+//! An answer of this crate's own with the status 429 or 503 means that the call has not run and
+//! never will; 502 and 504 mean that it is not known.
+
+mod board;
+mod call;
+mod control;
+mod dialect;
+mod fleet;
+mod front;
+mod publication;
+mod readiness;
+mod replica;
+mod run;
+mod settings;
+mod store;
+mod turns;
+
+pub use board::Board;
+pub use call::{
+    AnswerHead, CallHead, Forward, ListPage, ListedEndpoint, Load, Order, ProgramHead, PromptPart,
+    Secret,
+};
+pub use dialect::{Dialect, Malformed};
+pub use front::events::{Event, EventReader};
+pub use poplarspan_policy::rate::Limit;
+pub use publication::{
+    CallerLimits, Engine, Findings, Objects, Publication, Route, RouteKind, Service, Team,
+};
+pub use run::{Relay, Running};
+pub use settings::{Bounds, Duty, Settings};
+pub use turns::Turns;
--- /dev/null
+++ b/crates/relay/src/publication.rs
@@ -0,0 +1,289 @@
+//! The objects that operators publish: routes, services, teams and limits, checked as one set.
+
+use std::time::Duration;
+
+use poplarspan_policy::{Name, rate::Limit};
+
+use crate::Secret;
+
+/// A set of objects, as an operator sent it.
+#[derive(Clone, Debug, Default)]
+pub struct Objects {
+    /// Number of the set; the highest one takes effect.
+    pub version: u64,
+    /// Routes in any order.
+    pub routes: Vec<Route>,
+    /// Services in any order.
+    pub services: Vec<Service>,
+    /// Teams in any order; none when calls need no key.
+    pub teams: Option<Vec<Team>>,
+    /// Bounds on what callers may send.
+    pub limits: CallerLimits,
+}
+
+/// How calls on a route may be treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once for each attempt of the caller.
+    Once,
+    /// Answered with a stream of events.
+    Stream {
+        /// Whether another endpoint may go on with the stream.
+        resumable: bool,
+    },
+}
+
+/// Sends matching calls to services.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Name.
+    pub name: Name,
+    /// Host that it matches.
+    pub host: Name,
+    /// Path prefix that it matches; begins and ends with a slash.
+    pub prefix: Name,
+    /// How its calls may be treated.
+    pub kind: RouteKind,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub target: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Services with weights, which do not sum up to zero.
+    pub split: Vec<(Name, u32)>,
+    /// Endpoints that a call may be sent to.
+    pub max_endpoints: u32,
+    /// For how long its turns are kept; none if callers send the whole prompt each time.
+    pub retain: Option<Duration>,
+    /// Whether calls need no key.
+    pub open: bool,
+}
+
+/// A group of endpoints.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name.
+    pub name: Name,
+    /// For how long an endpoint is cold after its start.
+    pub cold: Duration,
+    /// Calls a second that a cold endpoint bears.
+    pub cold_per_second: f64,
+    /// Set for model engines.
+    pub engine: Option<Engine>,
+}
+
+/// Properties of model engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit into memory.
+    pub cache_tokens: u64,
+    /// Tokens that an event of a stream stands for.
+    pub tokens_per_event: u32,
+}
+
+/// A team and its keys.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Name.
+    pub name: Name,
+    /// Keys.
+    pub keys: Vec<Secret>,
+    /// Goes before the priority of the route.
+    pub priority: Option<u8>,
+    /// Calls over all instances; none for no limit.
+    pub limit: Option<Limit>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_head: usize,
+    /// Largest body, in bytes.
+    pub max_body: usize,
+    /// Time in which a head must arrive.
+    pub head_timeout: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_head: 16 * 1024,
+            max_body: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Faults of a set of objects, each with the place in the document.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{}", .0.join("\n"))]
+pub struct Findings(pub Vec<String>);
+
+/// Digest of a key.
+type KeyDigest = [u8; 32];
+
+/// A checked set of objects with its indices.
+#[derive(Debug)]
+pub struct Publication {
+    /// Number of the set.
+    pub version: u64,
+    /// Bounds on what callers may send.
+    pub limits: CallerLimits,
+    // Sorted by host, then longest prefix first.
+    routes: Vec<Route>,
+    // Sorted by name.
+    services: Vec<Service>,
+    // Sorted by name.
+    teams: Vec<Team>,
+    // Sorted; the number is the team's place in `teams`.
+    keys: Vec<(KeyDigest, usize)>,
+    needs_keys: bool,
+}
+
+impl Publication {
+    /// Checks a set and builds the indices.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings together.
+    pub fn new(objects: Objects) -> Result<Self, Findings> {
+        let Objects { version, mut routes, mut services, teams, limits } = objects;
+        let needs_keys = teams.is_some();
+        let mut teams = teams.unwrap_or_default();
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        teams.sort_by(|a, b| a.name.cmp(&b.name));
+        routes.sort_by(|a, b| {
+            a.host
+                .cmp(&b.host)
+                .then(b.prefix.len().cmp(&a.prefix.len()))
+                .then(a.prefix.cmp(&b.prefix))
+        });
+        let mut keys = key_index(&teams);
+        let mut findings = Vec::new();
+        check_names(&services, &teams, &mut findings);
+        check_routes(&routes, &services, &mut findings);
+        for pair in keys.windows(2).filter(|p| p[0].0 == p[1].0) {
+            let (one, other) = (&teams[pair[0].1].name, &teams[pair[1].1].name);
+            findings.push(format!("teams {one} and {other}: share a key"));
+        }
+        if !findings.is_empty() {
+            return Err(Findings(findings));
+        }
+        keys.dedup();
+        // Only digests are kept.
+        for team in &mut teams {
+            team.keys.clear();
+        }
+        Ok(Self { version, limits, routes, services, teams, keys, needs_keys })
+    }
+
+    /// The route of a call: the longest prefix of the host that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let from = self.routes.partition_point(|r| *r.host < *host);
+        let of_host = self.routes[from..].iter().take_while(|r| *r.host == *host);
+        of_host.into_iter().find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// The team that holds a key.
+    pub fn team_of(&self, key: &Secret) -> Option<&Team> {
+        let digest = *blake3::hash(&key.0).as_bytes();
+        let at = self.keys.binary_search_by(|(d, _)| d.cmp(&digest)).ok()?;
+        Some(&self.teams[self.keys[at].1])
+    }
+
+    /// Whether calls need a key, apart from those on open routes.
+    pub fn needs_keys(&self) -> bool {
+        self.needs_keys
+    }
+
+    /// All teams, sorted by name.
+    pub fn teams(&self) -> &[Team] {
+        &self.teams
+    }
+
+    /// The team of a name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        let at = self.teams.binary_search_by(|t| (*t.name).cmp(name)).ok()?;
+        Some(&self.teams[at])
+    }
+
+    /// The service of a name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let at = self.services.binary_search_by(|s| (*s.name).cmp(name)).ok()?;
+        Some(&self.services[at])
+    }
+
+    /// All services, sorted by name.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+}
+
+impl Route {
+    /// The service of a call. Calls with the same `hash` go to the same service.
+    pub fn service(&self, hash: u64) -> &Name {
+        let total: u64 = self.split.iter().map(|(_, w)| u64::from(*w)).sum();
+        let mut at = hash % total.max(1);
+        for (service, weight) in &self.split {
+            if at < u64::from(*weight) {
+                return service;
+            }
+            at -= u64::from(*weight);
+        }
+        &self.split[0].0
+    }
+}
+
+fn key_index(teams: &[Team]) -> Vec<(KeyDigest, usize)> {
+    let of_team = |(at, team): (usize, &Team)| {
+        team.keys.iter().map(move |k| (*blake3::hash(&k.0).as_bytes(), at)).collect::<Vec<_>>()
+    };
+    let mut keys: Vec<_> = teams.iter().enumerate().flat_map(of_team).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys
+}
+
+fn check_names(services: &[Service], teams: &[Team], findings: &mut Vec<String>) {
+    for pair in services.windows(2).filter(|p| p[0].name == p[1].name) {
+        findings.push(format!("service {}: defined twice", pair[0].name));
+    }
+    for pair in teams.windows(2).filter(|p| p[0].name == p[1].name) {
+        findings.push(format!("team {}: defined twice", pair[0].name));
+    }
+}
+
+fn check_routes(routes: &[Route], services: &[Service], findings: &mut Vec<String>) {
+    for route in routes {
+        let name = &route.name;
+        for (service, _) in &route.split {
+            if services.binary_search_by(|s| s.name.cmp(service)).is_err() {
+                findings.push(format!("route {name}: unknown service {service}"));
+            }
+        }
+        if route.split.iter().all(|(_, weight)| *weight == 0) {
+            findings.push(format!("route {name}: its weights sum up to zero"));
+        }
+        if route.timeout.is_zero() {
+            findings.push(format!("route {name}: its timeout is zero"));
+        }
+        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+            findings.push(format!("route {name}: its prefix must begin and end with a slash"));
+        }
+    }
+    for pair in routes.windows(2) {
+        if pair[0].host == pair[1].host && pair[0].prefix == pair[1].prefix {
+            let (one, other) = (&pair[0].name, &pair[1].name);
+            findings.push(format!("routes {one} and {other}: same host and prefix"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/replica/mod.rs
@@ -0,0 +1,353 @@
+//! A replica of a group that forms, grows and replaces its members by itself.
+//!
+//! The number of a replica names its machine and a random part, which is drawn with each new data
+//! folder: a replica whose disk was lost comes back under a new number and never votes again under
+//! the old one. Founders have the random part 0, so that all of them know the first voters.
+//!
+//! Owner of the state: the folder, and the replicated log in it. The requests to join that the
+//! leader has seen are lost with it and repeated by those who made them.
+
+pub(crate) mod plan;
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use poplarspan_agreement::{
+    Clock, DataDir, FileStore, GroupHandle, GroupId, IdentityError, Node, NodeConfig, ProposeError,
+    Refusal, ReplicaId, Role, StateMachine, Storage, StoreOptions, init_voters,
+};
+use poplarspan_node::{
+    PeerClient,
+    peer::{AgreementSink, AgreementTransport, FindReplica},
+};
+use poplarspan_proto::peer::{self, FailureCode, request, response};
+use tokio::time::{Instant, sleep};
+
+use plan::{Members, Step, machine};
+
+const GROUP: GroupId = GroupId(0);
+/// A request to join counts for this long; it is repeated more often.
+const JOIN_COUNTS: Duration = Duration::from_secs(2);
+const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// A replica that has heard of no leader for this long asks whether it is still a member.
+const LEADERLESS: Duration = Duration::from_millis(1_200);
+const PLAN_INTERVAL: Duration = Duration::from_millis(150);
+/// A learner that lags behind is not tried again for this long.
+const LAG_PAUSE: Duration = Duration::from_millis(300);
+/// Zeros written ahead of the log; the disks of control replicas are small.
+const PREALLOCATE_BYTES: usize = 256 * 1024;
+const SEGMENT_BYTES: u64 = 8 << 20;
+
+/// Timing of the replicated log. The heartbeat costs each replica a message to each other one, and
+/// the election timeout is what a lost leader costs; both are short against the bounds for
+/// acknowledging an order.
+fn timing(clock: Arc<dyn Clock>) -> NodeConfig {
+    NodeConfig {
+        clock,
+        tick: Duration::from_millis(20),
+        heartbeat: Duration::from_millis(100),
+        election_timeout_min: Duration::from_millis(500),
+        election_timeout_max: Duration::from_millis(900),
+        drift_margin: Duration::from_millis(100),
+        ..NodeConfig::default()
+    }
+}
+
+/// A data folder, made ready for a replica.
+pub(crate) struct Folder {
+    dir: DataDir,
+}
+
+impl Folder {
+    /// Opens the folder. One that holds no identity has never voted; it is cleared, and gets the
+    /// number of a founder, or a new one. Blocks.
+    pub(crate) fn open(path: &Path, ip: Ipv4Addr, is_founder: bool) -> Result<Self> {
+        let dir = match DataDir::open(path) {
+            Err(IdentityError::Missing(_)) => {
+                let nonce = if is_founder { 0 } else { rand::random_range(1..=u32::MAX) };
+                clear(path).with_context(|| format!("cannot clear {}", path.display()))?;
+                DataDir::init(path, number(ip, nonce))
+            }
+            opened => opened,
+        };
+        Ok(Self { dir: dir.context("cannot open the data folder")? })
+    }
+
+    pub(crate) fn replica(&self) -> ReplicaId {
+        self.dir.replica()
+    }
+
+    /// Whether the replica has never been part of a group.
+    pub(crate) fn is_new(&self) -> bool {
+        !self.ready_file().exists()
+    }
+
+    fn ready_file(&self) -> PathBuf {
+        self.dir.log_folder().with_file_name(READY_FILE)
+    }
+
+    /// Opens the log; a new one gets the first voters.
+    async fn log(&self, founders: &[ReplicaId]) -> Result<FileStore> {
+        let folder = self.dir.log_folder();
+        let options =
+            StoreOptions { segment_bytes: SEGMENT_BYTES, preallocate_bytes: PREALLOCATE_BYTES };
+        if self.is_new() {
+            clear(&folder)?;
+            FileStore::create(&folder).context("cannot create the log")?;
+        }
+        let store = FileStore::open(&folder, options).context("cannot open the log")?;
+        if self.is_new() {
+            if founders.contains(&self.replica()) && store.load().await?.is_empty() {
+                init_voters(&store, &[GROUP], founders).await?;
+            }
+            let ready = self.ready_file();
+            fs::File::create(&ready)?.sync_all()?;
+            fs::File::open(ready.parent().context("a file in the data folder")?)?.sync_all()?;
+        }
+        Ok(store)
+    }
+}
+
+/// Exists once the log has been created as a whole.
+const READY_FILE: &str = "ready";
+
+/// Removes what is in a folder, as far as it exists.
+fn clear(path: &Path) -> Result<()> {
+    let Ok(items) = fs::read_dir(path) else { return Ok(()) };
+    for item in items {
+        let path = item?.path();
+        if path.is_dir() {
+            fs::remove_dir_all(&path)?;
+        } else {
+            fs::remove_file(&path)?;
+        }
+    }
+    Ok(())
+}
+
+/// Number of the founder on a machine.
+pub(crate) fn founder(ip: Ipv4Addr) -> ReplicaId {
+    number(ip, 0)
+}
+
+fn number(ip: Ipv4Addr, nonce: u32) -> ReplicaId {
+    ReplicaId(u64::from(u32::from(ip)) << 32 | u64::from(nonce))
+}
+
+/// A running replica.
+pub(crate) struct Replica {
+    id: ReplicaId,
+    peer_port: u16,
+    node: Arc<Node>,
+    handle: GroupHandle,
+    /// With the time of the last request.
+    joining: Mutex<Vec<(ReplicaId, Instant)>>,
+    leaving: Mutex<Vec<ReplicaId>>,
+    /// Keeps the folder locked.
+    _dir: DataDir,
+}
+
+impl Replica {
+    /// Starts a replica of a group whose members all listen on `peer_port`.
+    pub(crate) async fn start(
+        folder: Folder,
+        founders: &[ReplicaId],
+        peer_port: u16,
+        client: PeerClient,
+        clock: Arc<dyn Clock>,
+        state: Box<dyn StateMachine>,
+    ) -> Result<Arc<Self>> {
+        let store = folder.log(founders).await?;
+        let id = folder.replica();
+        let find: FindReplica =
+            Arc::new(move |id| Some(SocketAddr::from((machine(ReplicaId(id)), peer_port))));
+        let transport = AgreementTransport::new(id, folder.dir.folder(), client, find);
+        let node = Node::builder(id, Box::new(store), transport)
+            .peers(folder.dir.peers()?)
+            .config(timing(clock))
+            .group(GROUP, state)
+            .start()
+            .await
+            .context("cannot start the replicated log")?;
+        let handle = node.group(GROUP).context("the group that was just added")?;
+        Ok(Arc::new(Self {
+            id,
+            peer_port,
+            node: Arc::new(node),
+            handle,
+            joining: Mutex::default(),
+            leaving: Mutex::default(),
+            _dir: folder.dir,
+        }))
+    }
+
+    /// Whether this replica leads, as of the last tick, and in which term.
+    pub(crate) fn leads(&self) -> Option<u64> {
+        let view = *self.handle.watch().borrow();
+        (view.role == Role::Leader && view.lease).then_some(view.term)
+    }
+
+    /// Peer address of the leader, if another replica is known to lead.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        let leader = self.handle.watch().borrow().leader?;
+        (leader != self.id).then(|| SocketAddr::from((machine(leader), self.peer_port)))
+    }
+
+    /// Commits a command.
+    pub(crate) async fn propose(&self, command: Bytes) -> Result<Bytes, ProposeError> {
+        self.handle.propose(command).await
+    }
+
+    /// Reads the state behind a read barrier. None when this replica does not lead.
+    pub(crate) async fn query<M: StateMachine, R: Send + 'static>(
+        &self,
+        f: impl FnOnce(&M) -> R + Send + 'static,
+    ) -> Option<R> {
+        self.handle.query(f).await.ok()
+    }
+
+    /// Voters of the group, as this replica knows them.
+    pub(crate) async fn voters(&self) -> Vec<ReplicaId> {
+        let status = self.handle.status().await;
+        status.map_or_else(Vec::new, |s| s.core.membership.voters)
+    }
+
+    /// Says which replicas are to be removed.
+    pub(crate) fn set_leaving(&self, leaving: Vec<ReplicaId>) {
+        *self.leaving.lock().expect("no panic while locked") = leaving;
+    }
+
+    /// Transfers leadership and stops.
+    pub(crate) async fn shutdown(&self) {
+        self.node.shutdown().await;
+    }
+
+    /// Returns when the log has failed.
+    pub(crate) async fn failed(&self) -> anyhow::Error {
+        self.node.failed().await.into()
+    }
+
+    /// The answer to a call that only the leader can carry out.
+    pub(crate) fn not_leader(&self) -> peer::Failure {
+        peer::Failure {
+            code: FailureCode::NotLeader.into(),
+            message: "this replica does not lead the group".to_owned(),
+            leader_address: self.leader().map(|a| a.to_string()).unwrap_or_default(),
+        }
+    }
+
+    /// Takes note of a request to join.
+    pub(crate) async fn join(&self, join: peer::Join) -> Result<peer::Joined, peer::Failure> {
+        if self.leads().is_none() {
+            return Err(self.not_leader());
+        }
+        let id = ReplicaId(join.replica);
+        {
+            let now = Instant::now();
+            let mut joining = self.joining.lock().expect("no panic while locked");
+            joining.retain(|(other, at)| *other != id && now < *at + JOIN_COUNTS);
+            joining.push((id, now));
+        }
+        Ok(peer::Joined { voter: self.voters().await.contains(&id) })
+    }
+
+    /// While this replica leads: adds, promotes and removes members.
+    pub(crate) async fn run_plan(self: Arc<Self>) -> Result<()> {
+        let mut lagging: Vec<(ReplicaId, Instant)> = Vec::new();
+        loop {
+            sleep(PLAN_INTERVAL).await;
+            if self.leads().is_none() {
+                continue;
+            }
+            let now = Instant::now();
+            lagging.retain(|(_, until)| now < *until);
+            let Some(members) = self.members(&lagging).await else { continue };
+            let Some(step) = members.next_step() else { continue };
+            if let Err(e) = self.take(step).await {
+                let (step, error) = (format!("{step:?}"), e.to_string());
+                log::info!(step = step.as_str(), error = error.as_str(); "change of members refused");
+                if let (Step::Promote(id), ProposeError::Refused(Refusal::NotCaughtUp)) =
+                    (members.next_step().expect("as before"), e)
+                {
+                    lagging.push((id, now + LAG_PAUSE));
+                }
+            } else {
+                let step = format!("{step:?}");
+                log::info!(step = step.as_str(); "change of members");
+            }
+        }
+    }
+
+    async fn members(&self, lagging: &[(ReplicaId, Instant)]) -> Option<Members> {
+        let core = self.handle.status().await?.core;
+        let now = Instant::now();
+        let joining = self.joining.lock().expect("no panic while locked");
+        let joining = joining.iter().filter(|(_, at)| now < *at + JOIN_COUNTS);
+        Some(Members {
+            me: self.id,
+            voters: core.membership.voters,
+            learners: core.membership.learners,
+            silence: core.silence,
+            joining: joining.map(|(id, _)| *id).collect(),
+            leaving: self.leaving.lock().expect("no panic while locked").clone(),
+            lagging: lagging.iter().map(|(id, _)| *id).collect(),
+        })
+    }
+
+    async fn take(&self, step: Step) -> Result<(), ProposeError> {
+        match step {
+            Step::AddLearner(id) => self.handle.add_learner(id).await,
+            Step::Promote(id) => self.handle.promote(id).await,
+            Step::Remove(id) => self.handle.remove_voter(id).await,
+            Step::HandOver(id) => self.handle.transfer_leadership(id).await,
+        }
+    }
+
+    /// Asks to join the group while this replica is no voter or hears of no leader. `peers` returns
+    /// where to ask.
+    pub(crate) async fn run_join(
+        self: Arc<Self>,
+        client: PeerClient,
+        peers: impl Fn() -> Vec<SocketAddr>,
+    ) -> Result<()> {
+        let mut heard_at = Instant::now();
+        let mut turn = 0usize;
+        let mut hint = None;
+        loop {
+            sleep(JOIN_INTERVAL).await;
+            let is_led = self.handle.watch().borrow().leader.is_some();
+            if is_led {
+                heard_at = Instant::now();
+            }
+            if heard_at.elapsed() < LEADERLESS && self.voters().await.contains(&self.id) {
+                continue;
+            }
+            let me = SocketAddr::from((machine(self.id), self.peer_port));
+            let peers: Vec<_> = peers().into_iter().filter(|a| *a != me).collect();
+            turn = turn.wrapping_add(1);
+            let next = || peers.get(turn % peers.len().max(1)).copied();
+            let Some(address) = hint.take().or_else(next) else { continue };
+            let join = request::Body::Join(peer::Join { replica: self.id.0 });
+            match client.call(address, join, JOIN_TIMEOUT).await {
+                Ok(response::Body::Joined(_)) => hint = Some(address),
+                Err(poplarspan_node::CallError::Failed(f)) => {
+                    hint = f.leader_address.parse().ok().filter(|a| *a != me);
+                }
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
+    /// Where messages of the replicated log go.
+    pub(crate) fn sink(&self) -> Arc<dyn AgreementSink> {
+        self.node.clone()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/replica/plan.rs
@@ -0,0 +1,123 @@
+//! Which change of a group's members comes next.
+//!
+//! One change at a time, and never one after which the voters that answer are no majority. A replica
+//! that lost its disk comes back under a new number on the same machine; its former number is
+//! removed as soon as the new one votes. A voter that has been silent for long is removed while
+//! enough others answer, so that the loss of a further one is borne; it joins again by itself.
+
+use std::{net::Ipv4Addr, time::Duration};
+
+use poplarspan_agreement::ReplicaId;
+
+/// A voter that has been silent for this long may be removed. Long enough for an election and a
+/// restart, short enough that a machine that was replaced is gone before the next one may be lost.
+const SILENT_AFTER: Duration = Duration::from_millis(3_000);
+/// A former number of a machine that is back under a new one is removed after this silence.
+const REPLACED_AFTER: Duration = Duration::from_millis(500);
+/// Voters of a group, as long as so many are there: two of them may be lost at once.
+pub(crate) const TARGET_VOTERS: usize = 5;
+/// A group is never made smaller than this, so that it bears a loss.
+pub(crate) const MIN_VOTERS: usize = 3;
+
+/// What the leader of a group knows of its members.
+#[derive(Clone, Debug)]
+pub(crate) struct Members {
+    pub(crate) me: ReplicaId,
+    pub(crate) voters: Vec<ReplicaId>,
+    pub(crate) learners: Vec<ReplicaId>,
+    /// Time since each other member answered.
+    pub(crate) silence: Vec<(ReplicaId, Duration)>,
+    /// Replicas that asked to be voters a short while ago.
+    pub(crate) joining: Vec<ReplicaId>,
+    /// Replicas that are to be emptied.
+    pub(crate) leaving: Vec<ReplicaId>,
+    /// Learners whose last promotion was refused because they lag behind.
+    pub(crate) lagging: Vec<ReplicaId>,
+}
+
+/// A change of the members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    AddLearner(ReplicaId),
+    Promote(ReplicaId),
+    Remove(ReplicaId),
+    /// Makes another voter the leader, so that this one can be removed.
+    HandOver(ReplicaId),
+}
+
+/// The machine that a replica's number belongs to.
+pub(crate) fn machine(id: ReplicaId) -> Ipv4Addr {
+    Ipv4Addr::from((id.0 >> 32) as u32)
+}
+
+impl Members {
+    /// The next change, if one is due.
+    pub(crate) fn next_step(&self) -> Option<Step> {
+        self.promotion()
+            .or_else(|| self.removal())
+            .or_else(|| self.addition())
+            .or_else(|| self.departure())
+    }
+
+    fn silence_of(&self, id: ReplicaId) -> Duration {
+        let found = self.silence.iter().find(|(r, _)| *r == id);
+        found.map_or(Duration::ZERO, |(_, silence)| *silence)
+    }
+
+    fn answers(&self, id: ReplicaId) -> bool {
+        self.silence_of(id) < REPLACED_AFTER
+    }
+
+    fn answering(&self) -> usize {
+        self.voters.iter().filter(|id| self.answers(**id)).count()
+    }
+
+    fn promotion(&self) -> Option<Step> {
+        let ready = |id: &&ReplicaId| self.answers(**id) && !self.lagging.contains(id);
+        self.learners.iter().find(ready).map(|id| Step::Promote(*id))
+    }
+
+    fn removal(&self) -> Option<Step> {
+        let is_replaced = |id: ReplicaId| {
+            let same = |other: &ReplicaId| *other != id && machine(*other) == machine(id);
+            self.silence_of(id) >= REPLACED_AFTER && self.voters.iter().any(same)
+        };
+        let is_silent =
+            |id: ReplicaId| self.silence_of(id) >= SILENT_AFTER && self.answering() >= MIN_VOTERS;
+        let gone = self.voters.iter().find(|id| is_replaced(**id) || is_silent(**id));
+        let idle =
+            |id: &&ReplicaId| self.silence_of(**id) >= SILENT_AFTER && !self.joining.contains(id);
+        let gone = gone.filter(|_| self.keeps_majority()).or(self.learners.iter().find(idle));
+        gone.map(|id| Step::Remove(*id))
+    }
+
+    /// Whether the voters that answer are a majority after one that does not is removed.
+    fn keeps_majority(&self) -> bool {
+        self.answering() * 2 > self.voters.len() - 1
+    }
+
+    fn addition(&self) -> Option<Step> {
+        let has_room = self.answering() + self.learners.len() < TARGET_VOTERS;
+        let is_new = |id: &&ReplicaId| {
+            !self.voters.contains(id) && !self.learners.contains(id) && !self.leaving.contains(id)
+        };
+        let returns = |id: &&ReplicaId| {
+            let same = |v: &ReplicaId| machine(*v) == machine(**id);
+            has_room || self.voters.iter().any(same)
+        };
+        self.joining.iter().find(|id| is_new(id) && returns(id)).map(|id| Step::AddLearner(*id))
+    }
+
+    fn departure(&self) -> Option<Step> {
+        let leaving = self.voters.iter().find(|id| self.leaving.contains(id))?;
+        let stays = |id: &&ReplicaId| self.answers(**id) && !self.leaving.contains(id);
+        let staying: Vec<_> = self.voters.iter().filter(stays).collect();
+        if staying.len() < MIN_VOTERS || !self.learners.is_empty() {
+            return None;
+        }
+        if *leaving != self.me {
+            return Some(Step::Remove(*leaving));
+        }
+        staying.into_iter().find(|id| **id != self.me).map(|id| Step::HandOver(*id))
+    }
+}
