--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,411 @@
+//! Runs one instance of a relay fleet.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result};
+use futures::future::BoxFuture;
+use poplarspan_agreement::{Clock, ReplicaId};
+use poplarspan_node::{
+    BootClock, Credentials, PeerClient, Readiness, Supervisor, TlsFiles,
+    peer::{AgreementSink, PeerServer, PeerService, Role},
+    probes,
+};
+use poplarspan_proto::peer::{self, FailureCode, request, response};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Board, Dialect, Duty, Settings, Turns,
+    control::{Control, ListReader, OrderServer},
+    fleet::{Fleet, Report},
+    front::{Front, listener::Listener, programs::Programs, rates::Rates, schedule::Schedule},
+    replica::{self, Folder, Replica},
+    store::Store,
+};
+
+/// Time after SIGTERM in which the platform stops sending new connections.
+const OUT_OF_ROTATION: Duration = Duration::from_millis(2_600);
+/// What is left of the grace period when the process ends in any case.
+const LAST_MOMENT: Duration = Duration::from_millis(300);
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// What an instance is made of.
+pub struct Relay {
+    /// Settings of the instance.
+    pub settings: Settings,
+    /// Protocols of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// Certificates of the peer port.
+    pub tls: TlsFiles,
+}
+
+/// A running instance.
+pub struct Running {
+    settings: Arc<Settings>,
+    fleet: Option<Arc<Fleet>>,
+    listener: Option<Arc<Listener>>,
+    replica: Option<Arc<Replica>>,
+    store: Option<Arc<Store>>,
+    stop: CancellationToken,
+    supervisor: Supervisor,
+    endpoint: quinn::Endpoint,
+}
+
+struct Parts {
+    settings: Arc<Settings>,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    client: PeerClient,
+    endpoint: quinn::Endpoint,
+    stop: CancellationToken,
+    supervisor: Supervisor,
+}
+
+impl Relay {
+    /// Starts the instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on, or the data folder cannot be used.
+    pub async fn start(self) -> Result<Running> {
+        let Self { settings, dialect, tls } = self;
+        let settings = Arc::new(settings);
+        let credentials = Credentials::load(&tls)?;
+        let address = settings.peer_address();
+        let endpoint = quinn::Endpoint::server(credentials.server_config()?, address)
+            .with_context(|| format!("cannot listen on peer address {address}"))?;
+        let client = PeerClient::with_endpoint(endpoint.clone(), &credentials)?;
+        let stop = CancellationToken::new();
+        let parts = Parts {
+            settings: settings.clone(),
+            dialect,
+            clock: Arc::new(BootClock::new()),
+            client,
+            endpoint,
+            supervisor: Supervisor::new(stop.clone()),
+            stop,
+        };
+        let metrics = probes::recorder();
+        let running = match settings.duty {
+            Duty::Control => parts.start_control().await?,
+            Duty::Store => parts.start_store().await?,
+            Duty::Front => parts.start_front().await?,
+        };
+        let mut running = running;
+        running.serve_metrics(metrics).await?;
+        log::info!(
+            instance = &*settings.instance, zone = &*settings.zone,
+            duty = settings.duty.as_str(), founding = settings.is_founding; "instance started"
+        );
+        Ok(running)
+    }
+}
+
+impl Parts {
+    fn serve_peers(&mut self, service: Arc<dyn PeerService>, sink: Option<Arc<dyn AgreementSink>>) {
+        let server = Arc::new(PeerServer::new(self.endpoint.clone(), service, sink));
+        self.supervisor.start("peer port", move || server.clone().run());
+    }
+
+    fn running(self) -> Running {
+        Running {
+            settings: self.settings,
+            fleet: None,
+            listener: None,
+            replica: None,
+            store: None,
+            stop: self.stop,
+            supervisor: self.supervisor,
+            endpoint: self.endpoint,
+        }
+    }
+
+    fn folder(&self, is_founder: bool) -> Result<Folder> {
+        let path = self.settings.data_dir.as_ref().context("this duty needs a data folder")?;
+        Folder::open(path, self.settings.ip, is_founder)
+    }
+
+    fn peer_port(&self) -> u16 {
+        self.settings.peer_address().port()
+    }
+
+    async fn start_control(mut self) -> Result<Running> {
+        let settings = self.settings.clone();
+        let is_founder = settings.is_founding && settings.seeds.contains(&settings.ip);
+        let folder = self.folder(is_founder)?;
+        let founders: Vec<ReplicaId> =
+            settings.seeds.iter().map(|ip| replica::founder(*ip)).collect();
+        let replica = Replica::start(
+            folder,
+            if is_founder { &founders } else { &[] },
+            self.peer_port(),
+            self.client.clone(),
+            self.clock.clone(),
+            Box::<Board>::default(),
+        )
+        .await?;
+        let control = Control::new(
+            settings.clone(),
+            replica.clone(),
+            self.dialect.clone(),
+            self.clock.clone(),
+        );
+        self.serve_peers(control.clone(), Some(replica.sink()));
+        let planner = replica.clone();
+        self.supervisor.start("members", move || planner.clone().run_plan());
+        let (joiner, client) = (replica.clone(), self.client.clone());
+        self.supervisor.start("joining", move || {
+            let (joiner, settings) = (joiner.clone(), settings.clone());
+            joiner.run_join(client.clone(), move || settings.control_peers())
+        });
+        let forming = control.clone();
+        self.supervisor.start("forming the stores", move || forming.clone().run_forming());
+        let reading = control.clone();
+        self.supervisor.start("list of endpoints", move || ListReader::new(reading.clone()).run());
+        if let Some(address) = self.settings.orders {
+            let socket = listen(address).await?;
+            let orders = OrderServer::new(control);
+            self.supervisor.start("orders", move || orders.clone().run(socket.clone()));
+        }
+        Ok(Running { replica: Some(replica), ..self.running() })
+    }
+
+    fn fleet(&self, duty: peer::Duty) -> Arc<Fleet> {
+        let (settings, dialect) = (self.settings.clone(), self.dialect.clone());
+        Fleet::new(settings, dialect, self.client.clone(), self.clock.clone(), duty)
+    }
+
+    async fn start_store(mut self) -> Result<Running> {
+        let folder = self.folder(false)?;
+        let id = folder.replica();
+        let fleet = self.fleet(peer::Duty::Store);
+        let store = Store::new();
+        self.serve_peers(store.clone(), Some(Arc::new(StoreSink(store.clone()))));
+        let report: Arc<dyn Report> = Arc::new(StoreReport { store: store.clone(), id });
+        let beats = fleet.clone();
+        self.supervisor.start("beats", move || beats.clone().run(report.clone()));
+        let joined = store.clone();
+        let member = StoreMember {
+            settings: self.settings.clone(),
+            fleet: fleet.clone(),
+            client: self.client.clone(),
+            clock: self.clock.clone(),
+            store: joined,
+        };
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            if let Err(e) = member.run(folder, stop.clone()).await {
+                let error = format!("{e:#}");
+                log::error!(error = error.as_str(); "the store has failed");
+                stop.cancel();
+            }
+        });
+        Ok(Running { fleet: Some(fleet), store: Some(store), ..self.running() })
+    }
+
+    async fn start_front(mut self) -> Result<Running> {
+        let settings = self.settings.clone();
+        let fleet = self.fleet(peer::Duty::Front);
+        let (client, clock) = (self.client.clone(), self.clock.clone());
+        let (programs, settler) = Programs::new(fleet.clone(), client.clone());
+        let schedule = Schedule::new(settings.zone.clone(), fleet.clone(), clock.clone());
+        let front = Arc::new(Front {
+            dialect: self.dialect.clone(),
+            fleet: fleet.clone(),
+            clock: clock.clone(),
+            schedule: schedule.clone(),
+            rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
+            programs,
+            pool: Front::pool(&*self.dialect),
+        });
+        self.serve_peers(Arc::new(NoDuties), None);
+        let (beats, report) = (fleet.clone(), front.clone() as Arc<dyn Report>);
+        self.supervisor.start("beats", move || beats.clone().run(report.clone()));
+        self.supervisor.start("schedule", move || schedule.clone().run());
+        let sweeping = front.clone();
+        self.supervisor.start("idle connections", move || sweeping.clone().run_sweep());
+        // Its queue lives as long as the task, so a failure ends the instance's settling.
+        tokio::spawn(settler.run());
+        let listener = Listener::new(front.clone());
+        let calls = listen(settings.calls.context("a front needs an address for calls")?).await?;
+        let accepting = listener.clone();
+        self.supervisor.start("calls", move || accepting.clone().run(calls.clone()));
+        if let Some(address) = settings.readiness {
+            let socket = listen(address).await?;
+            let server = crate::readiness::ReadinessServer::new(front, self.dialect.clone());
+            self.supervisor.start("readiness", move || server.clone().run(socket.clone()));
+        }
+        Ok(Running { fleet: Some(fleet), listener: Some(listener), ..self.running() })
+    }
+}
+
+impl Running {
+    async fn serve_metrics(&mut self, metrics: probes::Metrics) -> Result<()> {
+        let address = SocketAddr::from((self.settings.ip, self.settings.metrics_port));
+        let socket = listen(address).await?;
+        let readiness: Arc<dyn Readiness> = Arc::new(Alive);
+        self.supervisor.start("metrics", move || {
+            probes::serve(socket.clone(), readiness.clone(), metrics.clone())
+        });
+        Ok(())
+    }
+
+    /// Returns when the instance cannot go on.
+    pub async fn failed(&self) -> anyhow::Error {
+        match &self.replica {
+            Some(replica) => replica.failed().await,
+            None => {
+                self.stop.cancelled().await;
+                anyhow::anyhow!("the instance was stopped by a failure")
+            }
+        }
+    }
+
+    /// Takes the seeds of changed settings. All other changes take effect at the next start.
+    pub fn reload(&self, settings: &Settings) {
+        if let Some(fleet) = &self.fleet {
+            fleet.set_seeds(settings.control_peers());
+        }
+        let seeds = settings.seeds.len();
+        log::info!(seeds; "settings reloaded");
+    }
+
+    /// Shuts down: stops being ready, serves what is under way, hands leadership over, and ends.
+    /// Returns the number of connections that were still open.
+    pub async fn shutdown(self) -> usize {
+        log::info!(instance = &*self.settings.instance; "instance shutting down");
+        let end = Instant::now() + self.settings.bounds.grace.saturating_sub(LAST_MOMENT);
+        if let Some(fleet) = &self.fleet {
+            fleet.set_draining();
+            fleet.hurry();
+        }
+        let mut open = 0;
+        if let Some(listener) = &self.listener {
+            sleep(OUT_OF_ROTATION).await;
+            listener.close_idle();
+            while listener.open() > 0 && Instant::now() < end {
+                sleep(DRAIN_POLL).await;
+            }
+            open = listener.open();
+        }
+        let replica = self.replica.or_else(|| self.store.as_ref()?.replica());
+        if let Some(replica) = replica {
+            replica.shutdown().await;
+        }
+        self.stop.cancel();
+        self.supervisor.join().await;
+        self.endpoint.close(0u32.into(), b"done");
+        log::info!(open; "instance stopped");
+        open
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<Arc<TcpListener>> {
+    let socket = TcpListener::bind(address).await;
+    Ok(Arc::new(socket.with_context(|| format!("cannot listen on {address}"))?))
+}
+
+/// Runs the replica of a store, once it is known how it comes into the group.
+struct StoreMember {
+    settings: Arc<Settings>,
+    fleet: Arc<Fleet>,
+    client: PeerClient,
+    clock: Arc<dyn Clock>,
+    store: Arc<Store>,
+}
+
+impl StoreMember {
+    async fn run(self, folder: Folder, stop: CancellationToken) -> Result<()> {
+        let founders = self.founders(&folder).await?;
+        let port = self.settings.peer_address().port();
+        let (client, clock) = (self.client.clone(), self.clock.clone());
+        let replica =
+            Replica::start(folder, &founders, port, client, clock, Box::<Turns>::default()).await?;
+        self.store.set_replica(replica.clone());
+        let mut supervisor = Supervisor::new(stop);
+        let planner = replica.clone();
+        supervisor.start("members", move || planner.clone().run_plan());
+        let (joiner, client, fleet) = (replica.clone(), self.client.clone(), self.fleet.clone());
+        supervisor.start("joining", move || {
+            let (joiner, fleet) = (joiner.clone(), fleet.clone());
+            joiner.run_join(client.clone(), move || fleet.view().stores.clone())
+        });
+        let (retiring, fleet) = (replica.clone(), self.fleet.clone());
+        supervisor.start("retiring", move || follow_retiring(retiring.clone(), fleet.clone()));
+        let error = replica.failed().await;
+        // The log also ends when the instance shuts down.
+        if self.fleet.is_draining() { Ok(()) } else { Err(error) }
+    }
+
+    /// Waits for the decision on the first voters, if the store may be one of them.
+    async fn founders(&self, folder: &Folder) -> Result<Vec<ReplicaId>> {
+        if !folder.is_new() {
+            return Ok(Vec::new());
+        }
+        let mut changes = self.fleet.subscribe();
+        loop {
+            let founders = self.fleet.view().store_founders.clone();
+            if !founders.is_empty() {
+                return Ok(founders.into_iter().map(ReplicaId).collect());
+            }
+            changes.changed().await?;
+        }
+    }
+}
+
+/// Tells a leader of the stores which of them are to be emptied.
+async fn follow_retiring(replica: Arc<Replica>, fleet: Arc<Fleet>) -> Result<()> {
+    let mut changes = fleet.subscribe();
+    loop {
+        changes.changed().await?;
+        replica.set_leaving(fleet.view().retiring.iter().map(|id| ReplicaId(*id)).collect());
+    }
+}
+
+/// What a store adds to its beats.
+struct StoreReport {
+    store: Arc<Store>,
+    id: ReplicaId,
+}
+
+impl Report for StoreReport {
+    fn fill<'a>(&'a self, beat: &'a mut peer::Beat) -> BoxFuture<'a, ()> {
+        Box::pin(async move { beat.store = Some(self.store.state(self.id.0).await) })
+    }
+
+    fn take_shares(&self, _shares: &[peer::TeamShare]) {}
+}
+
+/// Hands messages of the replicated log to the store's replica, once there is one.
+struct StoreSink(Arc<Store>);
+
+impl AgreementSink for StoreSink {
+    fn deliver(&self, batch: peer::AgreementBatch) {
+        if let Some(replica) = self.0.replica() {
+            replica.sink().deliver(batch);
+        }
+    }
+}
+
+/// A peer service without duties.
+struct NoDuties;
+
+impl PeerService for NoDuties {
+    fn call(&self, _role: Role, _body: request::Body) -> BoxFuture<'_, response::Body> {
+        let message = "a front carries out no calls";
+        let failure = poplarspan_node::peer::failure(FailureCode::Invalid, message);
+        Box::pin(std::future::ready(failure))
+    }
+}
+
+/// The metrics port of an instance answers as long as the process runs.
+struct Alive;
+
+impl Readiness for Alive {
+    fn not_ready(&self) -> Option<&'static str> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/relay/src/store/mod.rs
@@ -0,0 +1,163 @@
+//! Duties of a store: it replicates budgets and kept turns, and while it leads, it begins and ends
+//! turns for the fronts.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+
+use futures::future::BoxFuture;
+use poplarspan_agreement::ProposeError;
+use poplarspan_node::peer::{PeerService, Role, failure};
+use poplarspan_proto::{
+    peer::{self, FailureCode, TurnVerdict, request, response},
+    relay as pb,
+};
+use prost::Message;
+use tokio::time::timeout;
+
+use crate::{Turns, control::invalid, replica::Replica};
+
+/// Time in which a command is committed, or its outcome is left open.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A store.
+pub(crate) struct Store {
+    /// None until the first voters of the group are decided.
+    replica: Mutex<Option<Arc<Replica>>>,
+}
+
+impl Store {
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self { replica: Mutex::default() })
+    }
+
+    /// Lets the store serve.
+    pub(crate) fn set_replica(&self, replica: Arc<Replica>) {
+        *self.replica.lock().expect("no panic while locked") = Some(replica);
+    }
+
+    pub(crate) fn replica(&self) -> Option<Arc<Replica>> {
+        self.replica.lock().expect("no panic while locked").clone()
+    }
+
+    fn running(&self) -> Result<Arc<Replica>, peer::Failure> {
+        self.replica().ok_or_else(|| peer::Failure {
+            code: FailureCode::NotLeader.into(),
+            message: "the group of the stores is not formed yet".to_owned(),
+            leader_address: String::new(),
+        })
+    }
+
+    async fn begin(&self, begin: peer::TurnBegin) -> Result<peer::TurnBegun, peer::Failure> {
+        let replica = self.running()?;
+        let verdict = |verdict: TurnVerdict, remaining| peer::TurnBegun {
+            verdict: verdict.into(),
+            history: bytes::Bytes::new(),
+            remaining,
+        };
+        let mut begun = verdict(TurnVerdict::Granted, 0);
+        if let Some(previous) = begin.previous.clone() {
+            let team = begin.team.clone();
+            let read = replica.query(move |turns: &Turns| turns.history(&team, &previous)).await;
+            match read.ok_or_else(|| replica.not_leader())? {
+                Some(history) => begun.history = history,
+                None => return Ok(verdict(TurnVerdict::UnknownTurn, 0)),
+            }
+        }
+        let Some(budget) = begin.budget else { return Ok(begun) };
+        let peer::TurnBegin { team, program, turn, most, .. } = begin;
+        let reserve = vec![pb::Reserve { team, program, turn, most, budget }];
+        let result = commit(&replica, pb::TurnCommand { reserve, ..Default::default() }).await?;
+        let Some(reserved) = result.reserved.first() else {
+            return Err(invalid("the reservation has no result"));
+        };
+        if !reserved.granted {
+            return Ok(verdict(TurnVerdict::Spent, reserved.remaining));
+        }
+        begun.remaining = reserved.remaining;
+        Ok(begun)
+    }
+
+    async fn end(&self, ends: peer::TurnEnds) -> Result<peer::TurnsEnded, peer::Failure> {
+        let replica = self.running()?;
+        let now_ms = now_ms();
+        let settle = |end: peer::TurnEnd| {
+            let peer::TurnEnd { team, program, turn, used, kept } = end;
+            let kept = kept.map(|kept| pb::Turn {
+                team: team.clone(),
+                turn: turn.clone(),
+                previous: kept.previous,
+                input: kept.input,
+                output: kept.output,
+                expires_ms: now_ms + kept.retain_ms,
+            });
+            pb::Settle { team, program, turn, used, kept }
+        };
+        let settle = ends.ends.into_iter().map(settle).collect();
+        commit(&replica, pb::TurnCommand { settle, ..Default::default() }).await?;
+        Ok(peer::TurnsEnded {})
+    }
+
+    /// What the leader of the control group is told.
+    pub(crate) async fn state(&self, id: u64) -> peer::StoreState {
+        let Some(replica) = self.replica() else {
+            return peer::StoreState { replica: id, leads: false, voters: Vec::new() };
+        };
+        peer::StoreState {
+            replica: id,
+            leads: replica.leads().is_some(),
+            voters: replica.voters().await.into_iter().map(|v| v.0).collect(),
+        }
+    }
+}
+
+async fn commit(
+    replica: &Replica,
+    mut command: pb::TurnCommand,
+) -> Result<pb::TurnResult, peer::Failure> {
+    command.now_ms = now_ms();
+    let proposed = replica.propose(command.encode_to_vec().into());
+    let unknown = |message: &str| peer::Failure {
+        code: FailureCode::UnknownOutcome.into(),
+        message: message.to_owned(),
+        leader_address: String::new(),
+    };
+    let result = match timeout(COMMIT_TIMEOUT, proposed).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(ProposeError::NotLeader { .. })) => return Err(replica.not_leader()),
+        Ok(Err(e)) => return Err(unknown(&e.to_string())),
+        Err(_) => return Err(unknown("not committed in time")),
+    };
+    pb::TurnResult::decode(result).map_err(|e| unknown(&e.to_string()))
+}
+
+/// Time of day. It only decides when kept turns expire, with a margin for clocks that differ.
+fn now_ms() -> u64 {
+    let elapsed = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl PeerService for Store {
+    fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body> {
+        Box::pin(async move {
+            if role != Role::Instance {
+                return failure(FailureCode::Unauthorized, "only instances may ask for this");
+            }
+            let answer = match body {
+                request::Body::TurnBegin(begin) => {
+                    self.begin(begin).await.map(response::Body::TurnBegun)
+                }
+                request::Body::TurnEnds(ends) => {
+                    self.end(ends).await.map(response::Body::TurnsEnded)
+                }
+                request::Body::Join(join) => match self.running() {
+                    Ok(replica) => replica.join(join).await.map(response::Body::Joined),
+                    Err(failure) => Err(failure),
+                },
+                _ => Err(invalid("a store does not carry out this call")),
+            };
+            answer.unwrap_or_else(response::Body::Failure)
+        })
+    }
+}
--- /dev/null
+++ b/crates/relay/src/turns.rs
@@ -0,0 +1,257 @@
+//! What the stores replicate: what programs have used of their budgets, and kept turns.
+//!
+//! Owner: the replicated log of the stores. A turn is begun by reserving the most that it may
+//! generate, and ends by settling what it did generate. A turn that never ends, because its front
+//! died, keeps its reservation: nobody knows what it has handed out. All commands may be repeated.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use poplarspan_agreement::StateMachine;
+use poplarspan_policy::Name;
+use poplarspan_proto::relay as pb;
+use prost::Message;
+
+/// Time after the last turn of a program for which its account is kept, in milliseconds. A program
+/// that is still known to its caller comes back sooner.
+const KEEP_ACCOUNT_MS: u64 = 10 * 60 * 1000;
+/// Time for which a turn is kept beyond what was asked for, in milliseconds; covers the difference
+/// between the clocks of successive leaders.
+const RETAIN_MARGIN_MS: u64 = 10_000;
+/// Time between two searches for what has expired, in milliseconds.
+const SWEEP_MS: u64 = 5_000;
+/// Turns before one turn; a longer line cannot be continued.
+const MAX_DEPTH: usize = 4096;
+
+/// Team and name of a program or turn.
+type Key = (Name, Name);
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Account {
+    used: u64,
+    /// Turns under way with what is reserved for each, sorted by turn.
+    open: Vec<(Name, u64)>,
+    touched_ms: u64,
+}
+
+impl Account {
+    fn committed(&self) -> u64 {
+        self.used + self.open.iter().map(|(_, most)| most).sum::<u64>()
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Kept {
+    previous: Option<Name>,
+    input: Bytes,
+    output: Bytes,
+    expires_ms: u64,
+}
+
+/// State machine of the stores' group.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Turns {
+    now_ms: u64,
+    swept_ms: u64,
+    // Sorted by key.
+    accounts: Vec<(Key, Account)>,
+    // Sorted by key.
+    turns: Vec<(Key, Kept)>,
+}
+
+impl Turns {
+    /// Inputs and outputs of a kept turn and of those before it, oldest first. None when the team
+    /// has no such turn.
+    pub fn history(&self, team: &str, turn: &str) -> Option<Bytes> {
+        let chain = self.chain(team, turn)?;
+        let len = chain.iter().map(|k| k.input.len() + k.output.len()).sum();
+        let mut buf = BytesMut::with_capacity(len);
+        for kept in chain.iter().rev() {
+            buf.put_slice(&kept.input);
+            buf.put_slice(&kept.output);
+        }
+        Some(buf.freeze())
+    }
+
+    /// Tokens that a program has used or reserved.
+    pub fn committed(&self, team: &str, program: &str) -> u64 {
+        find(&self.accounts, team, program).map_or(0, |at| self.accounts[at].1.committed())
+    }
+
+    /// Kept turns.
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Whether no turn is kept.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// A turn and those before it, newest first.
+    fn chain(&self, team: &str, turn: &str) -> Option<Vec<&Kept>> {
+        let mut chain = Vec::new();
+        let mut next = Some(turn);
+        while let Some(turn) = next {
+            let kept = &self.turns[find(&self.turns, team, turn).ok()?].1;
+            chain.push(kept);
+            next = kept.previous.as_deref();
+            if chain.len() > MAX_DEPTH {
+                return None;
+            }
+        }
+        Some(chain)
+    }
+
+    fn reserve(&mut self, reserve: pb::Reserve) -> pb::Reserved {
+        let now_ms = self.now_ms;
+        let pb::Reserve { team, program, turn, most, budget } = reserve;
+        let account = entry(&mut self.accounts, (team.into(), program.into()));
+        account.touched_ms = now_ms;
+        let turn = Name::from(turn);
+        let committed = account.committed();
+        match account.open.binary_search_by(|(t, _)| t.cmp(&turn)) {
+            Ok(_) => pb::Reserved { granted: true, remaining: budget.saturating_sub(committed) },
+            Err(at) if committed.saturating_add(most) <= budget => {
+                account.open.insert(at, (turn, most));
+                pb::Reserved { granted: true, remaining: budget - committed - most }
+            }
+            Err(_) => pb::Reserved { granted: false, remaining: budget.saturating_sub(committed) },
+        }
+    }
+
+    fn settle(&mut self, settle: pb::Settle) {
+        let pb::Settle { team, program, turn, used, kept } = settle;
+        if let Ok(at) = find(&self.accounts, &team, &program) {
+            let account = &mut self.accounts[at].1;
+            account.touched_ms = self.now_ms;
+            // A turn that is not open was settled before.
+            if let Ok(at) = account.open.binary_search_by(|(t, _)| (**t).cmp(&*turn)) {
+                account.open.remove(at);
+                account.used += used;
+            }
+        }
+        if let Some(turn) = kept {
+            self.keep(turn);
+        }
+    }
+
+    fn keep(&mut self, turn: pb::Turn) {
+        let pb::Turn { team, turn, previous, input, output, expires_ms } = turn;
+        let (team, turn) = (Name::from(team), Name::from(turn));
+        let mut next = previous.clone();
+        while let Some(previous) = next {
+            let Ok(at) = find(&self.turns, &team, &previous) else { break };
+            let kept = &mut self.turns[at].1;
+            if kept.expires_ms >= expires_ms {
+                break;
+            }
+            kept.expires_ms = expires_ms;
+            next = kept.previous.as_deref().map(str::to_owned);
+        }
+        let previous = previous.map(Name::from);
+        let kept = Kept { previous, input, output, expires_ms };
+        match find(&self.turns, &team, &turn) {
+            Ok(at) => self.turns[at].1 = kept,
+            Err(at) => self.turns.insert(at, ((team, turn), kept)),
+        }
+    }
+
+    fn sweep(&mut self) {
+        if self.now_ms < self.swept_ms + SWEEP_MS {
+            return;
+        }
+        let now_ms = self.now_ms;
+        self.swept_ms = now_ms;
+        self.turns.retain(|(_, kept)| now_ms < kept.expires_ms + RETAIN_MARGIN_MS);
+        self.accounts.retain(|(_, account)| now_ms < account.touched_ms + KEEP_ACCOUNT_MS);
+    }
+
+    fn execute(&mut self, command: pb::TurnCommand) -> pb::TurnResult {
+        self.now_ms = self.now_ms.max(command.now_ms);
+        for settle in command.settle {
+            self.settle(settle);
+        }
+        let reserved = command.reserve.into_iter().map(|r| self.reserve(r)).collect();
+        self.sweep();
+        pb::TurnResult { reserved }
+    }
+}
+
+fn find<T>(list: &[(Key, T)], team: &str, name: &str) -> Result<usize, usize> {
+    list.binary_search_by(|((t, n), _)| (**t).cmp(team).then_with(|| (**n).cmp(name)))
+}
+
+fn entry<T: Default>(list: &mut Vec<(Key, T)>, key: Key) -> &mut T {
+    let at = match list.binary_search_by(|(k, _)| k.cmp(&key)) {
+        Ok(at) => at,
+        Err(at) => {
+            list.insert(at, (key, T::default()));
+            at
+        }
+    };
+    &mut list[at].1
+}
+
+impl StateMachine for Turns {
+    fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        let result = match pb::TurnCommand::decode(Bytes::copy_from_slice(data)) {
+            Ok(command) => self.execute(command),
+            Err(e) => {
+                let error = e.to_string();
+                log::error!(index, error = error.as_str(); "malformed command is ignored");
+                pb::TurnResult::default()
+            }
+        };
+        result.encode_to_vec().into()
+    }
+
+    fn snapshot(&self) -> Bytes {
+        let account = |((team, program), account): &(Key, Account)| pb::Account {
+            team: team.to_string(),
+            program: program.to_string(),
+            used: account.used,
+            open: account
+                .open
+                .iter()
+                .map(|(turn, most)| pb::Reservation { turn: turn.to_string(), most: *most })
+                .collect(),
+            touched_ms: account.touched_ms,
+        };
+        let turn = |((team, turn), kept): &(Key, Kept)| pb::Turn {
+            team: team.to_string(),
+            turn: turn.to_string(),
+            previous: kept.previous.as_deref().map(str::to_owned),
+            input: kept.input.clone(),
+            output: kept.output.clone(),
+            expires_ms: kept.expires_ms,
+        };
+        pb::TurnSnapshot {
+            now_ms: self.now_ms,
+            accounts: self.accounts.iter().map(account).collect(),
+            turns: self.turns.iter().map(turn).collect(),
+        }
+        .encode_to_vec()
+        .into()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
+        let snapshot = pb::TurnSnapshot::decode(Bytes::copy_from_slice(snapshot))?;
+        let account = |a: pb::Account| {
+            let open = a.open.into_iter().map(|r| (r.turn.into(), r.most)).collect();
+            let account = Account { used: a.used, open, touched_ms: a.touched_ms };
+            ((a.team.into(), a.program.into()), account)
+        };
+        let turn = |t: pb::Turn| {
+            let previous = t.previous.map(Name::from);
+            let kept =
+                Kept { previous, input: t.input, output: t.output, expires_ms: t.expires_ms };
+            ((t.team.into(), t.turn.into()), kept)
+        };
+        *self = Self {
+            now_ms: snapshot.now_ms,
+            swept_ms: snapshot.now_ms,
+            accounts: snapshot.accounts.into_iter().map(account).collect(),
+            turns: snapshot.turns.into_iter().map(turn).collect(),
+        };
+        Ok(())
+    }
+}
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -2,16 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-/// PEM files of one side of a mutual TLS connection.
-#[derive(Clone, Debug)]
-pub struct TlsFiles {
-    /// Certificates of the authority that signs all instances and operators.
-    pub authority: PathBuf,
-    /// Certificate chain of this process.
-    pub certificate: PathBuf,
-    /// Private key of this process.
-    pub key: PathBuf,
-}
+use poplarspan_node::TlsFiles;
 
 /// Bounds on what one caller, and all callers together, may use.
 #[derive(Clone, Debug)]
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -33,7 +33,7 @@
 use crate::membership::read_change;
 pub(crate) use group::{Group, ProposeError};
 use leases::Leases;
-pub(crate) use node::{LogGroup, NodeSink, Shared};
+pub(crate) use node::{LogGroup, Shared};
 pub(crate) use orders::ReleaseOrders;
 pub(crate) use replicas::Replicas;
 pub(crate) use service::Service;
--- a/crates/server/src/control/node.rs
+++ b/crates/server/src/control/node.rs
@@ -6,14 +6,11 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use poplarspan_agreement::{
-    FolderId, GroupHandle, Node, PeerMessage, ProposeError as LogError, ReadError, ReplicaId, Role,
-    StateMachine,
+    GroupHandle, ProposeError as LogError, ReadError, ReplicaId, Role, StateMachine,
 };
 use poplarspan_ledger::{Catalog, Ledger};
-use poplarspan_proto::peer::AgreementBatch;
 
 use super::group::{Group, Leadership, ProposeError, ReplicaState, VoterStep};
-use crate::peer::AgreementSink;
 
 /// One group of the replicated log, as control duties see it.
 pub(crate) struct LogGroup {
@@ -122,30 +119,3 @@
         Ok(self.0.lock().expect("no panic while locked").restore(snapshot)?)
     }
 }
-
-/// Hands messages that arrive at the peer port to the node.
-pub(crate) struct NodeSink {
-    node: Arc<Node>,
-}
-
-impl NodeSink {
-    pub(crate) fn new(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { node })
-    }
-}
-
-impl AgreementSink for NodeSink {
-    fn deliver(&self, batch: AgreementBatch) {
-        let Ok(folder) = <[u8; 16]>::try_from(&batch.folder[..]) else { return };
-        let folder = FolderId(u128::from_be_bytes(folder));
-        for message in batch.messages {
-            match PeerMessage::decode(message) {
-                Ok(message) => self.node.deliver(ReplicaId(batch.from), folder, message),
-                Err(e) => {
-                    let (from, error) = (batch.from, e.to_string());
-                    log::warn!(from, error = error.as_str(); "malformed message of a replica");
-                }
-            }
-        }
-    }
-}
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -91,6 +91,13 @@
             Body::Peers(_) | Body::Rate(_) | Body::Crashes(_) => {
                 unreachable!("answered above")
             }
+            Body::Beat(_)
+            | Body::Join(_)
+            | Body::Borrow(_)
+            | Body::TurnBegin(_)
+            | Body::TurnEnds(_) => {
+                Err(failed(FailureCode::Invalid, "this instance is not part of a relay fleet"))
+            }
         }
     }
 
--- a/crates/server/src/dispatch/mod.rs
+++ b/crates/server/src/dispatch/mod.rs
@@ -4,9 +4,11 @@
 //! them is decided by the ledger of programs.
 
 mod answer;
-mod pool;
 
 pub(crate) use answer::{
     AnswerError, RelayLimits, Relayed, StreamEnd, collect, has_end, relay_stream,
 };
-pub(crate) use pool::{Exchange, Pool, REQUEST_ID_HEADER, Reuse, SendError};
+pub(crate) use poplarspan_node::pool::{Exchange, Pool, PoolConfig, Reuse, SendError};
+
+/// Header that ties an answer to its call.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -10,6 +10,7 @@
 };
 
 use anyhow::{Context, Result};
+use http::HeaderName;
 use poplarspan_agreement::{DataDir, Node};
 use poplarspan_objects::ObjectSet;
 use poplarspan_policy::retry::RetryBudget;
@@ -20,18 +21,18 @@
 use crate::{
     admission::FleetAdmission,
     config::InstanceConfig,
-    control::{self, Control, NodeSink, PROGRAM_GROUPS, ReleaseOrders, Replicas, Service, Sweeper},
+    control::{self, Control, PROGRAM_GROUPS, ReleaseOrders, Replicas, Service, Sweeper},
     crashes::Crashes,
-    dispatch::Pool,
+    dispatch::{Pool, PoolConfig, REQUEST_ID_HEADER},
     entry::{Entry, HELD_UNIT_BYTES, Listener},
     membership::{
         Directory, Heartbeats, Identity, Membership, SavedObjects, discover, new_incarnation,
     },
     peer::{AgreementSink, Credentials, PeerClient, PeerServer},
+    probes::{self, Readiness},
     programs::{Ledger, PeerLedger},
     schedule::{FairScheduler, LoadPoller, RunProbe},
     supervisor::Supervisor,
-    telemetry::{self, Readiness},
 };
 
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -92,7 +93,7 @@
     /// Fails when a file cannot be read or an address cannot be used.
     pub async fn start(self) -> Result<Running> {
         let cfg = self.cfg;
-        let metrics = telemetry::recorder();
+        let metrics = probes::recorder();
         let credentials = Credentials::load(&cfg.tls)?;
         let endpoint = quinn::Endpoint::server(credentials.server_config()?, cfg.peer_address)
             .with_context(|| format!("cannot listen on peer address {}", cfg.peer_address))?;
@@ -122,7 +123,7 @@
         let draining = Arc::new(AtomicBool::new(false));
         let leaving = Arc::new(AtomicBool::new(false));
         let incarnation = Arc::new(AtomicU64::new(new_incarnation()));
-        let pool = Pool::new();
+        let pool = Pool::new(PoolConfig::new(HeaderName::from_static(REQUEST_ID_HEADER)));
         let ledger: Arc<dyn Ledger> =
             Arc::new(PeerLedger::new(client.clone(), directory.clone(), membership.clone()));
         let session = incarnation.load(Ordering::Relaxed);
@@ -147,8 +148,7 @@
             crashes: crashes.clone(),
             rate_owner: admission.clone(),
         });
-        let sink =
-            started.as_ref().map(|s| NodeSink::new(s.node.clone()) as Arc<dyn AgreementSink>);
+        let sink = started.as_ref().map(|s| s.node.clone() as Arc<dyn AgreementSink>);
         let server = Arc::new(PeerServer::new(endpoint, service, sink));
         supervisor.start("peer port", move || server.clone().run());
         let identity = Identity {
@@ -185,7 +185,7 @@
         let ready = Arc::new(Ready { membership: membership.clone(), draining: draining.clone() });
         let probe_address = probe_socket.local_addr()?;
         supervisor.start("probe port", move || {
-            telemetry::serve(probe_socket.clone(), ready.clone(), metrics.clone())
+            probes::serve(probe_socket.clone(), ready.clone(), metrics.clone())
         });
 
         let entry = Arc::new(Entry {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -61,13 +61,12 @@
 mod entry;
 mod instance;
 mod membership;
-mod peer;
 mod programs;
 mod schedule;
-mod supervisor;
 mod telemetry;
 
-pub use config::{ConfigError, InstanceConfig, Limits, ReplicaAddress, TlsFiles};
+pub use config::{ConfigError, InstanceConfig, Limits, ReplicaAddress};
 pub use control::init_data_folder;
 pub use instance::{Instance, Running};
-pub use peer::{CallError, Credentials, PeerClient};
+pub use poplarspan_node::{CallError, Credentials, PeerClient, TlsFiles};
+use poplarspan_node::{peer, probes, supervisor};
--- a/crates/server/src/telemetry.rs
+++ b/crates/server/src/telemetry.rs
@@ -1,44 +1,13 @@
-//! Metrics, and the port that serves them beside health and readiness.
+//! Metrics of calls.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Mutex, time::Duration};
 
-use anyhow::Result;
-use bytes::Bytes;
-use futures::future::BoxFuture;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::{body::Incoming, service::service_fn};
-use hyper_util::{rt::TokioIo, rt::TokioTimer};
-use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use http::StatusCode;
 use poplarspan_objects::Name;
-use tokio::{net::TcpListener, sync::Semaphore};
 
-/// Bounds of latency histograms, in seconds.
-const LATENCY_BUCKETS: [f64; 14] =
-    [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0, 30.0, 120.0];
 /// Teams that get histograms of their own; the others share one, so that 30,000 teams do not make
 /// 30,000 series on every instance.
 const MAX_TEAM_LABELS: usize = 256;
-const MAX_PROBE_CONNECTIONS: usize = 64;
-
-/// Installs the metrics recorder of this process, once.
-pub(crate) fn recorder() -> PrometheusHandle {
-    static HANDLE: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
-    let mut handle = HANDLE.lock().expect("no panic while locked");
-    handle.get_or_insert_with(install).clone()
-}
-
-fn install() -> PrometheusHandle {
-    let seconds = Matcher::Suffix("_seconds".to_owned());
-    PrometheusBuilder::new()
-        .set_buckets_for_metric(seconds, &LATENCY_BUCKETS)
-        .expect("the list of buckets is not empty")
-        .install_recorder()
-        .expect("no other recorder is installed in this process")
-}
 
 /// Counts an answer to a caller.
 pub(crate) fn answered(status: StatusCode, elapsed: Duration) {
@@ -84,60 +53,3 @@
         Err(_) => "other".to_owned(),
     }
 }
-
-/// Says whether the instance can serve.
-pub(crate) trait Readiness: Send + Sync {
-    /// None when ready, or the reason why not.
-    fn not_ready(&self) -> Option<&'static str>;
-}
-
-/// Serves `/metrics`, `/healthz` and `/readyz`.
-pub(crate) async fn serve(
-    socket: Arc<TcpListener>,
-    readiness: Arc<dyn Readiness>,
-    handle: PrometheusHandle,
-) -> Result<()> {
-    let slots = Arc::new(Semaphore::new(MAX_PROBE_CONNECTIONS));
-    loop {
-        let permit = slots.clone().acquire_owned().await?;
-        let (stream, _) = socket.accept().await?;
-        let (readiness, handle) = (readiness.clone(), handle.clone());
-        let service = service_fn(move |request| {
-            let answer: BoxFuture<'_, _> =
-                Box::pin(std::future::ready(Ok::<_, std::convert::Infallible>(probe(
-                    &request,
-                    &*readiness,
-                    &handle,
-                ))));
-            answer
-        });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_secs(5))
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            // A probe that hangs up early needs no report.
-            let _ = connection.await;
-            drop(permit);
-        });
-    }
-}
-
-fn probe(
-    request: &Request<Incoming>,
-    readiness: &dyn Readiness,
-    handle: &PrometheusHandle,
-) -> Response<Full<Bytes>> {
-    let (status, text) = match (request.method(), request.uri().path()) {
-        (&Method::GET, "/metrics") => (StatusCode::OK, handle.render()),
-        (&Method::GET, "/healthz") => (StatusCode::OK, "ok\n".to_owned()),
-        (&Method::GET, "/readyz") => match readiness.not_ready() {
-            None => (StatusCode::OK, "ready\n".to_owned()),
-            Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
-        },
-        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
-    };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    response
-}
