relay: find a new leader sooner, let programs begin only within the rate, refuse late calls after SIGTERM

(2) A team above its rate had calls of all its programs refused, so most of its programs failed instead of the excess. (3) A call taken in the last seconds of the grace period was cut (LOST).

--- a/crates/node/src/peer/client.rs
+++ b/crates/node/src/peer/client.rs
@@ -80,7 +80,11 @@
         body: request::Body,
         timeout: Duration,
     ) -> Result<response::Body, CallError> {
-        let connection = self.connection(address).await?;
+        let started = tokio::time::Instant::now();
+        let connection = tokio::time::timeout(timeout, self.connection(address))
+            .await
+            .map_err(|_| CallError::Unreachable { address, cause: "timed out".to_owned() })??;
+        let timeout = timeout.saturating_sub(started.elapsed());
         let unknown = |cause: String| CallError::Unknown { address, cause };
         let exchange = exchange(&connection, peer::Request { body: Some(body) });
         let answer = match tokio::time::timeout(timeout, exchange).await {
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -5,14 +5,20 @@
 //! few calls at an instance borrows single tokens from what the [`Allocator`] keeps back, so that
 //! its burst is not cut into pieces too small to admit anything.
 //!
+//! It answers a team that asks for more than its rate: most of its programs should end, and the rest
+//! should not begin. So a program may begin only while the calls of those under way, with its own,
+//! stay within the rate; calls of programs under way are then rarely short of tokens.
+//!
 //! Over any window, all instances together admit no more than the rate times the window plus the
 //! burst: the shares handed out never exceed [`SHARED_RATE`] and [`SHARED_BURST`] of the limit, and
 //! the reserve has what is left. A share that shrinks counts as held until its instance reports the
 //! smaller one or its lease has run out. Growing a share never adds tokens, only room for them.
 //!
 //! Owner of the state: the instance that all others lease from. Its successor does not know the
-//! shares; for the length of a lease it only renews what instances report. Its reserve starts empty,
-//! with the part of the rate that is never shared out.
+//! shares; until each instance has had the time to report, it only renews what they hold, and its
+//! reserve starts empty, with the part of the rate that is never shared out. An instance that cannot
+//! reach the successor in that time may use the share it holds until its lease has run out: the team
+//! then gets at most that share more, for what is left of one lease.
 
 use std::time::Duration;
 
@@ -30,6 +36,16 @@
 const BURST_S: f64 = 0.5;
 /// Smallest burst of the share of an instance that is asked at all, in tokens.
 const MIN_BURST: f64 = 2.0;
+/// Part of a team's rate that the programs under way may be expected to use when one more begins.
+const BEGIN_BELOW: f64 = 0.95;
+/// Part of a team's rate from which on the allocator decides which programs begin.
+const CROWDED_FROM: f64 = 0.6;
+/// Time in which a program that has begun is not yet in the reports of its instance.
+const UNREPORTED: Duration = Duration::from_millis(400);
+/// Calls a second of a program under way, until it has been measured.
+const PROGRAM_RATE: f64 = 5.0;
+/// Weight of a new measurement in the calls a second of a program.
+const PROGRAM_GAIN: f64 = 0.05;
 /// An instance is asked by a team if it gets at least one call in this many seconds.
 const ACTIVE_S: f64 = 10.0;
 
@@ -135,6 +151,7 @@
 struct Holder {
     instance: Name,
     demand: f64,
+    programs: u32,
     /// Most that the instance may hold until `until`.
     held: Share,
     until: Duration,
@@ -150,14 +167,26 @@
     // Sorted by instance.
     holders: Vec<Holder>,
     reserve: Bucket,
+    /// Calls a second of a program under way.
+    program_rate: f64,
+    /// Programs that have begun and are in no report yet.
+    begun: Vec<Duration>,
 }
 
 impl Allocator {
-    /// Returns an allocator. `settled_at` is when every share that another allocator has given out
-    /// has run out; `lease` is for how long a share is given out.
+    /// Returns an allocator. `settled_at` is when every instance that can reach it has reported the
+    /// share that another allocator gave it; `lease` is for how long a share is given out.
     pub fn new(settled_at: Duration, lease: Duration, now: Duration) -> Self {
         let reserve = Bucket::new(Share::default(), now);
-        Self { limit: None, settled_at, lease, holders: Vec::new(), reserve }
+        Self {
+            limit: None,
+            settled_at,
+            lease,
+            holders: Vec::new(),
+            reserve,
+            program_rate: PROGRAM_RATE,
+            begun: Vec::new(),
+        }
     }
 
     /// Changes the team's limit; none for no limit.
@@ -170,25 +199,72 @@
 
     /// Takes an instance's report of what the team asks of it and of the share it holds. Returns the
     /// share that it may hold from now on, for the length of the lease.
-    pub fn report(&mut self, instance: &Name, demand: f64, held: Share, now: Duration) -> Share {
+    pub fn report(
+        &mut self,
+        instance: &Name,
+        demand: f64,
+        programs: u32,
+        held: Share,
+        now: Duration,
+    ) -> Share {
         self.holders.retain(|h| now < h.until);
         let until = now + self.lease;
         let at = match self.holders.binary_search_by(|h| h.instance.cmp(instance)) {
             Ok(at) => at,
             Err(at) => {
-                let holder = Holder { instance: instance.clone(), demand, held, until };
+                let instance = instance.clone();
+                let holder = Holder { instance, demand, programs, held, until };
                 self.holders.insert(at, holder);
                 at
             }
         };
         let holder = &mut self.holders[at];
         (holder.demand, holder.held, holder.until) = (demand, held, until);
+        holder.programs = programs;
+        self.measure_programs();
         let share = if now < self.settled_at { held } else { self.next_share(at) };
         self.holders[at].held = held.max(share);
         self.refresh_reserve(now);
         share
     }
 
+    /// Whether the team is near its rate, so that programs begin only when the allocator says so.
+    pub fn is_crowded(&self) -> bool {
+        let demand: f64 = self.holders.iter().map(|h| h.demand).sum();
+        self.limit.is_some_and(|limit| demand > CROWDED_FROM * limit.per_second())
+    }
+
+    /// Begins a program, if the programs under way leave room for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which there may be room.
+    pub fn begin(&mut self, now: Duration) -> Result<(), Duration> {
+        let Some(limit) = self.limit else { return Ok(()) };
+        self.begun.retain(|at| now < *at + UNREPORTED);
+        let programs: u32 = self.holders.iter().map(|h| h.programs).sum();
+        let programs = f64::from(programs) + self.begun.len() as f64;
+        let demand: f64 = self.holders.iter().map(|h| h.demand).sum();
+        let expected = demand.max(programs * self.program_rate) + self.program_rate;
+        let room = BEGIN_BELOW * limit.per_second();
+        // A rate that is below that of a single program still lets one at a time begin.
+        if expected <= room || programs < 1.0 {
+            self.begun.push(now);
+            return Ok(());
+        }
+        let excess = (expected - room) / limit.per_second();
+        Err(Duration::from_secs_f64(excess.clamp(0.2, 2.0)))
+    }
+
+    fn measure_programs(&mut self) {
+        let (demand, programs) =
+            self.holders.iter().fold((0.0, 0), |(d, p), h| (d + h.demand, p + h.programs));
+        if programs > 0 && demand > 0.0 {
+            let measured = (demand / f64::from(programs)).clamp(0.5, 50.0);
+            self.program_rate += PROGRAM_GAIN * (measured - self.program_rate);
+        }
+    }
+
     /// Takes one token from the reserve.
     ///
     /// # Errors
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -530,6 +530,9 @@
     pub share_per_second: f32,
     #[prost(float, tag = "4")]
     pub share_burst: f32,
+    /// Programs of the team that are under way at the instance.
+    #[prost(uint32, tag = "5")]
+    pub programs: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StoreState {
@@ -613,6 +616,9 @@
     pub per_second: f32,
     #[prost(float, tag = "3")]
     pub burst: f32,
+    /// The team is near its rate: the leader decides whether a program may begin.
+    #[prost(bool, tag = "4")]
+    pub crowded: bool,
 }
 /// Asks the leader of a group to make the sender a voter.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -632,6 +638,9 @@
     pub instance: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub team: ::prost::alloc::string::String,
+    /// The call begins a program; no token is taken.
+    #[prost(bool, tag = "3")]
+    pub begins: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Borrowed {
--- a/crates/relay/src/control/leading.rs
+++ b/crates/relay/src/control/leading.rs
@@ -21,7 +21,7 @@
 /// instances of a new fleet start together.
 const FORMING_TIME: Duration = Duration::from_millis(1_500);
 /// A new leader knows all live instances after this time: each sends several beats in it.
-const KNOWS_ALL_AFTER: Duration = Duration::from_millis(1_500);
+const KNOWS_ALL_AFTER: Duration = Duration::from_millis(1_000);
 
 /// A live instance.
 #[derive(Clone, Debug)]
@@ -244,20 +244,23 @@
                 per_second: f64::from(d.share_per_second),
                 burst: f64::from(d.share_burst),
             };
-            let share = allocator.report(instance, f64::from(d.per_second), held, now);
+            let demand = f64::from(d.per_second);
+            let share = allocator.report(instance, demand, d.programs, held, now);
             shares.push(peer::TeamShare {
                 team: d.team.clone(),
                 per_second: share.per_second as f32,
                 burst: share.burst as f32,
+                crowded: allocator.is_crowded(),
             });
         }
         shares
     }
 
-    /// Takes one token of a team's reserve.
+    /// Takes one token of a team's reserve, or lets a program of the team begin.
     pub(crate) fn borrow(
         &mut self,
         team: &Name,
+        begins: bool,
         publication: &Publication,
         now: Duration,
     ) -> Result<(), Option<Duration>> {
@@ -265,14 +268,14 @@
         let limit = team.limit;
         let allocator = self.allocator(&team.name, now);
         allocator.set_limit(limit, now);
-        allocator.borrow(now)
+        if begins { allocator.begin(now).map_err(Some) } else { allocator.borrow(now) }
     }
 
     fn allocator(&mut self, team: &Name, now: Duration) -> &mut Allocator {
         let at = match self.teams.binary_search_by(|(t, _)| t.cmp(team)) {
             Ok(at) => at,
             Err(at) => {
-                let settled_at = self.since + self.lease + DRIFT_MARGIN;
+                let settled_at = self.since + KNOWS_ALL_AFTER;
                 let allocator = Allocator::new(settled_at, self.lease + DRIFT_MARGIN, now);
                 self.teams.insert(at, (team.clone(), allocator));
                 at
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -31,7 +31,10 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Pause before the next candidate is asked.
 const RETRY: Duration = Duration::from_millis(50);
-const BEAT_TIMEOUT: Duration = Duration::from_millis(500);
+const BEAT_TIMEOUT: Duration = Duration::from_millis(300);
+/// An instance that did not answer as the leader is not asked again for this long, even if others
+/// still take it for the leader.
+const AVOID_LOST: Duration = Duration::from_millis(1_000);
 
 /// What an instance knows of the fleet.
 #[derive(Clone, Debug)]
@@ -79,7 +82,8 @@
     changed: watch::Sender<u64>,
     /// End of the lease, in microseconds of the clock.
     lease_until_us: AtomicU64,
-    draining: AtomicBool,
+    /// When the process ends, once it is shutting down.
+    ends_at: Mutex<Option<Instant>>,
     known: Mutex<Known>,
     /// Wakes the beats, for changes that the leader should hear of at once.
     hurry: Notify,
@@ -92,6 +96,14 @@
     cores: Vec<SocketAddr>,
     seeds: Vec<SocketAddr>,
     turn: usize,
+    /// An instance that has just failed to answer, and until when it is not asked.
+    avoid: Option<(SocketAddr, Instant)>,
+}
+
+impl Known {
+    fn is_avoided(&self, address: SocketAddr) -> bool {
+        self.avoid.is_some_and(|(avoid, until)| avoid == address && Instant::now() < until)
+    }
 }
 
 impl Fleet {
@@ -122,7 +134,7 @@
             view: ArcSwap::from_pointee(view),
             changed: watch::Sender::new(0),
             lease_until_us: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
+            ends_at: Mutex::default(),
             known: Mutex::new(known),
             hurry: Notify::new(),
         })
@@ -144,13 +156,18 @@
         until.checked_sub(self.clock.now()).filter(|left| !left.is_zero())
     }
 
-    /// Says that the instance is shutting down.
-    pub(crate) fn set_draining(&self) {
-        self.draining.store(true, Ordering::Release);
+    /// Says that the instance is shutting down and ends at `ends_at`.
+    pub(crate) fn set_draining(&self, ends_at: Instant) {
+        *self.ends_at.lock().expect("no panic while locked") = Some(ends_at);
+    }
+
+    /// When the instance ends, if it is shutting down.
+    pub(crate) fn ends_at(&self) -> Option<Instant> {
+        *self.ends_at.lock().expect("no panic while locked")
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.ends_at().is_some()
     }
 
     /// Sends the next beat at once.
@@ -210,11 +227,11 @@
                 true
             }
             Err(CallError::Failed(failure)) => {
-                self.lost(address, failure.leader_address.parse().ok());
+                self.lost(address, failure.leader_address.parse().ok(), true);
                 false
             }
             Ok(_) | Err(_) => {
-                self.lost(address, None);
+                self.lost(address, None, false);
                 false
             }
         }
@@ -227,7 +244,10 @@
             return known.leader;
         }
         known.turn = known.turn.wrapping_add(1);
-        let all: Vec<_> = known.cores.iter().chain(&known.seeds).copied().collect();
+        let mut all: Vec<_> = known.cores.iter().chain(&known.seeds).copied().collect();
+        all.sort_unstable();
+        all.dedup();
+        all.retain(|address| !known.is_avoided(*address));
         all.get(known.turn % all.len().max(1)).copied()
     }
 
@@ -239,14 +259,17 @@
         }
     }
 
-    fn lost(&self, address: SocketAddr, hint: Option<SocketAddr>) {
+    fn lost(&self, address: SocketAddr, hint: Option<SocketAddr>, has_answered: bool) {
         let mut known = self.known.lock().expect("no panic while locked");
         if known.leader == Some(address) {
             let leader = address.to_string();
             log::warn!(leader = leader.as_str(); "lost the leader of the control group");
             metrics::counter!("poplarspan_relay_leader_losses_total").increment(1);
         }
-        known.leader = hint.filter(|hint| *hint != address);
+        if !has_answered {
+            known.avoid = Some((address, Instant::now() + AVOID_LOST));
+        }
+        known.leader = hint.filter(|hint| *hint != address && !known.is_avoided(*hint));
     }
 
     fn take(&self, answer: peer::BeatAnswer, asked_at: Duration) {
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -28,6 +28,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// When a call may come back while the front holds no lease; about the time of an election.
 const COME_BACK: Duration = Duration::from_millis(400);
+/// When a call that another front can serve may come back.
+const ELSEWHERE: Duration = Duration::from_millis(10);
 /// Cost of a call to a plain service, in tokens.
 const SERVICE_COST: u64 = 64;
 /// Prompt tokens that cost as much as one generated token, as most of a prompt is cached.
@@ -215,9 +217,14 @@
         ending.team = team.as_ref().map(|t| t.name.clone());
         let time = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
         let deadline = ending.started + time;
+        if self.fleet.ends_at().is_some_and(|end| deadline > end) {
+            let message = "the instance ends before the call could";
+            return Err(Refusal::not_now("shutting_down", message, ELSEWHERE));
+        }
         let body = read_body(body, publication.limits.max_body, deadline).await?;
         if let Some(team) = &team {
-            self.rates.admit(team).await?;
+            let program = head.program.as_ref().map(|p| &p.id);
+            self.rates.admit(team, program, deadline).await?;
         }
         let (turn, keeping, body) =
             self.begin_turn(&route, &head, team.as_ref(), body, deadline).await?;
--- a/crates/relay/src/front/rates.rs
+++ b/crates/relay/src/front/rates.rs
@@ -1,7 +1,8 @@
 //! Admits calls of teams within the team's rate over the whole fleet.
 //!
 //! Most calls are admitted from the front's own share. A call for which the share has no token
-//! borrows one from the leader's reserve.
+//! borrows one from the leader's reserve, and waits for it if its program is under way. While the
+//! team is near its rate, the leader decides which programs begin; the others are refused at once.
 
 use std::{
     sync::{Arc, Mutex},
@@ -16,17 +17,25 @@
     quota::{Bucket, Demand, Share},
 };
 use poplarspan_proto::peer::{self, request, response};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::refusal::Refusal;
 use crate::{Settings, Team, fleet::Fleet};
 
 const BORROW_TIMEOUT: Duration = Duration::from_millis(300);
-/// A call within its team's rate waits this long for a token rather than being refused.
+/// A call without a program waits this long for a token rather than being refused.
 const PATIENCE: Duration = Duration::from_millis(60);
-/// Tries to borrow a token while no leader answers.
-const MAX_TRIES: u32 = 4;
-const RETRY: Duration = Duration::from_millis(100);
+/// A call of a program under way waits for a token for this part of its time.
+const PROGRAM_PATIENCE: f64 = 0.5;
+/// For how long a call waits for a leader that knows what is left of the rate: an election and a
+/// beat, as long as the caller has the time.
+const LEADER_PATIENCE: Duration = Duration::from_millis(1_500);
+const RETRY: Duration = Duration::from_millis(60);
+/// A program without calls for this long is not under way any more.
+const PROGRAM_IDLE: Duration = Duration::from_millis(1_500);
+/// A program that was admitted is known for this long after its last call.
+const PROGRAM_KNOWN: Duration = Duration::from_secs(20);
+const MAX_PROGRAMS: usize = 4_096;
 /// When a call that was refused for want of a leader may come back.
 const COME_BACK: Duration = Duration::from_millis(300);
 /// Demand below which a team is forgotten, in calls a second.
@@ -36,6 +45,45 @@
     name: Name,
     bucket: Bucket,
     demand: Demand,
+    /// Whether the leader decides which programs begin.
+    is_crowded: bool,
+    /// Admitted programs with the time of their last call, sorted by program.
+    programs: Vec<(Name, Duration)>,
+}
+
+impl TeamState {
+    fn new(name: &Name, now: Duration) -> Self {
+        Self {
+            name: name.clone(),
+            bucket: Bucket::new(Share::default(), now),
+            demand: Demand::default(),
+            is_crowded: false,
+            programs: Vec::new(),
+        }
+    }
+
+    /// Takes note of a call of an admitted program.
+    fn note(&mut self, program: &Name, now: Duration) {
+        match self.programs.binary_search_by(|(p, _)| p.cmp(program)) {
+            Ok(at) => self.programs[at].1 = now,
+            Err(at) => {
+                if self.programs.len() >= MAX_PROGRAMS {
+                    self.programs.retain(|(_, last)| now < *last + PROGRAM_IDLE);
+                    return;
+                }
+                self.programs.insert(at, (program.clone(), now));
+            }
+        }
+    }
+
+    fn knows(&self, program: &Name) -> bool {
+        self.programs.binary_search_by(|(p, _)| p.cmp(program)).is_ok()
+    }
+
+    fn under_way(&self, now: Duration) -> u32 {
+        let recent = |last: &Duration| now < *last + PROGRAM_IDLE;
+        self.programs.iter().filter(|(_, last)| recent(last)).count() as u32
+    }
 }
 
 /// The front's shares.
@@ -59,61 +107,114 @@
     }
 
     /// Admits a call, or refuses it.
-    pub(crate) async fn admit(&self, team: &Team) -> Result<(), Refusal> {
+    pub(crate) async fn admit(
+        &self,
+        team: &Team,
+        program: Option<&Name>,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
         if team.limit.is_none() {
             return Ok(());
         }
-        if self.take(&team.name).is_ok() {
+        let begins = program.is_some_and(|program| self.begins_crowded(&team.name, program));
+        if begins {
+            self.begin(&team.name, deadline).await?;
+        }
+        if self.take(&team.name, program).is_ok() {
             return Ok(());
         }
-        self.borrow(&team.name).await
+        let left = deadline.saturating_duration_since(Instant::now());
+        let patience = match program {
+            Some(_) => left.mul_f64(PROGRAM_PATIENCE),
+            None => PATIENCE,
+        };
+        self.borrow(&team.name, patience, deadline).await
+    }
+
+    /// Whether the call begins a program while its team is near its rate.
+    fn begins_crowded(&self, team: &Name, program: &Name) -> bool {
+        let teams = self.teams.lock().expect("no panic while locked");
+        let Ok(at) = teams.binary_search_by(|t| t.name.cmp(team)) else { return false };
+        teams[at].is_crowded && !teams[at].knows(program)
+    }
+
+    /// Asks the leader whether a program may begin.
+    async fn begin(&self, team: &Name, deadline: Instant) -> Result<(), Refusal> {
+        match self.ask(team, true, deadline).await {
+            Some(peer::Borrowed { granted: true, .. }) => Ok(()),
+            Some(peer::Borrowed { retry_after_ms, .. }) => {
+                let message = "the programs under way use up the team's rate";
+                Err(over_rate(message, Duration::from_millis(retry_after_ms)))
+            }
+            None => Err(rate_unknown()),
+        }
     }
 
     /// Takes a token of the own share.
-    fn take(&self, team: &Name) -> Result<(), Option<Duration>> {
+    fn take(&self, team: &Name, program: Option<&Name>) -> Result<(), Option<Duration>> {
         let now = self.clock.now();
         let mut teams = self.teams.lock().expect("no panic while locked");
         let at = match teams.binary_search_by(|t| t.name.cmp(team)) {
             Ok(at) => at,
             Err(at) => {
-                let bucket = Bucket::new(Share::default(), now);
-                let state = TeamState { name: team.clone(), bucket, demand: Demand::default() };
-                teams.insert(at, state);
+                teams.insert(at, TeamState::new(team, now));
                 at
             }
         };
-        teams[at].demand.arrive();
-        teams[at].bucket.take(now)
+        let team = &mut teams[at];
+        team.demand.arrive();
+        if let Some(program) = program {
+            team.note(program, now);
+        }
+        team.bucket.take(now)
     }
 
-    async fn borrow(&self, team: &Name) -> Result<(), Refusal> {
-        let mut waited = Duration::ZERO;
-        for _ in 0..MAX_TRIES {
-            match self.ask(team).await {
+    /// Borrows a token, waiting for it for `patience` at most.
+    async fn borrow(
+        &self,
+        team: &Name,
+        patience: Duration,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        let until = Instant::now() + patience;
+        loop {
+            match self.ask(team, false, deadline).await {
                 Some(peer::Borrowed { granted: true, .. }) => return Ok(()),
                 Some(peer::Borrowed { retry_after_ms, .. }) => {
                     let after = Duration::from_millis(retry_after_ms.max(1));
-                    if waited + after > PATIENCE {
-                        let message = "the team's rate is used up";
-                        let refusal =
-                            Refusal::new(StatusCode::TOO_MANY_REQUESTS, "over_rate", message);
-                        return Err(Refusal { come_back: Some(after), ..refusal });
+                    if Instant::now() + after > until {
+                        return Err(over_rate("the team's rate is used up", after));
                     }
-                    waited += after;
                     sleep(after).await;
                 }
-                None => sleep(RETRY).await,
+                None => return Err(rate_unknown()),
+            }
+        }
+    }
+
+    /// Asks the leader, whichever it is, until one answers. None when none does.
+    async fn ask(&self, team: &Name, begins: bool, deadline: Instant) -> Option<peer::Borrowed> {
+        let until = deadline.min(Instant::now() + LEADER_PATIENCE);
+        loop {
+            if let Some(borrowed) = self.ask_once(team, begins).await {
+                return Some(borrowed);
             }
+            if Instant::now() + RETRY > until {
+                return None;
+            }
+            sleep(RETRY).await;
         }
-        Err(Refusal::not_now("rate_unknown", "nobody can tell what is left of the rate", COME_BACK))
     }
 
     /// Asks the leader for a token. None when it does not answer.
-    async fn ask(&self, team: &Name) -> Option<peer::Borrowed> {
+    async fn ask_once(&self, team: &Name, begins: bool) -> Option<peer::Borrowed> {
         metrics::counter!("poplarspan_relay_borrows_total").increment(1);
         let leader = self.fleet.leader()?;
-        let borrow =
-            peer::Borrow { instance: self.settings.instance.to_string(), team: team.to_string() };
+        let borrow = peer::Borrow {
+            instance: self.settings.instance.to_string(),
+            team: team.to_string(),
+            begins,
+        };
         match self.client.call(leader, request::Body::Borrow(borrow), BORROW_TIMEOUT).await {
             Ok(response::Body::Borrowed(borrowed)) => Some(borrowed),
             Ok(_) | Err(_) => None,
@@ -133,7 +234,9 @@
                 per_second: per_second as f32,
                 share_per_second: share.per_second as f32,
                 share_burst: share.burst as f32,
+                programs: team.under_way(now),
             });
+            team.programs.retain(|(_, last)| now < *last + PROGRAM_KNOWN);
             per_second >= FORGET_BELOW || share.per_second > 0.0 || share.burst > 0.0
         });
         demand
@@ -145,6 +248,7 @@
         let mut teams = self.teams.lock().expect("no panic while locked");
         for share in shares {
             if let Ok(at) = teams.binary_search_by(|t| (*t.name).cmp(&share.team)) {
+                teams[at].is_crowded = share.crowded;
                 let share = Share {
                     per_second: f64::from(share.per_second),
                     burst: f64::from(share.burst),
@@ -154,3 +258,12 @@
         }
     }
 }
+
+fn over_rate(message: &'static str, come_back: Duration) -> Refusal {
+    let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "over_rate", message);
+    Refusal { come_back: Some(come_back), ..refusal }
+}
+
+fn rate_unknown() -> Refusal {
+    Refusal::not_now("rate_unknown", "nobody can tell what is left of the rate", COME_BACK)
+}
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -38,7 +38,7 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// A replica that has heard of no leader for this long asks whether it is still a member.
-const LEADERLESS: Duration = Duration::from_millis(1_200);
+const LEADERLESS: Duration = Duration::from_millis(1_000);
 const PLAN_INTERVAL: Duration = Duration::from_millis(150);
 /// A learner that lags behind is not tried again for this long.
 const LAG_PAUSE: Duration = Duration::from_millis(300);
@@ -53,10 +53,10 @@
     NodeConfig {
         clock,
         tick: Duration::from_millis(20),
-        heartbeat: Duration::from_millis(100),
-        election_timeout_min: Duration::from_millis(500),
-        election_timeout_max: Duration::from_millis(900),
-        drift_margin: Duration::from_millis(100),
+        heartbeat: Duration::from_millis(75),
+        election_timeout_min: Duration::from_millis(350),
+        election_timeout_max: Duration::from_millis(600),
+        drift_margin: Duration::from_millis(75),
         ..NodeConfig::default()
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -279,7 +279,7 @@
         log::info!(instance = &*self.settings.instance; "instance shutting down");
         let end = Instant::now() + self.settings.bounds.grace.saturating_sub(LAST_MOMENT);
         if let Some(fleet) = &self.fleet {
-            fleet.set_draining();
+            fleet.set_draining(end);
             fleet.hurry();
         }
         let mut open = 0;
