--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -38,6 +38,8 @@
 const MIN_BURST: f64 = 2.0;
 /// Part of a team's rate that the programs under way may be expected to use when one more begins.
 const BEGIN_BELOW: f64 = 0.95;
+/// A program may also begin while this part of the reserve's burst is unused.
+const BEGIN_FILL: f64 = 0.6;
 /// Part of a team's rate from which on the allocator decides which programs begin.
 const CROWDED_FROM: f64 = 0.6;
 /// Time in which a program that has begun is not yet in the reports of its instance.
@@ -109,6 +111,12 @@
         Err(refills.then(|| Duration::from_secs_f64((1.0 - self.level) / self.share.per_second)))
     }
 
+    /// Part of the burst that is in the bucket.
+    fn fill(&mut self, now: Duration) -> f64 {
+        self.refill(now);
+        if self.share.burst > 0.0 { self.level / self.share.burst } else { 0.0 }
+    }
+
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
@@ -247,8 +255,10 @@
         let demand: f64 = self.holders.iter().map(|h| h.demand).sum();
         let expected = demand.max(programs * self.program_rate) + self.program_rate;
         let room = BEGIN_BELOW * limit.per_second();
-        // A rate that is below that of a single program still lets one at a time begin.
-        if expected <= room || programs < 1.0 {
+        self.refresh_reserve(now);
+        // A team that has not used its burst may go beyond its rate for a while. A rate that is below
+        // that of a single program still lets one at a time begin.
+        if expected <= room || programs < 1.0 || self.reserve.fill(now) >= BEGIN_FILL {
             self.begun.push(now);
             return Ok(());
         }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -15,7 +15,7 @@
 
 use anyhow::Result;
 use arc_swap::ArcSwap;
-use futures::future::BoxFuture;
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
 use poplarspan_policy::{Name, starts::Place};
@@ -31,6 +31,8 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Pause before the next candidate is asked.
 const RETRY: Duration = Duration::from_millis(50);
+/// Instances that are asked at a time while no leader is known.
+const ASKED_AT_ONCE: usize = 3;
 const BEAT_TIMEOUT: Duration = Duration::from_millis(300);
 /// An instance that did not answer as the leader is not asked again for this long, even if others
 /// still take it for the leader.
@@ -202,7 +204,7 @@
 
     /// Sends one beat. Returns whether it was answered by the leader.
     async fn beat(&self, report: &dyn Report) -> bool {
-        let Some(address) = self.candidate() else { return false };
+        let candidates = self.candidates();
         let view = self.view();
         let mut beat = peer::Beat {
             instance: self.settings.instance.to_string(),
@@ -218,7 +220,27 @@
         };
         report.fill(&mut beat).await;
         let asked_at = self.clock.now();
-        let answer = self.client.call(address, request::Body::Beat(beat), BEAT_TIMEOUT).await;
+        let ask = |address| {
+            let call = self.client.call(address, request::Body::Beat(beat.clone()), BEAT_TIMEOUT);
+            call.map(move |answer| (address, answer))
+        };
+        let mut asked: FuturesUnordered<_> = candidates.into_iter().map(ask).collect();
+        while let Some((address, answer)) = asked.next().await {
+            if self.take_answer(address, answer, asked_at, report) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Takes the answer to a beat. Returns whether it came from the leader.
+    fn take_answer(
+        &self,
+        address: SocketAddr,
+        answer: Result<response::Body, CallError>,
+        asked_at: Duration,
+        report: &dyn Report,
+    ) -> bool {
         match answer {
             Ok(response::Body::Beat(answer)) => {
                 report.take_shares(&answer.shares);
@@ -237,18 +259,20 @@
         }
     }
 
-    /// Whom to ask: the leader, or the next one that may know it.
-    fn candidate(&self) -> Option<SocketAddr> {
+    /// Whom to ask: the leader, or several that may know it, so that one that does not answer costs
+    /// no time.
+    fn candidates(&self) -> Vec<SocketAddr> {
         let mut known = self.known.lock().expect("no panic while locked");
-        if known.leader.is_some() {
-            return known.leader;
+        if let Some(leader) = known.leader {
+            return vec![leader];
         }
         known.turn = known.turn.wrapping_add(1);
         let mut all: Vec<_> = known.cores.iter().chain(&known.seeds).copied().collect();
         all.sort_unstable();
         all.dedup();
         all.retain(|address| !known.is_avoided(*address));
-        all.get(known.turn % all.len().max(1)).copied()
+        let first = known.turn.wrapping_mul(ASKED_AT_ONCE) % all.len().max(1);
+        all.iter().cycle().skip(first).take(ASKED_AT_ONCE.min(all.len())).copied().collect()
     }
 
     fn found(&self, address: SocketAddr) {
