front: weigh prefill less against load

Cause: each front knows of its own calls only, so an endpoint to which it had not sent a shared part counted as 336 ms away, and fronts kept to a few endpoints (busiest 1.55 times the mean; streams twice as long in bursts).

--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -29,6 +29,21 @@
 const SERVICE_S: f64 = 0.2;
 /// A load report of an answer counts half after this time, which is about that of one answer.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(600);
+/// Costs of an endpoint. Prompts are read so fast that a shared part which a front does not know to
+/// be cached must not keep it from the endpoint: every endpoint holds all shared parts after a while,
+/// and each front knows of the calls it sent itself only. A full batch takes half as long again as
+/// an empty one.
+const COSTS: CostConfig = CostConfig {
+    other_zone_s: 0.006,
+    prefill_weight: 2.0,
+    occupancy: 0.5,
+    max_fill: 2.0,
+    group_fill: 1.0,
+    near_s: 0.01,
+    near: 0.1,
+    stay_s: 0.02,
+    stay: 0.1,
+};
 /// First pause after a failure, doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -97,7 +112,7 @@
         Self {
             fleet: Fleet::new(),
             prefixes: PrefixIndex::new(MAX_BLOCKS),
-            chooser: CostChooser::new(zone, CostConfig::default()),
+            chooser: CostChooser::new(zone, COSTS),
             known: Vec::new(),
             lines: Vec::new(),
             place: Place { rank: 0, of: 1 },
