front: parts of prompts that many lines share do not decide the endpoint

A part that many lines share is cached everywhere after a while, whichever front sent it. Without it in the cost, the line's own part and load can have their full weight (6 and 0.9).

--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -29,14 +29,13 @@
 const SERVICE_S: f64 = 0.2;
 /// A load report of an answer counts half after this time, which is about that of one answer.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(600);
-/// Costs of an endpoint. Prompts are read so fast that a shared part which a front does not know to
-/// be cached must not keep it from the endpoint: every endpoint holds all shared parts after a while,
-/// and each front knows of the calls it sent itself only. A full batch takes half as long again as
-/// an empty one.
+/// Costs of an endpoint. What a call adds to the time of the others in the batch counts as much as
+/// what it waits itself: one more call in a full batch slows each of them by some 3 percent, and all
+/// of them wait while its prompt is read.
 const COSTS: CostConfig = CostConfig {
     other_zone_s: 0.006,
-    prefill_weight: 2.0,
-    occupancy: 0.5,
+    prefill_weight: 6.0,
+    occupancy: 0.9,
     max_fill: 2.0,
     group_fill: 1.0,
     near_s: 0.01,
@@ -52,6 +51,10 @@
 /// Longest life of what is known of a line's last endpoint.
 const FORGET_LINE: Duration = Duration::from_secs(30);
 const MAX_LINES: usize = 8_192;
+/// A part counts as shared once this many lines have used it.
+const SHARED_BY: u32 = 8;
+/// Parts whose use is remembered; beyond, the one that was used longest ago is forgotten.
+const MAX_SHARED_PARTS: usize = 512;
 
 struct Known {
     name: Name,
@@ -86,6 +89,68 @@
     Failed,
 }
 
+/// Parts of prompts that lines share.
+///
+/// Each front knows only of the calls it sent itself, but a part that many lines share is cached at
+/// every endpoint that has been up for a while, whichever front sent it there. So it says nothing for
+/// or against an endpoint.
+#[derive(Default)]
+struct SharedParts {
+    /// Sorted by part.
+    parts: Vec<PartUse>,
+}
+
+struct PartUse {
+    id: u64,
+    /// Lines that used the part, as far as they followed one another.
+    lines: u32,
+    last_line: Option<Name>,
+    at: Duration,
+}
+
+impl SharedParts {
+    /// Takes note of the parts of a line's prompt. The last one is the line's own.
+    fn note(&mut self, want: &Want, now: Duration) {
+        let shared = want.parts.len().saturating_sub(1);
+        for part in &want.parts[..shared] {
+            let at = match self.parts.binary_search_by_key(&part.id, |p| p.id) {
+                Ok(at) => at,
+                Err(at) => {
+                    self.make_room();
+                    let at = at.min(self.parts.len());
+                    let new = PartUse { id: part.id, lines: 0, last_line: None, at: now };
+                    self.parts.insert(at, new);
+                    self.parts.sort_unstable_by_key(|p| p.id);
+                    self.parts.binary_search_by_key(&part.id, |p| p.id).unwrap_or(at)
+                }
+            };
+            let part = &mut self.parts[at];
+            part.at = now;
+            if part.last_line != want.line {
+                part.last_line.clone_from(&want.line);
+                part.lines = part.lines.saturating_add(1);
+            }
+        }
+    }
+
+    /// Number of leading parts that many lines share.
+    fn leading(&self, want: &Want) -> usize {
+        let is_shared = |part: &&PromptPart| {
+            let found = self.parts.binary_search_by_key(&part.id, |p| p.id);
+            found.is_ok_and(|at| self.parts[at].lines >= SHARED_BY)
+        };
+        want.parts.iter().take_while(is_shared).count()
+    }
+
+    fn make_room(&mut self) {
+        if self.parts.len() >= MAX_SHARED_PARTS
+            && let Some(oldest) = (0..self.parts.len()).min_by_key(|at| self.parts[*at].at)
+        {
+            self.parts.remove(oldest);
+        }
+    }
+}
+
 struct Line {
     name: Name,
     id: EndpointId,
@@ -101,6 +166,7 @@
     known: Vec<Known>,
     // Sorted by name.
     lines: Vec<Line>,
+    shared: SharedParts,
     place: Place,
     directory: u64,
     version: u64,
@@ -115,6 +181,7 @@
             chooser: CostChooser::new(zone, COSTS),
             known: Vec::new(),
             lines: Vec::new(),
+            shared: SharedParts::default(),
             place: Place { rank: 0, of: 1 },
             directory: 0,
             version: 0,
@@ -229,11 +296,12 @@
         let cold_rate =
             publication.and_then(|p| p.service(&want.service)).map_or(0.0, |s| s.cold_per_second);
         let avoid = self.avoid(want, tried, cold_rate, now);
+        let (blocks, prompt_tokens) = self.own_blocks(want);
         let request = RouteRequest {
             group: &want.service,
-            blocks: &want.blocks,
+            blocks,
             block_tokens: BLOCK_TOKENS,
-            prompt_tokens: want.prompt_tokens,
+            prompt_tokens,
             last: want.line.as_ref().and_then(|line| self.last_of(line)),
             avoid: &avoid,
         };
@@ -242,6 +310,14 @@
         Ok(self.count(want, &choice, now))
     }
 
+    /// Blocks and tokens of a prompt without the leading parts that many lines share.
+    fn own_blocks<'a>(&self, want: &'a Want) -> (&'a [u64], u32) {
+        let leading = &want.parts[..self.shared.leading(want)];
+        let tokens: u32 = leading.iter().map(|p| p.tokens).sum();
+        let blocks: usize = leading.iter().map(|p| (p.tokens / BLOCK_TOKENS) as usize).sum();
+        (&want.blocks[blocks..], want.prompt_tokens - tokens)
+    }
+
     /// Endpoints that must not get the call: those that were tried, and cold ones that have had as
     /// many calls in this second as they bear from this front.
     fn avoid(&mut self, want: &Want, tried: &[Name], rate: f64, now: Duration) -> Vec<EndpointId> {
@@ -260,12 +336,14 @@
     fn count(&mut self, want: &Want, choice: &Choice, now: Duration) -> Chosen {
         let id = choice.endpoint;
         self.fleet.began(id, now);
-        self.prefixes.dispatched(id, &want.blocks, now);
+        let (blocks, prompt_tokens) = self.own_blocks(want);
+        self.prefixes.dispatched(id, blocks, now);
+        self.shared.note(want, now);
         let cached = u64::from(choice.cached_blocks) * u64::from(BLOCK_TOKENS);
-        metrics::counter!("poplarspan_relay_prompt_tokens_total")
-            .increment(u64::from(want.prompt_tokens));
+        let prompt_tokens = u64::from(prompt_tokens);
+        metrics::counter!("poplarspan_relay_own_prompt_tokens_total").increment(prompt_tokens);
         metrics::counter!("poplarspan_relay_cached_prompt_tokens_total")
-            .increment(cached.min(u64::from(want.prompt_tokens)));
+            .increment(cached.min(prompt_tokens));
         if let Some(line) = &want.line {
             let entry = Line { name: line.clone(), id, at: now };
             match self.lines.binary_search_by(|l| l.name.cmp(line)) {
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -297,6 +297,7 @@
             team: team.map_or_else(|| "".into(), |t| t.name.clone()),
             program: head.program.as_ref().map(|p| p.id.clone()),
             line,
+            parts: head.prompt.as_slice().into(),
             blocks: blocks(&head.prompt).into(),
             prompt_tokens: head.prompt.iter().map(|p| p.tokens).sum(),
             cost: cost(&head),
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -23,7 +23,7 @@
 };
 
 use super::endpoints::{Chosen, Endpoints, Outcome};
-use crate::{Load, fleet::Fleet};
+use crate::{Load, PromptPart, fleet::Fleet};
 
 const TICK: Duration = Duration::from_millis(100);
 /// Calls that may wait at one front.
@@ -46,6 +46,9 @@
     pub(crate) program: Option<Name>,
     /// Line of turns that the call continues.
     pub(crate) line: Option<Name>,
+    /// Parts of the prompt, in order.
+    pub(crate) parts: Arc<[PromptPart]>,
+    /// Blocks of the whole prompt.
     pub(crate) blocks: Arc<[u64]>,
     pub(crate) prompt_tokens: u32,
     /// Estimated service, in tokens.
