front: keep histories of turns, batch what is settled; stores refuse calls beyond what they can work on

Fronts now remember the histories of turns that they kept, so that the next turn of a line reads none, and a store refuses a call beyond 192 open ones at once.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -650,19 +650,22 @@
     #[prost(uint64, tag = "2")]
     pub retry_after_ms: u64,
 }
-/// Reserves tokens for a turn of a program, and reads the turns before it.
+/// Reserves tokens for turns of a program, and reads the turns before one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnBegin {
     #[prost(string, tag = "1")]
     pub team: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub program: ::prost::alloc::string::String,
-    /// Name of the turn; one that is sent again gets the first answer.
+    /// Name of the reservation; one that is sent again gets the first answer.
     #[prost(string, tag = "3")]
-    pub turn: ::prost::alloc::string::String,
-    /// Most tokens that the turn may generate.
+    pub name: ::prost::alloc::string::String,
+    /// Tokens to reserve, as far as the budget holds them.
     #[prost(uint64, tag = "4")]
     pub most: u64,
+    /// Nothing is reserved if the budget holds fewer; 0 to reserve nothing.
+    #[prost(uint64, tag = "7")]
+    pub least: u64,
     /// Tokens that all turns of the program may generate; absent for no limit.
     #[prost(uint64, optional, tag = "5")]
     pub budget: ::core::option::Option<u64>,
@@ -679,6 +682,9 @@
     pub history: ::prost::bytes::Bytes,
     #[prost(uint64, tag = "3")]
     pub remaining: u64,
+    /// Tokens that are reserved.
+    #[prost(uint64, tag = "4")]
+    pub amount: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TurnEnds {
@@ -691,9 +697,10 @@
     pub team: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub program: ::prost::alloc::string::String,
+    /// Reservation to settle; empty when only a turn is kept.
     #[prost(string, tag = "3")]
-    pub turn: ::prost::alloc::string::String,
-    /// Tokens generated; what was reserved beyond that is returned.
+    pub name: ::prost::alloc::string::String,
+    /// Tokens used of it; the rest is returned.
     #[prost(uint64, tag = "4")]
     pub used: u64,
     /// Absent for turns that nothing continues.
@@ -702,6 +709,8 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KeptTurn {
+    #[prost(string, tag = "5")]
+    pub turn: ::prost::alloc::string::String,
     #[prost(string, optional, tag = "1")]
     pub previous: ::core::option::Option<::prost::alloc::string::String>,
     #[prost(bytes = "bytes", tag = "2")]
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -79,7 +79,7 @@
     #[prost(message, repeated, tag = "3")]
     pub settle: ::prost::alloc::vec::Vec<Settle>,
 }
-/// Reserves `most` tokens of a program's budget for a turn.
+/// Reserves tokens of a program's budget under a name.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reserve {
     #[prost(string, tag = "1")]
@@ -87,21 +87,26 @@
     #[prost(string, tag = "2")]
     pub program: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
-    pub turn: ::prost::alloc::string::String,
+    pub name: ::prost::alloc::string::String,
+    /// As many as the budget holds, up to this number.
     #[prost(uint64, tag = "4")]
     pub most: u64,
     #[prost(uint64, tag = "5")]
     pub budget: u64,
+    /// Nothing is reserved if the budget holds fewer.
+    #[prost(uint64, tag = "6")]
+    pub least: u64,
 }
-/// Replaces what was reserved for a turn by what it used, and keeps the turn.
+/// Replaces what was reserved under a name by what was used of it, and keeps a turn.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Settle {
     #[prost(string, tag = "1")]
     pub team: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub program: ::prost::alloc::string::String,
+    /// Empty when only a turn is kept.
     #[prost(string, tag = "3")]
-    pub turn: ::prost::alloc::string::String,
+    pub name: ::prost::alloc::string::String,
     #[prost(uint64, tag = "4")]
     pub used: u64,
     #[prost(message, optional, tag = "5")]
@@ -130,8 +135,9 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reserved {
-    #[prost(bool, tag = "1")]
-    pub granted: bool,
+    /// 0 if the budget does not hold what was asked for.
+    #[prost(uint64, tag = "1")]
+    pub amount: u64,
     #[prost(uint64, tag = "2")]
     pub remaining: u64,
 }
@@ -162,7 +168,7 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reservation {
     #[prost(string, tag = "1")]
-    pub turn: ::prost::alloc::string::String,
+    pub name: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
-    pub most: u64,
+    pub amount: u64,
 }
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -15,7 +15,7 @@
     body::{self, AnswerBody},
     endpoints::{Outcome, blocks},
     events::EventReader,
-    programs::{OpenTurn, TurnName},
+    programs::{OpenTurn, TurnName, TurnNeeds},
     refusal::Refusal,
     schedule::Want,
     stream::{Keeping, Relaying, tokens_per_event},
@@ -254,10 +254,15 @@
             program: program.id.clone(),
             turn: head.id.clone(),
         };
-        let most = u64::from(head.max_output_tokens);
-        let (turn, history) =
-            self.programs.begin(&name, most, program.token_budget, previous, deadline).await?;
+        let needs = TurnNeeds {
+            most: u64::from(head.max_output_tokens),
+            budget: program.token_budget,
+            previous,
+            deadline,
+        };
+        let (turn, history) = self.programs.begin(&name, needs).await?;
         let keeping = route.retain.map(|_| Keeping {
+            history: history.clone(),
             input: body.clone(),
             previous: previous.cloned(),
             output: BytesMut::new(),
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -1,18 +1,22 @@
 //! Begins and ends turns at the stores.
 //!
-//! A turn whose tokens are counted, or whose history is kept, begins with a reservation that the
-//! stores have committed. What it has used is settled afterwards, in batches; only a kept turn waits
-//! for the commit, because its caller may continue from it at once.
+//! A turn whose tokens are counted begins with a reservation that the stores have committed. A turn
+//! that continues a kept one gets its history from the front's own memory, or from the stores. A kept
+//! turn waits for its commit, because its caller may continue from it at once; what other turns have
+//! used is settled in the background.
+
+mod histories;
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use anyhow::Result;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::StatusCode;
+use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
 use poplarspan_policy::Name;
 use poplarspan_proto::peer::{self, FailureCode, TurnVerdict, request, response};
@@ -23,17 +27,19 @@
 
 use super::refusal::Refusal;
 use crate::fleet::Fleet;
+use histories::Histories;
 
 /// Longest wait for an answer of one store before another is asked.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 const RETRY: Duration = Duration::from_millis(40);
-/// Turns that may wait to be settled; more keep their reservation.
+/// A store that has too many calls is left alone for this long.
+const OVERLOAD_PAUSE: Duration = Duration::from_millis(150);
+/// Reservations that may wait to be settled; more stay reserved.
 const MAX_UNSETTLED: usize = 4_096;
 /// Time in which ends are collected into one call.
-const BATCH_TIME: Duration = Duration::from_millis(25);
+const BATCH_TIME: Duration = Duration::from_millis(50);
 const MAX_BATCH: usize = 256;
 const COME_BACK: Duration = Duration::from_millis(300);
-
 /// A turn, as the stores know it.
 #[derive(Clone, Debug)]
 pub(crate) struct TurnName {
@@ -42,16 +48,30 @@
     pub(crate) turn: Name,
 }
 
+/// What a turn needs before it may run.
+pub(crate) struct TurnNeeds<'a> {
+    /// Most tokens that it may generate.
+    pub(crate) most: u64,
+    /// Tokens that all turns of the program may generate; none for no limit.
+    pub(crate) budget: Option<u64>,
+    /// Kept turn that it continues.
+    pub(crate) previous: Option<&'a Name>,
+    /// When its caller gives up.
+    pub(crate) deadline: Instant,
+}
+
 /// Access to the stores.
 pub(crate) struct Programs {
     fleet: Arc<Fleet>,
     client: PeerClient,
+    clock: Arc<dyn Clock>,
     /// The store that answered last as the leader.
     leader: Mutex<Option<SocketAddr>>,
+    histories: Mutex<Histories>,
     ends: mpsc::Sender<peer::TurnEnd>,
 }
 
-/// Settles ended turns in the background.
+/// Settles what programs have used, in the background.
 pub(crate) struct Settler {
     programs: Arc<Programs>,
     rx: mpsc::Receiver<peer::TurnEnd>,
@@ -61,15 +81,27 @@
 pub(crate) struct OpenTurn {
     name: TurnName,
     programs: Arc<Programs>,
+    /// Whether tokens are reserved that are not settled.
+    is_reserved: bool,
     /// Tokens handed to the caller.
     pub(crate) used: u64,
-    is_settled: bool,
 }
 
 impl Programs {
-    pub(crate) fn new(fleet: Arc<Fleet>, client: PeerClient) -> (Arc<Self>, Settler) {
+    pub(crate) fn new(
+        fleet: Arc<Fleet>,
+        client: PeerClient,
+        clock: Arc<dyn Clock>,
+    ) -> (Arc<Self>, Settler) {
         let (ends, rx) = mpsc::channel(MAX_UNSETTLED);
-        let programs = Arc::new(Self { fleet, client, leader: Mutex::default(), ends });
+        let programs = Arc::new(Self {
+            fleet,
+            client,
+            clock,
+            leader: Mutex::default(),
+            histories: Mutex::default(),
+            ends,
+        });
         (programs.clone(), Settler { programs, rx })
     }
 
@@ -77,38 +109,43 @@
     pub(crate) async fn begin(
         self: &Arc<Self>,
         name: &TurnName,
-        most: u64,
-        budget: Option<u64>,
-        previous: Option<&Name>,
-        deadline: Instant,
+        needs: TurnNeeds<'_>,
     ) -> Result<(OpenTurn, Bytes), Refusal> {
         // Made first, so that a caller who leaves while the reservation is under way has it settled.
-        let open = OpenTurn {
+        let mut open = OpenTurn {
             name: name.clone(),
             programs: self.clone(),
+            is_reserved: needs.budget.is_some(),
             used: 0,
-            is_settled: budget.is_none(),
         };
+        let known = needs.previous.and_then(|p| self.histories().get(&name.team, p));
+        let unread = needs.previous.filter(|_| known.is_none());
+        if needs.budget.is_none() && unread.is_none() {
+            return Ok((open, known.unwrap_or_default()));
+        }
         let begin = peer::TurnBegin {
             team: name.team.to_string(),
             program: name.program.to_string(),
-            turn: name.turn.to_string(),
-            most,
-            budget,
-            previous: previous.map(|p| p.to_string()),
+            name: name.turn.to_string(),
+            most: needs.most,
+            budget: needs.budget,
+            previous: unread.map(|p| p.to_string()),
+            least: needs.most,
         };
         let body = || request::Body::TurnBegin(begin.clone());
-        let Some(response::Body::TurnBegun(begun)) = self.call(body, deadline).await else {
+        let Some(response::Body::TurnBegun(begun)) = self.call(body, needs.deadline).await else {
             let message = "the stores do not answer";
             return Err(Refusal::not_now("stores_away", message, COME_BACK));
         };
         match begun.verdict() {
-            TurnVerdict::Granted => Ok((open, begun.history)),
+            TurnVerdict::Granted => Ok((open, known.unwrap_or(begun.history))),
             TurnVerdict::Spent => {
+                open.is_reserved = false;
                 let message = format!("{} tokens of the budget are left", begun.remaining);
                 Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget_spent", message))
             }
             TurnVerdict::UnknownTurn => {
+                open.is_reserved = false;
                 let message = "the team has no such turn";
                 Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_turn", message))
             }
@@ -118,6 +155,18 @@
         }
     }
 
+    fn histories(&self) -> MutexGuard<'_, Histories> {
+        self.histories.lock().expect("no panic while locked")
+    }
+
+    fn settle(&self, end: peer::TurnEnd) {
+        if let Err(e) = self.ends.try_send(end) {
+            let program = e.into_inner().program;
+            log::warn!(program = program.as_str(); "too much waits to be settled; tokens stay reserved");
+            metrics::counter!("poplarspan_relay_unsettled_total").increment(1);
+        }
+    }
+
     /// Calls the leader of the stores, whichever it is, until `deadline`.
     async fn call(
         &self,
@@ -137,12 +186,9 @@
                     return Some(answer);
                 }
                 Ok(Err(CallError::Failed(failure))) => {
-                    let hint = failure.leader_address.parse().ok().filter(|h| *h != address);
-                    *self.leader.lock().expect("no panic while locked") = hint;
-                    if failure.code() != FailureCode::NotLeader || hint.is_none() {
-                        turn += 1;
-                        sleep(RETRY).await;
-                    }
+                    turn += usize::from(self.note_failure(address, &failure));
+                    let is_busy = failure.code() == FailureCode::Unavailable;
+                    sleep(if is_busy { OVERLOAD_PAUSE } else { RETRY }).await;
                 }
                 Ok(Err(_)) => {
                     *self.leader.lock().expect("no panic while locked") = None;
@@ -156,6 +202,16 @@
         None
     }
 
+    /// Takes note of a store that cannot carry out a call. Returns whether another one is next.
+    fn note_failure(&self, address: SocketAddr, failure: &peer::Failure) -> bool {
+        if failure.code() == FailureCode::Unavailable {
+            return false;
+        }
+        let hint = failure.leader_address.parse().ok().filter(|hint| *hint != address);
+        *self.leader.lock().expect("no panic while locked") = hint;
+        hint.is_none()
+    }
+
     fn candidate(&self, turn: usize) -> Option<SocketAddr> {
         let leader = *self.leader.lock().expect("no panic while locked");
         let stores = &self.fleet.view().stores;
@@ -163,21 +219,51 @@
     }
 }
 
+/// A turn that is to be kept.
+pub(crate) struct KeptTurn {
+    pub(crate) previous: Option<Name>,
+    /// Inputs and outputs of the turns before.
+    pub(crate) history: Bytes,
+    pub(crate) input: Bytes,
+    pub(crate) output: Bytes,
+    pub(crate) retain: Duration,
+}
+
 impl OpenTurn {
-    /// Ends a kept turn; returns once it is durable.
+    fn end(&self) -> peer::TurnEnd {
+        peer::TurnEnd {
+            team: self.name.team.to_string(),
+            program: self.name.program.to_string(),
+            name: if self.is_reserved { self.name.turn.to_string() } else { String::new() },
+            used: self.used,
+            kept: None,
+        }
+    }
+
+    /// Keeps the turn; returns once it is durable.
     ///
     /// Fails when the stores do not answer in time; the turn may be kept all the same.
-    pub(crate) async fn keep(
-        &mut self,
-        kept: peer::KeptTurn,
-        deadline: Instant,
-    ) -> Result<(), Refusal> {
+    pub(crate) async fn keep(&mut self, kept: KeptTurn, deadline: Instant) -> Result<(), Refusal> {
+        let name = self.name.clone();
         let mut end = self.end();
-        end.kept = Some(kept);
+        end.kept = Some(peer::KeptTurn {
+            turn: name.turn.to_string(),
+            previous: kept.previous.map(|p| p.to_string()),
+            input: kept.input.clone(),
+            output: kept.output.clone(),
+            retain_ms: kept.retain.as_millis() as u64,
+        });
         let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()] });
         match self.programs.call(body, deadline).await {
             Some(response::Body::TurnsEnded(_)) => {
-                self.is_settled = true;
+                let len = kept.history.len() + kept.input.len() + kept.output.len();
+                let mut whole = BytesMut::with_capacity(len);
+                for part in [&kept.history, &kept.input, &kept.output] {
+                    whole.extend_from_slice(part);
+                }
+                self.is_reserved = false;
+                let now = self.programs.clock.now();
+                self.programs.histories().put(&name.team, &name.turn, whole.freeze(), now);
                 Ok(())
             }
             _ => {
@@ -186,24 +272,12 @@
             }
         }
     }
-
-    fn end(&self) -> peer::TurnEnd {
-        peer::TurnEnd {
-            team: self.name.team.to_string(),
-            program: self.name.program.to_string(),
-            turn: self.name.turn.to_string(),
-            used: self.used,
-            kept: None,
-        }
-    }
 }
 
 impl Drop for OpenTurn {
     fn drop(&mut self) {
-        if !self.is_settled && self.programs.ends.try_send(self.end()).is_err() {
-            let (turn, program) = (&*self.name.turn, &*self.name.program);
-            log::warn!(turn, program; "too many turns wait to be settled; a reservation stays");
-            metrics::counter!("poplarspan_relay_unsettled_turns_total").increment(1);
+        if self.is_reserved {
+            self.programs.settle(self.end());
         }
     }
 }
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -6,7 +6,6 @@
 use futures::stream;
 use http_body_util::BodyExt;
 use poplarspan_policy::Name;
-use poplarspan_proto::peer;
 use tokio::time::timeout_at;
 
 use super::{
@@ -16,7 +15,7 @@
     endpoints::Outcome,
     events::EventReader,
     handler::Ending,
-    programs::OpenTurn,
+    programs::{KeptTurn, OpenTurn},
 };
 
 /// Largest event, and largest rest without an end, in bytes.
@@ -24,6 +23,8 @@
 
 /// What is kept of a turn.
 pub(crate) struct Keeping {
+    /// Inputs and outputs of the turns before.
+    pub(crate) history: Bytes,
     pub(crate) input: Bytes,
     pub(crate) previous: Option<Name>,
     pub(crate) output: BytesMut,
@@ -155,11 +156,12 @@
         let rest = self.reader.take_rest();
         if let (Some(keeping), Some(turn)) = (self.keeping.take(), &mut self.turn) {
             let call = &self.attempts.call;
-            let kept = peer::KeptTurn {
-                previous: keeping.previous.map(|p| p.to_string()),
+            let kept = KeptTurn {
+                previous: keeping.previous,
+                history: keeping.history,
                 input: keeping.input,
                 output: keeping.output.freeze(),
-                retain_ms: call.route.retain.unwrap_or_default().as_millis() as u64,
+                retain: call.route.retain.unwrap_or_default(),
             };
             if let Err(refusal) = turn.keep(kept, call.deadline).await {
                 self.ending.finish(refusal.code);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -210,7 +210,7 @@
         let settings = self.settings.clone();
         let fleet = self.fleet(peer::Duty::Front);
         let (client, clock) = (self.client.clone(), self.clock.clone());
-        let (programs, settler) = Programs::new(fleet.clone(), client.clone());
+        let (programs, settler) = Programs::new(fleet.clone(), client.clone(), clock.clone());
         let schedule = Schedule::new(settings.zone.clone(), fleet.clone(), clock.clone());
         let front = Arc::new(Front {
             dialect: self.dialect.clone(),
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -14,22 +14,27 @@
     relay as pb,
 };
 use prost::Message;
-use tokio::time::timeout;
+use tokio::{sync::Semaphore, time::timeout};
 
 use crate::{Turns, control::invalid, replica::Replica};
 
 /// Time in which a command is committed, or its outcome is left open.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Calls that a store works on at a time; more are refused at once.
+const MAX_OPEN_CALLS: usize = 192;
+
 /// A store.
 pub(crate) struct Store {
     /// None until the first voters of the group are decided.
     replica: Mutex<Option<Arc<Replica>>>,
+    calls: Semaphore,
 }
 
 impl Store {
     pub(crate) fn new() -> Arc<Self> {
-        Arc::new(Self { replica: Mutex::default() })
+        let calls = Semaphore::new(MAX_OPEN_CALLS);
+        Arc::new(Self { replica: Mutex::default(), calls })
     }
 
     /// Lets the store serve.
@@ -55,6 +60,7 @@
             verdict: verdict.into(),
             history: bytes::Bytes::new(),
             remaining,
+            amount: 0,
         };
         let mut begun = verdict(TurnVerdict::Granted, 0);
         if let Some(previous) = begin.previous.clone() {
@@ -65,17 +71,17 @@
                 None => return Ok(verdict(TurnVerdict::UnknownTurn, 0)),
             }
         }
-        let Some(budget) = begin.budget else { return Ok(begun) };
-        let peer::TurnBegin { team, program, turn, most, .. } = begin;
-        let reserve = vec![pb::Reserve { team, program, turn, most, budget }];
+        let peer::TurnBegin { team, program, name, most, least, budget, .. } = begin;
+        let Some(budget) = budget.filter(|_| least > 0) else { return Ok(begun) };
+        let reserve = vec![pb::Reserve { team, program, name, most, budget, least }];
         let result = commit(&replica, pb::TurnCommand { reserve, ..Default::default() }).await?;
         let Some(reserved) = result.reserved.first() else {
             return Err(invalid("the reservation has no result"));
         };
-        if !reserved.granted {
+        if reserved.amount == 0 {
             return Ok(verdict(TurnVerdict::Spent, reserved.remaining));
         }
-        begun.remaining = reserved.remaining;
+        (begun.remaining, begun.amount) = (reserved.remaining, reserved.amount);
         Ok(begun)
     }
 
@@ -83,16 +89,16 @@
         let replica = self.running()?;
         let now_ms = now_ms();
         let settle = |end: peer::TurnEnd| {
-            let peer::TurnEnd { team, program, turn, used, kept } = end;
+            let peer::TurnEnd { team, program, name, used, kept } = end;
             let kept = kept.map(|kept| pb::Turn {
                 team: team.clone(),
-                turn: turn.clone(),
+                turn: kept.turn,
                 previous: kept.previous,
                 input: kept.input,
                 output: kept.output,
                 expires_ms: now_ms + kept.retain_ms,
             });
-            pb::Settle { team, program, turn, used, kept }
+            pb::Settle { team, program, name, used, kept }
         };
         let settle = ends.ends.into_iter().map(settle).collect();
         commit(&replica, pb::TurnCommand { settle, ..Default::default() }).await?;
@@ -144,6 +150,11 @@
             if role != Role::Instance {
                 return failure(FailureCode::Unauthorized, "only instances may ask for this");
             }
+            // Calls beyond what can be worked on in time would only make all of them late.
+            let Ok(_permit) = self.calls.try_acquire() else {
+                metrics::counter!("poplarspan_relay_store_overloads_total").increment(1);
+                return failure(FailureCode::Unavailable, "the store has too many open calls");
+            };
             let answer = match body {
                 request::Body::TurnBegin(begin) => {
                     self.begin(begin).await.map(response::Body::TurnBegun)
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -1,8 +1,8 @@
 //! What the stores replicate: what programs have used of their budgets, and kept turns.
 //!
-//! Owner: the replicated log of the stores. A turn is begun by reserving the most that it may
-//! generate, and ends by settling what it did generate. A turn that never ends, because its front
-//! died, keeps its reservation: nobody knows what it has handed out. All commands may be repeated.
+//! Owner: the replicated log of the stores. Fronts reserve tokens of a program's budget before they
+//! hand any out, and settle what they did hand out. A reservation that is never settled, because its
+//! front died, stays: nobody knows what was handed out of it. All commands may be repeated.
 
 use bytes::{BufMut, Bytes, BytesMut};
 use poplarspan_agreement::StateMachine;
@@ -27,14 +27,14 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Account {
     used: u64,
-    /// Turns under way with what is reserved for each, sorted by turn.
+    /// Reservations that are not settled, with their tokens, sorted by name.
     open: Vec<(Name, u64)>,
     touched_ms: u64,
 }
 
 impl Account {
     fn committed(&self) -> u64 {
-        self.used + self.open.iter().map(|(_, most)| most).sum::<u64>()
+        self.used + self.open.iter().map(|(_, amount)| amount).sum::<u64>()
     }
 }
 
@@ -103,28 +103,29 @@
 
     fn reserve(&mut self, reserve: pb::Reserve) -> pb::Reserved {
         let now_ms = self.now_ms;
-        let pb::Reserve { team, program, turn, most, budget } = reserve;
+        let pb::Reserve { team, program, name, most, budget, least } = reserve;
         let account = entry(&mut self.accounts, (team.into(), program.into()));
         account.touched_ms = now_ms;
-        let turn = Name::from(turn);
-        let committed = account.committed();
-        match account.open.binary_search_by(|(t, _)| t.cmp(&turn)) {
-            Ok(_) => pb::Reserved { granted: true, remaining: budget.saturating_sub(committed) },
-            Err(at) if committed.saturating_add(most) <= budget => {
-                account.open.insert(at, (turn, most));
-                pb::Reserved { granted: true, remaining: budget - committed - most }
+        let name = Name::from(name);
+        let remaining = budget.saturating_sub(account.committed());
+        match account.open.binary_search_by(|(n, _)| n.cmp(&name)) {
+            Ok(at) => pb::Reserved { amount: account.open[at].1, remaining },
+            Err(at) if least > 0 && least <= remaining => {
+                let amount = most.max(least).min(remaining);
+                account.open.insert(at, (name, amount));
+                pb::Reserved { amount, remaining: remaining - amount }
             }
-            Err(_) => pb::Reserved { granted: false, remaining: budget.saturating_sub(committed) },
+            Err(_) => pb::Reserved { amount: 0, remaining },
         }
     }
 
     fn settle(&mut self, settle: pb::Settle) {
-        let pb::Settle { team, program, turn, used, kept } = settle;
+        let pb::Settle { team, program, name, used, kept } = settle;
         if let Ok(at) = find(&self.accounts, &team, &program) {
             let account = &mut self.accounts[at].1;
             account.touched_ms = self.now_ms;
-            // A turn that is not open was settled before.
-            if let Ok(at) = account.open.binary_search_by(|(t, _)| (**t).cmp(&*turn)) {
+            // A reservation that is not open was settled before.
+            if let Ok(at) = account.open.binary_search_by(|(n, _)| (**n).cmp(&*name)) {
                 account.open.remove(at);
                 account.used += used;
             }
@@ -212,7 +213,7 @@
             open: account
                 .open
                 .iter()
-                .map(|(turn, most)| pb::Reservation { turn: turn.to_string(), most: *most })
+                .map(|(name, amount)| pb::Reservation { name: name.to_string(), amount: *amount })
                 .collect(),
             touched_ms: account.touched_ms,
         };
@@ -236,7 +237,7 @@
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
         let snapshot = pb::TurnSnapshot::decode(Bytes::copy_from_slice(snapshot))?;
         let account = |a: pb::Account| {
-            let open = a.open.into_iter().map(|r| (r.turn.into(), r.most)).collect();
+            let open = a.open.into_iter().map(|r| (r.name.into(), r.amount)).collect();
             let account = Account { used: a.used, open, touched_ms: a.touched_ms };
             ((a.team.into(), a.program.into()), account)
         };
