--- /dev/null
+++ b/crates/policy/tests/cold_starts.rs
@@ -0,0 +1,47 @@
+//! Calls that start at a cold endpoint, over all instances.
+
+use std::time::Duration;
+
+use poplarspan_policy::starts::{Place, StartGate};
+use proptest::prelude::*;
+
+proptest! {
+    /// All instances together start at most the bound in any second, also when there are more
+    /// instances than calls.
+    #[test]
+    fn bound_over_instances(
+        instances in 1u32..100,
+        per_second in 0.0f64..60.0,
+        offset in any::<u32>(),
+        steps in proptest::collection::vec((any::<u32>(), 0u64..10), 100..600),
+    ) {
+        let mut gates = vec![StartGate::default(); instances as usize];
+        let (mut now, mut starts) = (Duration::ZERO, Vec::new());
+        for (who, pause) in steps {
+            now += Duration::from_millis(pause);
+            let rank = who % instances;
+            let gate = &mut gates[rank as usize];
+            if gate.is_open(per_second, Place { rank, of: instances }, offset, now) {
+                gate.start(now);
+                starts.push(now);
+            }
+        }
+        for from in &starts {
+            let end = *from + Duration::from_secs(1);
+            let count = starts.iter().filter(|at| **at >= *from && **at < end).count();
+            prop_assert!(count as f64 <= per_second, "{count} starts in a second");
+        }
+    }
+}
+
+/// Some instance may always use a cold endpoint that bears at least one call a second.
+#[test]
+fn someone_may_start() {
+    for offset in 0..50 {
+        let open = (0..40).filter(|rank| {
+            let place = Place { rank: *rank, of: 40 };
+            StartGate::default().is_open(3.0, place, offset, Duration::ZERO)
+        });
+        assert_eq!(open.count(), 3);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/faded_loads.rs
@@ -0,0 +1,31 @@
+//! Load reports that arrive with answers only.
+
+use std::time::Duration;
+
+use poplarspan_policy::route::{EndpointSpec, Fleet, LoadReport};
+
+/// An endpoint that was seen full is not full for ever, though nobody sees it empty.
+#[test]
+fn full_report_fades() {
+    let mut fleet = Fleet::new();
+    let id = fleet.upsert(EndpointSpec {
+        name: "e1".into(),
+        zone: "z1".into(),
+        groups: vec!["s".into()],
+        capacity: 8,
+        prefill_per_second: f64::INFINITY,
+        service_s: 0.2,
+        leaving: false,
+    });
+    let (half_life, seen) = (Duration::from_millis(500), Duration::from_secs(1));
+    fleet.report(id, &LoadReport { running: 8, queued: 8, taken: seen });
+    fleet.began(id, seen);
+    fleet.fade(half_life, seen);
+    assert_eq!(fleet.load(id), 17.0);
+    fleet.fade(half_life, seen + half_life);
+    assert_eq!(fleet.load(id), 9.0, "own calls count whole, those of others half");
+    fleet.fade(half_life, seen + 20 * half_life);
+    assert!(fleet.load(id) < 1.1);
+    fleet.report(id, &LoadReport { running: 8, queued: 0, taken: seen + 20 * half_life });
+    assert!(fleet.load(id) >= 8.0, "a new report counts whole");
+}
--- /dev/null
+++ b/crates/policy/tests/quota_shares.rs
@@ -0,0 +1,193 @@
+//! Rates that one allocator shares out to instances.
+
+use std::time::Duration;
+
+use poplarspan_policy::{
+    Name,
+    quota::{Allocator, Bucket, Demand, SHARED_BURST, SHARED_RATE, Share},
+    rate::Limit,
+};
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
+
+const LEASE: Duration = Duration::from_secs(3);
+const BEAT: Duration = Duration::from_millis(250);
+
+/// An instance with its share, as fronts use it.
+struct Instance {
+    name: Name,
+    bucket: Bucket,
+    demand: Demand,
+    programs: u32,
+}
+
+impl Instance {
+    fn new(number: usize) -> Self {
+        Self {
+            name: format!("i{number}").into(),
+            bucket: Bucket::default(),
+            demand: Demand::default(),
+            programs: 0,
+        }
+    }
+
+    fn beat(&mut self, allocator: &mut Allocator, now: Duration) {
+        let demand = self.demand.read(now);
+        let held = self.bucket.share();
+        let share = allocator.report(&self.name, demand, self.programs, held, now);
+        self.bucket.set(share, now);
+    }
+
+    /// Admits a call from the share, or with a borrowed token.
+    fn admit(&mut self, allocator: &mut Allocator, now: Duration) -> bool {
+        self.demand.arrive();
+        self.bucket.take(now).is_ok() || allocator.borrow(now).is_ok()
+    }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    /// Over any window no more than rate times window plus burst is admitted, whatever instances
+    /// ask for, and while beats are lost or come late.
+    #[test]
+    fn never_above_limit(
+        rate in 1.0f64..200.0,
+        burst in 1u32..200,
+        steps in proptest::collection::vec((0usize..4, 0u8..8, 0u64..40), 200..800),
+    ) {
+        let mut allocator = Allocator::new(Duration::ZERO, LEASE, Duration::ZERO);
+        allocator.set_limit(Some(Limit::new(rate, burst)), Duration::ZERO);
+        let mut instances: Vec<_> = (0..4).map(Instance::new).collect();
+        let mut last_beat = [Duration::ZERO; 4];
+        let (mut now, mut admitted) = (Duration::ZERO, Vec::new());
+        for (at, action, pause) in steps {
+            now += ms(pause);
+            // An instance whose lease has run out admits nothing and starts again.
+            if now >= last_beat[at] + LEASE {
+                instances[at].bucket = Bucket::default();
+            }
+            if action == 0 {
+                instances[at].beat(&mut allocator, now);
+                last_beat[at] = now;
+            } else if now < last_beat[at] + LEASE && instances[at].admit(&mut allocator, now) {
+                admitted.push(now);
+            }
+        }
+        for (first, from) in admitted.iter().enumerate() {
+            for (last, to) in admitted.iter().enumerate().skip(first) {
+                let most = rate * (*to - *from).as_secs_f64() + f64::from(burst);
+                let count = (last - first + 1) as f64;
+                prop_assert!(count <= most + 1.0, "{count} calls, {most} allowed");
+            }
+        }
+    }
+
+    /// The shares held at any time stay within their part of the limit.
+    #[test]
+    fn shares_within_part(
+        demands in proptest::collection::vec((0usize..6, 0.0f64..300.0), 50..200),
+    ) {
+        let mut allocator = Allocator::new(Duration::ZERO, LEASE, Duration::ZERO);
+        allocator.set_limit(Some(Limit::new(100.0, 50)), Duration::ZERO);
+        let mut held = [Share::default(); 6];
+        let mut now = Duration::ZERO;
+        for (at, demand) in demands {
+            now += ms(40);
+            let name: Name = format!("i{at}").into();
+            held[at] = allocator.report(&name, demand, 1, held[at], now);
+            let rate: f64 = held.iter().map(|s| s.per_second).sum();
+            let burst: f64 = held.iter().map(|s| s.burst).sum();
+            prop_assert!(rate <= 100.0 * SHARED_RATE + 1e-6, "{rate}");
+            prop_assert!(burst <= 50.0 * SHARED_BURST + 1e-6, "{burst}");
+        }
+    }
+}
+
+/// A successor that does not know the shares only renews them, and lends from the rest.
+#[test]
+fn successor_renews() {
+    let mut allocator = Allocator::new(ms(1_000), LEASE, Duration::ZERO);
+    allocator.set_limit(Some(Limit::new(100.0, 100)), Duration::ZERO);
+    let held = Share { per_second: 30.0, burst: 10.0 };
+    let name: Name = "i1".into();
+    assert_eq!(allocator.report(&name, 90.0, 9, held, ms(100)), held);
+    let lent = (0..1_000).filter(|n| allocator.borrow(ms(100 + n / 2)).is_ok()).count();
+    assert!(lent <= 13, "{lent} tokens in 0.6 s of a fifth of the rate");
+    let later = allocator.report(&name, 90.0, 9, held, ms(1_100));
+    assert!(later.per_second > held.per_second);
+}
+
+/// A load of programs, each a chain of calls with pauses. Returns how many ended whole.
+fn play(with_gate: bool) -> (usize, usize) {
+    const CALLS: u32 = 12;
+    const STEP: Duration = Duration::from_millis(10);
+    const PAUSE: Duration = Duration::from_millis(250);
+    // A call waits this long for a token, as callers' time limits allow.
+    const PATIENCE: Duration = Duration::from_millis(1_000);
+    struct Program {
+        left: u32,
+        next: Duration,
+        since: Option<Duration>,
+    }
+    let mut allocator = Allocator::new(Duration::ZERO, LEASE, Duration::ZERO);
+    allocator.set_limit(Some(Limit::new(30.0, 30)), Duration::ZERO);
+    let mut instances: Vec<_> = (0..2).map(Instance::new).collect();
+    let mut programs: Vec<(usize, Program)> = Vec::new();
+    let (mut whole, mut begun) = (0, 0);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut now = Duration::ZERO;
+    for step in 0..3_000u64 {
+        now += STEP;
+        if step % (BEAT.as_millis() / STEP.as_millis()) as u64 == 0 {
+            for (at, instance) in instances.iter_mut().enumerate() {
+                instance.programs = programs.iter().filter(|(i, _)| *i == at).count() as u32;
+                instance.beat(&mut allocator, now);
+            }
+        }
+        // Eight programs a second need 96 calls a second of a rate of 30.
+        if step % 12 == 0 {
+            let is_open = !with_gate || !allocator.is_crowded() || allocator.begin(now).is_ok();
+            if is_open {
+                begun += 1;
+                let program = Program { left: CALLS, next: now, since: None };
+                programs.push(((step / 12 % 2) as usize, program));
+            }
+        }
+        // Callers ask again at their own pace, so those that wait come in any order.
+        programs.shuffle(&mut rng);
+        programs.retain_mut(|(at, program)| {
+            if now < program.next {
+                return true;
+            }
+            if instances[*at].bucket.take(now).is_ok() || allocator.borrow(now).is_ok() {
+                instances[*at].demand.arrive();
+                program.left -= 1;
+                program.next = now + PAUSE;
+                program.since = None;
+                whole += usize::from(program.left == 0);
+                return program.left > 0;
+            }
+            // A program fails with a call that gets no token in time.
+            now < *program.since.get_or_insert(now) + PATIENCE
+        });
+    }
+    (whole, begun)
+}
+
+/// A team that asks for three times its rate: 30 s of 30 calls a second are 75 programs of 12 calls.
+/// With the gate most of what the rate bears ends whole, and what begins mostly ends; without it,
+/// the calls of all programs fail in turn.
+#[test]
+fn overload_ends_programs() {
+    let (whole, begun) = play(true);
+    let (whole_before, _) = play(false);
+    let owed = 75;
+    assert!(whole * 10 >= owed * 8, "{whole} programs of {owed} ended");
+    assert!(whole * 10 >= begun * 8, "{whole} programs of {begun} that began ended");
+    assert!(whole > whole_before, "{whole} with the gate, {whole_before} without");
+}
--- a/crates/relay/src/front/listener.rs
+++ b/crates/relay/src/front/listener.rs
@@ -39,9 +39,9 @@
     /// Accepts connections until the task is ended.
     pub(crate) async fn run(self: Arc<Self>, socket: Arc<TcpListener>) -> Result<()> {
         loop {
-            let permit = self.slots.clone().acquire_owned().await?;
             match socket.accept().await {
                 Ok((stream, _)) => {
+                    let permit = self.slots.clone().acquire_owned().await?;
                     tokio::spawn(self.clone().serve(stream, permit));
                 }
                 Err(e) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,10 @@
 pub use publication::{
     CallerLimits, Engine, Findings, Objects, Publication, Route, RouteKind, Service, Team,
 };
+pub use replica::{
+    number as replica_number,
+    plan::{Members, Step},
+};
 pub use run::{Relay, Running};
 pub use settings::{Bounds, Duty, Settings};
 pub use turns::Turns;
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -138,7 +138,8 @@
     number(ip, 0)
 }
 
-fn number(ip: Ipv4Addr, nonce: u32) -> ReplicaId {
+/// Number of a replica on a machine; `nonce` is 0 for founders, and random for all others.
+pub fn number(ip: Ipv4Addr, nonce: u32) -> ReplicaId {
     ReplicaId(u64::from(u32::from(ip)) << 32 | u64::from(nonce))
 }
 
--- a/crates/relay/src/replica/plan.rs
+++ b/crates/relay/src/replica/plan.rs
@@ -21,25 +21,31 @@
 
 /// What the leader of a group knows of its members.
 #[derive(Clone, Debug)]
-pub(crate) struct Members {
-    pub(crate) me: ReplicaId,
-    pub(crate) voters: Vec<ReplicaId>,
-    pub(crate) learners: Vec<ReplicaId>,
+pub struct Members {
+    /// This replica, which leads.
+    pub me: ReplicaId,
+    /// Replicas that vote.
+    pub voters: Vec<ReplicaId>,
+    /// Replicas that receive the log but do not vote.
+    pub learners: Vec<ReplicaId>,
     /// Time since each other member answered.
-    pub(crate) silence: Vec<(ReplicaId, Duration)>,
+    pub silence: Vec<(ReplicaId, Duration)>,
     /// Replicas that asked to be voters a short while ago.
-    pub(crate) joining: Vec<ReplicaId>,
+    pub joining: Vec<ReplicaId>,
     /// Replicas that are to be emptied.
-    pub(crate) leaving: Vec<ReplicaId>,
+    pub leaving: Vec<ReplicaId>,
     /// Learners whose last promotion was refused because they lag behind.
-    pub(crate) lagging: Vec<ReplicaId>,
+    pub lagging: Vec<ReplicaId>,
 }
 
 /// A change of the members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Step {
+pub enum Step {
+    /// Adds a replica that does not vote yet.
     AddLearner(ReplicaId),
+    /// Lets a learner vote.
     Promote(ReplicaId),
+    /// Removes a replica.
     Remove(ReplicaId),
     /// Makes another voter the leader, so that this one can be removed.
     HandOver(ReplicaId),
@@ -52,7 +58,7 @@
 
 impl Members {
     /// The next change, if one is due.
-    pub(crate) fn next_step(&self) -> Option<Step> {
+    pub fn next_step(&self) -> Option<Step> {
         self.promotion()
             .or_else(|| self.removal())
             .or_else(|| self.addition())
--- /dev/null
+++ b/crates/relay/tests/kept_turns.rs
@@ -0,0 +1,131 @@
+//! Budgets and kept turns, as the stores replicate them.
+
+use bytes::Bytes;
+use poplarspan_agreement::StateMachine;
+use poplarspan_proto::relay as pb;
+use poplarspan_relay::Turns;
+use proptest::prelude::*;
+use prost::Message;
+
+fn run(turns: &mut Turns, command: pb::TurnCommand) -> Vec<pb::Reserved> {
+    let result = turns.apply(1, &command.encode_to_vec());
+    pb::TurnResult::decode(result).expect("a result").reserved
+}
+
+fn reserve(turns: &mut Turns, name: &str, most: u64, budget: u64) -> u64 {
+    let reserve = pb::Reserve {
+        team: "red".to_owned(),
+        program: "p".to_owned(),
+        name: name.to_owned(),
+        most,
+        budget,
+        least: most,
+    };
+    run(turns, pb::TurnCommand { reserve: vec![reserve], ..Default::default() })[0].amount
+}
+
+fn settle(turns: &mut Turns, name: &str, used: u64) {
+    let (team, program) = ("red".to_owned(), "p".to_owned());
+    let settle = pb::Settle { team, program, name: name.to_owned(), used, kept: None };
+    run(turns, pb::TurnCommand { settle: vec![settle], ..Default::default() });
+}
+
+fn keep(turns: &mut Turns, now_ms: u64, turn: &str, previous: Option<&str>, retain_ms: u64) {
+    let kept = pb::Turn {
+        team: "red".to_owned(),
+        turn: turn.to_owned(),
+        previous: previous.map(str::to_owned),
+        input: Bytes::from(format!("in-{turn} ")),
+        output: Bytes::from(format!("out-{turn}\n")),
+        expires_ms: now_ms + retain_ms,
+    };
+    let settle = vec![pb::Settle { kept: Some(kept), ..Default::default() }];
+    run(turns, pb::TurnCommand { now_ms, settle, ..Default::default() });
+}
+
+/// A reservation and its settlement may be sent again without counting twice.
+#[test]
+fn resends_count_once() {
+    let mut turns = Turns::default();
+    assert_eq!(reserve(&mut turns, "t1", 60, 100), 60);
+    assert_eq!(reserve(&mut turns, "t1", 60, 100), 60);
+    assert_eq!(reserve(&mut turns, "t2", 60, 100), 0);
+    settle(&mut turns, "t1", 20);
+    settle(&mut turns, "t1", 20);
+    assert_eq!(turns.committed("red", "p"), 20);
+    assert_eq!(reserve(&mut turns, "t2", 60, 100), 60);
+}
+
+/// A chain is returned oldest first, to its own team only.
+#[test]
+fn chain_in_order() {
+    let mut turns = Turns::default();
+    keep(&mut turns, 0, "a", None, 1_000);
+    keep(&mut turns, 0, "b", Some("a"), 1_000);
+    keep(&mut turns, 0, "c", Some("a"), 1_000);
+    let history = |turn| turns.history("red", turn);
+    assert_eq!(&history("b").expect("kept")[..], b"in-a out-a\nin-b out-b\n");
+    assert_eq!(&history("c").expect("kept")[..], b"in-a out-a\nin-c out-c\n");
+    assert!(history("d").is_none());
+    assert!(turns.history("blue", "b").is_none());
+}
+
+/// A turn lives as long as the turns that continue it, and is forgotten afterwards.
+#[test]
+fn chain_lives_together() {
+    let mut turns = Turns::default();
+    keep(&mut turns, 0, "a", None, 60_000);
+    keep(&mut turns, 50_000, "b", Some("a"), 60_000);
+    keep(&mut turns, 100_000, "other", None, 60_000);
+    assert!(turns.history("red", "b").is_some(), "kept for 60 s from its end");
+    keep(&mut turns, 109_000, "another", None, 60_000);
+    assert!(turns.history("red", "b").is_some());
+    keep(&mut turns, 300_000, "last", None, 60_000);
+    assert_eq!(turns.len(), 1);
+}
+
+proptest! {
+    /// What is used and reserved never exceeds the budget, over any order of commands, repeated ones
+    /// included; a copy restored from a snapshot goes on in the same way.
+    #[test]
+    fn never_above_budget(
+        commands in proptest::collection::vec((0u8..12, any::<bool>(), 0u64..80), 1..120),
+    ) {
+        const BUDGET: u64 = 300;
+        let (mut turns, mut handed_out) = (Turns::default(), 0);
+        let mut open: Vec<(u8, u64)> = Vec::new();
+        for (turn, is_end, tokens) in commands {
+            let name = turn.to_string();
+            if is_end {
+                let found = open.iter().position(|(t, _)| *t == turn);
+                let used = found.map_or(0, |at| open.remove(at).1.min(tokens));
+                handed_out += used;
+                settle(&mut turns, &name, used);
+            } else {
+                let amount = reserve(&mut turns, &name, tokens, BUDGET);
+                if amount > 0 && !open.iter().any(|(t, _)| *t == turn) {
+                    open.push((turn, amount));
+                }
+            }
+            prop_assert!(turns.committed("red", "p") <= BUDGET);
+            let most: u64 = open.iter().map(|(_, amount)| amount).sum();
+            prop_assert!(handed_out + most <= BUDGET);
+            let mut copy = Turns::default();
+            copy.restore(&turns.snapshot()).expect("its own snapshot");
+            prop_assert_eq!(copy.committed("red", "p"), turns.committed("red", "p"));
+            turns = copy;
+        }
+    }
+
+    /// Bytes that are no command neither panic nor change anything.
+    #[test]
+    fn arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let mut turns = Turns::default();
+        keep(&mut turns, 0, "a", None, 1_000);
+        let before = turns.clone();
+        if pb::TurnCommand::decode(&bytes[..]).is_err() {
+            turns.apply(2, &bytes);
+            prop_assert_eq!(turns, before);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/member_changes.rs
@@ -0,0 +1,108 @@
+//! Which change of a group's members comes next.
+
+use std::{net::Ipv4Addr, time::Duration};
+
+use poplarspan_agreement::ReplicaId;
+use poplarspan_relay::{Members, Step, replica_number};
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::ZERO;
+const LONG: Duration = Duration::from_secs(9);
+
+fn id(machine: u8, nonce: u32) -> ReplicaId {
+    replica_number(Ipv4Addr::new(10, 0, 0, machine), nonce)
+}
+
+fn members(voters: &[ReplicaId]) -> Members {
+    Members {
+        me: voters[0],
+        voters: voters.to_vec(),
+        learners: Vec::new(),
+        silence: Vec::new(),
+        joining: Vec::new(),
+        leaving: Vec::new(),
+        lagging: Vec::new(),
+    }
+}
+
+/// A replica that lost its disk comes back under a new number, which votes before the old one goes.
+#[test]
+fn lost_disk() {
+    let (a, b, c, new) = (id(1, 0), id(2, 0), id(3, 0), id(3, 7));
+    let mut m = members(&[a, b, c]);
+    m.silence = vec![(c, LONG)];
+    assert_eq!(m.next_step(), None, "a group of three is made no smaller");
+    m.joining = vec![new];
+    assert_eq!(m.next_step(), Some(Step::AddLearner(new)));
+    m.learners = vec![new];
+    m.lagging = vec![new];
+    assert_eq!(m.next_step(), None, "it has not caught up");
+    m.lagging.clear();
+    assert_eq!(m.next_step(), Some(Step::Promote(new)));
+    m.learners.clear();
+    m.voters.push(new);
+    assert_eq!(m.next_step(), Some(Step::Remove(c)));
+}
+
+/// A machine that was replaced at another address is removed once its successor votes.
+#[test]
+fn replaced_machine() {
+    let (a, b, c, d) = (id(1, 0), id(2, 0), id(3, 0), id(4, 9));
+    let mut m = members(&[a, b, c, d]);
+    m.silence = vec![(c, LONG)];
+    assert_eq!(m.next_step(), Some(Step::Remove(c)));
+}
+
+/// A store that is to be emptied goes only while enough others are left, and hands over first.
+#[test]
+fn emptied_store() {
+    let (a, b, c, d) = (id(1, 0), id(2, 0), id(3, 0), id(4, 0));
+    let mut m = members(&[a, b, c]);
+    m.leaving = vec![b];
+    assert_eq!(m.next_step(), None);
+    let mut m = members(&[a, b, c, d]);
+    m.leaving = vec![b];
+    assert_eq!(m.next_step(), Some(Step::Remove(b)));
+    m.leaving = vec![a];
+    assert!(matches!(m.next_step(), Some(Step::HandOver(to)) if to != a));
+}
+
+/// A group has as many voters as bear the loss of two, and no more.
+#[test]
+fn enough_voters() {
+    let voters: Vec<_> = (1..=5).map(|n| id(n, 0)).collect();
+    let mut m = members(&voters);
+    m.joining = vec![id(6, 1)];
+    assert_eq!(m.next_step(), None);
+    m.voters.pop();
+    assert_eq!(m.next_step(), Some(Step::AddLearner(id(6, 1))));
+}
+
+proptest! {
+    /// No change leaves a group in which those that answer are no majority, makes it smaller than
+    /// three, or removes the leader.
+    #[test]
+    fn keeps_majority(
+        count in 3u8..8,
+        silent in proptest::collection::vec(any::<bool>(), 8),
+        leaving in proptest::collection::vec(any::<bool>(), 8),
+        joins in 0u8..3,
+    ) {
+        let voters: Vec<_> = (0..count).map(|n| id(n, 0)).collect();
+        let mut m = members(&voters);
+        let is_silent = |id: &ReplicaId| {
+            let at = voters.iter().position(|v| v == id).unwrap_or(0);
+            at > 0 && silent[at]
+        };
+        m.silence = voters.iter().map(|v| (*v, if is_silent(v) { LONG } else { NOW })).collect();
+        m.leaving = voters.iter().enumerate().filter(|(at, _)| leaving[*at]).map(|(_, v)| *v).collect();
+        m.joining = (0..joins).map(|n| id(20 + n, 1)).collect();
+        if let Some(Step::Remove(gone)) = m.next_step() {
+            prop_assert_ne!(gone, m.me);
+            let left: Vec<_> = voters.iter().filter(|v| **v != gone).collect();
+            let answering = left.iter().filter(|v| !is_silent(v)).count();
+            prop_assert!(answering * 2 > left.len(), "{answering} of {} answer", left.len());
+            prop_assert!(answering >= 3);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/publication_order.rs
@@ -0,0 +1,79 @@
+//! The board: publications, zones and the stores' group.
+
+use bytes::Bytes;
+use poplarspan_agreement::StateMachine;
+use poplarspan_proto::relay::{self as pb, board_command::Body};
+use poplarspan_relay::Board;
+use proptest::prelude::*;
+use prost::Message;
+
+fn apply(board: &mut Board, body: Body) -> u64 {
+    let command = pb::BoardCommand { body: Some(body) }.encode_to_vec();
+    pb::BoardResult::decode(board.apply(1, &command)).expect("a result").version
+}
+
+fn publish(version: u64, body: &'static str) -> Body {
+    Body::Publish(pb::Publish { version, body: Bytes::from_static(body.as_bytes()) })
+}
+
+/// A version that is not higher is acknowledged and changes nothing, whatever its content.
+#[test]
+fn highest_wins() {
+    let mut board = Board::default();
+    assert_eq!(apply(&mut board, publish(5, "five")), 5);
+    assert_eq!(apply(&mut board, publish(5, "other")), 5);
+    assert_eq!(apply(&mut board, publish(3, "three")), 5);
+    assert_eq!(&board.body()[..], b"five");
+    assert_eq!(apply(&mut board, publish(9, "nine")), 9);
+    assert_eq!(&board.body()[..], b"nine");
+}
+
+/// The first voters of the stores are decided once.
+#[test]
+fn founders_stay() {
+    let mut board = Board::default();
+    apply(&mut board, Body::Form(pb::FormStore { voters: vec![1, 2, 3] }));
+    apply(&mut board, Body::Form(pb::FormStore { voters: vec![4] }));
+    assert_eq!(board.store_founders(), [1, 2, 3]);
+}
+
+proptest! {
+    /// The version never goes back, and a snapshot restores the whole state.
+    #[test]
+    fn never_back(commands in proptest::collection::vec((0u64..20, 0u8..4, 0u8..3), 1..60)) {
+        let mut board = Board::default();
+        let mut highest = 0;
+        for (version, kind, zone) in commands {
+            let zone = format!("z{zone}");
+            match kind {
+                0 | 1 => {
+                    highest = highest.max(version);
+                    let body = Bytes::from(version.to_string());
+                    apply(&mut board, Body::Publish(pb::Publish { version, body }));
+                }
+                2 => {
+                    let out = version % 2 == 0;
+                    apply(&mut board, Body::Zone(pb::SetZone { zone: zone.clone(), out }));
+                    prop_assert_eq!(board.zones_out().iter().any(|z| **z == *zone), out);
+                }
+                _ => { apply(&mut board, Body::Retire(pb::Retire { instance: zone })); }
+            }
+            prop_assert_eq!(board.version(), highest);
+            let mut copy = Board::default();
+            copy.restore(&board.snapshot()).expect("its own snapshot");
+            prop_assert_eq!(&copy, &board);
+        }
+    }
+
+    /// Bytes that are no command change nothing.
+    #[test]
+    fn arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let mut board = Board::default();
+        apply(&mut board, publish(5, "five"));
+        let before = board.clone();
+        if pb::BoardCommand::decode(&bytes[..]).is_err() {
+            board.apply(2, &bytes);
+            prop_assert_eq!(board, before);
+        }
+    }
+}
--- a/crates/server/src/control/start.rs
+++ b/crates/server/src/control/start.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, Result};
 use poplarspan_agreement::{
-    DataDir, FileStore, GroupId, Node, ReplicaId, StoreOptions, init_voters,
+    DataDir, FileStore, GroupId, Node, ReplicaId, Storage, StoreOptions, init_voters,
 };
 use poplarspan_ledger::{Catalog, Ledger};
 
@@ -43,6 +43,8 @@
     let store = FileStore::open(&dir.log_folder(), StoreOptions::default())?;
     let voters: Vec<ReplicaId> = voters.iter().map(|v| ReplicaId(*v)).collect();
     init_voters(&store, &all_groups(), &voters).await?;
+    // The folder stays locked until the store is closed, and `serve` may come right after.
+    store.close().await?;
     Ok(())
 }
 
--- /dev/null
+++ b/tests/relay_path.rs
@@ -0,0 +1,152 @@
+//! A relay fleet of separate processes on the platform's stand-in: what callers, servers and
+//! operators see.
+
+#[path = "support/platform.rs"]
+mod platform;
+
+use platform::{Call, KEY, World, config, eventually};
+
+const TURN: [(&str, &str); 3] =
+    [("program-id", "p1"), ("token-count", "5,100"), ("token-budget", "250")];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_path() {
+    let world = World::start(&config(3, &[KEY])).await;
+
+    // A plain call: the server's bytes and seal, the team's name in place of its key.
+    let answer = world.call(0, "/safe/x", "plain", Call { body: "hello", ..Call::default() }).await;
+    assert_eq!((answer.status, answer.text()), (200, "hello"));
+    assert_eq!(answer.headers["server-seal"], "seal-plain");
+    let runs = world.servers.runs_of("plain");
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].team.as_deref(), Some("red"));
+    assert!(!runs[0].saw_key, "a key reached a server");
+
+    // Refusals for what is wrong with the call; none of them reaches a server.
+    let unknown = Call { key: Some("other"), ..Call::default() };
+    assert_eq!(world.call(0, "/safe/x", "no-key", unknown).await.status, 401);
+    assert_eq!(world.call(0, "/else/x", "no-route", Call::default()).await.status, 404);
+    let large = "x".repeat(70_000);
+    let large = Call { body: &large, ..Call::default() };
+    assert_eq!(world.call(0, "/safe/x", "large", large).await.status, 413);
+    for id in ["no-key", "no-route", "large"] {
+        assert!(world.servers.runs_of(id).is_empty(), "{id} has run");
+    }
+
+    // A server that has not run a call is no reason to refuse it.
+    let full = world.call(0, "/once/full-at-first", "full", Call::default()).await;
+    assert_eq!(full.status, 200);
+    assert_eq!(world.servers.runs_of("full").len(), 1);
+
+    // A call that must not be repeated runs once, and its lost answer is no promise.
+    let lost = world.call(0, "/once/lost", "lost", Call::default()).await;
+    assert_eq!(lost.status, 502);
+    assert_eq!(world.servers.runs_of("lost").len(), 1);
+
+    // An idempotent one is sent to a second server, and no further.
+    let lost = world.call(0, "/safe/lost", "lost-safe", Call::default()).await;
+    assert_eq!(lost.status, 502);
+    assert_eq!(world.servers.runs_of("lost-safe").len(), 2);
+
+    // A success that does not carry the server's seal reaches nobody.
+    assert_eq!(world.call(0, "/once/forged", "forged", Call::default()).await.status, 502);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_and_turns() {
+    let mut world = World::start(&config(1, &[KEY])).await;
+    let turn = |headers| Call { headers, ..Call::default() };
+
+    // Two turns of at most 100 tokens that use 50 each leave 150 of 250; a third fits, and so on
+    // until the budget holds no turn of 100 more, whichever front is asked.
+    for (n, front) in [(1, 0), (2, 1), (3, 0)] {
+        let id = format!("turn-{n}");
+        let answer = world.call(front, "/stream/events/5", &id, turn(&TURN)).await;
+        assert_eq!(answer.status, 200, "{id}");
+        assert!(answer.text().contains("out5"));
+    }
+    let spent = async || {
+        let answer = world.call(1, "/stream/events/5", "turn-4", turn(&TURN)).await;
+        answer.status == 402
+    };
+    eventually("100 tokens are left for a turn of 100, then none", spent).await;
+
+    // A kept turn is continued at another front, from what was said before.
+    let first = Call { body: "in1 ", ..Call::default() };
+    let kept = [("program-id", "p2"), ("token-count", "5,100")];
+    let first = world.call(0, "/kept/events/2", "kept-1", Call { headers: &kept, ..first }).await;
+    assert_eq!(first.status, 200);
+    first.text();
+    let next = [("program-id", "p2"), ("token-count", "5,100"), ("previous-turn", "kept-1")];
+    let second = Call { headers: &next, body: "in2", ..Call::default() };
+    assert_eq!(world.call(1, "/kept/events/2", "kept-2", second).await.status, 200);
+    let expected = "in1 out1\nout2\nin2";
+    assert_eq!(world.servers.runs_of("kept-2")[0].body, expected);
+
+    // One store loses its disk; what was kept and used is still known.
+    world.stores[0].kill();
+    world.stores[0].wipe();
+    world.stores[0].restart();
+    let again = world.call(1, "/kept/events/2", "kept-3", second).await;
+    assert_eq!(again.status, 200);
+    assert_eq!(world.servers.runs_of("kept-3")[0].body, expected);
+    assert_eq!(world.call(0, "/stream/events/5", "turn-5", turn(&TURN)).await.status, 402);
+    let unknown = [("program-id", "p3"), ("token-count", "5,100"), ("previous-turn", "nothing")];
+    let unknown = Call { headers: &unknown, ..Call::default() };
+    assert_eq!(world.call(0, "/kept/events/2", "kept-4", unknown).await.status, 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_and_losses() {
+    let mut world = World::start(&config(5, &[KEY, "second-key"])).await;
+
+    // The highest version takes effect; one that is not higher is acknowledged and changes nothing.
+    assert_eq!(world.publish(&config(4, &["other"])).await, 200);
+    assert_eq!(world.publish(&config(5, &["other"])).await, 200);
+    let (status, held) = world.order("GET", "/-/config", String::new()).await;
+    assert_eq!((status, held), (200, config(5, &[KEY, "second-key"]).to_string()));
+
+    // An invalid one is refused with all that is wrong.
+    let mut invalid = config(9, &[KEY]);
+    invalid["routes"][0]["service"] = "nowhere".into();
+    invalid["routes"][1]["timeoutMs"] = 0.into();
+    let (status, text) = world.order("PUT", "/-/config", invalid.to_string()).await;
+    assert_eq!(status, 400);
+    assert!(text.contains("nowhere") && text.contains("timeout"), "{text}");
+
+    // A withdrawn key stops working, the other one goes on.
+    assert_eq!(world.publish(&config(8, &[KEY])).await, 200);
+    let second = Call { key: Some("second-key"), ..Call::default() };
+    let stopped = async || world.call(1, "/safe/x", "withdrawn", second).await.status == 401;
+    eventually("a withdrawn key stops", stopped).await;
+    assert_eq!(world.call(1, "/safe/x", "held", Call::default()).await.status, 200);
+
+    // A replica that loses its disk comes back under a new number; then another one may be lost.
+    world.cores[0].kill();
+    world.cores[0].wipe();
+    world.cores[0].restart();
+    assert_eq!(world.publish(&config(11, &[KEY])).await, 200);
+    tokio::time::sleep(std::time::Duration::from_secs(4)).await;
+    world.cores[1].kill();
+    assert_eq!(world.publish(&config(13, &[KEY])).await, 200);
+    let (_, held) = world.order("GET", "/-/config", String::new()).await;
+    assert_eq!(held, config(13, &[KEY]).to_string());
+
+    // A zone that is taken out gets nothing; callers are told that nothing has run.
+    assert_eq!(world.order("POST", "/-/evacuate/z1", String::new()).await.0, 200);
+    assert_eq!(world.order("POST", "/-/evacuate/nowhere", String::new()).await.0, 404);
+    let refused = async || world.call(0, "/safe/x", "out", Call::default()).await.status == 503;
+    eventually("the only zone is out", refused).await;
+    assert_eq!(world.order("DELETE", "/-/evacuate/z1", String::new()).await.0, 200);
+    let served = async || world.call(0, "/safe/x", "in", Call::default()).await.status == 200;
+    eventually("the zone is back", served).await;
+
+    // Too few stores would be left.
+    let body = r#"{"overS":5}"#.to_owned();
+    let (status, _) = world.order("POST", "/-/retire/storage-20", body.clone()).await;
+    assert_eq!(status, 409);
+    assert_eq!(world.order("POST", "/-/retire/nothing", body).await.0, 404);
+
+    // A front that is asked to end does so without cutting anybody off.
+    assert!(world.fronts[0].terminate().await);
+}
--- /dev/null
+++ b/tests/support/platform.rs
@@ -0,0 +1,451 @@
+//! A stand-in of the users' platform for a relay fleet: machines on loopback addresses of their own,
+//! the list of servers, servers with faults on request, an operator and callers.
+
+use std::{
+    convert::Infallible,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_poplarspan");
+const PEER_PORT: u16 = 7780;
+const ORDER_PORT: u16 = 8367;
+const CALL_PORT: u16 = 8368;
+const READY_PORT: u16 = 8369;
+const SERVER_PORT: u16 = 8080;
+/// Long enough for a busy machine; no test waits for it to pass.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+
+pub const HOST: &str = "calls.example";
+pub const KEY: &str = "key-of-red";
+
+/// A request that a server has run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub server: usize,
+    pub id: String,
+    pub path: String,
+    pub body: Bytes,
+    pub team: Option<String>,
+    pub saw_key: bool,
+}
+
+/// What the servers have run, and what they are told to do.
+#[derive(Clone, Default)]
+pub struct Servers {
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Servers {
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("no panic while locked").clone()
+    }
+
+    /// Runs of one request.
+    pub fn runs_of(&self, id: &str) -> Vec<Run> {
+        self.runs().into_iter().filter(|r| r.id == id).collect()
+    }
+
+    async fn answer(
+        self,
+        server: usize,
+        req: Request<Incoming>,
+    ) -> Result<Response<BoxBody<Bytes, std::io::Error>>, std::io::Error> {
+        let header =
+            |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let path = req.uri().path().to_owned();
+        let id = header("request-id").unwrap_or_default();
+        let expected = header("expect-instance");
+        let (team, saw_key) = (header("tenant"), req.headers().contains_key("api-key"));
+        if expected.as_deref() != Some(&*server_name(server)) {
+            return Ok(answer(421, &id, false, Bytes::new()));
+        }
+        // The first server is full for requests that ask for it.
+        if path.ends_with("/full-at-first") && server == 0 {
+            let mut full = answer(503, &id, false, Bytes::new());
+            full.headers_mut().insert("not-run", "1".parse().expect("a header"));
+            return Ok(full);
+        }
+        let body = req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+        let run =
+            Run { server, id: id.clone(), path: path.clone(), body: body.clone(), team, saw_key };
+        self.runs.lock().expect("no panic while locked").push(run);
+        if path.ends_with("/lost") {
+            // Closes the connection without an answer.
+            return Err(std::io::Error::other("lost on request"));
+        }
+        if path.ends_with("/forged") {
+            return Ok(answer(200, &id, false, Bytes::from_static(b"not the server's")));
+        }
+        if let Some((_, events)) = path.rsplit_once("/events/") {
+            let count: usize = events.parse().expect("a number of events");
+            let events = (1..=count)
+                .map(move |n| Ok(Frame::data(Bytes::from(format!("id: {n}\ndata: out{n}\n\n")))));
+            let mut streamed = answer(200, &id, true, Bytes::new())
+                .map(|_| BodyExt::boxed(StreamBody::new(stream::iter(events))));
+            let kind = "text/event-stream".parse().expect("a header");
+            streamed.headers_mut().insert("content-type", kind);
+            return Ok(streamed);
+        }
+        Ok(answer(200, &id, true, body))
+    }
+}
+
+fn answer(
+    status: u16,
+    id: &str,
+    sealed: bool,
+    body: Bytes,
+) -> Response<BoxBody<Bytes, std::io::Error>> {
+    let body = Full::new(body).map_err(|never| match never {}).boxed();
+    let mut builder = Response::builder().status(status).header("request-id", id);
+    if sealed {
+        builder = builder.header("server-seal", format!("seal-{id}"));
+    }
+    builder.body(body).expect("a valid answer")
+}
+
+fn server_name(server: usize) -> String {
+    format!("i-{server}")
+}
+
+/// A machine with one process of the fleet.
+pub struct Machine {
+    settings: PathBuf,
+    tls: PathBuf,
+    data: Option<PathBuf>,
+    child: Option<Child>,
+}
+
+impl Machine {
+    fn start(&mut self) {
+        let file = |name: &str| self.tls.join(name).display().to_string();
+        let child = Command::new(PROGRAM)
+            .arg("node")
+            .arg("--settings")
+            .arg(&self.settings)
+            .args(["--tls-authority", &file("authority.pem")])
+            .args(["--tls-certificate", &file("instance.pem")])
+            .args(["--tls-key", &file("instance.key")])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().expect("it runs");
+        child.kill().expect("it runs");
+        child.wait().expect("it ends");
+    }
+
+    /// Asks the process to end, and returns whether it reports success.
+    pub async fn terminate(&mut self) -> bool {
+        let mut child = self.child.take().expect("it runs");
+        let pid = Pid::from_raw(i32::try_from(child.id()).expect("a pid"));
+        kill(pid, Signal::SIGTERM).expect("it runs");
+        let ended = tokio::task::spawn_blocking(move || child.wait().expect("it ends"));
+        ended.await.expect("no panic").success()
+    }
+
+    /// Starts the process again, with what is on its disk.
+    pub fn restart(&mut self) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings");
+        let text = text.replace("bootstrap = true", "bootstrap = false");
+        std::fs::write(&self.settings, text).expect("settings");
+        self.start();
+    }
+
+    /// Loses the disk.
+    pub fn wipe(&mut self) {
+        let data = self.data.as_ref().expect("a machine with a disk");
+        std::fs::remove_dir_all(data).expect("the disk");
+        std::fs::create_dir(data).expect("an empty disk");
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Fails only when it has ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// A fleet with three control replicas, three stores and two fronts before three servers.
+pub struct World {
+    pub cores: Vec<Machine>,
+    pub stores: Vec<Machine>,
+    pub fronts: Vec<Machine>,
+    pub servers: Servers,
+    net: [u8; 3],
+    pub client: reqwest::Client,
+    _dir: tempfile::TempDir,
+}
+
+/// Addresses of one test: other tests, also in other processes, have others.
+fn own_net() -> [u8; 3] {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id();
+    let fleet = NEXT.fetch_add(1, Ordering::Relaxed) % 16;
+    [127, 64 + (pid % 128) as u8, ((pid / 128) % 15) as u8 * 16 + fleet]
+}
+
+impl World {
+    fn ip(&self, machine: u8) -> Ipv4Addr {
+        let [a, b, c] = self.net;
+        Ipv4Addr::new(a, b, c, machine)
+    }
+
+    /// Starts everything, and returns when the fronts are ready.
+    pub async fn start(config: &Value) -> Self {
+        let dir = tempfile::tempdir().expect("temporary folder");
+        let tls = dir.path().join("tls");
+        let made = Command::new(PROGRAM).args(["certs", "--out"]).arg(&tls).output();
+        assert!(made.expect("the program runs").status.success());
+        let mut world = Self {
+            cores: Vec::new(),
+            stores: Vec::new(),
+            fronts: Vec::new(),
+            servers: Servers::default(),
+            net: own_net(),
+            client: reqwest::Client::builder().pool_max_idle_per_host(0).build().expect("a client"),
+            _dir: dir,
+        };
+        let root = world._dir.path().to_owned();
+        world.start_servers().await;
+        for n in 0..3 {
+            let core = world.machine(&root, &tls, "core", 10 + n);
+            world.cores.push(core);
+            let store = world.machine(&root, &tls, "storage", 20 + n);
+            world.stores.push(store);
+        }
+        for n in 0..2 {
+            let front = world.machine(&root, &tls, "front", 30 + n);
+            world.fronts.push(front);
+        }
+        for machine in world.cores.iter_mut().chain(&mut world.stores).chain(&mut world.fronts) {
+            machine.start();
+        }
+        assert_eq!(world.publish(config).await, 200);
+        for front in 0..2 {
+            world.ready(front).await;
+        }
+        world
+    }
+
+    fn machine(&self, root: &Path, tls: &Path, class: &str, number: u8) -> Machine {
+        let name = format!("{class}-{number}");
+        let ip = self.ip(number);
+        let data = (class != "front").then(|| root.join(&name));
+        let seeds: Vec<_> = (10..13).map(|n| format!("\"{}:{ORDER_PORT}\"", self.ip(n))).collect();
+        let (serves, listen) = match class {
+            "front" => {
+                ("front", format!("front = \"{ip}:{CALL_PORT}\"\nready = \"{ip}:{READY_PORT}\""))
+            }
+            "core" => ("control", format!("control = \"{ip}:{ORDER_PORT}\"")),
+            _ => ("storage", String::new()),
+        };
+        let data_line = data.as_ref().map_or_else(String::new, |data| {
+            std::fs::create_dir(data).expect("a disk");
+            format!("dataDir = \"{}\"\n", data.display())
+        });
+        let text = format!(
+            "node = \"{name}\"\nserves = [\"{serves}\"]\nip = \"{ip}\"\nzone = \"z1\"\n\
+             portRange = [{PEER_PORT}, {last}]\nseeds = [{seeds}]\nbootstrap = true\n{data_line}\
+             [zones]\nz1 = \"r\"\nz2 = \"r\"\n[listen]\n{listen}\n\
+             [faultTolerance]\nmachines = 1\n[bounds]\nrevokeMs = 5000\ngraceS = 8\n\
+             [cloud]\naddress = \"{list}\"\n",
+            last = PEER_PORT + 15,
+            seeds = seeds.join(", "),
+            list = SocketAddr::from((self.ip(1), SERVER_PORT)),
+        );
+        let settings = root.join(format!("{name}.toml"));
+        std::fs::write(&settings, text).expect("settings");
+        Machine { settings, tls: tls.to_owned(), data, child: None }
+    }
+
+    async fn start_servers(&self) {
+        for server in 0..3usize {
+            let ip = self.ip(2 + server as u8);
+            let socket = TcpListener::bind((ip, SERVER_PORT)).await.expect("an address of its own");
+            let servers = self.servers.clone();
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = socket.accept().await {
+                    let servers = servers.clone();
+                    let service = service_fn(move |req| servers.clone().answer(server, req));
+                    tokio::spawn(async move {
+                        // Ends with an error when it is to lose an answer.
+                        let _ = http1::Builder::new()
+                            .serve_connection(TokioIo::new(stream), service)
+                            .await;
+                    });
+                }
+            });
+        }
+        let mut list: Vec<Value> = (0..3u8)
+            .map(|n| {
+                json!({"id": server_name(n.into()), "service": "s",
+                    "address": format!("{}:{SERVER_PORT}", self.ip(2 + n)), "zone": "z1",
+                    "slots": 8, "state": "ready", "coldLeftMs": 0})
+            })
+            .collect();
+        // An entry of another writer.
+        list.push(json!({"id": 7, "service": "s", "state": "sleeping"}));
+        let page = json!({"instances": list, "nextToken": null}).to_string();
+        let socket = TcpListener::bind((self.ip(1), SERVER_PORT)).await.expect("an address");
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = socket.accept().await {
+                let page = page.clone();
+                let service = service_fn(move |_req: Request<Incoming>| {
+                    let page = page.clone();
+                    async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(page)))) }
+                });
+                tokio::spawn(async move {
+                    // A reader that leaves needs no report.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+    }
+
+    /// Sends an order to one replica after another until one answers it; returns the status.
+    pub async fn order(&self, method: &str, path: &str, body: String) -> (u16, String) {
+        let method: reqwest::Method = method.parse().expect("a method");
+        let until = tokio::time::Instant::now() + PATIENCE;
+        for turn in 0u8.. {
+            assert!(tokio::time::Instant::now() < until, "no replica answers {path}");
+            let url = format!("http://{}:{ORDER_PORT}{path}", self.ip(10 + turn % 3));
+            let sent = self.client.request(method.clone(), url).body(body.clone()).send().await;
+            match sent {
+                Ok(answer) if !answer.status().is_server_error() => {
+                    let status = answer.status().as_u16();
+                    return (status, answer.text().await.expect("a whole answer"));
+                }
+                Ok(_) | Err(_) => tokio::time::sleep(POLL).await,
+            }
+        }
+        unreachable!("the loop ends by a return")
+    }
+
+    pub async fn publish(&self, config: &Value) -> u16 {
+        self.order("PUT", "/-/config", config.to_string()).await.0
+    }
+
+    async fn ready(&self, front: u8) {
+        let url = format!("http://{}:{READY_PORT}/-/ready", self.ip(30 + front));
+        let is_ready = async || {
+            self.client.get(&url).send().await.is_ok_and(|answer| answer.status().is_success())
+        };
+        eventually("a front becomes ready", is_ready).await;
+    }
+
+    /// Makes a call with its id.
+    pub async fn call(&self, front: u8, path: &str, id: &str, call: Call<'_>) -> Answer {
+        let url = format!("http://{}:{CALL_PORT}{path}", self.ip(30 + front));
+        let mut req = self
+            .client
+            .post(url)
+            .header("host", HOST)
+            .header("request-id", id)
+            .header("deadline-ms", "20000")
+            .body(call.body.to_owned());
+        if let Some(key) = call.key {
+            req = req.header("api-key", key);
+        }
+        for (name, value) in call.headers {
+            req = req.header(*name, *value);
+        }
+        let answer = match req.send().await {
+            Ok(answer) => answer,
+            Err(e) => return Answer { status: 0, headers: Default::default(), body: Err(e) },
+        };
+        let (status, headers) = (answer.status().as_u16(), answer.headers().clone());
+        Answer { status, headers, body: answer.text().await }
+    }
+}
+
+/// What a caller sends beside the path and the id.
+#[derive(Clone, Copy)]
+pub struct Call<'a> {
+    pub key: Option<&'a str>,
+    pub headers: &'a [(&'a str, &'a str)],
+    pub body: &'a str,
+}
+
+impl Default for Call<'_> {
+    fn default() -> Self {
+        Self { key: Some(KEY), headers: &[], body: "in" }
+    }
+}
+
+/// What a caller gets.
+pub struct Answer {
+    pub status: u16,
+    pub headers: reqwest::header::HeaderMap,
+    /// An error if the answer was cut short.
+    pub body: Result<String, reqwest::Error>,
+}
+
+impl Answer {
+    pub fn text(&self) -> &str {
+        self.body.as_deref().expect("a whole answer")
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let until = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < until, "in vain: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// A config with a route of each kind: `/safe/`, `/once/`, `/stream/` and `/kept/`.
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, kept: bool| {
+        json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 20_000, "goalMs": 500, "priority": 0, "service": "s", "attempts": 2,
+            "retain": kept, "retainS": 60.0, "public": false, "canResume": false})
+    };
+    json!({"version": version,
+        "routes": [route("safe", "safe", false), route("once", "unsafe", false),
+            route("stream", "stream", false), route("kept", "stream", true)],
+        "services": [{"name": "s", "healthPath": "/healthz", "maxConns": 100,
+            "coldStartS": 0.0, "coldPerS": 0.0,
+            "engine": {"slots": 8, "kvCapacity": 100_000, "tokensPerEvent": 10}}],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "red", "apiKeys": keys, "ratePerS": 0, "burst": 0}]})
+}
