--- a/crates/core/lib.rs
+++ b/crates/core/lib.rs
@@ -45,6 +45,8 @@
 pub use poplarspan_agreement as agreement;
 pub use poplarspan_ledger as ledger;
 pub use poplarspan_objects as objects;
+pub use poplarspan_platform as platform;
 pub use poplarspan_policy as policy;
 pub use poplarspan_proto as proto;
+pub use poplarspan_relay as relay;
 pub use poplarspan_server as server;
--- a/crates/relay/src/control/orders.rs
+++ b/crates/relay/src/control/orders.rs
@@ -147,7 +147,9 @@
                 .members(PeerDuty::Store)
                 .filter(|m| m.name != *instance && !board.retiring().contains(&m.name))
                 .count();
-            if stays < MIN_VOTERS {
+            // As many as bear what may be lost at once, and still are a majority.
+            let needed = 2 * self.control.settings.tolerated_losses + 1;
+            if stays < needed.max(MIN_VOTERS) {
                 return self.refuse(StatusCode::CONFLICT, "too few stores would be left");
             }
         }
--- a/crates/relay/tests/event_reader.rs
+++ b/crates/relay/tests/event_reader.rs
@@ -4,7 +4,10 @@
 use poplarspan_relay::EventReader;
 use proptest::prelude::*;
 
-fn read(pieces: &[&[u8]]) -> (Vec<(Option<String>, Vec<u8>)>, Vec<u8>) {
+/// Id and bytes of each event.
+type Events = Vec<(Option<String>, Vec<u8>)>;
+
+fn read(pieces: &[&[u8]]) -> (Events, Vec<u8>) {
     let mut reader = EventReader::default();
     let mut events = Vec::new();
     for piece in pieces {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -46,9 +46,7 @@
 /// A request that a server has run.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub server: usize,
     pub id: String,
-    pub path: String,
     pub body: Bytes,
     pub team: Option<String>,
     pub saw_key: bool,
@@ -91,8 +89,7 @@
             return Ok(full);
         }
         let body = req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
-        let run =
-            Run { server, id: id.clone(), path: path.clone(), body: body.clone(), team, saw_key };
+        let run = Run { id: id.clone(), body: body.clone(), team, saw_key };
         self.runs.lock().expect("no panic while locked").push(run);
         if path.ends_with("/lost") {
             // Closes the connection without an answer.
