--- a/crates/policy/tests/cold_starts.rs
+++ b/crates/policy/tests/cold_starts.rs
@@ -3,9 +3,15 @@
 use std::time::Duration;
 
 use poplarspan_policy::starts::{Place, StartGate};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// All instances together start at most the bound in any second, also when there are more
     /// instances than calls.
     #[test]
--- a/crates/policy/tests/quota_shares.rs
+++ b/crates/policy/tests/quota_shares.rs
@@ -7,7 +7,7 @@
     quota::{Allocator, Bucket, Demand, SHARED_BURST, SHARED_RATE, Share},
     rate::Limit,
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
 const LEASE: Duration = Duration::from_secs(3);
@@ -50,7 +50,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
 
     /// Over any window no more than rate times window plus burst is admitted, whatever instances
     /// ask for, and while beats are lost or come late.
--- a/crates/relay/src/replica/plan.rs
+++ b/crates/relay/src/replica/plan.rs
@@ -118,7 +118,8 @@
         let leaving = self.voters.iter().find(|id| self.leaving.contains(id))?;
         let stays = |id: &&ReplicaId| self.answers(**id) && !self.leaving.contains(id);
         let staying: Vec<_> = self.voters.iter().filter(stays).collect();
-        if staying.len() < MIN_VOTERS || !self.learners.is_empty() {
+        let is_majority = staying.len() * 2 > self.voters.len() - 1;
+        if staying.len() < MIN_VOTERS || !is_majority || !self.learners.is_empty() {
             return None;
         }
         if *leaving != self.me {
--- a/crates/relay/tests/event_reader.rs
+++ b/crates/relay/tests/event_reader.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use poplarspan_relay::EventReader;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 /// Id and bytes of each event.
 type Events = Vec<(Option<String>, Vec<u8>)>;
@@ -37,6 +37,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// The pieces in which a stream arrives make no difference, and no byte is lost.
     #[test]
     fn any_pieces(
--- a/crates/relay/tests/kept_turns.rs
+++ b/crates/relay/tests/kept_turns.rs
@@ -4,7 +4,7 @@
 use poplarspan_agreement::StateMachine;
 use poplarspan_proto::relay as pb;
 use poplarspan_relay::Turns;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use prost::Message;
 
 fn run(turns: &mut Turns, command: pb::TurnCommand) -> Vec<pb::Reserved> {
@@ -85,6 +85,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// What is used and reserved never exceeds the budget, over any order of commands, repeated ones
     /// included; a copy restored from a snapshot goes on in the same way.
     #[test]
--- a/crates/relay/tests/member_changes.rs
+++ b/crates/relay/tests/member_changes.rs
@@ -4,7 +4,7 @@
 
 use poplarspan_agreement::ReplicaId;
 use poplarspan_relay::{Members, Step, replica_number};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 const NOW: Duration = Duration::ZERO;
 const LONG: Duration = Duration::from_secs(9);
@@ -78,7 +78,24 @@
     assert_eq!(m.next_step(), Some(Step::AddLearner(id(6, 1))));
 }
 
+/// A store is not emptied while, without it, those that answer would be no majority. Found by
+/// `keeps_majority`.
+#[test]
+fn emptied_among_silent() {
+    let voters: Vec<_> = (0..7).map(|n| id(n, 0)).collect();
+    let mut m = members(&voters);
+    m.silence = [1, 3, 5].map(|at| (voters[at], LONG)).to_vec();
+    m.leaving = vec![voters[6]];
+    assert_ne!(m.next_step(), Some(Step::Remove(voters[6])));
+}
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// No change leaves a group in which those that answer are no majority, makes it smaller than
     /// three, or removes the leader.
     #[test]
--- a/crates/relay/tests/publication_order.rs
+++ b/crates/relay/tests/publication_order.rs
@@ -4,7 +4,7 @@
 use poplarspan_agreement::StateMachine;
 use poplarspan_proto::relay::{self as pb, board_command::Body};
 use poplarspan_relay::Board;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use prost::Message;
 
 fn apply(board: &mut Board, body: Body) -> u64 {
@@ -38,6 +38,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// The version never goes back, and a snapshot restores the whole state.
     #[test]
     fn never_back(commands in proptest::collection::vec((0u64..20, 0u8..4, 0u8..3), 1..60)) {
