--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -160,18 +160,31 @@
     storage: &dyn Storage,
     groups: &[GroupId],
     voters: &[ReplicaId],
+) -> Result<(), InitError> {
+    init_groups(storage, groups.iter().map(|id| (*id, voters.to_vec())).collect()).await
+}
+
+/// Like [`init_voters`], with first voters of its own for each group.
+///
+/// # Errors
+///
+/// Fails when the store holds anything, or cannot be written.
+pub async fn init_groups(
+    storage: &dyn Storage,
+    groups: Vec<(GroupId, Vec<ReplicaId>)>,
 ) -> Result<(), InitError> {
     if !storage.load().await?.is_empty() {
         return Err(InitError::NotEmpty);
     }
-    let mut voters = voters.to_vec();
-    voters.sort_unstable();
-    voters.dedup();
-    let snapshot = Snapshot {
-        last: LogPosition::default(),
-        membership: Membership { voters, learners: Vec::new() },
-        data: Bytes::new(),
+    let first = |(id, mut voters): (GroupId, Vec<ReplicaId>)| {
+        voters.sort_unstable();
+        voters.dedup();
+        let snapshot = Snapshot {
+            last: LogPosition::default(),
+            membership: Membership { voters, learners: Vec::new() },
+            data: Bytes::new(),
+        };
+        (id, Persist { snapshot: Some(snapshot), ..Persist::default() })
     };
-    let persist = Persist { snapshot: Some(snapshot), ..Persist::default() };
-    Ok(storage.persist(groups.iter().map(|id| (*id, persist.clone())).collect()).await?)
+    Ok(storage.persist(groups.into_iter().map(first).collect()).await?)
 }
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -100,7 +100,8 @@
 pub use convert::{ConvertError, PeerMessage};
 pub use driver::{
     Clock, GroupHandle, GroupStatus, GroupView, InitError, Node, NodeBuilder, NodeConfig,
-    NodeError, ProposeError, ReadError, RuntimeClock, StateMachine, Transport, init_voters,
+    NodeError, ProposeError, ReadError, RuntimeClock, StateMachine, Transport, init_groups,
+    init_voters,
 };
 pub use identity::{DataDir, IdentityError, PeerIdentities};
 pub use message::{AppendResult, Message};
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -534,14 +534,20 @@
     #[prost(uint32, tag = "5")]
     pub programs: u32,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StoreState {
     #[prost(uint64, tag = "1")]
     pub replica: u64,
-    #[prost(bool, tag = "2")]
-    pub leads: bool,
-    /// Committed voters of the group, as the instance knows them.
-    #[prost(uint64, repeated, tag = "3")]
+    /// The groups that the instance leads.
+    #[prost(message, repeated, tag = "2")]
+    pub leads: ::prost::alloc::vec::Vec<LedGroup>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LedGroup {
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// Committed voters.
+    #[prost(uint64, repeated, tag = "2")]
     pub voters: ::prost::alloc::vec::Vec<u64>,
 }
 /// Counted by the instance from when it sent the beat.
@@ -567,15 +573,19 @@
     /// Peer addresses of the control replicas.
     #[prost(string, repeated, tag = "8")]
     pub cores: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// Peer addresses of the instances that store programs, the leader first if it is known.
+    /// Peer addresses of the instances that store programs.
     #[prost(string, repeated, tag = "9")]
     pub stores: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// First voters of the group of the stores; empty until they are decided.
+    /// The stores in the order in which groups take their first voters; empty until it is decided.
     #[prost(uint64, repeated, tag = "10")]
-    pub store_founders: ::prost::alloc::vec::Vec<u64>,
+    pub store_ring: ::prost::alloc::vec::Vec<u64>,
     /// Replicas of stores that are to be emptied.
     #[prost(uint64, repeated, tag = "11")]
     pub retiring: ::prost::alloc::vec::Vec<u64>,
+    /// For each group, the place of its leader in `stores`, counted from 1; 0 if it is not known.
+    /// Empty until it is decided how many groups there are.
+    #[prost(uint32, repeated, tag = "12")]
+    pub group_leaders: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Published {
@@ -625,11 +635,16 @@
 pub struct Join {
     #[prost(uint64, tag = "1")]
     pub replica: u64,
+    #[prost(uint32, tag = "2")]
+    pub group: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Joined {
     #[prost(bool, tag = "1")]
     pub voter: bool,
+    /// The group has as many voters as it should have.
+    #[prost(bool, tag = "2")]
+    pub complete: bool,
 }
 /// Asks for one token of a team's rate beyond the instance's share.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -672,6 +687,8 @@
     /// Turn that this one continues.
     #[prost(string, optional, tag = "6")]
     pub previous: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(uint32, tag = "8")]
+    pub group: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnBegun {
@@ -686,10 +703,13 @@
     #[prost(uint64, tag = "4")]
     pub amount: u64,
 }
+/// Ends turns of one group.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TurnEnds {
     #[prost(message, repeated, tag = "1")]
     pub ends: ::prost::alloc::vec::Vec<TurnEnd>,
+    #[prost(uint32, tag = "2")]
+    pub group: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnEnd {
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -34,11 +34,14 @@
     #[prost(bool, tag = "2")]
     pub out: bool,
 }
-/// Decides the first voters of the group of the stores, once.
+/// Decides once into how many groups programs are divided, and which stores found them.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FormStore {
+    /// The stores in the order in which groups take their first voters from them.
     #[prost(uint64, repeated, tag = "1")]
-    pub voters: ::prost::alloc::vec::Vec<u64>,
+    pub ring: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, tag = "2")]
+    pub groups: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Retire {
@@ -62,13 +65,13 @@
     /// Sorted.
     #[prost(string, repeated, tag = "3")]
     pub zones_out: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    #[prost(uint64, repeated, tag = "4")]
-    pub store_founders: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, optional, tag = "4")]
+    pub stores: ::core::option::Option<FormStore>,
     /// Sorted.
     #[prost(string, repeated, tag = "5")]
     pub retiring: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
-/// A command of the group that keeps programs and their turns.
+/// A command of a group that keeps programs and their turns.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TurnCommand {
     /// Milliseconds since the epoch at the proposer. Time in the log never goes back.
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -1,4 +1,4 @@
-//! What the control group replicates: the publication, zones that are out, and the stores' group.
+//! What the control group replicates: the publication, zones that are out, and the stores' groups.
 //!
 //! Owner: the replicated log of the control replicas. Of two publications the one with the higher
 //! version takes effect, whatever the order in which they arrive; one that is not higher changes
@@ -17,7 +17,7 @@
     body: Bytes,
     // Sorted.
     zones_out: Vec<Name>,
-    store_founders: Vec<u64>,
+    stores: pb::FormStore,
     // Sorted.
     retiring: Vec<Name>,
 }
@@ -38,9 +38,14 @@
         &self.zones_out
     }
 
-    /// First voters of the stores' group; empty until they are decided.
-    pub fn store_founders(&self) -> &[u64] {
-        &self.store_founders
+    /// The stores in the order in which groups take their first voters; empty until it is decided.
+    pub fn store_ring(&self) -> &[u64] {
+        &self.stores.ring
+    }
+
+    /// Groups into which programs are divided; 0 until it is decided.
+    pub fn store_groups(&self) -> u32 {
+        self.stores.groups
     }
 
     /// Instances that are to be emptied, sorted.
@@ -56,9 +61,7 @@
             }
             Body::Publish(_) => {}
             Body::Zone(zone) => set(&mut self.zones_out, zone.zone.into(), zone.out),
-            Body::Form(form) if self.store_founders.is_empty() => {
-                self.store_founders = form.voters;
-            }
+            Body::Form(form) if self.stores.ring.is_empty() => self.stores = form,
             Body::Form(_) => {}
             Body::Retire(retire) => set(&mut self.retiring, retire.instance.into(), true),
         }
@@ -100,7 +103,7 @@
             version: self.version,
             body: self.body.clone(),
             zones_out: names(&self.zones_out),
-            store_founders: self.store_founders.clone(),
+            stores: Some(self.stores.clone()),
             retiring: names(&self.retiring),
         }
         .encode_to_vec()
@@ -108,11 +111,11 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
-        let pb::BoardSnapshot { version, body, zones_out, store_founders, retiring } =
+        let pb::BoardSnapshot { version, body, zones_out, stores, retiring } =
             pb::BoardSnapshot::decode(snapshot)?;
         let names = |list: Vec<String>| list.into_iter().map(Name::from).collect();
         let (zones_out, retiring) = (names(zones_out), names(retiring));
-        *self = Self { version, body, zones_out, store_founders, retiring };
+        *self = Self { version, body, zones_out, stores: stores.unwrap_or_default(), retiring };
         Ok(())
     }
 }
--- a/crates/relay/src/control/leading.rs
+++ b/crates/relay/src/control/leading.rs
@@ -137,10 +137,23 @@
         Place { rank: rank as u32, of: fronts().count().max(1) as u32 }
     }
 
-    /// The store that leads, as far as a live one says so.
-    pub(crate) fn store_leader(&self) -> Option<&Member> {
-        let leads = |m: &&Member| m.store.as_ref().is_some_and(|s| s.leads);
-        self.members(PeerDuty::Store).filter(leads).max_by_key(|m| m.until)
+    /// The store that leads a group, as far as a live one says so, and the group's voters.
+    fn group_leader(&self, group: u32) -> Option<(&Member, &peer::LedGroup)> {
+        let led = self.members(PeerDuty::Store).filter_map(|m| {
+            let group = m.store.as_ref()?.leads.iter().find(|g| g.group == group)?;
+            Some((m, group))
+        });
+        led.max_by_key(|(m, _)| m.until)
+    }
+
+    /// Whether a store votes in none of the groups. None while it cannot be told.
+    pub(crate) fn holds_nothing(&self, instance: &str, groups: u32) -> Option<bool> {
+        let replica = self.member(instance)?.store.as_ref()?.replica;
+        let mut is_empty = true;
+        for group in 0..groups {
+            is_empty &= !self.group_leader(group)?.1.voters.contains(&replica);
+        }
+        Some(is_empty)
     }
 
     /// Replicas of the live stores among `names`.
@@ -149,17 +162,23 @@
         names.iter().filter_map(replica).collect()
     }
 
-    /// Peer addresses of the stores, the leader first.
+    /// Peer addresses of the stores.
     pub(crate) fn store_addresses(&self) -> Vec<String> {
-        let leader = self.store_leader().map(|m| m.address);
-        let others = self.members(PeerDuty::Store).map(|m| m.address);
-        let others = others.filter(|a| Some(*a) != leader);
-        leader.into_iter().chain(others).map(|a| a.to_string()).collect()
+        self.members(PeerDuty::Store).map(|m| m.address.to_string()).collect()
+    }
+
+    /// For each group, the place of its leader among the stores, from 1; 0 if it is not known.
+    pub(crate) fn group_leaders(&self, groups: u32) -> Vec<u32> {
+        let place = |leader: &Member| {
+            let at = self.members(PeerDuty::Store).position(|m| m.name == leader.name);
+            at.map_or(0, |at| at as u32 + 1)
+        };
+        (0..groups).map(|g| self.group_leader(g).map_or(0, |(leader, _)| place(leader))).collect()
     }
 
-    /// First voters of the stores' group, when it is time to decide them. Of many stores, as many as
-    /// a group has voters, spread over the zones.
-    pub(crate) fn store_founders(&self, most: usize, now: Duration) -> Option<Vec<u64>> {
+    /// The stores in the order in which groups take their first voters, when it is time to decide it.
+    /// Neighbours are in different zones.
+    pub(crate) fn store_ring(&self, now: Duration) -> Option<Vec<u64>> {
         let stores: Vec<&Member> = self.members(PeerDuty::Store).collect();
         let first = stores.iter().map(|m| m.first_seen).min()?;
         if now < first + FORMING_TIME || !self.knows_all(now) {
@@ -170,10 +189,8 @@
             let earlier = stores[..at].iter().filter(|m| m.zone == member.zone).count();
             ranked.push((earlier, member.store.as_ref()?.replica));
         }
-        ranked.sort_unstable();
-        let mut voters: Vec<u64> = ranked.into_iter().take(most).map(|(_, id)| id).collect();
-        voters.sort_unstable();
-        Some(voters)
+        ranked.sort_by_key(|(earlier, _)| *earlier);
+        Some(ranked.into_iter().map(|(_, id)| id).collect())
     }
 
     /// Replaces the list of endpoints. Returns whether it changed.
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -23,10 +23,8 @@
 
 use crate::{
     Board, Dialect, Duty, Publication, Settings, board,
-    replica::{
-        Replica,
-        plan::{TARGET_VOTERS, machine},
-    },
+    groups::group_count,
+    replica::{Replica, plan::machine},
 };
 use leading::Leading;
 
@@ -127,8 +125,9 @@
             shares,
             cores: voters.iter().map(|id| self.control_peer(*id)).collect(),
             stores: leading.store_addresses(),
-            store_founders: board.store_founders().to_vec(),
+            store_ring: board.store_ring().to_vec(),
             retiring: leading.store_replicas(board.retiring()),
+            group_leaders: leading.group_leaders(board.store_groups()),
         })
     }
 
@@ -165,25 +164,24 @@
         Ok(pb::BoardResult::decode(result).map_or(0, |r| r.version))
     }
 
-    /// Decides the first voters of the stores' group, once the stores are known.
+    /// Decides how the stores form groups, once they are known.
     pub(crate) async fn run_forming(self: Arc<Self>) -> anyhow::Result<()> {
         const INTERVAL: Duration = Duration::from_millis(200);
         loop {
             tokio::time::sleep(INTERVAL).await;
             let Ok(board) = self.board().await else { continue };
-            if !board.store_founders().is_empty() {
+            if !board.store_ring().is_empty() {
                 return Ok(());
             }
             let now = self.clock.now();
-            let founders =
-                self.leading().and_then(|s| s.leading.store_founders(TARGET_VOTERS, now));
-            let Some(voters) = founders else { continue };
-            let count = voters.len();
-            match self.commit(board_command::Body::Form(pb::FormStore { voters })).await {
-                Ok(_) => log::info!(count; "decided the first voters of the stores"),
+            let ring = self.leading().and_then(|s| s.leading.store_ring(now));
+            let Some(ring) = ring else { continue };
+            let (stores, groups) = (ring.len(), group_count(ring.len()));
+            match self.commit(board_command::Body::Form(pb::FormStore { ring, groups })).await {
+                Ok(_) => log::info!(stores, groups; "decided how the stores form groups"),
                 Err(e) => {
                     let error = e.to_string();
-                    log::warn!(error = error.as_str(); "cannot decide the voters of the stores");
+                    log::warn!(error = error.as_str(); "cannot decide how the stores form groups");
                 }
             }
         }
--- a/crates/relay/src/control/orders.rs
+++ b/crates/relay/src/control/orders.rs
@@ -162,14 +162,8 @@
             return self.refuse(StatusCode::NOT_FOUND, "this store is not being emptied");
         }
         let Some(state) = self.control.leading() else { return self.redirect(path) };
-        let leading = &state.leading;
-        let voters = leading.store_leader().and_then(|m| m.store.as_ref()).map(|s| &s.voters);
-        let replica = leading.member(instance).and_then(|m| m.store.as_ref()).map(|s| s.replica);
-        // Without a known leader and replica, nobody can say that the store holds nothing.
-        let is_done = match (voters, replica) {
-            (Some(voters), Some(replica)) => !voters.contains(&replica),
-            _ => false,
-        };
+        // While a leader is not known, nobody can say that the store holds nothing.
+        let is_done = state.leading.holds_nothing(instance, board.store_groups()).unwrap_or(false);
         whole(StatusCode::OK, self.control.dialect.retire_state(is_done))
     }
 
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -16,7 +16,7 @@
 use anyhow::Result;
 use arc_swap::ArcSwap;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use poplarspan_agreement::Clock;
+use poplarspan_agreement::{Clock, ReplicaId};
 use poplarspan_node::{CallError, PeerClient};
 use poplarspan_policy::{Name, starts::Place};
 use poplarspan_proto::peer::{self, request, response};
@@ -47,9 +47,12 @@
     /// Sorted.
     pub(crate) zones_out: Vec<Name>,
     pub(crate) place: Place,
-    /// Peer addresses of the stores, the leader first if it is known.
+    /// Peer addresses of the stores.
     pub(crate) stores: Vec<SocketAddr>,
-    pub(crate) store_founders: Vec<u64>,
+    /// The stores in the order in which groups take their first voters.
+    pub(crate) store_ring: Vec<ReplicaId>,
+    /// Leader of each group of stores, if it is known. Empty until there are groups.
+    pub(crate) group_leaders: Vec<Option<SocketAddr>>,
     /// Replicas of stores that are to be emptied.
     pub(crate) retiring: Vec<u64>,
 }
@@ -122,7 +125,8 @@
             zones_out: Vec::new(),
             place: Place { rank: 0, of: 1 },
             stores: Vec::new(),
-            store_founders: Vec::new(),
+            store_ring: Vec::new(),
+            group_leaders: Vec::new(),
             retiring: Vec::new(),
         };
         let known = Known { seeds: settings.control_peers(), ..Known::default() };
@@ -308,13 +312,17 @@
         if !cores.is_empty() {
             self.known.lock().expect("no panic while locked").cores = cores;
         }
+        let stores = addresses(answer.stores);
+        let leader = |place: u32| stores.get((place as usize).checked_sub(1)?).copied();
+        let group_leaders = answer.group_leaders.into_iter().map(leader).collect();
         let view = View {
             publication,
             directory: directory.unwrap_or_else(|| old.directory.clone()),
             zones_out: names(answer.zones_out),
             place: Place { rank: answer.rank, of: answer.fronts.max(1) },
-            stores: addresses(answer.stores),
-            store_founders: answer.store_founders,
+            stores,
+            store_ring: answer.store_ring.into_iter().map(ReplicaId).collect(),
+            group_leaders,
             retiring: answer.retiring,
         };
         if view.zones_out != old.zones_out {
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -1,5 +1,9 @@
 //! Begins and ends turns at the stores.
 //!
+//! Each program belongs to one group of stores, whose leader begins and ends its turns. A program may
+//! go on from a turn of another one, so a turn that its own group does not know is looked for in all
+//! others before the caller is told that there is none.
+//!
 //! A turn whose tokens are counted begins with a reservation that the stores have committed. A turn
 //! that continues a kept one gets its history from the front's own memory, or from the stores. A kept
 //! turn waits for its commit, because its caller may continue from it at once; what other turns have
@@ -15,6 +19,7 @@
 
 use anyhow::Result;
 use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
 use http::StatusCode;
 use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
@@ -22,11 +27,11 @@
 use poplarspan_proto::peer::{self, FailureCode, TurnVerdict, request, response};
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
 };
 
 use super::refusal::Refusal;
-use crate::fleet::Fleet;
+use crate::{fleet::Fleet, groups::group_of};
 use histories::Histories;
 
 /// Longest wait for an answer of one store before another is asked.
@@ -65,24 +70,34 @@
     fleet: Arc<Fleet>,
     client: PeerClient,
     clock: Arc<dyn Clock>,
-    /// The store that answered last as the leader.
-    leader: Mutex<Option<SocketAddr>>,
+    /// For each group, the store that answered last as the leader.
+    leaders: Mutex<Vec<Option<SocketAddr>>>,
     histories: Mutex<Histories>,
-    ends: mpsc::Sender<peer::TurnEnd>,
+    ends: mpsc::Sender<Unsettled>,
+}
+
+/// The end of a turn, on its way to the group of its program.
+struct Unsettled {
+    group: u32,
+    end: peer::TurnEnd,
 }
 
 /// Settles what programs have used, in the background.
 pub(crate) struct Settler {
     programs: Arc<Programs>,
-    rx: mpsc::Receiver<peer::TurnEnd>,
+    rx: mpsc::Receiver<Unsettled>,
 }
 
 /// A turn that has begun. Dropping it settles what it has used.
 pub(crate) struct OpenTurn {
     name: TurnName,
     programs: Arc<Programs>,
+    /// The group of its program.
+    group: u32,
     /// Whether tokens are reserved that are not settled.
     is_reserved: bool,
+    /// Whether the turn that it continues is kept by another group.
+    is_from_elsewhere: bool,
     /// Tokens handed to the caller.
     pub(crate) used: u64,
 }
@@ -98,7 +113,7 @@
             fleet,
             client,
             clock,
-            leader: Mutex::default(),
+            leaders: Mutex::default(),
             histories: Mutex::default(),
             ends,
         });
@@ -111,19 +126,26 @@
         name: &TurnName,
         needs: TurnNeeds<'_>,
     ) -> Result<(OpenTurn, Bytes), Refusal> {
+        let groups = self.fleet.view().group_leaders.len() as u32;
+        if groups == 0 {
+            return Err(stores_away("the stores have not formed groups yet"));
+        }
         // Made first, so that a caller who leaves while the reservation is under way has it settled.
         let mut open = OpenTurn {
             name: name.clone(),
             programs: self.clone(),
+            group: group_of(&name.team, &name.program, groups),
             is_reserved: needs.budget.is_some(),
+            is_from_elsewhere: false,
             used: 0,
         };
-        let known = needs.previous.and_then(|p| self.histories().get(&name.team, p));
+        let known = needs.previous.and_then(|p| self.histories().get(open.group, &name.team, p));
         let unread = needs.previous.filter(|_| known.is_none());
         if needs.budget.is_none() && unread.is_none() {
             return Ok((open, known.unwrap_or_default()));
         }
-        let begin = peer::TurnBegin {
+        let mut begin = peer::TurnBegin {
+            group: open.group,
             team: name.team.to_string(),
             program: name.program.to_string(),
             name: name.turn.to_string(),
@@ -132,11 +154,18 @@
             previous: unread.map(|p| p.to_string()),
             least: needs.most,
         };
-        let body = || request::Body::TurnBegin(begin.clone());
-        let Some(response::Body::TurnBegun(begun)) = self.call(body, needs.deadline).await else {
-            let message = "the stores do not answer";
-            return Err(Refusal::not_now("stores_away", message, COME_BACK));
-        };
+        let mut begun = self.begin_at(&begin, needs.deadline).await?;
+        if begun.verdict() == TurnVerdict::UnknownTurn {
+            let Some(history) = self.find_elsewhere(&begin, groups, needs.deadline).await? else {
+                open.is_reserved = false;
+                let message = "the team has no such turn";
+                return Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_turn", message));
+            };
+            open.is_from_elsewhere = true;
+            begin.previous = None;
+            begun = self.begin_at(&begin, needs.deadline).await?;
+            begun.history = history;
+        }
         match begun.verdict() {
             TurnVerdict::Granted => Ok((open, known.unwrap_or(begun.history))),
             TurnVerdict::Spent => {
@@ -144,54 +173,87 @@
                 let message = format!("{} tokens of the budget are left", begun.remaining);
                 Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget_spent", message))
             }
-            TurnVerdict::UnknownTurn => {
-                open.is_reserved = false;
-                let message = "the team has no such turn";
-                Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_turn", message))
+            TurnVerdict::UnknownTurn | TurnVerdict::Unspecified => {
+                Err(stores_away("the stores gave no verdict"))
             }
-            TurnVerdict::Unspecified => {
-                Err(Refusal::not_now("stores_away", "the stores gave no verdict", COME_BACK))
+        }
+    }
+
+    async fn begin_at(
+        &self,
+        begin: &peer::TurnBegin,
+        deadline: Instant,
+    ) -> Result<peer::TurnBegun, Refusal> {
+        let body = || request::Body::TurnBegin(begin.clone());
+        match self.call(begin.group, body, deadline).await {
+            Some(response::Body::TurnBegun(begun)) => Ok(begun),
+            _ => Err(stores_away("the stores do not answer")),
+        }
+    }
+
+    /// Looks for the turn that `begin` continues in the groups that it does not belong to. Returns
+    /// none if all of them say that there is no such turn.
+    async fn find_elsewhere(
+        &self,
+        begin: &peer::TurnBegin,
+        groups: u32,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, Refusal> {
+        let ask = |group| async move {
+            let read = peer::TurnBegin { group, budget: None, least: 0, ..begin.clone() };
+            self.begin_at(&read, deadline).await
+        };
+        let mut is_unsure = None;
+        for answer in join_all((0..groups).filter(|g| *g != begin.group).map(ask)).await {
+            match answer {
+                Ok(begun) if begun.verdict() == TurnVerdict::Granted => {
+                    return Ok(Some(begun.history));
+                }
+                Ok(_) => {}
+                Err(refusal) => is_unsure = Some(refusal),
             }
         }
+        is_unsure.map_or(Ok(None), Err)
     }
 
     fn histories(&self) -> MutexGuard<'_, Histories> {
         self.histories.lock().expect("no panic while locked")
     }
 
-    fn settle(&self, end: peer::TurnEnd) {
+    fn settle(&self, end: Unsettled) {
         if let Err(e) = self.ends.try_send(end) {
-            let program = e.into_inner().program;
+            let program = e.into_inner().end.program;
             log::warn!(program = program.as_str(); "too much waits to be settled; tokens stay reserved");
             metrics::counter!("poplarspan_relay_unsettled_total").increment(1);
         }
     }
 
-    /// Calls the leader of the stores, whichever it is, until `deadline`.
+    /// Calls the leader of a group of stores, whichever it is, until `deadline`.
     async fn call(
         &self,
+        group: u32,
         body: impl Fn() -> request::Body,
         deadline: Instant,
     ) -> Option<response::Body> {
         let mut turn = 0;
         while Instant::now() < deadline {
-            let Some(address) = self.candidate(turn) else {
+            let Some(address) = self.candidate(group, turn) else {
                 sleep(RETRY).await;
                 continue;
             };
             let call = self.client.call(address, body(), CALL_TIMEOUT);
             match timeout_at(deadline, call).await {
                 Ok(Ok(answer)) => {
-                    *self.leader.lock().expect("no panic while locked") = Some(address);
+                    self.set_leader(group, Some(address));
                     return Some(answer);
                 }
                 Ok(Err(CallError::Failed(failure))) => {
-                    turn += usize::from(self.note_failure(address, &failure));
+                    turn += usize::from(self.note_failure(group, address, &failure));
                     let is_busy = failure.code() == FailureCode::Unavailable;
                     sleep(if is_busy { OVERLOAD_PAUSE } else { RETRY }).await;
                 }
                 Ok(Err(_)) => {
-                    *self.leader.lock().expect("no panic while locked") = None;
+                    self.set_leader(group, None);
                     turn += 1;
                     sleep(RETRY).await;
                 }
@@ -203,19 +265,32 @@
     }
 
     /// Takes note of a store that cannot carry out a call. Returns whether another one is next.
-    fn note_failure(&self, address: SocketAddr, failure: &peer::Failure) -> bool {
+    fn note_failure(&self, group: u32, address: SocketAddr, failure: &peer::Failure) -> bool {
         if failure.code() == FailureCode::Unavailable {
             return false;
         }
         let hint = failure.leader_address.parse().ok().filter(|hint| *hint != address);
-        *self.leader.lock().expect("no panic while locked") = hint;
+        self.set_leader(group, hint);
         hint.is_none()
     }
 
-    fn candidate(&self, turn: usize) -> Option<SocketAddr> {
-        let leader = *self.leader.lock().expect("no panic while locked");
-        let stores = &self.fleet.view().stores;
-        leader.or_else(|| stores.get(turn % stores.len().max(1)).copied())
+    fn set_leader(&self, group: u32, leader: Option<SocketAddr>) {
+        let mut leaders = self.leaders.lock().expect("no panic while locked");
+        let at = group as usize;
+        if leaders.len() <= at {
+            leaders.resize(at + 1, None);
+        }
+        leaders[at] = leader;
+    }
+
+    /// The store that is asked in the attempt `turn` for the leader of a group.
+    fn candidate(&self, group: u32, turn: usize) -> Option<SocketAddr> {
+        let leaders = self.leaders.lock().expect("no panic while locked");
+        let known = leaders.get(group as usize).copied().flatten();
+        let view = self.fleet.view();
+        let told = || view.group_leaders.get(group as usize).copied().flatten();
+        let any = || view.stores.get(turn % view.stores.len().max(1)).copied();
+        known.or_else(|| told().filter(|_| turn == 0)).or_else(any)
     }
 }
 
@@ -230,14 +305,15 @@
 }
 
 impl OpenTurn {
-    fn end(&self) -> peer::TurnEnd {
-        peer::TurnEnd {
+    fn end(&self) -> Unsettled {
+        let end = peer::TurnEnd {
             team: self.name.team.to_string(),
             program: self.name.program.to_string(),
             name: if self.is_reserved { self.name.turn.to_string() } else { String::new() },
             used: self.used,
             kept: None,
-        }
+        };
+        Unsettled { group: self.group, end }
     }
 
     /// Keeps the turn; returns once it is durable.
@@ -245,25 +321,27 @@
     /// Fails when the stores do not answer in time; the turn may be kept all the same.
     pub(crate) async fn keep(&mut self, kept: KeptTurn, deadline: Instant) -> Result<(), Refusal> {
         let name = self.name.clone();
-        let mut end = self.end();
+        let Unsettled { group, mut end } = self.end();
+        // The group does not hold the turns before, so this one is kept with all of them.
+        let (previous, input) = if self.is_from_elsewhere {
+            (None, concat(&[&kept.history, &kept.input]))
+        } else {
+            (kept.previous.map(|p| p.to_string()), kept.input.clone())
+        };
         end.kept = Some(peer::KeptTurn {
             turn: name.turn.to_string(),
-            previous: kept.previous.map(|p| p.to_string()),
-            input: kept.input.clone(),
+            previous,
+            input,
             output: kept.output.clone(),
             retain_ms: kept.retain.as_millis() as u64,
         });
-        let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()] });
-        match self.programs.call(body, deadline).await {
+        let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()], group });
+        match self.programs.call(group, body, deadline).await {
             Some(response::Body::TurnsEnded(_)) => {
-                let len = kept.history.len() + kept.input.len() + kept.output.len();
-                let mut whole = BytesMut::with_capacity(len);
-                for part in [&kept.history, &kept.input, &kept.output] {
-                    whole.extend_from_slice(part);
-                }
                 self.is_reserved = false;
+                let whole = concat(&[&kept.history, &kept.input, &kept.output]);
                 let now = self.programs.clock.now();
-                self.programs.histories().put(&name.team, &name.turn, whole.freeze(), now);
+                self.programs.histories().put(group, &name.team, &name.turn, whole, now);
                 Ok(())
             }
             _ => {
@@ -283,23 +361,59 @@
 }
 
 impl Settler {
-    /// Settles until the task is ended.
+    /// Settles until the task is ended. Each group has one call under way at a time, so that a group
+    /// without a leader holds up no other.
     pub(crate) async fn run(mut self) -> Result<()> {
-        let mut ends = Vec::new();
+        // Sorted by group.
+        let mut waiting: Vec<(u32, Vec<peer::TurnEnd>)> = Vec::new();
+        let mut busy: Vec<u32> = Vec::new();
+        let mut calls = FuturesUnordered::new();
+        let mut batches = interval(BATCH_TIME);
+        batches.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            if self.rx.recv_many(&mut ends, MAX_BATCH).await == 0 {
-                return Ok(());
-            }
-            sleep(BATCH_TIME).await;
-            while ends.len() < MAX_BATCH
-                && let Ok(end) = self.rx.try_recv()
-            {
-                ends.push(end);
+            tokio::select! {
+                end = self.rx.recv(), if count(&waiting) < MAX_UNSETTLED => {
+                    let Some(Unsettled { group, end }) = end else { return Ok(()) };
+                    match waiting.binary_search_by_key(&group, |(g, _)| *g) {
+                        Ok(at) => waiting[at].1.push(end),
+                        Err(at) => waiting.insert(at, (group, vec![end])),
+                    }
+                }
+                Some(group) = calls.next() => busy.retain(|g| *g != group),
+                _ = batches.tick(), if !waiting.is_empty() => {
+                    for (group, ends) in &mut waiting {
+                        if !busy.contains(group) {
+                            busy.push(*group);
+                            let batch = ends.drain(..ends.len().min(MAX_BATCH)).collect();
+                            calls.push(settle(self.programs.clone(), *group, batch));
+                        }
+                    }
+                    waiting.retain(|(_, ends)| !ends.is_empty());
+                }
             }
-            let body = || request::Body::TurnEnds(peer::TurnEnds { ends: ends.clone() });
-            // Repeated until it is committed: what is not settled counts against the program.
-            while self.programs.call(body, Instant::now() + 4 * CALL_TIMEOUT).await.is_none() {}
-            ends.clear();
         }
     }
 }
+
+fn count(waiting: &[(u32, Vec<peer::TurnEnd>)]) -> usize {
+    waiting.iter().map(|(_, ends)| ends.len()).sum()
+}
+
+/// Repeats a call until it is committed: what is not settled counts against the programs.
+async fn settle(programs: Arc<Programs>, group: u32, ends: Vec<peer::TurnEnd>) -> u32 {
+    let body = || request::Body::TurnEnds(peer::TurnEnds { ends: ends.clone(), group });
+    while programs.call(group, body, Instant::now() + 4 * CALL_TIMEOUT).await.is_none() {}
+    group
+}
+
+fn concat(parts: &[&Bytes]) -> Bytes {
+    let mut whole = BytesMut::with_capacity(parts.iter().map(|p| p.len()).sum());
+    for part in parts {
+        whole.extend_from_slice(part);
+    }
+    whole.freeze()
+}
+
+fn stores_away(message: &'static str) -> Refusal {
+    Refusal::not_now("stores_away", message, COME_BACK)
+}
--- a/crates/relay/src/front/programs/histories.rs
+++ b/crates/relay/src/front/programs/histories.rs
@@ -19,6 +19,8 @@
 }
 
 struct Entry {
+    /// Group of stores that keeps the turn.
+    group: u32,
     team: Name,
     turn: Name,
     history: Bytes,
@@ -26,18 +28,29 @@
 }
 
 impl Histories {
-    /// Inputs and outputs up to and with a turn that was kept here.
-    pub(super) fn get(&self, team: &Name, turn: &Name) -> Option<Bytes> {
+    /// Inputs and outputs up to and with a turn that was kept here, by a group.
+    pub(super) fn get(&self, group: u32, team: &Name, turn: &Name) -> Option<Bytes> {
         // Lines mostly continue from their last turn.
-        let found = self.entries.iter().rev().find(|e| e.turn == *turn && e.team == *team)?;
+        let found = self
+            .entries
+            .iter()
+            .rev()
+            .find(|e| e.turn == *turn && e.team == *team && e.group == group)?;
         Some(found.history.clone())
     }
 
     /// Adds the history of a turn that has just become durable.
-    pub(super) fn put(&mut self, team: &Name, turn: &Name, history: Bytes, now: Duration) {
+    pub(super) fn put(
+        &mut self,
+        group: u32,
+        team: &Name,
+        turn: &Name,
+        history: Bytes,
+        now: Duration,
+    ) {
         self.bytes += history.len();
         let (team, turn) = (team.clone(), turn.clone());
-        self.entries.push_back(Entry { team, turn, history, at: now });
+        self.entries.push_back(Entry { group, team, turn, history, at: now });
         while let Some(oldest) =
             self.entries.pop_front_if(|e| self.bytes > MAX_BYTES || now > e.at + MAX_AGE)
         {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,7 +9,7 @@
 //! * What operators publish belongs to a replicated log on the control replicas, and survives any
 //!   minority of them. Its leader also owns, in memory, the list of endpoints, the shares of each
 //!   team's rate and the list of live instances; a successor rebuilds them from the next reports.
-//! * Budgets and kept turns belong to a replicated log on the stores.
+//! * Budgets and kept turns belong to replicated logs on the stores, one for each group of programs.
 //! * A front owns the calls in flight, its queues and its connections, which are lost with it. It
 //!   serves calls only under a lease from the leader of the control replicas, which is counted from
 //!   when the front asked for it and includes time for which the machine was suspended.
@@ -26,6 +26,7 @@
 mod dialect;
 mod fleet;
 mod front;
+mod groups;
 mod publication;
 mod readiness;
 mod replica;
@@ -41,6 +42,7 @@
 };
 pub use dialect::{Dialect, Malformed};
 pub use front::events::{Event, EventReader};
+pub use groups::{founders, group_count, group_of, home};
 pub use poplarspan_policy::rate::Limit;
 pub use publication::{
     CallerLimits, Engine, Findings, Objects, Publication, Route, RouteKind, Service, Team,
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -1,16 +1,18 @@
-//! A replica of a group that forms, grows and replaces its members by itself.
+//! Replicas of groups that form, grow and replace their members by themselves.
 //!
 //! The number of a replica names its machine and a random part, which is drawn with each new data
 //! folder: a replica whose disk was lost comes back under a new number and never votes again under
-//! the old one. Founders have the random part 0, so that all of them know the first voters.
+//! the old one. Founders of the control group have the random part 0, so that all of them know the
+//! first voters. The replicas of all groups on a machine have the same number.
 //!
-//! Owner of the state: the folder, and the replicated log in it. The requests to join that the
+//! Owner of the state: the folder, and the replicated logs in it. The requests to join that a
 //! leader has seen are lost with it and repeated by those who made them.
 
 pub(crate) mod plan;
 
 use std::{
     fs,
+    io::Write,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::{Arc, Mutex},
@@ -21,7 +23,7 @@
 use bytes::Bytes;
 use poplarspan_agreement::{
     Clock, DataDir, FileStore, GroupHandle, GroupId, IdentityError, Node, NodeConfig, ProposeError,
-    Refusal, ReplicaId, Role, StateMachine, Storage, StoreOptions, init_voters,
+    Refusal, ReplicaId, Role, StateMachine, Storage, StoreOptions, init_groups,
 };
 use poplarspan_node::{
     PeerClient,
@@ -30,12 +32,13 @@
 use poplarspan_proto::peer::{self, FailureCode, request, response};
 use tokio::time::{Instant, sleep};
 
-use plan::{Members, Step, machine};
+use plan::{Members, Step, TARGET_VOTERS, machine};
 
-const GROUP: GroupId = GroupId(0);
 /// A request to join counts for this long; it is repeated more often.
-const JOIN_COUNTS: Duration = Duration::from_secs(2);
+const JOIN_COUNTS: Duration = Duration::from_secs(5);
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two requests to join a group that is complete.
+const SPARE_INTERVAL: Duration = Duration::from_secs(2);
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// A replica that has heard of no leader for this long asks whether it is still a member.
 const LEADERLESS: Duration = Duration::from_millis(1_000);
@@ -94,8 +97,20 @@
         self.dir.log_folder().with_file_name(READY_FILE)
     }
 
-    /// Opens the log; a new one gets the first voters.
-    async fn log(&self, founders: &[ReplicaId]) -> Result<FileStore> {
+    /// Number of groups whose logs the folder holds. None if it is new.
+    pub(crate) fn groups(&self) -> Result<Option<u32>> {
+        if self.is_new() {
+            return Ok(None);
+        }
+        let path = self.ready_file();
+        let text = fs::read_to_string(&path);
+        let text = text.with_context(|| format!("cannot read {}", path.display()))?;
+        let groups = text.trim().parse();
+        groups.map(Some).with_context(|| format!("{} holds no number", path.display()))
+    }
+
+    /// Opens the log; a new one gets the first voters of each group.
+    async fn log(&self, founders: &[Vec<ReplicaId>]) -> Result<FileStore> {
         let folder = self.dir.log_folder();
         let options =
             StoreOptions { segment_bytes: SEGMENT_BYTES, preallocate_bytes: PREALLOCATE_BYTES };
@@ -105,20 +120,38 @@
         }
         let store = FileStore::open(&folder, options).context("cannot open the log")?;
         if self.is_new() {
-            if founders.contains(&self.replica()) && store.load().await?.is_empty() {
-                init_voters(&store, &[GROUP], founders).await?;
+            let founded: Vec<_> = group_ids()
+                .zip(founders.iter().cloned())
+                .filter(|(_, voters)| voters.contains(&self.replica()))
+                .collect();
+            if !founded.is_empty() && store.load().await?.is_empty() {
+                init_groups(&store, founded).await?;
             }
             let ready = self.ready_file();
-            fs::File::create(&ready)?.sync_all()?;
+            let mut f = fs::File::create(&ready)?;
+            write!(f, "{}", founders.len())?;
+            f.sync_all()?;
             fs::File::open(ready.parent().context("a file in the data folder")?)?.sync_all()?;
         }
         Ok(store)
     }
 }
 
-/// Exists once the log has been created as a whole.
+/// Exists once the log has been created as a whole, and holds the number of groups in it.
 const READY_FILE: &str = "ready";
 
+/// What a group starts from.
+pub(crate) struct GroupStart {
+    /// First voters of a new group; empty if this replica is none of them.
+    pub(crate) founders: Vec<ReplicaId>,
+    pub(crate) state: Box<dyn StateMachine>,
+}
+
+/// Numbers of the groups of a folder, which are their places.
+fn group_ids() -> impl Iterator<Item = GroupId> {
+    (0..).map(GroupId)
+}
+
 /// Removes what is in a folder, as far as it exists.
 fn clear(path: &Path) -> Result<()> {
     let Ok(items) = fs::read_dir(path) else { return Ok(()) };
@@ -143,51 +176,72 @@
     ReplicaId(u64::from(u32::from(ip)) << 32 | u64::from(nonce))
 }
 
-/// A running replica.
+/// A running replica of one group.
 pub(crate) struct Replica {
     id: ReplicaId,
+    group: GroupId,
     peer_port: u16,
     node: Arc<Node>,
     handle: GroupHandle,
     /// With the time of the last request.
     joining: Mutex<Vec<(ReplicaId, Instant)>>,
-    leaving: Mutex<Vec<ReplicaId>>,
+    wishes: Mutex<Wishes>,
     /// Keeps the folder locked.
-    _dir: DataDir,
+    _dir: Arc<DataDir>,
+}
+
+/// How the members of a group should change.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Wishes {
+    /// Replicas that are to be removed.
+    pub(crate) leaving: Vec<ReplicaId>,
+    /// Machine whose replica should lead.
+    pub(crate) home: Option<Ipv4Addr>,
 }
 
 impl Replica {
-    /// Starts a replica of a group whose members all listen on `peer_port`.
+    /// Starts the replicas of all groups of a folder. All members listen on `peer_port`.
     pub(crate) async fn start(
         folder: Folder,
-        founders: &[ReplicaId],
+        groups: Vec<GroupStart>,
         peer_port: u16,
         client: PeerClient,
         clock: Arc<dyn Clock>,
-        state: Box<dyn StateMachine>,
-    ) -> Result<Arc<Self>> {
-        let store = folder.log(founders).await?;
+    ) -> Result<Vec<Arc<Self>>> {
+        let (founders, states): (Vec<_>, Vec<_>) =
+            groups.into_iter().map(|g| (g.founders, g.state)).unzip();
+        let store = folder.log(&founders).await?;
         let id = folder.replica();
         let find: FindReplica =
             Arc::new(move |id| Some(SocketAddr::from((machine(ReplicaId(id)), peer_port))));
         let transport = AgreementTransport::new(id, folder.dir.folder(), client, find);
-        let node = Node::builder(id, Box::new(store), transport)
+        let mut builder = Node::builder(id, Box::new(store), transport)
             .peers(folder.dir.peers()?)
-            .config(timing(clock))
-            .group(GROUP, state)
-            .start()
-            .await
-            .context("cannot start the replicated log")?;
-        let handle = node.group(GROUP).context("the group that was just added")?;
-        Ok(Arc::new(Self {
-            id,
-            peer_port,
-            node: Arc::new(node),
-            handle,
-            joining: Mutex::default(),
-            leaving: Mutex::default(),
-            _dir: folder.dir,
-        }))
+            .config(timing(clock));
+        for (id, state) in group_ids().zip(states) {
+            builder = builder.group(id, state);
+        }
+        let node = Arc::new(builder.start().await.context("cannot start the replicated log")?);
+        let dir = Arc::new(folder.dir);
+        let replica = |group| {
+            let handle = node.group(group).context("the group that was just added")?;
+            Ok(Arc::new(Self {
+                id,
+                group,
+                peer_port,
+                node: node.clone(),
+                handle,
+                joining: Mutex::default(),
+                wishes: Mutex::default(),
+                _dir: dir.clone(),
+            }))
+        };
+        group_ids().take(founders.len()).map(replica).collect()
+    }
+
+    /// Number of the group.
+    pub(crate) fn group(&self) -> u32 {
+        self.group.0
     }
 
     /// Whether this replica leads, as of the last tick, and in which term.
@@ -221,12 +275,12 @@
         status.map_or_else(Vec::new, |s| s.core.membership.voters)
     }
 
-    /// Says which replicas are to be removed.
-    pub(crate) fn set_leaving(&self, leaving: Vec<ReplicaId>) {
-        *self.leaving.lock().expect("no panic while locked") = leaving;
+    /// Says how the members of the group should change.
+    pub(crate) fn set_wishes(&self, wishes: Wishes) {
+        *self.wishes.lock().expect("no panic while locked") = wishes;
     }
 
-    /// Transfers leadership and stops.
+    /// Transfers leadership of all groups of the folder, and stops.
     pub(crate) async fn shutdown(&self) {
         self.node.shutdown().await;
     }
@@ -257,39 +311,57 @@
             joining.retain(|(other, at)| *other != id && now < *at + JOIN_COUNTS);
             joining.push((id, now));
         }
-        Ok(peer::Joined { voter: self.voters().await.contains(&id) })
+        let Some(members) = self.members(&[], Duration::ZERO).await else {
+            return Err(self.not_leader());
+        };
+        let complete = members.staying() >= TARGET_VOTERS;
+        Ok(peer::Joined { voter: members.voters.contains(&id), complete })
     }
 
     /// While this replica leads: adds, promotes and removes members.
     pub(crate) async fn run_plan(self: Arc<Self>) -> Result<()> {
         let mut lagging: Vec<(ReplicaId, Instant)> = Vec::new();
+        let mut led_since = None;
         loop {
             sleep(PLAN_INTERVAL).await;
             if self.leads().is_none() {
+                led_since = None;
                 continue;
             }
             let now = Instant::now();
             lagging.retain(|(_, until)| now < *until);
-            let Some(members) = self.members(&lagging).await else { continue };
+            let led_for = now - *led_since.get_or_insert(now);
+            let Some(members) = self.members(&lagging, led_for).await else { continue };
             let Some(step) = members.next_step() else { continue };
-            if let Err(e) = self.take(step).await {
-                let (step, error) = (format!("{step:?}"), e.to_string());
-                log::info!(step = step.as_str(), error = error.as_str(); "change of members refused");
-                if let (Step::Promote(id), ProposeError::Refused(Refusal::NotCaughtUp)) =
-                    (members.next_step().expect("as before"), e)
-                {
-                    lagging.push((id, now + LAG_PAUSE));
+            let (group, name) = (self.group.0, format!("{step:?}"));
+            match self.take(step).await {
+                Ok(()) => log::info!(group, step = name.as_str(); "change of members"),
+                Err(e) => {
+                    let error = e.to_string();
+                    log::info!(
+                        group, step = name.as_str(), error = error.as_str();
+                        "change of members refused"
+                    );
+                    if let (Step::Promote(id), ProposeError::Refused(Refusal::NotCaughtUp)) =
+                        (step, &e)
+                    {
+                        lagging.push((id, now + LAG_PAUSE));
+                    }
+                    // The home of the group is asked again after a while only.
+                    led_since = Some(now);
                 }
-            } else {
-                let step = format!("{step:?}");
-                log::info!(step = step.as_str(); "change of members");
             }
         }
     }
 
-    async fn members(&self, lagging: &[(ReplicaId, Instant)]) -> Option<Members> {
+    async fn members(
+        &self,
+        lagging: &[(ReplicaId, Instant)],
+        led_for: Duration,
+    ) -> Option<Members> {
         let core = self.handle.status().await?.core;
         let now = Instant::now();
+        let wishes = self.wishes.lock().expect("no panic while locked").clone();
         let joining = self.joining.lock().expect("no panic while locked");
         let joining = joining.iter().filter(|(_, at)| now < *at + JOIN_COUNTS);
         Some(Members {
@@ -298,8 +370,10 @@
             learners: core.membership.learners,
             silence: core.silence,
             joining: joining.map(|(id, _)| *id).collect(),
-            leaving: self.leaving.lock().expect("no panic while locked").clone(),
+            leaving: wishes.leaving,
             lagging: lagging.iter().map(|(id, _)| *id).collect(),
+            home: wishes.home,
+            led_for,
         })
     }
 
@@ -322,8 +396,10 @@
         let mut heard_at = Instant::now();
         let mut turn = 0usize;
         let mut hint = None;
+        let mut pause = JOIN_INTERVAL;
         loop {
-            sleep(JOIN_INTERVAL).await;
+            sleep(pause).await;
+            pause = JOIN_INTERVAL;
             let is_led = self.handle.watch().borrow().leader.is_some();
             if is_led {
                 heard_at = Instant::now();
@@ -336,9 +412,14 @@
             turn = turn.wrapping_add(1);
             let next = || peers.get(turn % peers.len().max(1)).copied();
             let Some(address) = hint.take().or_else(next) else { continue };
-            let join = request::Body::Join(peer::Join { replica: self.id.0 });
-            match client.call(address, join, JOIN_TIMEOUT).await {
-                Ok(response::Body::Joined(_)) => hint = Some(address),
+            let join = peer::Join { replica: self.id.0, group: self.group.0 };
+            match client.call(address, request::Body::Join(join), JOIN_TIMEOUT).await {
+                Ok(response::Body::Joined(joined)) => {
+                    hint = Some(address);
+                    if joined.complete {
+                        pause = SPARE_INTERVAL;
+                    }
+                }
                 Err(poplarspan_node::CallError::Failed(f)) => {
                     hint = f.leader_address.parse().ok().filter(|a| *a != me);
                 }
--- a/crates/relay/src/replica/plan.rs
+++ b/crates/relay/src/replica/plan.rs
@@ -14,6 +14,9 @@
 const SILENT_AFTER: Duration = Duration::from_millis(3_000);
 /// A former number of a machine that is back under a new one is removed after this silence.
 const REPLACED_AFTER: Duration = Duration::from_millis(500);
+/// A leader keeps the lead at least this long before it goes back to the group's home; several
+/// times what an election takes.
+const SETTLED_AFTER: Duration = Duration::from_secs(5);
 /// Voters of a group, as long as so many are there: two of them may be lost at once.
 pub(crate) const TARGET_VOTERS: usize = 5;
 /// A group is never made smaller than this, so that it bears a loss.
@@ -36,6 +39,10 @@
     pub leaving: Vec<ReplicaId>,
     /// Learners whose last promotion was refused because they lag behind.
     pub lagging: Vec<ReplicaId>,
+    /// Machine whose replica should lead, if it is a voter.
+    pub home: Option<Ipv4Addr>,
+    /// For how long this replica has led.
+    pub led_for: Duration,
 }
 
 /// A change of the members.
@@ -63,6 +70,7 @@
             .or_else(|| self.removal())
             .or_else(|| self.addition())
             .or_else(|| self.departure())
+            .or_else(|| self.homecoming())
     }
 
     fn silence_of(&self, id: ReplicaId) -> Duration {
@@ -78,6 +86,12 @@
         self.voters.iter().filter(|id| self.answers(**id)).count()
     }
 
+    /// Voters that answer and are not to be emptied.
+    pub(crate) fn staying(&self) -> usize {
+        let stays = |id: &&ReplicaId| self.answers(**id) && !self.leaving.contains(id);
+        self.voters.iter().filter(stays).count()
+    }
+
     fn promotion(&self) -> Option<Step> {
         let ready = |id: &&ReplicaId| self.answers(**id) && !self.lagging.contains(id);
         self.learners.iter().find(ready).map(|id| Step::Promote(*id))
@@ -103,7 +117,7 @@
     }
 
     fn addition(&self) -> Option<Step> {
-        let has_room = self.answering() + self.learners.len() < TARGET_VOTERS;
+        let has_room = self.staying() + self.learners.len() < TARGET_VOTERS;
         let is_new = |id: &&ReplicaId| {
             !self.voters.contains(id) && !self.learners.contains(id) && !self.leaving.contains(id)
         };
@@ -127,4 +141,17 @@
         }
         staying.into_iter().find(|id| **id != self.me).map(|id| Step::HandOver(*id))
     }
+
+    /// Leadership goes back to the group's home, so that the groups' leaders are on different
+    /// machines. Not soon after an election: a home that has just lost the lead may be unwell.
+    fn homecoming(&self) -> Option<Step> {
+        let home = self.home.filter(|home| *home != machine(self.me))?;
+        if self.led_for < SETTLED_AFTER || !self.learners.is_empty() {
+            return None;
+        }
+        let at_home = |id: &&ReplicaId| {
+            machine(**id) == home && self.answers(**id) && !self.leaving.contains(id)
+        };
+        self.voters.iter().find(at_home).map(|id| Step::HandOver(*id))
+    }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -22,7 +22,8 @@
     control::{Control, ListReader, OrderServer},
     fleet::{Fleet, Report},
     front::{Front, listener::Listener, programs::Programs, rates::Rates, schedule::Schedule},
-    replica::{self, Folder, Replica},
+    groups,
+    replica::{self, Folder, GroupStart, Replica, Wishes},
     store::Store,
 };
 
@@ -138,15 +139,11 @@
         let folder = self.folder(is_founder)?;
         let founders: Vec<ReplicaId> =
             settings.seeds.iter().map(|ip| replica::founder(*ip)).collect();
-        let replica = Replica::start(
-            folder,
-            if is_founder { &founders } else { &[] },
-            self.peer_port(),
-            self.client.clone(),
-            self.clock.clone(),
-            Box::<Board>::default(),
-        )
-        .await?;
+        let founders = if is_founder { founders } else { Vec::new() };
+        let group = GroupStart { founders, state: Box::<Board>::default() };
+        let (client, clock) = (self.client.clone(), self.clock.clone());
+        let replicas = Replica::start(folder, vec![group], self.peer_port(), client, clock).await?;
+        let replica = replicas.into_iter().next().context("the control group")?;
         let control = Control::new(
             settings.clone(),
             replica.clone(),
@@ -291,7 +288,8 @@
             }
             open = listener.open();
         }
-        let replica = self.replica.or_else(|| self.store.as_ref()?.replica());
+        let of_store = || self.store.as_ref()?.replicas().into_iter().next();
+        let replica = self.replica.or_else(of_store);
         if let Some(replica) = replica {
             replica.shutdown().await;
         }
@@ -308,7 +306,7 @@
     Ok(Arc::new(socket.with_context(|| format!("cannot listen on {address}"))?))
 }
 
-/// Runs the replica of a store, once it is known how it comes into the group.
+/// Runs the replicas of a store, once it is known how the stores form groups.
 struct StoreMember {
     settings: Arc<Settings>,
     fleet: Arc<Fleet>,
@@ -319,49 +317,58 @@
 
 impl StoreMember {
     async fn run(self, folder: Folder, stop: CancellationToken) -> Result<()> {
-        let founders = self.founders(&folder).await?;
+        let groups = self.groups(&folder).await?;
         let port = self.settings.peer_address().port();
         let (client, clock) = (self.client.clone(), self.clock.clone());
-        let replica =
-            Replica::start(folder, &founders, port, client, clock, Box::<Turns>::default()).await?;
-        self.store.set_replica(replica.clone());
+        let replicas = Replica::start(folder, groups, port, client, clock).await?;
+        self.store.set_replicas(replicas.clone());
         let mut supervisor = Supervisor::new(stop);
-        let planner = replica.clone();
-        supervisor.start("members", move || planner.clone().run_plan());
-        let (joiner, client, fleet) = (replica.clone(), self.client.clone(), self.fleet.clone());
-        supervisor.start("joining", move || {
-            let (joiner, fleet) = (joiner.clone(), fleet.clone());
-            joiner.run_join(client.clone(), move || fleet.view().stores.clone())
-        });
-        let (retiring, fleet) = (replica.clone(), self.fleet.clone());
-        supervisor.start("retiring", move || follow_retiring(retiring.clone(), fleet.clone()));
-        let error = replica.failed().await;
+        for replica in &replicas {
+            let planner = replica.clone();
+            supervisor.start("members", move || planner.clone().run_plan());
+            let (joiner, fleet) = (replica.clone(), self.fleet.clone());
+            let client = self.client.clone();
+            supervisor.start("joining", move || {
+                let (joiner, fleet) = (joiner.clone(), fleet.clone());
+                joiner.run_join(client.clone(), move || fleet.view().stores.clone())
+            });
+        }
+        let (led, fleet) = (replicas.clone(), self.fleet.clone());
+        supervisor.start("wishes", move || follow_wishes(led.clone(), fleet.clone()));
+        let error = replicas.first().context("the store has no groups")?.failed().await;
         // The log also ends when the instance shuts down.
         if self.fleet.is_draining() { Ok(()) } else { Err(error) }
     }
 
-    /// Waits for the decision on the first voters, if the store may be one of them.
-    async fn founders(&self, folder: &Folder) -> Result<Vec<ReplicaId>> {
-        if !folder.is_new() {
-            return Ok(Vec::new());
+    /// What the groups start from. A new folder waits for the decision on their first voters.
+    async fn groups(&self, folder: &Folder) -> Result<Vec<GroupStart>> {
+        let start = |founders| GroupStart { founders, state: Box::<Turns>::default() };
+        if let Some(groups) = folder.groups()? {
+            return Ok((0..groups).map(|_| start(Vec::new())).collect());
         }
         let mut changes = self.fleet.subscribe();
         loop {
-            let founders = self.fleet.view().store_founders.clone();
-            if !founders.is_empty() {
-                return Ok(founders.into_iter().map(ReplicaId).collect());
+            let view = self.fleet.view();
+            if !view.group_leaders.is_empty() {
+                let groups = 0..view.group_leaders.len() as u32;
+                return Ok(groups.map(|g| start(groups::founders(&view.store_ring, g))).collect());
             }
             changes.changed().await?;
         }
     }
 }
 
-/// Tells a leader of the stores which of them are to be emptied.
-async fn follow_retiring(replica: Arc<Replica>, fleet: Arc<Fleet>) -> Result<()> {
+/// Tells the replicas of a store which of the stores are to be emptied, and which should lead.
+async fn follow_wishes(replicas: Vec<Arc<Replica>>, fleet: Arc<Fleet>) -> Result<()> {
     let mut changes = fleet.subscribe();
     loop {
         changes.changed().await?;
-        replica.set_leaving(fleet.view().retiring.iter().map(|id| ReplicaId(*id)).collect());
+        let view = fleet.view();
+        let leaving: Vec<_> = view.retiring.iter().map(|id| ReplicaId(*id)).collect();
+        for replica in &replicas {
+            let home = groups::home(&view.store_ring, replica.group());
+            replica.set_wishes(Wishes { leaving: leaving.clone(), home });
+        }
     }
 }
 
@@ -379,12 +386,13 @@
     fn take_shares(&self, _shares: &[peer::TeamShare]) {}
 }
 
-/// Hands messages of the replicated log to the store's replica, once there is one.
+/// Hands messages of the replicated logs to the store's replicas, once there are any.
 struct StoreSink(Arc<Store>);
 
 impl AgreementSink for StoreSink {
     fn deliver(&self, batch: peer::AgreementBatch) {
-        if let Some(replica) = self.0.replica() {
+        // All groups of a folder have one sink.
+        if let Some(replica) = self.0.replicas().first() {
             replica.sink().deliver(batch);
         }
     }
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -1,5 +1,5 @@
-//! Duties of a store: it replicates budgets and kept turns, and while it leads, it begins and ends
-//! turns for the fronts.
+//! Duties of a store: it replicates budgets and kept turns, and for the groups that it leads, it
+//! begins and ends turns for the fronts.
 
 use std::{
     sync::{Arc, Mutex},
@@ -26,36 +26,37 @@
 
 /// A store.
 pub(crate) struct Store {
-    /// None until the first voters of the group are decided.
-    replica: Mutex<Option<Arc<Replica>>>,
+    /// One for each group, by its number; empty until it is decided how the stores form groups.
+    replicas: Mutex<Vec<Arc<Replica>>>,
     calls: Semaphore,
 }
 
 impl Store {
     pub(crate) fn new() -> Arc<Self> {
         let calls = Semaphore::new(MAX_OPEN_CALLS);
-        Arc::new(Self { replica: Mutex::default(), calls })
+        Arc::new(Self { replicas: Mutex::default(), calls })
     }
 
     /// Lets the store serve.
-    pub(crate) fn set_replica(&self, replica: Arc<Replica>) {
-        *self.replica.lock().expect("no panic while locked") = Some(replica);
+    pub(crate) fn set_replicas(&self, replicas: Vec<Arc<Replica>>) {
+        *self.replicas.lock().expect("no panic while locked") = replicas;
     }
 
-    pub(crate) fn replica(&self) -> Option<Arc<Replica>> {
-        self.replica.lock().expect("no panic while locked").clone()
+    pub(crate) fn replicas(&self) -> Vec<Arc<Replica>> {
+        self.replicas.lock().expect("no panic while locked").clone()
     }
 
-    fn running(&self) -> Result<Arc<Replica>, peer::Failure> {
-        self.replica().ok_or_else(|| peer::Failure {
+    fn replica(&self, group: u32) -> Result<Arc<Replica>, peer::Failure> {
+        let replicas = self.replicas.lock().expect("no panic while locked");
+        replicas.get(group as usize).cloned().ok_or_else(|| peer::Failure {
             code: FailureCode::NotLeader.into(),
-            message: "the group of the stores is not formed yet".to_owned(),
+            message: "the store has no such group yet".to_owned(),
             leader_address: String::new(),
         })
     }
 
     async fn begin(&self, begin: peer::TurnBegin) -> Result<peer::TurnBegun, peer::Failure> {
-        let replica = self.running()?;
+        let replica = self.replica(begin.group)?;
         let verdict = |verdict: TurnVerdict, remaining| peer::TurnBegun {
             verdict: verdict.into(),
             history: bytes::Bytes::new(),
@@ -86,7 +87,7 @@
     }
 
     async fn end(&self, ends: peer::TurnEnds) -> Result<peer::TurnsEnded, peer::Failure> {
-        let replica = self.running()?;
+        let replica = self.replica(ends.group)?;
         let now_ms = now_ms();
         let settle = |end: peer::TurnEnd| {
             let peer::TurnEnd { team, program, name, used, kept } = end;
@@ -107,14 +108,14 @@
 
     /// What the leader of the control group is told.
     pub(crate) async fn state(&self, id: u64) -> peer::StoreState {
-        let Some(replica) = self.replica() else {
-            return peer::StoreState { replica: id, leads: false, voters: Vec::new() };
-        };
-        peer::StoreState {
-            replica: id,
-            leads: replica.leads().is_some(),
-            voters: replica.voters().await.into_iter().map(|v| v.0).collect(),
+        let mut leads = Vec::new();
+        for replica in self.replicas() {
+            if replica.leads().is_some() {
+                let voters = replica.voters().await.into_iter().map(|v| v.0).collect();
+                leads.push(peer::LedGroup { group: replica.group(), voters });
+            }
         }
+        peer::StoreState { replica: id, leads }
     }
 }
 
@@ -162,7 +163,7 @@
                 request::Body::TurnEnds(ends) => {
                     self.end(ends).await.map(response::Body::TurnsEnded)
                 }
-                request::Body::Join(join) => match self.running() {
+                request::Body::Join(join) => match self.replica(join.group) {
                     Ok(replica) => replica.join(join).await.map(response::Body::Joined),
                     Err(failure) => Err(failure),
                 },
--- a/crates/relay/tests/member_changes.rs
+++ b/crates/relay/tests/member_changes.rs
@@ -22,6 +22,8 @@
         joining: Vec::new(),
         leaving: Vec::new(),
         lagging: Vec::new(),
+        home: None,
+        led_for: LONG,
     }
 }
 
@@ -89,6 +91,40 @@
     assert_ne!(m.next_step(), Some(Step::Remove(voters[6])));
 }
 
+/// A store is emptied after another one has taken its place, so that the group bears as many losses
+/// meanwhile.
+#[test]
+fn emptied_after_successor() {
+    let voters: Vec<_> = (1..=5).map(|n| id(n, 0)).collect();
+    let mut m = members(&voters);
+    m.leaving = vec![voters[4]];
+    m.joining = vec![id(6, 1)];
+    assert_eq!(m.next_step(), Some(Step::AddLearner(id(6, 1))));
+    m.learners = vec![id(6, 1)];
+    assert_eq!(m.next_step(), Some(Step::Promote(id(6, 1))));
+    m.learners.clear();
+    m.voters.push(id(6, 1));
+    assert_eq!(m.next_step(), Some(Step::Remove(voters[4])));
+}
+
+/// The lead goes back to the home of the group, but not soon after an election, and not to a machine
+/// that does not answer or is to be emptied.
+#[test]
+fn back_home() {
+    let voters: Vec<_> = (1..=5).map(|n| id(n, 0)).collect();
+    let mut m = members(&voters);
+    m.home = Some(Ipv4Addr::new(10, 0, 0, 2));
+    assert_eq!(m.next_step(), Some(Step::HandOver(voters[1])));
+    m.led_for = Duration::from_millis(500);
+    assert_eq!(m.next_step(), None);
+    m.led_for = LONG;
+    m.silence = vec![(voters[1], Duration::from_secs(1))];
+    assert_eq!(m.next_step(), None);
+    m.silence.clear();
+    m.me = voters[1];
+    assert_eq!(m.next_step(), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(20_261_204),
--- a/crates/relay/tests/publication_order.rs
+++ b/crates/relay/tests/publication_order.rs
@@ -32,9 +32,9 @@
 #[test]
 fn founders_stay() {
     let mut board = Board::default();
-    apply(&mut board, Body::Form(pb::FormStore { voters: vec![1, 2, 3] }));
-    apply(&mut board, Body::Form(pb::FormStore { voters: vec![4] }));
-    assert_eq!(board.store_founders(), [1, 2, 3]);
+    apply(&mut board, Body::Form(pb::FormStore { ring: vec![3, 1, 2], groups: 2 }));
+    apply(&mut board, Body::Form(pb::FormStore { ring: vec![4], groups: 1 }));
+    assert_eq!((board.store_ring(), board.store_groups()), (&[3, 1, 2][..], 2));
 }
 
 proptest! {
--- /dev/null
+++ b/crates/relay/tests/store_groups.rs
@@ -0,0 +1,73 @@
+//! How programs are spread over groups, and groups over stores.
+
+use std::net::Ipv4Addr;
+
+use poplarspan_agreement::ReplicaId;
+use poplarspan_relay::{founders, group_count, group_of, home, replica_number};
+
+fn ring(stores: u8) -> Vec<ReplicaId> {
+    (1..=stores).map(|n| replica_number(Ipv4Addr::new(10, 0, 0, n), u32::from(n))).collect()
+}
+
+/// The leaders of a fleet with many stores are on different machines.
+#[test]
+fn homes_differ() {
+    for stores in 1..=32 {
+        let ring = ring(stores);
+        let mut homes: Vec<_> =
+            (0..group_count(ring.len())).map(|g| home(&ring, g).expect("a home")).collect();
+        let count = homes.len();
+        homes.sort_unstable();
+        homes.dedup();
+        assert_eq!(homes.len(), count, "{stores} stores");
+    }
+}
+
+/// Each group begins with as many voters as bear the loss of two, where there are so many stores,
+/// and no store votes twice.
+#[test]
+fn enough_founders() {
+    for stores in 1..=32u8 {
+        let ring = ring(stores);
+        for group in 0..group_count(ring.len()) {
+            let mut voters = founders(&ring, group);
+            assert_eq!(voters.len(), ring.len().min(5));
+            voters.sort_unstable();
+            voters.dedup();
+            assert_eq!(voters.len(), ring.len().min(5), "{stores} stores, group {group}");
+        }
+    }
+}
+
+/// The loss of a zone leaves a majority in each group, with stores in four zones ordered so that
+/// neighbours are in different ones.
+#[test]
+fn zone_loss() {
+    let stores = ring(11);
+    let zone = |id: &ReplicaId| (stores.iter().position(|r| r == id).expect("a store")) % 4;
+    for group in 0..group_count(stores.len()) {
+        let voters = founders(&stores, group);
+        for lost in 0..4 {
+            let left = voters.iter().filter(|v| zone(v) != lost).count();
+            assert!(left * 2 > voters.len(), "group {group} without zone {lost}");
+        }
+    }
+}
+
+/// Programs spread evenly, also those of one team.
+#[test]
+fn even_spread() {
+    const GROUPS: u32 = 5;
+    const PROGRAMS: usize = 5_000;
+    let mut counts = [0usize; GROUPS as usize];
+    for n in 0..PROGRAMS {
+        counts[group_of("team", &format!("program-{n}"), GROUPS) as usize] += 1;
+    }
+    let even = PROGRAMS / GROUPS as usize;
+    assert!(counts.iter().all(|c| c.abs_diff(even) < even / 5), "{counts:?}");
+    assert_ne!(
+        (0..64).map(|n| group_of("a", &format!("b{n}"), GROUPS)).collect::<Vec<_>>(),
+        (0..64).map(|n| group_of("ab", &n.to_string(), GROUPS)).collect::<Vec<_>>(),
+        "the names of team and program do not run together"
+    );
+}
