policy: share out less than teams ask for, lend the rest

Cause: shares of 1.25 times the demand lay idle now and then at each instance, so a team of rate 47 got 40 calls a second while its reserve was empty; the test near_rate failed first (92 of 1,243 calls refused at 8 instances). Calls refused with 402 also counted as demand of the team. Ruled out: the gate for programs (it holds back above 0.95 of the rate only).

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -30,9 +30,9 @@
 pub const SHARED_RATE: f64 = 0.8;
 /// Part of a team's burst that instances may hold as shares.
 pub const SHARED_BURST: f64 = 0.5;
-/// Share of an instance as a multiple of what the team asks of it, so that it need not borrow for
-/// every fluctuation.
-const HEADROOM: f64 = 1.25;
+/// Share of an instance as a part of what the team asks of it. The rest is borrowed: a share that is
+/// always used up wastes no token, and what instances ask for beyond theirs is averaged over all.
+const SHARED_DEMAND: f64 = 0.7;
 /// Burst of a share, as the time in which the instance's demand would use it up.
 const BURST_S: f64 = 0.5;
 /// Smallest burst of the share of an instance that is asked at all, in tokens.
@@ -56,8 +56,7 @@
 const MAX_KNOWN: usize = 8_192;
 /// An instance with fewer calls a second of a team borrows each token. Its share would mostly lie
 /// idle while other instances are short of tokens, and a token is borrowed in a few milliseconds.
-/// From this demand on, the burst of a share bears three calls that come at once.
-const SHARED_FROM: f64 = 6.0;
+const SHARED_FROM: f64 = 3.0;
 
 /// Part of a team's rate and burst that an instance may admit by itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -155,6 +154,11 @@
         self.arrived += 1;
     }
 
+    /// Takes back the last arrival: the call was refused for another reason.
+    pub fn withdraw(&mut self) {
+        self.arrived = self.arrived.saturating_sub(1);
+    }
+
     /// Returns the average, brought up to `now`.
     pub fn read(&mut self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
@@ -179,6 +183,19 @@
     until: Duration,
 }
 
+/// What an allocator knows of a team's load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TeamLoad {
+    /// Calls a second that the team makes at all instances.
+    pub demand: f64,
+    /// Programs under way.
+    pub programs: f64,
+    /// Calls a second of a program under way.
+    pub program_rate: f64,
+    /// Tokens in the reserve.
+    pub reserve: f64,
+}
+
 /// Shares out the rate of one team.
 #[derive(Clone, Debug)]
 pub struct Allocator {
@@ -292,11 +309,8 @@
             self.know(program, now);
             return Ok(());
         }
-        self.begun.retain(|at| now < *at + UNREPORTED);
-        let programs: u32 = self.holders.iter().map(|h| h.programs).sum();
-        let programs = f64::from(programs) + self.begun.len() as f64;
-        let demand: f64 = self.holders.iter().map(|h| h.demand).sum();
-        let expected = demand.max(programs * self.program_rate) + self.program_rate;
+        let TeamLoad { demand, programs, program_rate, .. } = self.load(now);
+        let expected = demand.max(programs * program_rate) + program_rate;
         let room = BEGIN_BELOW * limit.per_second();
         self.refresh_reserve(now);
         // A team that has not used its burst may go beyond its rate for a while. A rate that is below
@@ -310,6 +324,19 @@
         Err(Duration::from_secs_f64(excess.clamp(0.2, 2.0)))
     }
 
+    /// The load that decides which programs begin.
+    pub fn load(&mut self, now: Duration) -> TeamLoad {
+        self.begun.retain(|at| now < *at + UNREPORTED);
+        let programs: u32 = self.holders.iter().map(|h| h.programs).sum();
+        self.refresh_reserve(now);
+        TeamLoad {
+            demand: self.holders.iter().map(|h| h.demand).sum(),
+            programs: f64::from(programs) + self.begun.len() as f64,
+            program_rate: self.program_rate,
+            reserve: self.reserve.level,
+        }
+    }
+
     fn measure_programs(&mut self) {
         let (demand, programs) =
             self.holders.iter().fold((0.0, 0), |(d, p), h| (d + h.demand, p + h.programs));
@@ -357,7 +384,10 @@
         let wanted_burst = (holder.demand * BURST_S).max(MIN_BURST);
         let fair_burst = burst * (0.5 * holder.demand / demand + 0.5 / count);
         Share {
-            per_second: (holder.demand * HEADROOM).min(fair_rate).min(rate - rate_held).max(0.0),
+            per_second: (holder.demand * SHARED_DEMAND)
+                .min(fair_rate)
+                .min(rate - rate_held)
+                .max(0.0),
             burst: wanted_burst.min(fair_burst).min(burst - burst_held).max(0.0),
         }
     }
--- a/crates/policy/tests/quota_shares.rs
+++ b/crates/policy/tests/quota_shares.rs
@@ -198,9 +198,9 @@
     assert!(whole > whole_before, "{whole} with the gate, {whole_before} without");
 }
 
-/// Plays programs whose calls come to any of many instances: 5/8 of the rate, as teams do on calm
-/// days. Returns how many calls got no token within their patience, and how many there were.
-fn play_spread(instances: usize, rate: f64) -> (usize, usize) {
+/// Plays calls that come to any of many instances, `part` of the rate on average. Returns how many
+/// got no token within their patience, and how many there were.
+fn play_spread(instances: usize, rate: f64, part: f64) -> (usize, usize) {
     const STEP: Duration = Duration::from_millis(10);
     const PATIENCE: Duration = Duration::from_millis(500);
     let mut allocator = Allocator::new(Duration::ZERO, LEASE, Duration::ZERO);
@@ -217,7 +217,7 @@
                 instance.beat(&mut allocator, now);
             }
         }
-        if rng.random_bool(rate * 0.625 * STEP.as_secs_f64()) {
+        if rng.random_bool(rate * part * STEP.as_secs_f64()) {
             let at = rng.random_range(0..instances.len());
             instances[at].demand.arrive();
             waiting.push((at, now));
@@ -240,12 +240,25 @@
 fn calls_spread_thinly() {
     for instances in [2, 8, 74] {
         for rate in [8.0, 20.0, 60.0] {
-            let (refused, calls) = play_spread(instances, rate);
+            // As much as teams ask for on calm days.
+            let (refused, calls) = play_spread(instances, rate, 0.625);
             assert_eq!(refused, 0, "of {calls} calls at {instances} instances, rate {rate}");
         }
     }
 }
 
+/// A team that asks for nine tenths of its rate gets them.
+#[test]
+fn near_rate() {
+    for instances in [2, 8, 74] {
+        for rate in [47.0, 80.0] {
+            let (refused, calls) = play_spread(instances, rate, 0.9);
+            let at = format!("of {calls} calls at {instances} instances, rate {rate}");
+            assert!(refused * 100 <= calls, "{refused} {at}");
+        }
+    }
+}
+
 /// While a team is at its rate, calls of programs under way go on at other instances than the one
 /// where the program began.
 #[test]
--- a/crates/relay/src/control/leading.rs
+++ b/crates/relay/src/control/leading.rs
@@ -8,7 +8,8 @@
 
 use poplarspan_policy::{
     Name,
-    quota::{Allocator, Share},
+    quota::{Allocator, Share, TeamLoad},
+    rate::Limit,
     starts::Place,
 };
 use poplarspan_proto::peer::{self, Duty as PeerDuty};
@@ -20,6 +21,8 @@
 /// Time after the first store was seen in which the other founders must have been seen: all
 /// instances of a new fleet start together.
 const FORMING_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two log lines about a team whose programs are held back.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// A new leader knows all live instances after this time: each sends several beats in it.
 const KNOWS_ALL_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -44,6 +47,13 @@
     read_at: Duration,
 }
 
+/// Calls of a team that could not begin a program, since the last line about it in the log.
+struct HeldBack {
+    team: Name,
+    calls: u32,
+    logged_at: Option<Duration>,
+}
+
 /// State of a leader in one term.
 pub(crate) struct Leading {
     pub(crate) term: u64,
@@ -54,6 +64,8 @@
     directory: Directory,
     // Sorted by team.
     teams: Vec<(Name, Allocator)>,
+    // Sorted by team.
+    held_back: Vec<HeldBack>,
     /// Instances that joined or were lost, for the log.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -67,6 +79,7 @@
             members: Vec::new(),
             directory: Directory::default(),
             teams: Vec::new(),
+            held_back: Vec::new(),
             changes: VecDeque::new(),
         }
     }
@@ -292,7 +305,12 @@
             return Ok(());
         }
         if borrow.begins {
-            return allocator.begin(borrow.program, now).map_err(Some);
+            let begun = allocator.begin(borrow.program, now).map_err(Some);
+            if begun.is_err() {
+                let load = allocator.load(now);
+                self.note_held_back(&team.name, limit, load, now);
+            }
+            return begun;
         }
         allocator.borrow(now)?;
         if borrow.program != 0 {
@@ -301,6 +319,34 @@
         Ok(())
     }
 
+    /// Logs why programs of a team do not begin, once in a while.
+    fn note_held_back(&mut self, team: &Name, limit: Option<Limit>, load: TeamLoad, now: Duration) {
+        let at = match self.held_back.binary_search_by(|h| h.team.cmp(team)) {
+            Ok(at) => at,
+            Err(at) => {
+                let new = HeldBack { team: team.clone(), calls: 0, logged_at: None };
+                self.held_back.insert(at, new);
+                at
+            }
+        };
+        let held_back = &mut self.held_back[at];
+        held_back.calls += 1;
+        if held_back.logged_at.is_some_and(|at| now < at + LOG_INTERVAL) {
+            return;
+        }
+        log::info!(
+            team = &**team,
+            calls = held_back.calls,
+            per_second = limit.map_or(0.0, |l| l.per_second()),
+            demand = load.demand,
+            programs = load.programs,
+            program_rate = load.program_rate,
+            reserve = load.reserve;
+            "programs held back: the team is at its rate"
+        );
+        (held_back.calls, held_back.logged_at) = (0, Some(now));
+    }
+
     fn allocator(&mut self, team: &Name, now: Duration) -> &mut Allocator {
         let at = match self.teams.binary_search_by(|(t, _)| t.cmp(team)) {
             Ok(at) => at,
--- a/crates/relay/src/front/rates.rs
+++ b/crates/relay/src/front/rates.rs
@@ -159,15 +159,17 @@
 
     /// Gives back the token of a call that will not run.
     pub(crate) fn give_back(self: &Arc<Self>, token: Token) {
-        match token {
-            Token::Free => {}
-            Token::Own(name) => {
-                let now = self.clock.now();
-                let mut teams = self.teams.lock().expect("no panic while locked");
-                if let Ok(at) = teams.binary_search_by(|t| t.name.cmp(&name)) {
-                    teams[at].bucket.give_back(now);
-                }
+        let (Token::Own(name) | Token::Borrowed(name)) = &token else { return };
+        {
+            let mut teams = self.teams.lock().expect("no panic while locked");
+            let Ok(at) = teams.binary_search_by(|t| t.name.cmp(name)) else { return };
+            teams[at].demand.withdraw();
+            if matches!(token, Token::Own(_)) {
+                teams[at].bucket.give_back(self.clock.now());
             }
+        }
+        match token {
+            Token::Free | Token::Own(_) => {}
             Token::Borrowed(name) => {
                 let rates = self.clone();
                 // A token that does not arrive is lost to the team for as long as it takes to refill.
