--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -254,6 +254,14 @@
         }
     }
 
+    /// Endpoints to which there are idle connections that can be used, sorted.
+    pub fn connected(&self) -> Vec<SocketAddr> {
+        let idle = self.idle.lock().expect("no panic while locked");
+        let usable = |i: &Idle| i.is_fresh(self.cfg.max_idle) && i.sender.http.is_ready();
+        let connected = idle.iter().filter(|(_, list)| list.last().is_some_and(usable));
+        connected.map(|(address, _)| *address).collect()
+    }
+
     /// Closes idle connections that are too old; called now and then.
     pub fn sweep(&self) {
         let mut idle = self.idle.lock().expect("no panic while locked");
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -36,6 +36,8 @@
     pub stay_s: f32,
     /// A program leaves its endpoint only for a gain of this part of the best cost.
     pub stay: f32,
+    /// Cost of opening a connection, in seconds.
+    pub connect_s: f32,
 }
 
 impl Default for CostConfig {
@@ -50,6 +52,7 @@
             near: 0.1,
             stay_s: 0.02,
             stay: 0.1,
+            connect_s: 0.0,
         }
     }
 }
@@ -81,7 +84,8 @@
         let under = if fill < 1.0 { fill } else { 1.0 };
         let wait = hot.service_s * (self.cfg.occupancy * under + (fill - under));
         let distance = if zone == hot.zone { 0.0 } else { self.cfg.other_zone_s };
-        if excluded { f32::INFINITY } else { wait + prefill + distance }
+        let connect = if hot.connected { 0.0 } else { self.cfg.connect_s };
+        if excluded { f32::INFINITY } else { wait + prefill + distance + connect }
     }
 
     /// The cheaper of two random endpoints whose cost is at most `limit`.
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -58,6 +58,8 @@
     pub(super) zone: u16,
     /// May receive new calls: known, healthy, not leaving, zone not out.
     pub(super) open: bool,
+    /// Whether this instance has an idle connection to it.
+    pub(super) connected: bool,
 }
 
 #[derive(Debug)]
@@ -153,6 +155,16 @@
         self.hot[id.0 as usize].cap = cap.unwrap_or(u32::MAX);
     }
 
+    /// Says whether the instance has an idle connection to an endpoint. Every endpoint counts as
+    /// connected until then.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
+    pub fn set_connected(&mut self, id: EndpointId, connected: bool) {
+        self.hot[id.0 as usize].connected = connected;
+    }
+
     /// Lowers the capacity of all instances together while an endpoint is cold, or restores it.
     ///
     /// # Panics
@@ -348,6 +360,7 @@
             cap: u32::MAX,
             zone: 0,
             open: false,
+            connected: true,
         };
         let endpoint = Endpoint {
             spec: spec.clone(),
--- a/crates/policy/tests/route_choice.rs
+++ b/crates/policy/tests/route_choice.rs
@@ -251,3 +251,24 @@
     other.extend(&text);
     assert_ne!(whole.blocks()[0], other.blocks()[0]);
 }
+
+/// Calls stay with the endpoints that the instance is connected to, as long as these are hardly
+/// busier than the others.
+#[test]
+fn connected_endpoints() {
+    let cfg = CostConfig { connect_s: 0.1, ..CostConfig::default() };
+    let (mut fleet, ids) = fleet(1, 12);
+    for id in &ids[2..] {
+        fleet.set_connected(*id, false);
+    }
+    let mut chooser = CostChooser::new("z0".into(), cfg);
+    let (prefixes, mut rng) = (PrefixIndex::new(10), StdRng::seed_from_u64(3));
+    let mut choose = |fleet: &Fleet| {
+        chooser.choose(fleet, &prefixes, &request(&[]), &mut rng).expect("a choice").endpoint
+    };
+    assert!((0..50).all(|_| ids[..2].contains(&choose(&fleet))));
+    for id in &ids[..2] {
+        (0..6).for_each(|_| fleet.began(*id, ms(0)));
+    }
+    assert!((0..50).all(|_| ids[2..].contains(&choose(&fleet))), "the connected ones are busy");
+}
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -4,8 +4,9 @@
 //! others. Owner: each front for itself; rebuilt after a restart from the list of endpoints and from
 //! answers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use poplarspan_node::pool::Pool;
 use poplarspan_policy::{
     Name,
     route::{
@@ -31,7 +32,8 @@
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(600);
 /// Costs of an endpoint. What a call adds to the time of the others in the batch counts as much as
 /// what it waits itself: one more call in a full batch slows each of them by some 3 percent, and all
-/// of them wait while its prompt is read.
+/// of them wait while its prompt is read. A new connection takes both sides some milliseconds, and
+/// costs about as much as one more call in a batch of 16.
 const COSTS: CostConfig = CostConfig {
     other_zone_s: 0.006,
     prefill_weight: 6.0,
@@ -42,6 +44,7 @@
     near: 0.1,
     stay_s: 0.02,
     stay: 0.1,
+    connect_s: 0.012,
 };
 /// First pause after a failure, doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -159,6 +162,7 @@
 
 /// The endpoints of the list in force.
 pub(crate) struct Endpoints {
+    pool: Arc<Pool>,
     fleet: Fleet,
     prefixes: PrefixIndex,
     chooser: CostChooser,
@@ -174,8 +178,9 @@
 }
 
 impl Endpoints {
-    pub(crate) fn new(zone: Name) -> Self {
+    pub(crate) fn new(zone: Name, pool: Arc<Pool>) -> Self {
         Self {
+            pool,
             fleet: Fleet::new(),
             prefixes: PrefixIndex::new(MAX_BLOCKS),
             chooser: CostChooser::new(zone, COSTS),
@@ -296,6 +301,7 @@
         let cold_rate =
             publication.and_then(|p| p.service(&want.service)).map_or(0.0, |s| s.cold_per_second);
         let avoid = self.avoid(want, tried, cold_rate, now);
+        self.note_connections(&want.service);
         let (blocks, prompt_tokens) = self.own_blocks(want);
         let request = RouteRequest {
             group: &want.service,
@@ -310,6 +316,14 @@
         Ok(self.count(want, &choice, now))
     }
 
+    fn note_connections(&mut self, service: &Name) {
+        let connected = self.pool.connected();
+        for known in self.known.iter().filter(|k| k.service == *service) {
+            let is_connected = connected.binary_search(&known.address).is_ok();
+            self.fleet.set_connected(known.id, is_connected);
+        }
+    }
+
     /// Blocks and tokens of a prompt without the leading parts that many lines share.
     fn own_blocks<'a>(&self, want: &'a Want) -> (&'a [u64], u32) {
         let leading = &want.parts[..self.shared.leading(want)];
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -12,6 +12,7 @@
 };
 
 use poplarspan_agreement::Clock;
+use poplarspan_node::pool::Pool;
 use poplarspan_policy::{
     Name,
     fair::{Call, FairQueue, InFlight, LasDeadline, QueueConfig, QueueId},
@@ -139,8 +140,13 @@
 }
 
 impl Schedule {
-    pub(crate) fn new(zone: Name, fleet: Arc<Fleet>, clock: Arc<dyn Clock>) -> Arc<Self> {
-        let state = State { endpoints: Endpoints::new(zone), queues: Vec::new() };
+    pub(crate) fn new(
+        zone: Name,
+        fleet: Arc<Fleet>,
+        pool: Arc<Pool>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        let state = State { endpoints: Endpoints::new(zone, pool), queues: Vec::new() };
         Arc::new_cyclic(|this| Self { fleet, clock, state: Mutex::new(state), this: this.clone() })
     }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -208,7 +208,9 @@
         let fleet = self.fleet(peer::Duty::Front);
         let (client, clock) = (self.client.clone(), self.clock.clone());
         let (programs, settler) = Programs::new(fleet.clone(), client.clone(), clock.clone());
-        let schedule = Schedule::new(settings.zone.clone(), fleet.clone(), clock.clone());
+        let pool = Front::pool(&*self.dialect);
+        let schedule =
+            Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
         let front = Arc::new(Front {
             dialect: self.dialect.clone(),
             fleet: fleet.clone(),
@@ -216,7 +218,7 @@
             schedule: schedule.clone(),
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
-            pool: Front::pool(&*self.dialect),
+            pool,
         });
         self.serve_peers(Arc::new(NoDuties), None);
         let (beats, report) = (fleet.clone(), front.clone() as Arc<dyn Report>);
