tests: a fault soak of real processes

Processes are killed, paused, ended and started again, disks are lost, connections delayed, silenced in one or both directions and reset, operators race, a key is withdrawn; callers and servers' records are checked: at most once, truthful refusals, whole and own answers, budgets, kept turns, the rate of a team, withdrawn keys, versions, and service after the faults.

--- /dev/null
+++ b/tests/support/soak/load.rs
@@ -0,0 +1,174 @@
+//! Callers of a run. They keep their connections until these are closed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::StreamExt;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::task::JoinSet;
+
+use super::{
+    BLUE_KEY, Run, SECOND_KEY,
+    check::{BUDGET, Kind, MOST, Seen, TOKENS_PER_EVENT},
+};
+use crate::platform::{HOST, KEY};
+
+const PAUSE: Duration = Duration::from_millis(30);
+const TIME_LIMIT_MS: u64 = 3_000;
+/// Attempts to go on from a kept turn at the end.
+const LAST_TRIES: u32 = 40;
+
+/// Starts the callers; they end once the run is over.
+pub(super) fn start(run: &Arc<Run>, seed: u64) -> JoinSet<()> {
+    let mut callers = JoinSet::new();
+    for number in 0..11u64 {
+        let rng = SmallRng::seed_from_u64(seed.wrapping_mul(100) + number);
+        let client = reqwest::Client::builder().timeout(Duration::from_secs(6)).build();
+        let client = client.expect("a client");
+        let mut caller =
+            Caller { run: run.clone(), rng, client, name: format!("c{number}"), calls: 0 };
+        callers.spawn(async move {
+            match number {
+                0..=2 => caller.plain(KEY).await,
+                3 => caller.plain(SECOND_KEY).await,
+                4..=5 => caller.plain(BLUE_KEY).await,
+                // Two callers share each program.
+                6..=8 => caller.budgeted(number / 2).await,
+                _ => caller.kept().await,
+            }
+        });
+    }
+    callers
+}
+
+/// Whether a front answers a call.
+pub(super) async fn is_served(run: &Run, front: u8) -> bool {
+    let url = format!("http://{}/safe/named", run.world.front(front));
+    let id = format!("last-{front}-{}", rand::random::<u32>());
+    let sent = run.client.post(url).header("host", HOST).header("request-id", id);
+    let sent = sent.header("deadline-ms", TIME_LIMIT_MS).header("api-key", KEY).send().await;
+    sent.is_ok_and(|answer| answer.status() == 200)
+}
+
+struct Caller {
+    run: Arc<Run>,
+    rng: SmallRng,
+    client: reqwest::Client,
+    name: String,
+    calls: u32,
+}
+
+impl Caller {
+    async fn plain(&mut self, key: &'static str) {
+        while !self.run.is_over() {
+            let (kind, path) = if self.rng.random_bool(0.5) {
+                (Kind::Safe, "/safe/named")
+            } else {
+                (Kind::Once, "/once/named")
+            };
+            self.call(kind, key, path, &[], "in").await;
+        }
+    }
+
+    async fn budgeted(&mut self, shared: u64) {
+        let count = format!("5,{MOST}");
+        for number in 0.. {
+            // A program ends when it is told that its budget is spent, or after a while.
+            for _ in 0..2 * BUDGET / MOST + 4 {
+                if self.run.is_over() {
+                    return;
+                }
+                let program = format!("budget-{shared}-{number}");
+                let events = self.rng.random_range(1..=(MOST / TOKENS_PER_EVENT) as usize);
+                let path = format!("/stream/paced/events/{events}");
+                let kind = Kind::Budgeted { program: program.clone(), events };
+                let headers = [
+                    ("program-id", program),
+                    ("token-count", count.clone()),
+                    ("token-budget", BUDGET.to_string()),
+                ];
+                if self.call(kind, KEY, &path, &headers, "in").await.status == 402 {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// A chain of kept turns; the last one must be there when all is over.
+    async fn kept(&mut self) {
+        let (mut previous, mut said) = (None::<String>, String::new());
+        let mut tries = 0;
+        while !self.run.is_over() || tries < LAST_TRIES {
+            let is_last = self.run.is_over();
+            tries += u32::from(is_last);
+            let events = self.rng.random_range(1..4);
+            let own = format!("in{} ", self.calls);
+            let kind = Kind::Kept { events, input: format!("{said}{own}") };
+            let mut headers = vec![
+                ("program-id", format!("kept-{}", self.name)),
+                ("token-count", format!("5,{MOST}")),
+            ];
+            headers.extend(previous.iter().map(|p| ("previous-turn", p.clone())));
+            let path = format!("/kept/paced/events/{events}");
+            let seen = self.call(kind, KEY, &path, &headers, &own).await;
+            if seen.status != 200 || !seen.is_whole {
+                continue;
+            }
+            if is_last {
+                return;
+            }
+            said += &own;
+            said.extend((1..=events).map(|n| format!("out{n}\n")));
+            previous = Some(seen.id);
+        }
+        let name = &self.name;
+        self.run.note(|h| h.unserved.push(format!("{name}: a kept turn cannot be continued")));
+    }
+
+    async fn call(
+        &mut self,
+        kind: Kind,
+        key: &'static str,
+        path: &str,
+        headers: &[(&str, String)],
+        body: &str,
+    ) -> Seen {
+        self.calls += 1;
+        let id = format!("{}-{}", self.name, self.calls);
+        let url = format!("http://{}{path}", self.run.world.front(self.rng.random_range(0..2)));
+        let mut req = self.client.post(url).header("host", HOST).header("request-id", &id);
+        req = req.header("deadline-ms", TIME_LIMIT_MS).header("api-key", key);
+        for (name, value) in headers {
+            req = req.header(*name, value);
+        }
+        let sent = Instant::now();
+        let mut seen = Seen {
+            id,
+            kind,
+            key,
+            sent,
+            status: 0,
+            seal: None,
+            body: String::new(),
+            is_whole: false,
+        };
+        if let Ok(answer) = req.body(body.to_owned()).send().await {
+            seen.status = answer.status().as_u16();
+            let seal = answer.headers().get("server-seal");
+            seen.seal = seal.and_then(|s| s.to_str().ok()).map(str::to_owned);
+            let mut body = answer.bytes_stream();
+            seen.is_whole = true;
+            while let Some(piece) = body.next().await {
+                match piece {
+                    Ok(piece) => seen.body += &String::from_utf8_lossy(&piece),
+                    Err(_) => seen.is_whole = false,
+                }
+            }
+        }
+        self.run.note(|h| h.seen.push(seen.clone()));
+        tokio::time::sleep(PAUSE).await;
+        seen
+    }
+}
--- /dev/null
+++ b/tests/support/soak/mod.rs
@@ -0,0 +1,210 @@
+//! One run of the soak: a fleet of real processes, callers, and faults from outside, drawn from a
+//! seed. What callers and servers saw is checked afterwards.
+
+pub mod check;
+mod load;
+pub mod plan;
+
+use std::{
+    os::unix::process::ExitStatusExt,
+    path::Path,
+    process::ExitStatus,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use crate::platform::{KEY, Machine, World, config, proxy::Mode};
+use check::{BURST, History, RATE, Ran};
+use plan::{Action, Event, Group};
+
+/// Key that may be taken away.
+pub const SECOND_KEY: &str = "second-key";
+/// Key of the team with a rate.
+pub const BLUE_KEY: &str = "key-of-blue";
+const ORDER_PATIENCE: Duration = Duration::from_secs(6);
+/// All faults have ended; a fleet that does not serve by then never will.
+const RECOVERY: Duration = Duration::from_secs(40);
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What tasks of one run share.
+struct Run {
+    world: World,
+    client: reqwest::Client,
+    history: Mutex<History>,
+    version: AtomicU64,
+    is_revoked: AtomicBool,
+    is_over: AtomicBool,
+}
+
+impl Run {
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    fn note(&self, f: impl FnOnce(&mut History)) {
+        f(&mut self.history.lock().expect("no panic while locked"));
+    }
+
+    /// The next version, with the keys that are in force.
+    fn next_config(&self) -> Value {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        objects(version, self.is_revoked.load(Ordering::Relaxed))
+    }
+
+    /// Publishes at one replica after another, beginning with `core`, until one acknowledges it.
+    async fn publish(&self, config: &Value, core: u8) -> bool {
+        let until = Instant::now() + ORDER_PATIENCE;
+        for turn in u32::from(core).. {
+            let url = format!("http://{}/-/config", self.world.operators((turn % 3) as u8));
+            let sent = self.client.put(url).body(config.to_string()).send().await;
+            if sent.is_ok_and(|answer| answer.status() == 200) {
+                return true;
+            }
+            if Instant::now() > until {
+                return false;
+            }
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+        unreachable!("the loop ends by a return")
+    }
+
+    /// Reads the version in force again and again.
+    async fn read_versions(&self) {
+        for turn in 0u32.. {
+            if self.is_over() {
+                return;
+            }
+            let url = format!("http://{}/-/config", self.world.operators((turn % 3) as u8));
+            if let Ok(answer) = self.client.get(url).send().await
+                && answer.status() == 200
+                && let Ok(config) = answer.json::<Value>().await
+            {
+                let version = config["version"].as_u64().expect("a version");
+                self.note(|h| h.versions.push(version));
+            }
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    }
+}
+
+fn objects(version: u64, is_revoked: bool) -> Value {
+    let keys: &[&str] = if is_revoked { &[KEY] } else { &[KEY, SECOND_KEY] };
+    let mut objects = config(version, keys);
+    let blue = json!({"name": "blue", "apiKeys": [BLUE_KEY], "ratePerS": RATE, "burst": BURST});
+    objects["tenants"].as_array_mut().expect("a list").push(blue);
+    objects
+}
+
+/// Plays a seed, and returns what was seen. The output of the processes goes to `logs`.
+pub async fn play(seed: u64, logs: &Path) -> History {
+    let client = reqwest::Client::builder().timeout(Duration::from_secs(6)).build();
+    let mut world = World::start_linked(&objects(1, false), logs).await;
+    let mut machines = [
+        (Group::Core, std::mem::take(&mut world.cores)),
+        (Group::Store, std::mem::take(&mut world.stores)),
+        (Group::Front, std::mem::take(&mut world.fronts)),
+    ];
+    let run = Arc::new(Run {
+        world,
+        client: client.expect("a client"),
+        history: Mutex::default(),
+        version: AtomicU64::new(1),
+        is_revoked: AtomicBool::new(false),
+        is_over: AtomicBool::new(false),
+    });
+    let mut callers = load::start(&run, seed);
+    let reader = run.clone();
+    callers.spawn(async move { reader.read_versions().await });
+    let mut operators = JoinSet::new();
+    let begun = tokio::time::Instant::now();
+    for (at, event) in plan::draw(seed) {
+        tokio::time::sleep_until(begun + at).await;
+        match event {
+            Event::Machine(group, machine, action) => {
+                let (_, machines) =
+                    machines.iter_mut().find(|(g, _)| *g == group).expect("a group");
+                act(&mut machines[machine], action).await;
+            }
+            Event::Link(link, mode) => run.world.links[link].set(mode),
+            Event::Reset(link) => run.world.links[link].reset(),
+            Event::Publish => {
+                for core in 0..2 {
+                    let (run, config) = (run.clone(), run.next_config());
+                    operators.spawn(async move {
+                        run.publish(&config, core).await;
+                    });
+                }
+            }
+            Event::Revoke => {
+                run.is_revoked.store(true, Ordering::Relaxed);
+                let (run, config) = (run.clone(), run.next_config());
+                operators.spawn(async move {
+                    if run.publish(&config, 2).await {
+                        run.note(|h| h.revoked = Some((SECOND_KEY, Instant::now())));
+                    }
+                });
+            }
+        }
+    }
+    tokio::time::sleep_until(begun + plan::CALM).await;
+    run.world.links.iter().for_each(|link| link.set(Mode::Pass));
+    for machine in machines.iter_mut().flat_map(|(_, m)| m) {
+        machine.signal(Signal::SIGCONT);
+        // A process that gets SIGHUP before its first instruction ends as any other does.
+        let is_allowed = |status: &ExitStatus| status.signal() == Some(Signal::SIGHUP as i32);
+        if let Some(status) = machine.ended_early().filter(|status| !is_allowed(status)) {
+            run.note(|h| h.unserved.push(format!("a process has ended by itself: {status}")));
+        }
+        act(machine, Action::Start).await;
+    }
+    while operators.join_next().await.is_some() {}
+    for front in 0..2 {
+        let until = Instant::now() + RECOVERY;
+        while !load::is_served(&run, front).await {
+            if Instant::now() > until {
+                run.note(|h| h.unserved.push(format!("front {front} does not serve again")));
+                break;
+            }
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    }
+    run.is_over.store(true, Ordering::Relaxed);
+    while callers.join_next().await.is_some() {}
+    let mut history = std::mem::take(&mut *run.history.lock().expect("no panic while locked"));
+    history.ran = run.world.servers.runs().into_iter().map(ran).collect();
+    history
+}
+
+fn ran(run: crate::platform::Run) -> Ran {
+    Ran {
+        id: run.id,
+        body: String::from_utf8_lossy(&run.body).into_owned(),
+        team: run.team.unwrap_or_default(),
+        at: run.at,
+    }
+}
+
+async fn act(machine: &mut Machine, action: Action) {
+    match action {
+        Action::Kill if machine.runs() => machine.kill(),
+        Action::Kill => {}
+        Action::Terminate => machine.end(),
+        Action::Wipe => machine.wipe(),
+        Action::Pause => machine.signal(Signal::SIGSTOP),
+        Action::Resume => machine.signal(Signal::SIGCONT),
+        Action::Reload => machine.signal(Signal::SIGHUP),
+        Action::Start => {
+            machine.ended().await;
+            if !machine.runs() {
+                machine.restart();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/soak/plan.rs
@@ -0,0 +1,122 @@
+//! Faults of one run, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::platform::proxy::Mode;
+
+/// Time in which faults begin.
+pub const FAULTS: Duration = Duration::from_millis(7_000);
+/// All faults have ended by then.
+pub const CALM: Duration = Duration::from_millis(11_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    Core,
+    Store,
+    Front,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    Kill,
+    /// SIGTERM.
+    Terminate,
+    /// Loses its disk; it does not run.
+    Wipe,
+    Start,
+    /// SIGSTOP.
+    Pause,
+    /// SIGCONT.
+    Resume,
+    /// SIGHUP.
+    Reload,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    Machine(Group, usize, Action),
+    /// Link number, 0 and 1 to the fronts, then those to the servers.
+    Link(usize, Mode),
+    Reset(usize),
+    /// Two operators publish at once.
+    Publish,
+    /// A key is withdrawn.
+    Revoke,
+}
+
+/// Events with their times, in order.
+pub fn draw(seed: u64) -> Vec<(Duration, Event)> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut events = Vec::new();
+    let ms = Duration::from_millis;
+    machines(&mut rng, &mut events, Group::Core);
+    machines(&mut rng, &mut events, Group::Store);
+    for front in 0..2 {
+        outages(&mut rng, &mut events, Group::Front, front, 2);
+    }
+    for _ in 0..rng.random_range(1..6) {
+        let (link, from) = (rng.random_range(0..5), ms(rng.random_range(300..7_000)));
+        if rng.random_bool(0.4) {
+            events.push((from, Event::Reset(link)));
+            continue;
+        }
+        let modes = [Mode::Delay, Mode::DeafFarEnd, Mode::DeafNearEnd, Mode::Silent];
+        let mode = modes[rng.random_range(0..modes.len())];
+        events.push((from, Event::Link(link, mode)));
+        events.push((from + ms(rng.random_range(300..3_500)), Event::Link(link, Mode::Pass)));
+    }
+    for _ in 0..rng.random_range(1..5) {
+        events.push((ms(rng.random_range(300..8_000)), Event::Publish));
+    }
+    if rng.random_bool(0.5) {
+        events.push((ms(rng.random_range(500..2_500)), Event::Revoke));
+    }
+    events.sort_by_key(|(at, _)| *at);
+    events
+}
+
+/// Outages of the machines of a group that has disks: at most one loses its disk, and the others run
+/// from then on. Before, several may be away at a time.
+fn machines(rng: &mut SmallRng, events: &mut Vec<(Duration, Event)>, group: Group) {
+    let ms = Duration::from_millis;
+    let machine = rng.random_range(0..3);
+    if rng.random_bool(0.5) {
+        let at = ms(rng.random_range(500..6_000));
+        let back = at + ms(rng.random_range(50..1_500));
+        events.push((at, Event::Machine(group, machine, Action::Kill)));
+        events.push((at, Event::Machine(group, machine, Action::Wipe)));
+        events.push((back, Event::Machine(group, machine, Action::Start)));
+        return;
+    }
+    for machine in 0..3 {
+        outages(rng, events, group, machine, 1);
+    }
+}
+
+/// Up to `most` outages of a machine, one after the other.
+fn outages(
+    rng: &mut SmallRng,
+    events: &mut Vec<(Duration, Event)>,
+    group: Group,
+    machine: usize,
+    most: u32,
+) {
+    let ms = Duration::from_millis;
+    let mut from = ms(rng.random_range(300..5_000));
+    for _ in 0..rng.random_range(0..=most) {
+        let to = from + ms(rng.random_range(200..3_000));
+        let (begin, end) = match rng.random_range(0..4) {
+            0 => (Action::Kill, Action::Start),
+            1 => (Action::Terminate, Action::Start),
+            2 => (Action::Pause, Action::Resume),
+            _ => (Action::Reload, Action::Reload),
+        };
+        if from < FAULTS {
+            events.push((from, Event::Machine(group, machine, begin)));
+            events.push((to, Event::Machine(group, machine, end)));
+        }
+        from = to + ms(rng.random_range(200..2_000));
+    }
+}
