front: wait for the stores to form groups; listen for signals first

Cause: a front that knew of no groups refused a turn at once, also in the first second of a new fleet, where before it had waited for the stores within the caller's time (relay_path::budgets_and_turns failed). A process listened for signals only after it had read its settings. relay_path::turns_across_groups plays turns that programs of other groups go on from; the soak has two groups of stores now.

--- a/crates/core/commands/node.rs
+++ b/crates/core/commands/node.rs
@@ -17,11 +17,11 @@
 
 /// `node`
 pub(crate) async fn run(flags: NodeFlags) -> Result<ExitCode> {
+    // First of all, since a signal that nobody listens for ends the process.
+    let mut signals = Signals::new()?;
     let text = read(&flags.settings)?;
     let settings = parse(&text, &flags)?;
     let dialect = Arc::new(Platform);
-    // Listening for signals starts before the instance does, so that none is missed.
-    let mut signals = Signals::new()?;
     let running = Relay { settings, dialect, tls: flags.tls.files() }.start().await?;
     let mut held = text;
     let mut ticks = interval(RELOAD_INTERVAL);
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -126,10 +126,7 @@
         name: &TurnName,
         needs: TurnNeeds<'_>,
     ) -> Result<(OpenTurn, Bytes), Refusal> {
-        let groups = self.fleet.view().group_leaders.len() as u32;
-        if groups == 0 {
-            return Err(stores_away("the stores have not formed groups yet"));
-        }
+        let groups = self.groups(needs.deadline).await?;
         // Made first, so that a caller who leaves while the reservation is under way has it settled.
         let mut open = OpenTurn {
             name: name.clone(),
@@ -179,6 +176,21 @@
         }
     }
 
+    /// Number of groups. Waits for it while a new fleet forms them.
+    async fn groups(&self, deadline: Instant) -> Result<u32, Refusal> {
+        let mut changes = self.fleet.subscribe();
+        loop {
+            let groups = self.fleet.view().group_leaders.len() as u32;
+            if groups > 0 {
+                return Ok(groups);
+            }
+            // Fails only at the end of the process.
+            if !matches!(timeout_at(deadline, changes.changed()).await, Ok(Ok(()))) {
+                return Err(stores_away("the stores have not formed groups yet"));
+            }
+        }
+    }
+
     async fn begin_at(
         &self,
         begin: &peer::TurnBegin,
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -155,3 +155,29 @@
     // A front that is asked to end does so without cutting anybody off.
     assert!(world.fronts[0].terminate().await);
 }
+
+/// With several groups of stores, programs of each group go on from a turn that one of them keeps.
+#[tokio::test(flavor = "multi_thread")]
+async fn turns_across_groups() {
+    let world = World::start_stores(&config(1, &[KEY]), 4).await;
+    let keep = async |id: &str, program: &str, previous: Option<&str>, body: &str| {
+        let mut headers = vec![("program-id", program), ("token-count", "5,100")];
+        headers.extend(previous.map(|p| ("previous-turn", p)));
+        let call = Call { headers: &headers, body, ..Call::default() };
+        let front = u8::from(previous.is_some());
+        world.call(front, "/kept/events/1", id, call).await.status
+    };
+    assert_eq!(keep("first", "p", None, "in1 ").await, 200);
+    for n in 0..8 {
+        let (second, third) = (format!("second-{n}"), format!("third-{n}"));
+        let program = format!("p{n}");
+        assert_eq!(keep(&second, &program, Some("first"), "in2 ").await, 200);
+        assert_eq!(world.servers.runs_of(&second)[0].body, "in1 out1\nin2 ");
+        // Front 0 has the history of none of these.
+        let headers = [("program-id", "p"), ("token-count", "5,100"), ("previous-turn", &*second)];
+        let call = Call { headers: &headers, body: "in3", ..Call::default() };
+        assert_eq!(world.call(0, "/kept/events/1", &third, call).await.status, 200);
+        assert_eq!(world.servers.runs_of(&third)[0].body, "in1 out1\nin2 out1\nin3");
+        assert_eq!(keep(&format!("no-{n}"), &program, Some("nothing"), "in").await, 404);
+    }
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -294,16 +294,21 @@
 
     /// Starts everything, and returns when the fronts are ready.
     pub async fn start(config: &Value) -> Self {
-        Self::start_with(config, false, None).await
+        Self::start_with(config, 3, false, None).await
     }
 
-    /// Starts everything with links that can be disturbed, and with the output of the processes kept
-    /// in a folder.
+    /// Starts everything, with so many stores.
+    pub async fn start_stores(config: &Value, stores: u8) -> Self {
+        Self::start_with(config, stores, false, None).await
+    }
+
+    /// Starts everything with links that can be disturbed, two groups of stores, and the output of
+    /// the processes kept in a folder.
     pub async fn start_linked(config: &Value, logs: &Path) -> Self {
-        Self::start_with(config, true, Some(logs.to_owned())).await
+        Self::start_with(config, 4, true, Some(logs.to_owned())).await
     }
 
-    async fn start_with(config: &Value, linked: bool, logs: Option<PathBuf>) -> Self {
+    async fn start_with(config: &Value, stores: u8, linked: bool, logs: Option<PathBuf>) -> Self {
         let dir = tempfile::tempdir().expect("temporary folder");
         let tls = dir.path().join("tls");
         let made = Command::new(PROGRAM).args(["certs", "--out"]).arg(&tls).output();
@@ -327,6 +332,8 @@
         for n in 0..3 {
             let core = world.machine(&root, &tls, "core", 10 + n);
             world.cores.push(core);
+        }
+        for n in 0..stores {
             let store = world.machine(&root, &tls, "storage", 20 + n);
             world.stores.push(store);
         }
--- a/tests/support/soak/load.rs
+++ b/tests/support/soak/load.rs
@@ -107,7 +107,8 @@
             let own = format!("in{} ", self.calls);
             let kind = Kind::Kept { events, input: format!("{said}{own}") };
             let mut headers = vec![
-                ("program-id", format!("kept-{}", self.name)),
+                // Other programs go on from the turn now and then.
+                ("program-id", format!("kept-{}-{}", self.name, self.calls / 3)),
                 ("token-count", format!("5,{MOST}")),
             ];
             headers.extend(previous.iter().map(|p| ("previous-turn", p.clone())));
