--- a/tests/support/soak/load.rs
+++ b/tests/support/soak/load.rs
@@ -23,7 +23,7 @@
 /// Starts the callers; they end once the run is over.
 pub(super) fn start(run: &Arc<Run>, seed: u64) -> JoinSet<()> {
     let mut callers = JoinSet::new();
-    for number in 0..11u64 {
+    for number in 0..14u64 {
         let rng = SmallRng::seed_from_u64(seed.wrapping_mul(100) + number);
         let client = reqwest::Client::builder().timeout(Duration::from_secs(6)).build();
         let client = client.expect("a client");
@@ -33,7 +33,8 @@
             match number {
                 0..=2 => caller.plain(KEY).await,
                 3 => caller.plain(SECOND_KEY).await,
-                4..=5 => caller.plain(BLUE_KEY).await,
+                // Together they ask for more than the team's rate.
+                4..=5 | 11.. => caller.plain(BLUE_KEY).await,
                 // Two callers share each program.
                 6..=8 => caller.budgeted(number / 2).await,
                 _ => caller.kept().await,
--- a/tests/support/soak/plan.rs
+++ b/tests/support/soak/plan.rs
@@ -73,6 +73,11 @@
     if rng.random_bool(0.5) {
         events.push((ms(rng.random_range(500..2_500)), Event::Revoke));
     }
+    // Answers are lost on their way from the servers.
+    for _ in 0..rng.random_range(4..16) {
+        let link = rng.random_range(2..5);
+        events.push((ms(rng.random_range(300..9_000)), Event::Reset(link)));
+    }
     events.sort_by_key(|(at, _)| *at);
     events
 }
