replica: sync the number of groups before the folder counts as ready; docs

Cause, found in review: the number was written into the file whose existence marks a folder as ready, so that a loss of power between its creation and its content would have left a store that never starts again. It has a file of its own now, which is synced before. Functions of groups have longer names.

--- a/crates/relay/src/groups.rs
+++ b/crates/relay/src/groups.rs
@@ -33,13 +33,13 @@
 
 /// First voters of a group. `ring` are the stores with which the fleet starts, ordered so that
 /// neighbours are in different zones; groups begin at different places of it.
-pub fn founders(ring: &[ReplicaId], group: u32) -> Vec<ReplicaId> {
+pub fn group_founders(ring: &[ReplicaId], group: u32) -> Vec<ReplicaId> {
     let first = STORES_PER_GROUP * group as usize;
     let voters = TARGET_VOTERS.min(ring.len());
     ring.iter().cycle().skip(first % ring.len().max(1)).take(voters).copied().collect()
 }
 
 /// The machine whose replica should lead a group, as long as it votes there.
-pub fn home(ring: &[ReplicaId], group: u32) -> Option<Ipv4Addr> {
-    founders(ring, group).first().map(|id| machine(*id))
+pub fn group_home(ring: &[ReplicaId], group: u32) -> Option<Ipv4Addr> {
+    group_founders(ring, group).first().map(|id| machine(*id))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,7 +42,7 @@
 };
 pub use dialect::{Dialect, Malformed};
 pub use front::events::{Event, EventReader};
-pub use groups::{founders, group_count, group_of, home};
+pub use groups::{group_count, group_founders, group_home, group_of};
 pub use poplarspan_policy::rate::Limit;
 pub use publication::{
     CallerLimits, Engine, Findings, Objects, Publication, Route, RouteKind, Service, Team,
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -93,6 +93,10 @@
         !self.ready_file().exists()
     }
 
+    fn groups_file(&self) -> PathBuf {
+        self.dir.log_folder().with_file_name(GROUPS_FILE)
+    }
+
     fn ready_file(&self) -> PathBuf {
         self.dir.log_folder().with_file_name(READY_FILE)
     }
@@ -102,7 +106,7 @@
         if self.is_new() {
             return Ok(None);
         }
-        let path = self.ready_file();
+        let path = self.groups_file();
         let text = fs::read_to_string(&path);
         let text = text.with_context(|| format!("cannot read {}", path.display()))?;
         let groups = text.trim().parse();
@@ -127,18 +131,22 @@
             if !founded.is_empty() && store.load().await?.is_empty() {
                 init_groups(&store, founded).await?;
             }
-            let ready = self.ready_file();
-            let mut f = fs::File::create(&ready)?;
+            // Synced before the folder is ready, so that it is whole whenever the folder is.
+            let mut f = fs::File::create(self.groups_file())?;
             write!(f, "{}", founders.len())?;
             f.sync_all()?;
+            let ready = self.ready_file();
+            fs::File::create(&ready)?.sync_all()?;
             fs::File::open(ready.parent().context("a file in the data folder")?)?.sync_all()?;
         }
         Ok(store)
     }
 }
 
-/// Exists once the log has been created as a whole, and holds the number of groups in it.
+/// Exists once the log has been created as a whole.
 const READY_FILE: &str = "ready";
+/// Holds the number of groups in the log.
+const GROUPS_FILE: &str = "groups";
 
 /// What a group starts from.
 pub(crate) struct GroupStart {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -353,7 +353,9 @@
             let view = self.fleet.view();
             if !view.group_leaders.is_empty() {
                 let groups = 0..view.group_leaders.len() as u32;
-                return Ok(groups.map(|g| start(groups::founders(&view.store_ring, g))).collect());
+                return Ok(groups
+                    .map(|g| start(groups::group_founders(&view.store_ring, g)))
+                    .collect());
             }
             changes.changed().await?;
         }
@@ -368,7 +370,7 @@
         let view = fleet.view();
         let leaving: Vec<_> = view.retiring.iter().map(|id| ReplicaId(*id)).collect();
         for replica in &replicas {
-            let home = groups::home(&view.store_ring, replica.group());
+            let home = groups::group_home(&view.store_ring, replica.group());
             replica.set_wishes(Wishes { leaving: leaving.clone(), home });
         }
     }
--- a/crates/relay/tests/store_groups.rs
+++ b/crates/relay/tests/store_groups.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use poplarspan_agreement::ReplicaId;
-use poplarspan_relay::{founders, group_count, group_of, home, replica_number};
+use poplarspan_relay::{group_count, group_founders, group_home, group_of, replica_number};
 
 fn ring(stores: u8) -> Vec<ReplicaId> {
     (1..=stores).map(|n| replica_number(Ipv4Addr::new(10, 0, 0, n), u32::from(n))).collect()
@@ -15,7 +15,7 @@
     for stores in 1..=32 {
         let ring = ring(stores);
         let mut homes: Vec<_> =
-            (0..group_count(ring.len())).map(|g| home(&ring, g).expect("a home")).collect();
+            (0..group_count(ring.len())).map(|g| group_home(&ring, g).expect("a home")).collect();
         let count = homes.len();
         homes.sort_unstable();
         homes.dedup();
@@ -30,7 +30,7 @@
     for stores in 1..=32u8 {
         let ring = ring(stores);
         for group in 0..group_count(ring.len()) {
-            let mut voters = founders(&ring, group);
+            let mut voters = group_founders(&ring, group);
             assert_eq!(voters.len(), ring.len().min(5));
             voters.sort_unstable();
             voters.dedup();
@@ -46,7 +46,7 @@
     let stores = ring(11);
     let zone = |id: &ReplicaId| (stores.iter().position(|r| r == id).expect("a store")) % 4;
     for group in 0..group_count(stores.len()) {
-        let voters = founders(&stores, group);
+        let voters = group_founders(&stores, group);
         for lost in 0..4 {
             let left = voters.iter().filter(|v| zone(v) != lost).count();
             assert!(left * 2 > voters.len(), "group {group} without zone {lost}");
