front: ask at the first byte whether a call may still be sent

Cause: the lease was checked before the request was handed to the task of its connection, and on a connection in use before it was not checked again. Answers that say that the server is leaving were not read at all, so a front without control went on sending there.

Change: the stream of a connection asks for permission when the first byte is about to leave; a refused request has not left and is tried elsewhere. The permission holds while the lease does and while the chosen endpoint is listed, its zone is in, and it has not said that it is leaving. What it says holds until its next start is known (policy::departures).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,12 +5,14 @@
 //! says whether the peer may have carried one out. A failed task is restarted by its [`Supervisor`].
 
 pub mod clock;
+mod gate;
 pub mod peer;
 pub mod pool;
 pub mod probes;
 pub mod supervisor;
 
 pub use clock::BootClock;
+pub use gate::Permission;
 pub use peer::{CallError, Credentials, PeerClient, TlsFiles};
 pub use probes::Readiness;
 pub use supervisor::Supervisor;
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -15,6 +15,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
+use crate::gate::{Gate, Gated, Permission};
+
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 3;
@@ -55,6 +57,7 @@
 struct Sender {
     http: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    gate: Gate,
     /// Time for which the endpoint keeps the connection open while it is idle, as far as it has said.
     keep_alive: Option<Duration>,
 }
@@ -71,6 +74,9 @@
     /// Not a byte of the call has left this process.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The permission to send has ended. Not a byte of the call has left this process.
+    #[error("not sent: the permission to send has ended")]
+    NotPermitted,
     /// The call was sent, or may have been.
     #[error("connection lost: {0}")]
     Lost(String),
@@ -160,11 +166,13 @@
         fresh: bool,
         deadline: Instant,
     ) -> Result<Exchange, SendError> {
-        self.send_watched(address, request, fresh, deadline, deadline, &|| true).await
+        let always: Permission = Arc::new(|| true);
+        self.send_watched(address, request, fresh, deadline, deadline, always).await
     }
 
     /// As [`Pool::send`], but waits for the head of the answer only until `reused_until` when the
-    /// connection has been used before: it may have gone silent since.
+    /// connection has been used before: it may have gone silent since. `may_send` is asked when the
+    /// first byte is about to leave; if it says no, the result is [`SendError::NotPermitted`].
     pub async fn send_watched(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -172,13 +180,14 @@
         fresh: bool,
         deadline: Instant,
         reused_until: Instant,
-        may_send: &(dyn Fn() -> bool + Sync),
+        may_send: Permission,
     ) -> Result<Exchange, SendError> {
         let id = request.headers().get(&self.cfg.id_header).cloned();
         let mut request = request;
         if !fresh {
             while let Some(mut sender) = self.take(address) {
                 let until = deadline.min(reused_until);
+                sender.gate.arm(may_send.clone());
                 let sent = sender.try_send_request_until(request, until).await;
                 if matches!(sent, Err(SendError::Silent)) {
                     self.discard(address);
@@ -193,10 +202,7 @@
             }
         }
         let mut sender = connect(address, deadline, &self.cfg).await?;
-        // Connecting takes time, in which the permission may end or the process be suspended.
-        if !may_send() {
-            return Err(SendError::NotSent("the permission to send has ended".to_owned()));
-        }
+        sender.gate.arm(may_send);
         match sender.try_send_request_until(request, deadline).await? {
             Sent::Answer(response) => self.check(response, sender, address, id),
             Sent::Returned(_) => Err(SendError::NotSent("the endpoint closed at once".to_owned())),
@@ -303,6 +309,7 @@
             Ok(Ok(response)) => Ok(Sent::Answer(response)),
             Ok(Err(mut e)) => match e.take_message() {
                 Some(request) => Ok(Sent::Returned(request)),
+                None if self.gate.is_refused() => Err(SendError::NotPermitted),
                 None => Err(SendError::Lost(e.into_error().to_string())),
             },
             Err(_) => Err(SendError::Silent),
@@ -334,13 +341,14 @@
     let open = async {
         let stream = TcpStream::connect(address).await.map_err(|e| not_sent(e.to_string()))?;
         watch(&stream, cfg).map_err(|e| not_sent(e.to_string()))?;
+        let gate = Gate::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Gated::new(stream, gate.clone())))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::spawn(connection).abort_handle();
-        Ok(Sender { http: sender, task, keep_alive: None })
+        Ok(Sender { http: sender, task, gate, keep_alive: None })
     };
     tokio::time::timeout_at(limit, open)
         .await
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -68,6 +68,7 @@
 
 mod check;
 pub mod containment;
+pub mod departures;
 pub mod fair;
 pub mod placement;
 pub mod quota;
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -126,6 +126,20 @@
         Some(id)
     }
 
+    /// Takes note that an endpoint is about to stop.
+    pub fn set_leaving(&mut self, id: EndpointId) {
+        self.endpoints[id.0 as usize].spec.leaving = true;
+        self.refresh(id);
+    }
+
+    /// Whether an endpoint may be sent calls, whatever its health: it is present, is not about to
+    /// stop, and its zone is not out.
+    pub fn may_receive(&self, id: EndpointId) -> bool {
+        let endpoint = &self.endpoints[id.0 as usize];
+        let (_, out) = self.zones[usize::from(self.hot[id.0 as usize].zone)];
+        endpoint.present && !endpoint.spec.leaving && !out
+    }
+
     /// Takes a zone out of service or puts it back.
     pub fn set_zone_out(&mut self, zone: &Name, out: bool) {
         let number = self.zone_number(zone);
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -620,6 +620,9 @@
     pub leaving: bool,
     #[prost(uint64, tag = "7")]
     pub cold_left_ms: u64,
+    /// Milliseconds since 1970, if the list says it.
+    #[prost(uint64, optional, tag = "8")]
+    pub started_ms: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TeamShare {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -90,6 +90,8 @@
     pub is_sealed: bool,
     /// Whether the body is encoded, which endpoints do not do.
     pub is_encoded: bool,
+    /// Whether the endpoint says that it is about to stop.
+    pub is_leaving: bool,
     /// Load when the answer was made.
     pub load: Option<Load>,
 }
@@ -122,6 +124,8 @@
     pub leaving: bool,
     /// For how long it stays cold.
     pub cold_left: Duration,
+    /// Time of its start in milliseconds since 1970, if the list says it.
+    pub started_ms: Option<u64>,
 }
 
 /// A page of the platform's list.
--- a/crates/relay/src/control/leading.rs
+++ b/crates/relay/src/control/leading.rs
@@ -252,6 +252,7 @@
             slots: e.slots,
             leaving: e.leaving,
             cold_left_ms: e.cold_left.saturating_sub(age).as_millis() as u64,
+            started_ms: e.started_ms,
         };
         let endpoints = self.directory.endpoints.iter().map(entry).collect();
         Some(peer::Directory { number: self.directory.number, endpoints })
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -372,6 +372,7 @@
             slots: e.slots,
             leaving: e.leaving,
             cold_left: Duration::from_millis(e.cold_left_ms),
+            started_ms: e.started_ms,
         })
     };
     let endpoints = directory.endpoints.into_iter().filter_map(endpoint).collect();
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use poplarspan_node::pool::{Reuse, SendError};
+use poplarspan_node::{
+    Permission,
+    pool::{Reuse, SendError},
+};
 use poplarspan_policy::Name;
 use tokio::time::Instant;
 
@@ -163,17 +166,17 @@
         let call = self.call.clone();
         let endpoint = slot.endpoint.clone();
         self.tried.push(endpoint.name.clone());
-        if !self.may_send() {
+        if self.front.fleet.lease_left().is_none() {
             self.unsent = MAX_UNSENT;
             return Err(Missed::NotRun);
         }
         let request = self.request(&endpoint.name, last_event);
-        let front = self.front.clone();
-        let may_send = move || front.fleet.lease_left().is_some();
+        let (front, chosen) = (self.front.clone(), endpoint.clone());
+        let may_send: Permission = Arc::new(move || front.may_send(&chosen));
         let sent = self
             .front
             .pool
-            .send_watched(endpoint.address, request, false, call.deadline, call.deadline, &may_send)
+            .send_watched(endpoint.address, request, false, call.deadline, call.deadline, may_send)
             .await;
         let exchange = match sent {
             Ok(exchange) => exchange,
@@ -185,6 +188,9 @@
         if let Some(load) = head.load {
             slot.report(load);
         }
+        if head.is_leaving {
+            slot.note_leaving();
+        }
         if head.not_run || head.is_other_endpoint {
             self.log_miss(&slot, "endpoint has not run the call", parts.status.as_u16());
             drain(body, reuse, call.deadline).await;
@@ -216,15 +222,15 @@
         request
     }
 
-    /// Whether the lease still holds; checked right before each dispatch.
-    fn may_send(&self) -> bool {
-        self.front.fleet.lease_left().is_some()
-    }
-
     fn note_failure(&self, slot: Slot, error: &SendError) -> Missed {
         let (cause, endpoint, id) = (error.to_string(), &*slot.endpoint.name, &*self.call.head.id);
         log::warn!(id, endpoint, cause = cause.as_str(); "endpoint gave no answer");
         match error {
+            SendError::NotPermitted => {
+                // The lease has ended, or the endpoint is leaving; either says nothing of its health.
+                slot.finish(Outcome::Abandoned);
+                Missed::NotRun
+            }
             SendError::NotSent(_) => {
                 slot.finish(Outcome::Failed);
                 Missed::NotRun
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -9,6 +9,7 @@
 use poplarspan_node::pool::Pool;
 use poplarspan_policy::{
     Name,
+    departures::{Departures, Start},
     route::{
         Choice, Chooser, CostChooser, CostConfig, EndpointId, EndpointSpec, Fleet, LoadReport,
         NoRoute, PrefixIndex, RouteRequest,
@@ -64,6 +65,7 @@
     service: Name,
     id: EndpointId,
     address: SocketAddr,
+    started_ms: Option<u64>,
     /// Until when the endpoint counts as cold.
     cold_until: Duration,
     gate: StartGate,
@@ -171,6 +173,7 @@
     // Sorted by name.
     lines: Vec<Line>,
     shared: SharedParts,
+    departures: Departures,
     place: Place,
     directory: u64,
     version: u64,
@@ -187,6 +190,7 @@
             known: Vec::new(),
             lines: Vec::new(),
             shared: SharedParts::default(),
+            departures: Departures::default(),
             place: Place { rank: 0, of: 1 },
             directory: 0,
             version: 0,
@@ -214,6 +218,8 @@
 
     fn follow(&mut self, view: &View, now: Duration) {
         let listed = &view.directory.endpoints;
+        let starts: Vec<_> = listed.iter().map(start_of).collect();
+        self.departures.follow(&starts);
         let Self { known, fleet, .. } = self;
         known.retain(|k| {
             let stays = listed.iter().any(|e| e.name == k.name && e.address == k.address);
@@ -248,13 +254,14 @@
             capacity,
             prefill_per_second: engine.map_or(f64::INFINITY, |_| PREFILL_PER_SECOND),
             service_s: SERVICE_S,
-            leaving: endpoint.leaving,
+            leaving: endpoint.leaving || self.departures.includes(start_of(endpoint)),
         });
         let cold_until = now + endpoint.cold_left.saturating_sub(age);
         match self.known.binary_search_by(|k| k.name.cmp(&endpoint.name)) {
             Ok(at) => {
                 let known = &mut self.known[at];
                 known.cold_until = known.cold_until.max(cold_until);
+                known.started_ms = endpoint.started_ms;
             }
             Err(at) => {
                 let blocks = engine.map_or(0, |e| e.cache_tokens / u64::from(BLOCK_TOKENS));
@@ -264,6 +271,7 @@
                     service: endpoint.service.clone(),
                     id,
                     address: endpoint.address,
+                    started_ms: endpoint.started_ms,
                     cold_until,
                     gate: StartGate::default(),
                     failures: 0,
@@ -416,6 +424,26 @@
         }
     }
 
+    /// Takes note that an endpoint has said that it is about to stop: it gets no more calls, whatever
+    /// the list says, until its next start is known.
+    pub(crate) fn note_leaving(&mut self, name: &Name) {
+        let Ok(at) = self.position(name) else { return };
+        let known = &self.known[at];
+        if !self.fleet.spec(known.id).leaving {
+            log::info!(endpoint = &**name; "endpoint says that it is leaving");
+        }
+        self.departures.note(name, known.started_ms);
+        self.fleet.set_leaving(known.id);
+    }
+
+    /// Whether an endpoint that was chosen may still be sent the call.
+    pub(crate) fn may_receive(&self, chosen: &Chosen) -> bool {
+        self.position(&chosen.name).is_ok_and(|at| {
+            let known = &self.known[at];
+            known.address == chosen.address && self.fleet.may_receive(known.id)
+        })
+    }
+
     /// Calls that the open endpoints of a service run at once.
     pub(crate) fn capacity(&self, service: &str) -> u32 {
         let members = self.fleet.members(service).unwrap_or(&[]);
@@ -428,6 +456,10 @@
     }
 }
 
+fn start_of(endpoint: &ListedEndpoint) -> Start<'_> {
+    Start { name: &endpoint.name, started_ms: endpoint.started_ms }
+}
+
 /// A number that is the same for an endpoint at all fronts.
 fn offset(name: &str) -> u32 {
     let digest = blake3::hash(name.as_bytes());
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -30,6 +30,7 @@
     Dialect,
     fleet::{Fleet, Report},
 };
+use endpoints::Chosen;
 use programs::Programs;
 use rates::Rates;
 use schedule::Schedule;
@@ -64,6 +65,12 @@
         })
     }
 
+    /// Whether a call may still be sent to an endpoint that was chosen for it; asked right before its
+    /// first byte leaves.
+    pub(crate) fn may_send(&self, chosen: &Chosen) -> bool {
+        self.fleet.lease_left().is_some() && self.schedule.may_receive(chosen)
+    }
+
     /// Closes connections that have been idle for too long, until the task is ended.
     pub(crate) async fn run_sweep(self: Arc<Self>) -> anyhow::Result<()> {
         const INTERVAL: Duration = Duration::from_secs(1);
@@ -85,7 +92,11 @@
         if self.fleet.lease_left().is_none() {
             return Some("the instance holds no lease");
         }
-        self.fleet.view().publication.is_none().then_some("nothing has been published yet")
+        let view = self.fleet.view();
+        if view.publication.is_none() {
+            return Some("nothing has been published yet");
+        }
+        (view.directory.number == 0).then_some("the list of endpoints is not known yet")
     }
 }
 
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -118,6 +118,11 @@
         let now = schedule.clock.now();
         schedule.locked().endpoints.report(&self.endpoint.name, load, now);
     }
+
+    /// Takes note that the endpoint has said that it is about to stop.
+    pub(crate) fn note_leaving(&self) {
+        self.schedule.locked().endpoints.note_leaving(&self.endpoint.name);
+    }
 }
 
 impl Drop for Slot {
@@ -252,6 +257,14 @@
         }
     }
 
+    /// Whether an endpoint that was chosen may still be sent a call.
+    pub(crate) fn may_receive(&self, chosen: &Chosen) -> bool {
+        let view = self.fleet.view();
+        let mut state = self.locked();
+        state.endpoints.observe(&view, self.clock.now());
+        state.endpoints.may_receive(chosen)
+    }
+
     /// Calls that wait, for metrics.
     pub(crate) fn waiting(&self) -> usize {
         self.locked().queues.iter().map(|q| q.queue.len()).sum()
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use poplarspan_node::Permission;
 use poplarspan_objects::{Name, ZoneState};
 use poplarspan_policy::containment::{Admission, Fingerprint};
 use tokio::time::Instant;
@@ -23,7 +24,7 @@
 use crate::{
     crashes::{Suspect, wait_admission},
     dispatch::{AnswerError, Exchange, REQUEST_ID_HEADER, Reuse, SendError, collect, has_end},
-    membership::{Known, LEASE},
+    membership::{Known, LEASE, Membership},
     schedule::{CallSpec, Chosen, DispatchOutcome, Slot},
     telemetry,
 };
@@ -176,6 +177,7 @@
 impl Failed {
     fn from_send(error: &SendError) -> Self {
         let (ran, outcome) = match error {
+            SendError::NotPermitted => (Ran::No, DispatchOutcome::Abandoned),
             SendError::NotSent(_) => (Ran::No, DispatchOutcome::Failed),
             SendError::Lost(_) | SendError::Silent => (Ran::Unknown, DispatchOutcome::Failed),
             // The connection was at fault, and the endpoint may be well.
@@ -319,8 +321,8 @@
         let deadline = self.call.deadline;
         let until = halfway(deadline).min(Instant::now() + REUSED_HEAD_TIMEOUT);
         let pool = &self.entry.pool;
-        let may_send = || matches!(self.entry.may_dispatch(self.call, &slot.endpoint), Ok(true));
-        let sent = pool.send_watched(address, request, fresh, deadline, until, &may_send).await;
+        let may_send = self.entry.permission(self.call, &slot.endpoint);
+        let sent = pool.send_watched(address, request, fresh, deadline, until, may_send).await;
         match sent {
             Ok(exchange) => self.head(exchange, slot, run, suspect).await,
             Err(e) => self.failed(slot, run, Failed::from_send(&e)).await.map(|()| None),
@@ -456,23 +458,39 @@
 }
 
 impl Entry {
-    /// Checks, at the last moment, that the call may still run, and returns whether it may go to
-    /// this endpoint.
+    /// Checks that the call may still run, and returns whether it may go to this endpoint.
     ///
     /// The call may have waited, and the process may have been frozen, since it was accepted.
     fn may_dispatch(&self, call: &Prepared, endpoint: &Chosen) -> Result<bool, Refusal> {
-        let known = self.membership.load();
-        if let Some(credential) = &call.credential {
-            check_lease(&known)?;
-            if !credential.holds(&known.objects) {
-                return Err(Refusal::not_run(Code::Unauthorized, "the key was withdrawn"));
-            }
+        may_dispatch(&self.membership, call.credential.as_ref(), endpoint)
+    }
+
+    /// The same check, made when the first byte is about to leave.
+    fn permission(&self, call: &Prepared, endpoint: &Chosen) -> Permission {
+        let (membership, credential) = (self.membership.clone(), call.credential.clone());
+        let endpoint = endpoint.clone();
+        Arc::new(move || {
+            matches!(may_dispatch(&membership, credential.as_ref(), &endpoint), Ok(true))
+        })
+    }
+}
+
+fn may_dispatch(
+    membership: &Membership,
+    credential: Option<&Credential>,
+    endpoint: &Chosen,
+) -> Result<bool, Refusal> {
+    let known = membership.load();
+    if let Some(credential) = credential {
+        check_lease(&known)?;
+        if !credential.holds(&known.objects) {
+            return Err(Refusal::not_run(Code::Unauthorized, "the key was withdrawn"));
         }
-        Ok(known.objects.endpoint(&endpoint.name).is_some_and(|e| {
-            let zone_in = known.objects.zone(&e.zone).is_some_and(|z| z.state == ZoneState::In);
-            !e.leaving && zone_in && e.address == endpoint.address
-        }))
     }
+    Ok(known.objects.endpoint(&endpoint.name).is_some_and(|e| {
+        let zone_in = known.objects.zone(&e.zone).is_some_and(|z| z.state == ZoneState::In);
+        !e.leaving && zone_in && e.address == endpoint.address
+    }))
 }
 
 /// Refuses when this instance may not act on its objects.
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -59,6 +59,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub at: Instant,
+    pub server: usize,
     pub id: String,
     pub body: Bytes,
     pub team: Option<String>,
@@ -102,7 +103,8 @@
             return Ok(full);
         }
         let body = req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
-        let run = Run { at: Instant::now(), id: id.clone(), body: body.clone(), team, saw_key };
+        let run =
+            Run { at: Instant::now(), server, id: id.clone(), body: body.clone(), team, saw_key };
         self.runs.lock().expect("no panic while locked").push(run);
         if path.ends_with("/lost") {
             // Closes the connection without an answer.
@@ -111,6 +113,11 @@
         if path.ends_with("/forged") {
             return Ok(answer(200, &id, false, Bytes::from_static(b"not the server's")));
         }
+        if path.ends_with("/leaving") {
+            let mut leaving = answer(200, &id, true, body);
+            leaving.headers_mut().insert("server-leaving", "1".parse().expect("a header"));
+            return Ok(leaving);
+        }
         if path.ends_with("/named") {
             tokio::time::sleep(WORK).await;
             return Ok(answer(200, &id, true, Bytes::from(format!("body of {id}"))));
