dev: print the calls only once the objects are in force

Cause: dev printed its lines when the publication was accepted, before the entry had the objects; the first call was answered 404 by an entry that knew no routes. Ruled out: the stand-ins, which listen before that.

Change: dev waits until the instance is ready; an entry without objects answers 503 with a time to come back.

--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -21,6 +21,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const START_ATTEMPTS: usize = 50;
 const START_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which published objects must be in force at the entry.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// `dev`
 pub(crate) async fn run(flags: DevFlags) -> Result<ExitCode> {
@@ -32,6 +34,8 @@
     let tls = make_certificates(folder.path())?;
     let running = start_instance(folder.path(), &tls, flags.entry_address).await?;
     publish(&running, &tls, folder.path(), &objects).await?;
+    let ready = tokio::time::timeout(READY_TIMEOUT, running.ready()).await;
+    ready.context("the sample objects were not in force in time")?;
     print_help(running.entry_address, running.probe_address, &key);
     serve::until_signal(running).await
 }
--- a/crates/server/src/entry/handler.rs
+++ b/crates/server/src/entry/handler.rs
@@ -1,8 +1,11 @@
 //! From a request to its answer.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -39,6 +42,9 @@
 /// Unit in which the memory of open calls is counted.
 pub(crate) const HELD_UNIT_BYTES: usize = 1024;
 
+/// When a call may come back while no objects are known; about the time of a few heartbeats.
+const COME_BACK: Duration = Duration::from_secs(1);
+
 /// Everything that serving a call needs.
 pub(crate) struct Entry {
     pub(crate) instance: poplarspan_objects::Name,
@@ -113,6 +119,11 @@
         id: &HeaderValue,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Refusal> {
+        if self.membership.load().generation == 0 {
+            // Without objects it is not known which paths and keys there are.
+            let refusal = Refusal::not_run(Code::Unavailable, "no objects are known yet");
+            return Err(refusal.retry_after(COME_BACK));
+        }
         if let Some(own) = OwnPath::find(request.uri().path()) {
             return self.answer_own(own, &request).await;
         }
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -291,6 +291,17 @@
 }
 
 impl Running {
+    /// Waits until callers are served under published objects.
+    pub async fn ready(&self) {
+        // The lease is renewed without a change of the objects, so it is looked at again and again.
+        const POLL: Duration = Duration::from_millis(20);
+        let ready =
+            Ready { membership: self.leave.membership.clone(), draining: self.draining.clone() };
+        while ready.not_ready().is_some() {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// Waits until the replicated log has failed, for instance because its disk has. The process
     /// should then end: the log is not usable any more.
     pub async fn failed(&self) -> anyhow::Error {
--- /dev/null
+++ b/tests/first_call.rs
@@ -0,0 +1,66 @@
+//! The first call of a new user, sent as soon as it is printed.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::TcpStream,
+    process::{Child, Command, Stdio},
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_poplarspan");
+const STARTS: usize = 5;
+
+/// A process that is killed when dropped.
+struct Dev(Child);
+
+impl Drop for Dev {
+    fn drop(&mut self) {
+        // Fails only when it has ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Sends the first printed call; returns the head of its answer.
+fn first_call() -> String {
+    let child = Command::new(PROGRAM)
+        .args(["dev", "--entry-address", "127.0.0.1:0"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    let mut dev = Dev(child);
+    let printed = BufReader::new(dev.0.stdout.take().expect("its output"));
+    let (mut address, mut key) = (None, None);
+    for line in printed.lines() {
+        let line = line.expect("text");
+        if let Some((_, rest)) = line.split_once("curl -s http://") {
+            address = rest.split('/').next().map(str::to_owned);
+            key =
+                rest.split("Bearer ").nth(1).and_then(|k| k.split('\'').next()).map(str::to_owned);
+            break;
+        }
+    }
+    let (address, key) = (address.expect("an address"), key.expect("a key"));
+    let body =
+        r#"{"model":"demo-chat","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}"#;
+    let mut stream = TcpStream::connect(&address).expect("a listener");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {key}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(body.as_bytes()))
+        .expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer.lines().next().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn served_at_once() {
+    for start in 0..STARTS {
+        assert_eq!(first_call(), "HTTP/1.1 200 OK", "start {start}");
+    }
+}
