control: hand orders on to the leader instead of redirecting operators

Cause: a replica that did not lead answered 307; an operator followed it to a replica that had just stopped, and lost a second of its time for an ack.

Change: each replica carries an order to the leader itself, for 850 ms at most, and then answers 503. An order that may have arrived before a suspension of the replica is refused: its operator has turned elsewhere, and carried out late it could undo a later one.

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Duties of a control replica: it replicates the board, and while it leads, it gives leases to the
 //! other instances, reads the list of endpoints and carries out orders.
 
+mod hand_on;
 mod leading;
 mod list;
 mod orders;
--- a/crates/relay/src/control/orders.rs
+++ b/crates/relay/src/control/orders.rs
@@ -14,10 +14,17 @@
     peer::Duty as PeerDuty,
     relay::{self as pb, board_command::Body},
 };
-use tokio::{net::TcpListener, sync::Semaphore, time::timeout};
+use tokio::{
+    net::TcpListener,
+    sync::Semaphore,
+    time::{Instant, sleep, timeout},
+};
 
-use super::Control;
-use crate::{Order, Publication, replica::plan::MIN_VOTERS};
+use super::{
+    Control,
+    hand_on::{HANDED_ON, HandOn, Received, SuspensionWatch},
+};
+use crate::{Board, Order, Publication, replica::plan::MIN_VOTERS};
 
 /// Largest publication, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -28,17 +35,34 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_CONNECTIONS: usize = 256;
 
+/// Time in which an order is handed on; operators turn to another replica after a second.
+const PATIENCE: Duration = Duration::from_millis(850);
+/// Pause before a further try, in which another replica may be elected.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
 type Answer = Response<Full<Bytes>>;
 
+/// This replica does not lead, or leads no more.
+struct NotLeading;
+
 /// Serves operators.
 pub(crate) struct OrderServer {
     control: Arc<Control>,
+    hand_on: HandOn,
+    watch: Arc<SuspensionWatch>,
     slots: Arc<Semaphore>,
 }
 
 impl OrderServer {
     pub(crate) fn new(control: Arc<Control>) -> Arc<Self> {
-        Arc::new(Self { control, slots: Arc::new(Semaphore::new(MAX_CONNECTIONS)) })
+        let watch = SuspensionWatch::new(control.clock.clone());
+        let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        Arc::new(Self { control, hand_on: HandOn::new(), watch, slots })
+    }
+
+    /// Watches for suspensions until the task is ended.
+    pub(crate) async fn run_watch(self: Arc<Self>) -> Result<()> {
+        self.watch.clone().run().await
     }
 
     /// Accepts connections until the task is ended.
@@ -66,7 +90,10 @@
     async fn answer(&self, req: Request<Incoming>) -> Result<Answer, Infallible> {
         let (method, path) = (req.method().clone(), req.uri().path().to_owned());
         let answer = match self.control.dialect.order(&method, &path) {
-            Some(order) => self.carry_out(order, req, &path).await,
+            Some(order) => match self.receive(req).await {
+                Ok(received) => self.carry_out(&order, &received).await,
+                Err(refusal) => refusal,
+            },
             None => self.refuse(StatusCode::NOT_FOUND, "there is no such order"),
         };
         if method != Method::GET || !answer.status().is_success() {
@@ -79,69 +106,124 @@
         Ok(answer)
     }
 
-    async fn carry_out(&self, order: Order, req: Request<Incoming>, path: &str) -> Answer {
-        if self.control.leading().is_none() {
-            return self.redirect(path);
+    async fn receive(&self, req: Request<Incoming>) -> Result<Received, Answer> {
+        let (parts, body) = req.into_parts();
+        let body = match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => return Err(self.refuse(StatusCode::BAD_REQUEST, &e.to_string())),
+            Err(_) => return Err(self.refuse(StatusCode::REQUEST_TIMEOUT, "the body is late")),
+        };
+        let is_handed_on = parts.headers.contains_key(HANDED_ON);
+        let path = parts.uri.path().to_owned();
+        Ok(Received { method: parts.method, path, body, is_handed_on })
+    }
+
+    /// Carries an order out, here or at the replica that leads.
+    async fn carry_out(&self, order: &Order, received: &Received) -> Answer {
+        if self.watch.is_stale() {
+            let message = "the order may date from before a suspension";
+            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, message);
+        }
+        let until = Instant::now() + PATIENCE + received.time_for_size();
+        loop {
+            if self.control.leading().is_some()
+                && let Ok(answer) = self.lead(order, received.body.clone()).await
+            {
+                return answer;
+            }
+            if received.is_handed_on {
+                break;
+            }
+            if let Some(answer) = self.hand_on(received, until).await {
+                return answer;
+            }
+            if Instant::now() + RETRY_PAUSE >= until {
+                break;
+            }
+            sleep(RETRY_PAUSE).await;
         }
+        self.refuse(StatusCode::SERVICE_UNAVAILABLE, "no replica that leads can be reached")
+    }
+
+    /// The answer of the replica that leads, unless it has none to this order.
+    async fn hand_on(&self, received: &Received, until: Instant) -> Option<Answer> {
+        let port = self.control.settings.orders?.port();
+        let leader = SocketAddr::new(self.control.replica.leader()?.ip(), port);
+        match self.hand_on.send(leader, received, until).await {
+            Ok((status, body)) if !status.is_server_error() => Some(whole(status, body)),
+            Ok((status, _)) => {
+                let status = status.as_u16();
+                log::info!(leader = leader.to_string().as_str(), status; "order not taken");
+                None
+            }
+            Err(e) => {
+                let error = format!("{e:#}");
+                log::warn!(
+                    leader = leader.to_string().as_str(), error = error.as_str();
+                    "cannot hand an order on"
+                );
+                None
+            }
+        }
+    }
+
+    /// Carries an order out while this replica leads.
+    async fn lead(&self, order: &Order, body: Bytes) -> Result<Answer, NotLeading> {
         match order {
-            Order::Publish => self.publish(req.into_body(), path).await,
-            Order::Read => self.read(path).await,
+            Order::Publish => self.publish(body).await,
+            Order::Read => self.read().await,
             Order::Zone { zone, out } => {
-                if !self.control.settings.zones.contains(&zone) {
-                    return self.refuse(StatusCode::NOT_FOUND, "there is no such zone");
+                if !self.control.settings.zones.contains(zone) {
+                    return Ok(self.refuse(StatusCode::NOT_FOUND, "there is no such zone"));
                 }
-                let set = pb::SetZone { zone: zone.to_string(), out };
-                self.commit(Body::Zone(set), path).await
+                let set = pb::SetZone { zone: zone.to_string(), out: *out };
+                self.commit(Body::Zone(set)).await
             }
-            Order::Retire { instance } => self.retire(&instance, path).await,
-            Order::RetireState { instance } => self.retire_state(&instance, path).await,
+            Order::Retire { instance } => self.retire(instance).await,
+            Order::RetireState { instance } => self.retire_state(instance).await,
         }
     }
 
-    async fn publish(&self, body: Incoming, path: &str) -> Answer {
-        let body = match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) => return self.refuse(StatusCode::BAD_REQUEST, &e.to_string()),
-            Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "the body is late"),
-        };
+    async fn publish(&self, body: Bytes) -> Result<Answer, NotLeading> {
         let checked = self.control.dialect.objects(&body).and_then(Publication::new);
         match checked {
             Ok(publication) => {
                 let version = publication.version;
-                self.commit(Body::Publish(pb::Publish { version, body }), path).await
+                self.commit(Body::Publish(pb::Publish { version, body })).await
             }
             Err(findings) => {
                 let text = findings.to_string();
                 log::warn!(findings = text.as_str(); "publication refused");
-                self.refuse(StatusCode::BAD_REQUEST, &text)
+                Ok(self.refuse(StatusCode::BAD_REQUEST, &text))
             }
         }
     }
 
-    async fn read(&self, path: &str) -> Answer {
-        let Ok(board) = self.control.board().await else { return self.redirect(path) };
+    async fn read(&self) -> Result<Answer, NotLeading> {
+        let board = self.board().await?;
         if board.version() == 0 {
-            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, "nothing has been published yet");
+            let message = "nothing has been published yet";
+            return Ok(self.refuse(StatusCode::SERVICE_UNAVAILABLE, message));
         }
-        whole(StatusCode::OK, board.body().clone())
+        Ok(whole(StatusCode::OK, board.body().clone()))
     }
 
-    async fn retire(&self, instance: &Name, path: &str) -> Answer {
-        let Ok(board) = self.control.board().await else { return self.redirect(path) };
+    async fn retire(&self, instance: &Name) -> Result<Answer, NotLeading> {
+        let board = self.board().await?;
         if board.retiring().contains(instance) {
-            return whole(StatusCode::OK, Bytes::from_static(b"{}"));
+            return Ok(whole(StatusCode::OK, Bytes::from_static(b"{}")));
         }
         {
             let now = self.control.clock.now();
-            let Some(state) = self.control.leading() else { return self.redirect(path) };
+            let state = self.control.leading().ok_or(NotLeading)?;
             let leading = &state.leading;
             if !leading.knows_all(now) {
                 let message = "this leader does not know all instances yet";
-                return self.refuse(StatusCode::SERVICE_UNAVAILABLE, message);
+                return Ok(self.refuse(StatusCode::SERVICE_UNAVAILABLE, message));
             }
             let is_store = leading.member(instance).is_some_and(|m| m.duty == PeerDuty::Store);
             if !is_store {
-                return self.refuse(StatusCode::NOT_FOUND, "there is no such store");
+                return Ok(self.refuse(StatusCode::NOT_FOUND, "there is no such store"));
             }
             let stays = leading
                 .members(PeerDuty::Store)
@@ -150,49 +232,39 @@
             // As many as bear what may be lost at once, and still are a majority.
             let needed = 2 * self.control.settings.tolerated_losses + 1;
             if stays < needed.max(MIN_VOTERS) {
-                return self.refuse(StatusCode::CONFLICT, "too few stores would be left");
+                return Ok(self.refuse(StatusCode::CONFLICT, "too few stores would be left"));
             }
         }
-        self.commit(Body::Retire(pb::Retire { instance: instance.to_string() }), path).await
+        self.commit(Body::Retire(pb::Retire { instance: instance.to_string() })).await
     }
 
-    async fn retire_state(&self, instance: &Name, path: &str) -> Answer {
-        let Ok(board) = self.control.board().await else { return self.redirect(path) };
+    async fn retire_state(&self, instance: &Name) -> Result<Answer, NotLeading> {
+        let board = self.board().await?;
         if !board.retiring().contains(instance) {
-            return self.refuse(StatusCode::NOT_FOUND, "this store is not being emptied");
+            return Ok(self.refuse(StatusCode::NOT_FOUND, "this store is not being emptied"));
         }
-        let Some(state) = self.control.leading() else { return self.redirect(path) };
+        let state = self.control.leading().ok_or(NotLeading)?;
         // While a leader is not known, nobody can say that the store holds nothing.
         let is_done = state.leading.holds_nothing(instance, board.store_groups()).unwrap_or(false);
-        whole(StatusCode::OK, self.control.dialect.retire_state(is_done))
+        Ok(whole(StatusCode::OK, self.control.dialect.retire_state(is_done)))
+    }
+
+    async fn board(&self) -> Result<Board, NotLeading> {
+        self.control.board().await.map_err(|_| NotLeading)
     }
 
-    async fn commit(&self, body: Body, path: &str) -> Answer {
+    async fn commit(&self, body: Body) -> Result<Answer, NotLeading> {
         match timeout(COMMIT_TIMEOUT, self.control.commit(body)).await {
-            Ok(Ok(_)) => whole(StatusCode::OK, Bytes::from_static(b"{}")),
-            Ok(Err(ProposeError::NotLeader { .. })) => self.redirect(path),
-            Ok(Err(e)) => self.refuse(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+            Ok(Ok(_)) => Ok(whole(StatusCode::OK, Bytes::from_static(b"{}"))),
+            Ok(Err(ProposeError::NotLeader { .. })) => Err(NotLeading),
+            Ok(Err(e)) => Ok(self.refuse(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string())),
             Err(_) => {
-                self.refuse(StatusCode::GATEWAY_TIMEOUT, "the order may still be carried out")
+                let message = "the order may still be carried out";
+                Ok(self.refuse(StatusCode::GATEWAY_TIMEOUT, message))
             }
         }
     }
 
-    /// Sends the operator to the leader.
-    fn redirect(&self, path: &str) -> Answer {
-        let (leader, port) = (self.control.replica.leader(), self.control.settings.orders);
-        let (Some(leader), Some(own)) = (leader, port) else {
-            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, "no leader is known");
-        };
-        let address = SocketAddr::new(leader.ip(), own.port());
-        let mut answer =
-            self.refuse(StatusCode::TEMPORARY_REDIRECT, "another replica leads the group");
-        if let Ok(location) = format!("http://{address}{path}").parse() {
-            answer.headers_mut().insert(header::LOCATION, location);
-        }
-        answer
-    }
-
     fn refuse(&self, status: StatusCode, message: &str) -> Answer {
         whole(status, self.control.dialect.fault(message))
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -165,6 +165,8 @@
         if let Some(address) = self.settings.orders {
             let socket = listen(address).await?;
             let orders = OrderServer::new(control);
+            let watching = orders.clone();
+            self.supervisor.start("suspensions", move || watching.clone().run_watch());
             self.supervisor.start("orders", move || orders.clone().run(socket.clone()));
         }
         Ok(Running { replica: Some(replica), ..self.running() })
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -373,6 +373,11 @@
         SocketAddr::from((self.ip(first + front), CALL_PORT))
     }
 
+    /// File with the output of a machine's process, if it is kept.
+    pub fn log_of(&self, machine: &str) -> PathBuf {
+        self.logs.as_ref().expect("logs are kept").join(format!("{machine}.log"))
+    }
+
     /// Where operators find a control replica.
     pub fn operators(&self, core: u8) -> SocketAddr {
         SocketAddr::from((self.ip(10 + core), ORDER_PORT))
