agreement: a replica lives through a full or silent disk

Change: a batch that the disk refuses for lack of room (full, quota, size of a file) is tried again until there is room, as the same bytes in the same place; nothing is acknowledged meanwhile. Any other failed write or sync still ends the store. A leader whose batch is not durable after the shortest election timeout hands its leads to a voter that has synced more. A start waits for room, and still listens to signals.

--- a/crates/agreement/src/driver/group.rs
+++ b/crates/agreement/src/driver/group.rs
@@ -233,6 +233,29 @@
         self.step(now, Input::TransferLeadership { to }, work)
     }
 
+    /// Transfers leadership while this replica's disk does not respond, to a voter whose disk does:
+    /// one that has synced what this replica has not.
+    pub(crate) fn give_to_synced(
+        &mut self,
+        now: Duration,
+        work: &mut Work,
+    ) -> Result<(), NodeError> {
+        let status = self.core.status();
+        if status.role.role != Role::Leader || status.transfer.is_some() {
+            return Ok(());
+        }
+        let is_synced = status.stable == status.last.index;
+        let voters = &status.membership.voters;
+        let voters = status.peers.iter().filter(|(id, _)| voters.contains(id));
+        let Some(&(to, matched)) = voters.max_by_key(|p| p.1) else { return Ok(()) };
+        if matched < status.stable || (matched == status.stable && !is_synced) {
+            return Ok(());
+        }
+        let (group, heir) = (self.id.0, to.0);
+        log::warn!(group, heir; "the disk does not respond; handing the lead over");
+        self.step(now, Input::TransferLeadership { to }, work)
+    }
+
     /// Handles the report that a snapshot was saved.
     pub(crate) fn snapshot_saved(
         &mut self,
--- a/crates/agreement/src/driver/task.rs
+++ b/crates/agreement/src/driver/task.rs
@@ -46,6 +46,8 @@
     work: Work,
     /// The batch that storage makes durable. The next one collects meanwhile.
     syncing: Option<BoxFuture<'static, Synced>>,
+    /// When that batch was handed to storage.
+    syncing_since: Instant,
     saving: FuturesUnordered<BoxFuture<'static, Saved>>,
     /// When the task ends although it still leads, and whom to tell.
     stopping: Option<(Instant, oneshot::Sender<()>)>,
@@ -56,6 +58,7 @@
         Self {
             work: Work::default(),
             syncing: None,
+            syncing_since: Instant::now(),
             saving: FuturesUnordered::new(),
             stopping: None,
         }
@@ -127,6 +130,7 @@
             let batch = std::mem::take(&mut state.work.persists);
             let tickets = batch.iter().map(|(id, p)| (*id, p.ticket)).collect();
             let persisted = self.storage.persist(batch);
+            state.syncing_since = Instant::now();
             state.syncing = Some(Box::pin(async move { persisted.await.map(|()| tickets) }));
         }
         for (id, snapshot) in state.work.snapshots.drain(..) {
@@ -153,12 +157,21 @@
         self.groups[i].snapshot_saved(now, snapshot, &mut self.state.work)
     }
 
+    /// Whether the disk has not made a batch durable for as long as an election takes.
+    fn is_stalled(&self) -> bool {
+        self.state.syncing.is_some()
+            && self.state.syncing_since.elapsed() >= self.cfg.election_timeout_min
+    }
+
     fn tick(&mut self) -> Result<(), NodeError> {
+        let is_stalled = self.is_stalled();
         for i in 0..self.groups.len() {
             let now = self.now();
             self.groups[i].tick(now, &mut self.state.work)?;
             if self.state.stopping.is_some() {
                 self.groups[i].give_away(now, &mut self.state.work)?;
+            } else if is_stalled {
+                self.groups[i].give_to_synced(now, &mut self.state.work)?;
             }
         }
         Ok(())
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -107,6 +107,7 @@
 pub use message::{AppendResult, Message};
 pub use storage::{
     FileStore, MemoryDisk, MemoryStore, Storage, StoreError, StoreOptions, StoreStats, Stored,
+    is_disk_full,
 };
 pub use types::{
     Entry, FolderId, GroupId, HardState, LogPosition, Membership, Payload, Persist, ReplicaId,
--- a/crates/agreement/src/storage.rs
+++ b/crates/agreement/src/storage.rs
@@ -1,9 +1,10 @@
 //! Durable state of all groups of a process.
 //!
 //! A store owns the write-ahead log and the snapshots under one data directory. Nothing else writes
-//! there. When a write or a sync fails, the store fails for good: what the disk holds is then
-//! unknown until the log has been read again, so every later call returns the same error and the
-//! process has to stop.
+//! there. While the disk takes no more bytes, because it or its owner's share of it is full, requests
+//! wait, and go on by themselves when there is room. When a write or a sync fails otherwise, the store
+//! fails for good: what the disk holds is then unknown until the log has been read again, so every
+//! later call returns the same error and the process has to stop.
 
 pub(crate) mod checked;
 pub(crate) mod disk;
@@ -16,14 +17,19 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 
+pub use disk::is_disk_full;
 pub use file::{FileStore, StoreOptions};
 pub use memory::{MemoryDisk, MemoryStore};
 
 use crate::{Entry, GroupId, HardState, Persist, Snapshot};
 
+/// Pause before a write that the disk has refused is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(50);
+
 /// What a store holds of one group.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Stored {
@@ -81,7 +87,8 @@
         snapshot: Snapshot,
     ) -> BoxFuture<'static, Result<(), StoreError>>;
 
-    /// Finishes the requests before this one, then gives up the files and their lock.
+    /// Finishes the requests before this one, unless the disk takes no more bytes, then gives up the
+    /// files and their lock.
     ///
     /// # Errors
     ///
@@ -147,6 +154,11 @@
 }
 
 impl StoreError {
+    /// Whether the disk took no more bytes. The store waits until it does again.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Io { source, .. } if disk::is_disk_full(source))
+    }
+
     pub(crate) fn io(op: &'static str, path: impl Into<String>, source: io::Error) -> Self {
         Self::Io { op, path: path.into(), source: Arc::new(source) }
     }
--- a/crates/agreement/src/storage/disk.rs
+++ b/crates/agreement/src/storage/disk.rs
@@ -32,6 +32,8 @@
 pub(crate) trait DiskFile: Send {
     fn append(&mut self, buf: &[u8]) -> io::Result<()>;
     fn sync(&mut self) -> io::Result<()>;
+    /// Makes the next append write at `end`, after an append or its sync has failed.
+    fn rewind(&mut self, end: u64);
 }
 
 /// Name of the file whose lock keeps a second process away.
@@ -124,6 +126,11 @@
     fn sync(&mut self) -> io::Result<()> {
         self.sync_data()
     }
+
+    fn rewind(&mut self, end: u64) {
+        // Snapshots, which are written without a log file, start over in a new file.
+        debug_assert_eq!(end, 0, "only files of the log go on after a failure");
+    }
 }
 
 /// A file with zeros ahead of its end, so that a sync rarely has to write new metadata.
@@ -152,8 +159,13 @@
 impl DiskFile for LogFile {
     fn append(&mut self, buf: &[u8]) -> io::Result<()> {
         let end = self.end + buf.len() as u64;
-        if end > self.allocated && self.preallocate_bytes > 0 {
-            self.allocate(end)?;
+        // On a full disk, the bytes themselves may still find room.
+        if end > self.allocated
+            && self.preallocate_bytes > 0
+            && let Err(e) = self.allocate(end)
+            && !is_disk_full(&e)
+        {
+            return Err(e);
         }
         self.f.write_all_at(buf, self.end)?;
         self.end = end;
@@ -163,6 +175,16 @@
     fn sync(&mut self) -> io::Result<()> {
         self.f.sync_data()
     }
+
+    fn rewind(&mut self, end: u64) {
+        self.end = end;
+    }
+}
+
+/// Whether an error says that a disk takes no more bytes, because it or its owner's share is full.
+pub fn is_disk_full(e: &io::Error) -> bool {
+    use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+    matches!(e.kind(), StorageFull | QuotaExceeded | FileTooLarge)
 }
 
 /// Makes a folder's list of names durable.
--- a/crates/agreement/src/storage/file.rs
+++ b/crates/agreement/src/storage/file.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
 use futures::future::BoxFuture;
@@ -12,8 +13,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::disk::{FolderDisk, sync_folder};
-use super::wal::{Counters, Op, SnapshotWrite, Wal};
-use super::{Storage, StoreError, StoreStats, Stored};
+use super::wal::{Batch, Counters, Op, SnapshotWrite, Wal};
+use super::{REFUSED_PAUSE, Storage, StoreError, StoreStats, Stored};
 use crate::{GroupId, Persist, Snapshot};
 
 /// Requests that wait for the thread before callers have to wait.
@@ -51,6 +52,8 @@
 pub struct FileStore {
     tx: mpsc::Sender<Request>,
     counters: Arc<Counters>,
+    /// Set when the store is closed, so that no request goes on waiting for room on the disk.
+    closing: Arc<AtomicBool>,
 }
 
 impl FileStore {
@@ -83,12 +86,14 @@
         let wal = Wal::open(Box::new(disk), options.segment_bytes)?;
         let counters = wal.counters();
         let (tx, rx) = mpsc::channel(QUEUE_REQUESTS);
-        let worker = Worker { wal, rx, failed: None, snapshots: VecDeque::new() };
+        let closing = Arc::new(AtomicBool::new(false));
+        let (snapshots, refused) = (VecDeque::new(), Refused::default());
+        let worker = Worker { wal, rx, closing: closing.clone(), failed: None, snapshots, refused };
         thread::Builder::new()
             .name("store".to_owned())
             .spawn(move || worker.run())
             .map_err(|e| StoreError::io("start a thread for", folder.display().to_string(), e))?;
-        Ok(Self { tx, counters })
+        Ok(Self { tx, counters, closing })
     }
 
     fn call<T: Send + 'static>(
@@ -125,6 +130,7 @@
     }
 
     fn close(&self) -> BoxFuture<'static, Result<(), StoreError>> {
+        self.closing.store(true, Ordering::Relaxed);
         self.call(Request::Close)
     }
 
@@ -143,8 +149,32 @@
 struct Worker {
     wal: Wal,
     rx: mpsc::Receiver<Request>,
+    closing: Arc<AtomicBool>,
     failed: Option<StoreError>,
     snapshots: VecDeque<PendingSnapshot>,
+    refused: Refused,
+}
+
+/// Whether the disk takes no more bytes, as told to operators.
+#[derive(Default)]
+struct Refused(bool);
+
+impl Refused {
+    fn begin(&mut self, e: &StoreError) {
+        metrics::counter!("poplarspan_store_refused_writes_total").increment(1);
+        metrics::gauge!("poplarspan_store_disk_refuses").set(1.0);
+        if !std::mem::replace(&mut self.0, true) {
+            let error = e.to_string();
+            log::error!(error = error.as_str(); "the disk takes no more bytes; requests wait");
+        }
+    }
+
+    fn end(&mut self) {
+        if std::mem::take(&mut self.0) {
+            metrics::gauge!("poplarspan_store_disk_refuses").set(0.0);
+            log::info!("the disk takes bytes again");
+        }
+    }
 }
 
 impl Worker {
@@ -215,6 +245,12 @@
                 ops.push(pending.op);
                 replies.push(pending.reply);
             }
+            Err(e) if e.is_refusal() && !self.closing.load(Ordering::Relaxed) => {
+                // The log goes on meanwhile, as far as it has room.
+                self.refused.begin(&e);
+                self.snapshots.push_back(pending);
+                thread::sleep(REFUSED_PAUSE);
+            }
             Err(e) => {
                 self.fail(&e);
                 let _ = pending.reply.send(Err(e));
@@ -226,7 +262,7 @@
         if replies.is_empty() {
             return;
         }
-        let result = self.check().and_then(|()| self.wal.commit(ops));
+        let result = self.check().and_then(|()| self.wait_for_room(ops));
         if let Err(e) = &result {
             self.fail(e);
         }
@@ -235,6 +271,26 @@
         }
     }
 
+    /// Commits a batch, and waits while the disk takes no more bytes.
+    fn wait_for_room(&mut self, ops: Vec<Op>) -> Result<(), StoreError> {
+        let mut batch = Batch::new(ops);
+        loop {
+            match self.wal.commit(&mut batch) {
+                Err(e) if e.is_refusal() && !self.closing.load(Ordering::Relaxed) => {
+                    self.refused.begin(&e);
+                    thread::sleep(REFUSED_PAUSE);
+                }
+                Ok(()) => {
+                    if self.snapshots.is_empty() {
+                        self.refused.end();
+                    }
+                    return Ok(());
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         self.failed.clone().map_or(Ok(()), Err)
     }
--- a/crates/agreement/src/storage/memory.rs
+++ b/crates/agreement/src/storage/memory.rs
@@ -8,8 +8,8 @@
 use tokio::sync::watch;
 
 use super::disk::{Disk, DiskFile};
-use super::wal::{Counters, Op, SnapshotWrite, Wal};
-use super::{Storage, StoreError, StoreOptions, StoreStats, Stored};
+use super::wal::{Batch, Counters, Op, SnapshotWrite, Wal};
+use super::{REFUSED_PAUSE, Storage, StoreError, StoreOptions, StoreStats, Stored};
 use crate::{GroupId, Persist, Snapshot};
 
 #[derive(Clone, Debug, Default)]
@@ -28,6 +28,7 @@
     /// Stores that were opened before the last crash are refused.
     crashes: u64,
     fail_next_sync: bool,
+    is_full: bool,
 }
 
 /// A simulated disk that outlives the stores on it.
@@ -75,6 +76,11 @@
         self.lock().fail_next_sync = true;
     }
 
+    /// While `full`, all writes are refused.
+    pub fn set_full(&self, full: bool) {
+        self.lock().is_full = full;
+    }
+
     /// While `held`, writes wait before they begin, as on a disk that doesn't respond.
     pub fn hold(&self, held: bool) {
         self.held.send_replace(held);
@@ -118,6 +124,10 @@
         }
     }
 
+    fn check_room(&self) -> io::Result<()> {
+        if self.is_full { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
     fn sync(&mut self, file: usize) -> io::Result<()> {
         if std::mem::take(&mut self.fail_next_sync) {
             return Err(io::Error::other("simulated sync failure"));
@@ -143,6 +153,7 @@
 
     fn create(&mut self, name: &str) -> io::Result<Box<dyn DiskFile>> {
         let mut files = self.lock()?;
+        files.check_room()?;
         files.files.push(MemoryFile::default());
         let file = files.files.len() - 1;
         files.link(name, file);
@@ -190,19 +201,30 @@
 
 impl DiskFile for FileHandle {
     fn append(&mut self, buf: &[u8]) -> io::Result<()> {
-        self.disk.lock()?.files[self.file].data.extend_from_slice(buf);
-        Ok(())
+        let mut files = self.disk.lock()?;
+        // As on a real disk, the first bytes may still be taken.
+        let taken = if files.is_full { &buf[..buf.len() / 2] } else { buf };
+        files.files[self.file].data.extend_from_slice(taken);
+        files.check_room()
     }
 
     fn sync(&mut self) -> io::Result<()> {
         self.disk.lock()?.sync(self.file)
     }
+
+    fn rewind(&mut self, end: u64) {
+        // Fails only after a crash, when the store on the disk is not used any more.
+        if let Ok(mut files) = self.disk.lock() {
+            files.files[self.file].data.truncate(usize::try_from(end).unwrap_or(usize::MAX));
+        }
+    }
 }
 
 /// A store on a `MemoryDisk`.
 #[derive(Clone)]
 pub struct MemoryStore {
-    state: Arc<Mutex<State>>,
+    /// Held by a request until it is carried out.
+    state: Arc<tokio::sync::Mutex<State>>,
     counters: Arc<Counters>,
     held: watch::Sender<bool>,
 }
@@ -230,25 +252,31 @@
     pub fn open(disk: &MemoryDisk, options: StoreOptions) -> Result<Self, StoreError> {
         let wal = Wal::open(Box::new(disk.handle()), options.segment_bytes)?;
         let counters = wal.counters();
-        let state = Arc::new(Mutex::new(State { wal, failed: None }));
+        let state = Arc::new(tokio::sync::Mutex::new(State { wal, failed: None }));
         Ok(Self { state, counters, held: disk.held.clone() })
     }
 
-    fn run<T: 'static>(
+    fn run<T: Send + 'static>(
         &self,
-        work: impl FnOnce(&mut Wal) -> Result<T, StoreError> + Send + 'static,
+        mut work: impl FnMut(&mut Wal) -> Result<T, StoreError> + Send + 'static,
     ) -> BoxFuture<'static, Result<T, StoreError>> {
         let state = Arc::clone(&self.state);
         let mut held = self.held.subscribe();
         Box::pin(async move {
             let _ = held.wait_for(|held| !held).await;
-            let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut state = state.lock().await;
             if let Some(e) = &state.failed {
                 return Err(e.clone());
             }
-            let result = work(&mut state.wal);
-            state.failed = result.as_ref().err().cloned();
-            result
+            loop {
+                match work(&mut state.wal) {
+                    Err(e) if e.is_refusal() => tokio::time::sleep(REFUSED_PAUSE).await,
+                    result => {
+                        state.failed = result.as_ref().err().cloned();
+                        return result;
+                    }
+                }
+            }
         })
     }
 }
@@ -262,7 +290,8 @@
         &self,
         batch: Vec<(GroupId, Persist)>,
     ) -> BoxFuture<'static, Result<(), StoreError>> {
-        self.run(|wal| wal.commit(vec![Op::Persist(batch)]))
+        let mut batch = Batch::new(vec![Op::Persist(batch)]);
+        self.run(move |wal| wal.commit(&mut batch))
     }
 
     fn save_snapshot(
@@ -270,10 +299,15 @@
         group: GroupId,
         snapshot: Snapshot,
     ) -> BoxFuture<'static, Result<(), StoreError>> {
+        let (last, membership) = (snapshot.last, snapshot.membership.clone());
+        let mut batch = Batch::new(vec![Op::Snapshot { group, last, membership }]);
+        let mut is_written = false;
         self.run(move |wal| {
-            let (last, membership) = (snapshot.last, snapshot.membership.clone());
-            SnapshotWrite::new(group, snapshot).finish(wal)?;
-            wal.commit(vec![Op::Snapshot { group, last, membership }])
+            if !is_written {
+                SnapshotWrite::new(group, snapshot.clone()).finish(wal)?;
+                is_written = true;
+            }
+            wal.commit(&mut batch)
         })
     }
 
--- a/crates/agreement/src/storage/wal.rs
+++ b/crates/agreement/src/storage/wal.rs
@@ -56,6 +56,22 @@
     },
 }
 
+/// Requests that one sync makes durable.
+pub(crate) struct Batch {
+    ops: Vec<Op>,
+    /// Snapshots of `ops` whose files have been written.
+    written_snapshots: usize,
+    /// The records of the batch, once they are part of the groups in memory.
+    frame: Option<Vec<u8>>,
+    replaces_snapshot: bool,
+}
+
+impl Batch {
+    pub(crate) fn new(ops: Vec<Op>) -> Self {
+        Self { ops, written_snapshots: 0, frame: None, replaces_snapshot: false }
+    }
+}
+
 pub(crate) struct Wal {
     disk: Box<dyn Disk>,
     groups: Groups,
@@ -121,49 +137,84 @@
         Ok(Snapshot { last, membership: membership.clone(), data })
     }
 
-    /// Makes all requests durable with one sync.
-    pub(crate) fn commit(&mut self, ops: Vec<Op>) -> Result<(), StoreError> {
-        let mut records = Vec::new();
-        if self.segments.back().is_some_and(|(_, len)| *len >= self.segment_bytes) {
-            records = self.rotate()?;
-        }
-        for op in ops {
-            match op {
-                Op::Persist(batch) => {
-                    for (group, persist) in batch {
-                        self.stage_persist(group, persist, &mut records)?;
+    /// Makes a batch durable with one sync. After an error for which [`StoreError::is_refusal`] holds,
+    /// the same batch may be tried again; nothing else may be committed before it.
+    pub(crate) fn commit(&mut self, batch: &mut Batch) -> Result<(), StoreError> {
+        if batch.frame.is_none() {
+            self.write_snapshots(batch)?;
+            let mut records = Vec::new();
+            if self.segments.back().is_some_and(|(_, len)| *len >= self.segment_bytes) {
+                records = self.rotate()?;
+            }
+            for op in batch.ops.drain(..) {
+                match op {
+                    Op::Persist(persists) => {
+                        for (group, persist) in persists {
+                            self.stage_persist(group, persist, &mut records)?;
+                        }
+                    }
+                    Op::Snapshot { group, last, membership } => {
+                        self.stage_snapshot(group, last, membership, &mut records)?;
                     }
-                }
-                Op::Snapshot { group, last, membership } => {
-                    self.stage_snapshot(group, last, membership, &mut records)?;
                 }
             }
+            if records.is_empty() {
+                return Ok(());
+            }
+            batch.replaces_snapshot =
+                records.iter().any(|r| matches!(r.kind, Some(Kind::Snapshot(_))));
+            let mut frame = Vec::new();
+            self.header.encode_frame(self.next_frame, &pb::Batch { records }, &mut frame);
+            batch.frame = Some(frame);
         }
-        if records.is_empty() {
-            return Ok(());
+        if let Some(frame) = &batch.frame {
+            self.write_frame(frame)?;
+            batch.frame = None;
+        }
+        // What is left over takes space only, and is removed at the next chance.
+        if batch.replaces_snapshot
+            && let Err(e) = self.remove_old_snapshots(false)
+        {
+            log::warn!("cannot remove old snapshots: {e}");
+        }
+        if let Err(e) = self.remove_old_segments() {
+            log::warn!("cannot remove old segments: {e}");
         }
-        let replaces_snapshot = records.iter().any(|r| matches!(r.kind, Some(Kind::Snapshot(_))));
-        self.write_frame(records)?;
-        if replaces_snapshot {
-            self.remove_old_snapshots(false)?;
+        Ok(())
+    }
+
+    /// Writes the files of the snapshots that a batch installs.
+    fn write_snapshots(&mut self, batch: &mut Batch) -> Result<(), StoreError> {
+        let persists = batch.ops.iter().filter_map(|op| match op {
+            Op::Persist(persists) => Some(persists),
+            Op::Snapshot { .. } => None,
+        });
+        let installed = persists.flatten().filter_map(|(id, p)| Some((*id, p.snapshot.as_ref()?)));
+        for (group, snapshot) in installed.skip(batch.written_snapshots) {
+            SnapshotWrite::new(group, snapshot.clone()).finish(self)?;
+            batch.written_snapshots += 1;
         }
-        self.remove_old_segments()
+        Ok(())
     }
 
-    fn write_frame(&mut self, records: Vec<pb::Record>) -> Result<(), StoreError> {
-        let mut buf = Vec::new();
-        self.header.encode_frame(self.next_frame, &pb::Batch { records }, &mut buf);
+    fn write_frame(&mut self, frame: &[u8]) -> Result<(), StoreError> {
         let name = segment_name(self.header.number);
-        self.f.append(&buf).map_err(|e| StoreError::io("write", self.disk.path(&name), e))?;
-        self.f.sync().map_err(|e| StoreError::io("sync", self.disk.path(&name), e))?;
+        let end = self.segments.back().map_or(0, |(_, len)| *len);
+        let written = self.f.append(frame).map_err(|e| ("write", e));
+        let synced = written.and_then(|()| self.f.sync().map_err(|e| ("sync", e)));
+        if let Err((op, e)) = synced {
+            // The same bytes are written again in place of what may have been written of them.
+            self.f.rewind(end);
+            return Err(StoreError::io(op, self.disk.path(&name), e));
+        }
         self.next_frame += 1;
         if let Some((_, len)) = self.segments.back_mut() {
-            *len += buf.len() as u64;
+            *len += frame.len() as u64;
         }
         self.counters.syncs.fetch_add(1, Ordering::Relaxed);
-        self.counters.log_bytes.fetch_add(buf.len() as u64, Ordering::Relaxed);
+        self.counters.log_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
         metrics::counter!("poplarspan_store_syncs_total").increment(1);
-        metrics::counter!("poplarspan_store_log_bytes_total").increment(buf.len() as u64);
+        metrics::counter!("poplarspan_store_log_bytes_total").increment(frame.len() as u64);
         Ok(())
     }
 
@@ -178,9 +229,7 @@
             self.groups.entry(id).hard_state = state;
         }
         if let Some(snapshot) = persist.snapshot {
-            let (last, membership) = (snapshot.last, snapshot.membership.clone());
-            SnapshotWrite::new(id, snapshot).finish(self)?;
-            self.stage_snapshot(id, last, membership, records)?;
+            self.stage_snapshot(id, snapshot.last, snapshot.membership, records)?;
         }
         self.stage_entries(id, persist.entries, records)
     }
@@ -334,8 +383,10 @@
 /// A snapshot's file while it is written in chunks, between which the log can be written.
 pub(crate) struct SnapshotWrite {
     name: String,
-    head: Option<Vec<u8>>,
+    head: Vec<u8>,
     data: Bytes,
+    /// Bytes of `data` that are durable.
+    written: usize,
     f: Option<Box<dyn DiskFile>>,
 }
 
@@ -345,36 +396,51 @@
             last: Some(snapshot.last.into()),
             membership: Some((&snapshot.membership).into()),
         };
-        let head = Some(checked::head(&meta, &snapshot.data));
-        Self { name: snapshot_name(group, snapshot.last), head, data: snapshot.data, f: None }
+        let head = checked::head(&meta, &snapshot.data);
+        let name = snapshot_name(group, snapshot.last);
+        Self { name, head, data: snapshot.data, written: 0, f: None }
     }
 
-    /// Writes the next chunk; returns whether the snapshot is complete and durable.
+    /// Writes the next chunk; returns whether the snapshot is complete and durable. After an error it
+    /// starts over.
     pub(crate) fn step(&mut self, wal: &mut Wal) -> Result<bool, StoreError> {
         let temporary = format!("{}{TEMPORARY_SUFFIX}", self.name);
-        let path = wal.disk.path(&temporary);
-        let chunk = self.data.split_to(SNAPSHOT_CHUNK_BYTES.min(self.data.len()));
-        let head = self.head.take().unwrap_or_default();
-        let written = (head.len() + chunk.len()) as u64;
-        let mut write = || {
-            let f = match &mut self.f {
-                Some(f) => f,
-                None => self.f.insert(wal.disk.create(&temporary)?),
-            };
-            f.append(&head)?;
-            f.append(&chunk)?;
-            f.sync()?;
-            if !self.data.is_empty() {
-                return Ok(false);
+        match self.try_step(wal, &temporary) {
+            Ok((done, written)) => {
+                wal.counters.snapshot_bytes.fetch_add(written, Ordering::Relaxed);
+                metrics::counter!("poplarspan_store_snapshot_bytes_total").increment(written);
+                Ok(done)
+            }
+            Err(e) => {
+                (self.written, self.f) = (0, None);
+                Err(StoreError::io("write", wal.disk.path(&temporary), e))
+            }
+        }
+    }
+
+    fn try_step(&mut self, wal: &mut Wal, temporary: &str) -> std::io::Result<(bool, u64)> {
+        let mut bytes = 0;
+        let f = match &mut self.f {
+            Some(f) => f,
+            None => {
+                let f = self.f.insert(wal.disk.create(temporary)?);
+                f.append(&self.head)?;
+                bytes += self.head.len();
+                f
             }
-            wal.disk.rename(&temporary, &self.name)?;
-            wal.disk.sync_dir()?;
-            Ok(true)
         };
-        let done = write().map_err(|e| StoreError::io("write", path, e))?;
-        wal.counters.snapshot_bytes.fetch_add(written, Ordering::Relaxed);
-        metrics::counter!("poplarspan_store_snapshot_bytes_total").increment(written);
-        Ok(done)
+        let end = self.data.len().min(self.written + SNAPSHOT_CHUNK_BYTES);
+        let chunk = &self.data[self.written..end];
+        f.append(chunk)?;
+        f.sync()?;
+        bytes += chunk.len();
+        self.written = end;
+        let done = end == self.data.len();
+        if done {
+            wal.disk.rename(temporary, &self.name)?;
+            wal.disk.sync_dir()?;
+        }
+        Ok((done, bytes as u64))
     }
 
     /// Writes the rest.
--- a/crates/core/commands/node.rs
+++ b/crates/core/commands/node.rs
@@ -22,7 +22,13 @@
     let text = read(&flags.settings)?;
     let settings = parse(&text, &flags)?;
     let dialect = Arc::new(Platform);
-    let running = Relay { settings, dialect, tls: flags.tls.files() }.start().await?;
+    let relay = Relay { settings, dialect, tls: flags.tls.files() };
+    let running = tokio::select! {
+        running = relay.start() => running?,
+        // The start may wait for room on the disk.
+        _ = signals.terminate.recv() => return Ok(ExitCode::SUCCESS),
+        _ = signals.interrupt.recv() => return Ok(ExitCode::SUCCESS),
+    };
     let mut held = text;
     let mut ticks = interval(RELOAD_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -23,7 +23,8 @@
 use bytes::Bytes;
 use poplarspan_agreement::{
     Clock, DataDir, FileStore, GroupHandle, GroupId, IdentityError, Node, NodeConfig, ProposeError,
-    Refusal, ReplicaId, Role, StateMachine, Storage, StoreOptions, init_groups,
+    Refusal, ReplicaId, Role, StateMachine, Storage, StoreError, StoreOptions, init_groups,
+    is_disk_full,
 };
 use poplarspan_node::{
     PeerClient,
@@ -45,6 +46,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(150);
 /// A learner that lags behind is not tried again for this long.
 const LAG_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before a start that a full disk holds up goes on.
+const ROOM_PAUSE: Duration = Duration::from_millis(200);
 /// Zeros written ahead of the log; the disks of control replicas are small.
 const PREALLOCATE_BYTES: usize = 256 * 1024;
 const SEGMENT_BYTES: u64 = 8 << 20;
@@ -84,6 +87,20 @@
         Ok(Self { dir: dir.context("cannot open the data folder")? })
     }
 
+    /// As [`Folder::open`], but waits while the disk takes no more bytes.
+    pub(crate) async fn open_with_room(
+        path: &Path,
+        ip: Ipv4Addr,
+        is_founder: bool,
+    ) -> Result<Self> {
+        loop {
+            match Self::open(path, ip, is_founder) {
+                Err(e) if is_refusal(&e) => wait_for_room(&e).await,
+                opened => return opened,
+            }
+        }
+    }
+
     pub(crate) fn replica(&self) -> ReplicaId {
         self.dir.replica()
     }
@@ -113,6 +130,16 @@
         groups.map(Some).with_context(|| format!("{} holds no number", path.display()))
     }
 
+    /// As [`Folder::log`], but waits while the disk takes no more bytes.
+    async fn log_with_room(&self, founders: &[Vec<ReplicaId>]) -> Result<FileStore> {
+        loop {
+            match self.log(founders).await {
+                Err(e) if is_refusal(&e) => wait_for_room(&e).await,
+                opened => return opened,
+            }
+        }
+    }
+
     /// Opens the log; a new one gets the first voters of each group.
     async fn log(&self, founders: &[Vec<ReplicaId>]) -> Result<FileStore> {
         let folder = self.dir.log_folder();
@@ -143,6 +170,21 @@
     }
 }
 
+/// Whether a disk took no more bytes.
+fn is_refusal(e: &anyhow::Error) -> bool {
+    e.chain().any(|cause| {
+        cause.downcast_ref().is_some_and(is_disk_full)
+            || cause.downcast_ref().is_some_and(StoreError::is_refusal)
+    })
+}
+
+async fn wait_for_room(e: &anyhow::Error) {
+    let error = format!("{e:#}");
+    log::error!(error = error.as_str(); "the disk takes no more bytes; the start waits");
+    metrics::gauge!("poplarspan_store_disk_refuses").set(1.0);
+    sleep(ROOM_PAUSE).await;
+}
+
 /// Exists once the log has been created as a whole.
 const READY_FILE: &str = "ready";
 /// Holds the number of groups in the log.
@@ -218,7 +260,8 @@
     ) -> Result<Vec<Arc<Self>>> {
         let (founders, states): (Vec<_>, Vec<_>) =
             groups.into_iter().map(|g| (g.founders, g.state)).unzip();
-        let store = folder.log(&founders).await?;
+        let store = folder.log_with_room(&founders).await?;
+        metrics::gauge!("poplarspan_store_disk_refuses").set(0.0);
         let id = folder.replica();
         let find: FindReplica =
             Arc::new(move |id| Some(SocketAddr::from((machine(ReplicaId(id)), peer_port))));
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -124,9 +124,9 @@
         }
     }
 
-    fn folder(&self, is_founder: bool) -> Result<Folder> {
+    async fn folder(&self, is_founder: bool) -> Result<Folder> {
         let path = self.settings.data_dir.as_ref().context("this duty needs a data folder")?;
-        Folder::open(path, self.settings.ip, is_founder)
+        Folder::open_with_room(path, self.settings.ip, is_founder).await
     }
 
     fn peer_port(&self) -> u16 {
@@ -136,7 +136,7 @@
     async fn start_control(mut self) -> Result<Running> {
         let settings = self.settings.clone();
         let is_founder = settings.is_founding && settings.seeds.contains(&settings.ip);
-        let folder = self.folder(is_founder)?;
+        let folder = self.folder(is_founder).await?;
         let founders: Vec<ReplicaId> =
             settings.seeds.iter().map(|ip| replica::founder(*ip)).collect();
         let founders = if is_founder { founders } else { Vec::new() };
@@ -178,7 +178,7 @@
     }
 
     async fn start_store(mut self) -> Result<Running> {
-        let folder = self.folder(false)?;
+        let folder = self.folder(false).await?;
         let id = folder.replica();
         let fleet = self.fleet(peer::Duty::Store);
         let store = Store::new();
