server: replicas learn from messages where their senders are

Change: each batch of the replicated log says where its sender is, and a replica that does not know that yet takes it from there.

--- a/crates/node/src/peer/agreement.rs
+++ b/crates/node/src/peer/agreement.rs
@@ -38,19 +38,24 @@
 struct LaneConfig {
     me: ReplicaId,
     folder: FolderId,
+    /// Peer address of `me`, for replicas that do not know it yet.
+    address: String,
     client: PeerClient,
     find: FindReplica,
 }
 
 impl AgreementTransport {
-    /// Returns a transport for the replica `me`, whose data folder is `folder`.
+    /// Returns a transport for the replica `me`, whose data folder is `folder`. With `address`, each
+    /// batch says where the replica is.
     pub fn new(
         me: ReplicaId,
         folder: FolderId,
+        address: Option<SocketAddr>,
         client: PeerClient,
         find: FindReplica,
     ) -> Arc<Self> {
-        let lane = Arc::new(LaneConfig { me, folder, client, find });
+        let address = address.map(|a| a.to_string()).unwrap_or_default();
+        let lane = Arc::new(LaneConfig { me, folder, address, client, find });
         Arc::new(Self { lane, lanes: Mutex::default() })
     }
 }
@@ -88,7 +93,8 @@
 
 fn new_frame(cfg: &LaneConfig) -> AgreementBatch {
     let folder = Bytes::copy_from_slice(&cfg.folder.0.to_be_bytes());
-    AgreementBatch { from: cfg.me.0, folder, messages: Vec::new() }
+    let address = cfg.address.clone();
+    AgreementBatch { from: cfg.me.0, folder, messages: Vec::new(), address }
 }
 
 async fn send_batch(
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -479,6 +479,9 @@
     pub folder: ::prost::bytes::Bytes,
     #[prost(bytes = "bytes", repeated, tag = "3")]
     pub messages: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Peer address of the sender; empty where the number of a replica tells it.
+    #[prost(string, tag = "4")]
+    pub address: ::prost::alloc::string::String,
 }
 /// Asks the leader of a group to replace a voter. Sent by the leader of group 0.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -265,7 +265,7 @@
         let id = folder.replica();
         let find: FindReplica =
             Arc::new(move |id| Some(SocketAddr::from((machine(ReplicaId(id)), peer_port))));
-        let transport = AgreementTransport::new(id, folder.dir.folder(), client, find);
+        let transport = AgreementTransport::new(id, folder.dir.folder(), None, client, find);
         let mut builder = Node::builder(id, Box::new(store), transport)
             .peers(folder.dir.peers()?)
             .config(timing(clock));
--- a/crates/server/src/control/replicas.rs
+++ b/crates/server/src/control/replicas.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Notes where the sender of a message is, unless that is known already. Without this, voters
+    /// that know each other only through a leader could not elect the next one.
+    pub(crate) fn learn_sender(&self, replica: u64, address: SocketAddr) {
+        let mut list = self.list.lock().expect("no panic while locked");
+        if let Err(i) = list.binary_search_by_key(&replica, |r| r.number) {
+            list.insert(i, Replica { number: replica, address, registered: true });
+        }
+    }
+
     /// Address of a replica, if it is known.
     pub(crate) fn address(&self, replica: u64) -> Option<SocketAddr> {
         let list = self.list.lock().expect("no panic while locked");
--- a/crates/server/src/control/start.rs
+++ b/crates/server/src/control/start.rs
@@ -1,6 +1,7 @@
 //! Opens a data folder and starts the replicated log on it.
 
 use std::{
+    net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
 };
@@ -10,9 +11,10 @@
     DataDir, FileStore, GroupId, Node, ReplicaId, Storage, StoreOptions, init_voters,
 };
 use poplarspan_ledger::{Catalog, Ledger};
+use poplarspan_proto::peer::AgreementBatch;
 
 use super::{Control, LogGroup, ProgramGroup, Replicas, Shared};
-use crate::peer::{AgreementTransport, PeerClient};
+use crate::peer::{AgreementSink, AgreementTransport, PeerClient};
 
 /// Program groups of a fleet.
 pub(crate) const PROGRAM_GROUPS: u32 = 2;
@@ -57,11 +59,35 @@
     pub(crate) dir: DataDir,
 }
 
+impl Started {
+    /// Where messages of the replicated log go.
+    pub(crate) fn sink(&self) -> Arc<dyn AgreementSink> {
+        let (node, replicas) = (self.node.clone(), self.control.replicas.clone());
+        Arc::new(Inbox { node, replicas })
+    }
+}
+
+/// Takes messages of the replicated log, and learns where their senders are.
+struct Inbox {
+    node: Arc<Node>,
+    replicas: Arc<Replicas>,
+}
+
+impl AgreementSink for Inbox {
+    fn deliver(&self, batch: AgreementBatch) {
+        if let Ok(address) = batch.address.parse() {
+            self.replicas.learn_sender(batch.from, address);
+        }
+        AgreementSink::deliver(&*self.node, batch);
+    }
+}
+
 /// Opens the data folder, replays the log and starts all groups.
 pub(crate) async fn start(
     dir: DataDir,
     client: PeerClient,
     replicas: Arc<Replicas>,
+    address: SocketAddr,
 ) -> Result<Started> {
     let store = FileStore::open(&dir.log_folder(), StoreOptions::default())
         .context("cannot open the replicated log")?;
@@ -69,6 +95,7 @@
     let transport = AgreementTransport::new(
         dir.replica(),
         dir.folder(),
+        Some(address),
         client,
         Arc::new(move |replica| find.address(replica)),
     );
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -28,7 +28,7 @@
     membership::{
         Directory, Heartbeats, Identity, Membership, SavedObjects, discover, new_incarnation,
     },
-    peer::{AgreementSink, Credentials, PeerClient, PeerServer},
+    peer::{Credentials, PeerClient, PeerServer},
     probes::{self, Readiness},
     programs::{Ledger, PeerLedger},
     schedule::{FairScheduler, LoadPoller, RunProbe},
@@ -148,7 +148,7 @@
             crashes: crashes.clone(),
             rate_owner: admission.clone(),
         });
-        let sink = started.as_ref().map(|s| s.node.clone() as Arc<dyn AgreementSink>);
+        let sink = started.as_ref().map(|s| s.sink());
         let server = Arc::new(PeerServer::new(endpoint, service, sink));
         supervisor.start("peer port", move || server.clone().run());
         let identity = Identity {
@@ -247,7 +247,7 @@
         replicas.configure(known.replica, known.address);
     }
     replicas.configure(dir.replica().0, peer_address);
-    Ok(Some(control::start(dir, client.clone(), replicas).await?))
+    Ok(Some(control::start(dir, client.clone(), replicas, peer_address).await?))
 }
 
 fn start_control(
