front: bound the memory of all bodies together, and heads without end

Cause: an answer may hold 16 MiB and a caller's body 4 MiB, each of thousands of calls; heads of answers that announce a later one were read without end and kept the front busy; a refusal whose body did not come held its call up until the deadline.

Change: bodies of callers, answers, events and kept outputs share 32 MiB; what finds no room is refused (503, not run) or lost (502). The head of an answer must end within 256 KiB. A call goes on while the body of a refusal is drained.

--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -1,6 +1,9 @@
 //! A stream that asks, right before the first byte of a request leaves, whether the request may
 //! still be sent.
 //!
+//! It also bounds what is read before the head of the answer is complete: heads that announce a later
+//! one may follow one another without end.
+//!
 //! Between the decision to send a request and the write lie the hand-over to the connection's task
 //! and its turn, in which a lease can end or the whole process be suspended.
 
@@ -16,10 +19,16 @@
 /// Tells whether a request may be sent at this moment.
 pub type Permission = Arc<dyn Fn() -> bool + Send + Sync>;
 
+/// Bytes in which the head of an answer must end; more than the largest head, and what is read of
+/// the body with it.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+
 #[derive(Default)]
 struct Request {
     permission: Option<Permission>,
     is_refused: bool,
+    /// Bytes that may arrive until the head of the answer is complete.
+    head_left: Option<usize>,
 }
 
 /// The side of a [`Gated`] stream that the sender of requests holds.
@@ -31,7 +40,9 @@
 impl Gate {
     /// Asks `permission` before the first byte of the next request.
     pub(crate) fn arm(&self, permission: Permission) {
-        *self.locked() = Request { permission: Some(permission), is_refused: false };
+        let permission = Some(permission);
+        let head_left = Some(MAX_HEAD_BYTES);
+        *self.locked() = Request { permission, is_refused: false, head_left };
     }
 
     /// Whether the request was refused. No byte of it has left then.
@@ -39,6 +50,21 @@
         self.locked().is_refused
     }
 
+    /// Takes note that the head of the answer is complete.
+    pub(crate) fn head_arrived(&self) {
+        self.locked().head_left = None;
+    }
+
+    fn note_read(&self, bytes: usize) -> io::Result<()> {
+        let mut request = self.locked();
+        let Some(left) = &mut request.head_left else { return Ok(()) };
+        let message = "the head of the answer does not end";
+        *left = left
+            .checked_sub(bytes)
+            .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, message))?;
+        Ok(())
+    }
+
     fn check(&self) -> io::Result<()> {
         let mut request = self.locked();
         if request.is_refused || request.permission.as_ref().is_some_and(|may_send| !may_send()) {
@@ -76,7 +102,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_ready() {
+            self.gate.note_read(buf.filled().len() - before)?;
+        }
+        read
     }
 }
 
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -306,7 +306,10 @@
         deadline: Instant,
     ) -> Result<Sent, SendError> {
         match tokio::time::timeout_at(deadline, self.http.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok(Sent::Answer(response)),
+            Ok(Ok(response)) => {
+                self.gate.head_arrived();
+                Ok(Sent::Answer(response))
+            }
             Ok(Err(mut e)) => match e.take_message() {
                 Some(request) => Ok(Sent::Returned(request)),
                 None if self.gate.is_refused() => Err(SendError::NotPermitted),
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -16,6 +16,7 @@
 use super::{
     Front,
     endpoints::Outcome,
+    memory::Held,
     refusal::Refusal,
     schedule::{NoPlace, Slot, Want},
 };
@@ -41,6 +42,8 @@
     pub(crate) urgency: Option<u8>,
     /// When the caller has to have an answer.
     pub(crate) deadline: Instant,
+    /// Memory of the body.
+    pub(crate) _held: Held,
 }
 
 impl Call {
@@ -193,7 +196,7 @@
         }
         if head.not_run || head.is_other_endpoint {
             self.log_miss(&slot, "endpoint has not run the call", parts.status.as_u16());
-            drain(body, reuse, call.deadline).await;
+            tokio::spawn(drain(body, reuse));
             slot.finish(if head.is_other_endpoint { Outcome::Failed } else { Outcome::Refused });
             return Err(Missed::NotRun);
         }
@@ -272,12 +275,15 @@
     !head.is_encoded && (head.is_sealed || !status.is_success())
 }
 
-/// Reads a short body to its end, so that its connection can be used again.
-async fn drain(mut body: Incoming, reuse: Reuse, deadline: Instant) {
+/// Reads a short body to its end, so that its connection can be used again. The call goes on
+/// meanwhile: the body may never end.
+async fn drain(mut body: Incoming, reuse: Reuse) {
     use http_body_util::BodyExt;
     const MAX_FRAMES: usize = 4;
+    const TIMEOUT: Duration = Duration::from_millis(100);
+    let until = Instant::now() + TIMEOUT;
     for _ in 0..MAX_FRAMES {
-        match tokio::time::timeout_at(deadline, body.frame()).await {
+        match tokio::time::timeout_at(until, body.frame()).await {
             Ok(None) => return reuse.finish(),
             Ok(Some(Ok(_))) => {}
             Ok(Some(Err(_))) | Err(_) => return,
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -4,10 +4,9 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use poplarspan_policy::Name;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::{
     Front,
@@ -15,6 +14,7 @@
     body::{self, AnswerBody},
     endpoints::{Outcome, blocks},
     events::EventReader,
+    memory::{Held, ReadError},
     programs::{OpenTurn, TurnName, TurnNeeds},
     rates::Token,
     refusal::Refusal,
@@ -222,7 +222,7 @@
             let message = "the instance ends before the call could";
             return Err(Refusal::not_now("shutting_down", message, ELSEWHERE));
         }
-        let body = read_body(body, publication.limits.max_body, deadline).await?;
+        let (body, held) = self.read_body(body, publication.limits.max_body, deadline).await?;
         let token = match &team {
             Some(team) => {
                 let program = head.program.as_ref().map(|p| &p.id);
@@ -239,6 +239,7 @@
                 return Err(refusal);
             }
         };
+        let body = (body, held);
         let call = self.call(parts, head, body, route, team.as_ref(), deadline, &publication);
         Ok(Admitted { call: Arc::new(call), turn, keeping })
     }
@@ -294,7 +295,7 @@
         &self,
         parts: request::Parts,
         head: CallHead,
-        body: Bytes,
+        (body, held): (Bytes, Held),
         route: Route,
         team: Option<&Team>,
         deadline: Instant,
@@ -330,6 +331,7 @@
             urgency: is_engine.then_some(urgency.min(LEAST_URGENCY)),
             deadline,
             head,
+            _held: held,
         }
     }
 
@@ -347,7 +349,7 @@
             if is_stream && begun.parts.status.is_success() {
                 return self.stream(admitted, attempts, begun, ending);
             }
-            match collect(begun, admitted.call.deadline).await {
+            match self.collect(begun, admitted.call.deadline).await {
                 Ok(answer) => {
                     ending.finish("answered");
                     return answer;
@@ -364,6 +366,54 @@
         self.refuse(&refusal)
     }
 
+    /// Reads an answer whole. Returns the place at the endpoint if it was cut short.
+    async fn collect(
+        &self,
+        begun: Begun,
+        deadline: Instant,
+    ) -> Result<Response<AnswerBody>, super::schedule::Slot> {
+        let Begun { parts, body, reuse, slot } = begun;
+        match self.memory.collect(body, MAX_ANSWER_BYTES, deadline).await {
+            Ok((body, held)) => {
+                reuse.finish();
+                slot.finish(Outcome::Answered);
+                let mut answer = Response::new(body::held(body, held));
+                *answer.status_mut() = parts.status;
+                *answer.headers_mut() = end_to_end(&parts.headers);
+                answer.headers_mut().remove(header::CONTENT_LENGTH);
+                Ok(answer)
+            }
+            Err(e) => {
+                let (endpoint, error) = (&*slot.endpoint.name, e.to_string());
+                log::info!(endpoint, error = error.as_str(); "no whole answer");
+                Err(slot)
+            }
+        }
+    }
+
+    /// Reads the body of a call.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max: usize,
+        deadline: Instant,
+    ) -> Result<(Bytes, Held), Refusal> {
+        let until = deadline.min(Instant::now() + BODY_TIMEOUT);
+        self.memory.collect(body, max, until).await.map_err(|e| {
+            let message = e.to_string();
+            match e {
+                ReadError::TooLarge(_) => {
+                    Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+                }
+                ReadError::NoRoom => Refusal::not_now("no_memory", message, COME_BACK),
+                ReadError::Broken(_) => {
+                    Refusal::new(StatusCode::BAD_REQUEST, "broken_body", message)
+                }
+                ReadError::Late => Refusal::new(StatusCode::REQUEST_TIMEOUT, "late_body", message),
+            }
+        })
+    }
+
     /// Hands on a stream.
     fn stream(
         self: &Arc<Self>,
@@ -388,6 +438,7 @@
             keeping,
             ending,
             is_done: false,
+            held: self.memory.hold(),
         };
         answer.map(|()| relaying.into_body())
     }
@@ -400,27 +451,6 @@
     keeping: Option<Keeping>,
 }
 
-/// Reads an answer whole. Returns the place at the endpoint if it was cut short.
-async fn collect(
-    begun: Begun,
-    deadline: Instant,
-) -> Result<Response<AnswerBody>, super::schedule::Slot> {
-    let Begun { parts, body, reuse, slot } = begun;
-    let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    match timeout_at(deadline, read).await {
-        Ok(Ok(body)) => {
-            reuse.finish();
-            slot.finish(Outcome::Answered);
-            let mut answer = Response::new(body::whole(body.to_bytes()));
-            *answer.status_mut() = parts.status;
-            *answer.headers_mut() = end_to_end(&parts.headers);
-            answer.headers_mut().remove(header::CONTENT_LENGTH);
-            Ok(answer)
-        }
-        Ok(Err(_)) | Err(_) => Err(slot),
-    }
-}
-
 /// Headers of an answer without those that concern one connection only.
 fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
@@ -446,22 +476,6 @@
     publication.team_of(key).map(Some).ok_or_else(|| refusal("the key is unknown"))
 }
 
-async fn read_body(body: Incoming, max: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let until = deadline.min(Instant::now() + BODY_TIMEOUT);
-    match timeout_at(until, Limited::new(body, max).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            let message = format!("the body is larger than {max} bytes");
-            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message))
-        }
-        Ok(Err(e)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "broken_body", e.to_string())),
-        Err(_) => {
-            let message = "the body did not arrive in time";
-            Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "late_body", message))
-        }
-    }
-}
-
 /// What keeps calls together at an endpoint: the line of turns, or the object that they are about.
 fn line_of(head: &CallHead) -> Option<Name> {
     let line = |p: &ProgramHead| p.line.clone().unwrap_or_else(|| p.id.clone());
--- /dev/null
+++ b/crates/relay/src/front/memory.rs
@@ -0,0 +1,120 @@
+//! Memory that the bodies of all calls of a front hold together.
+//!
+//! A single body may be large, and a front has thousands of connections, so each body asks for its
+//! share as it arrives. One that finds none left is given up, instead of the whole process.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout_at},
+};
+
+/// Bytes that all bodies may hold; the smallest fronts have some 88 MB for everything.
+const MAX_HELD_BYTES: usize = 32 << 20;
+/// Bytes of one permit.
+const UNIT_BYTES: usize = 1 << 10;
+
+/// Why a body was not read to its end.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ReadError {
+    /// It is larger than one body may be.
+    #[error("the body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// The bodies of other calls leave no room for it.
+    #[error("no memory is left for the body")]
+    NoRoom,
+    /// It broke off.
+    #[error("the body broke off: {0}")]
+    Broken(hyper::Error),
+    /// It did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Late,
+}
+
+/// The memory of a front for bodies.
+pub(crate) struct BodyMemory {
+    units: Arc<Semaphore>,
+}
+
+impl Default for BodyMemory {
+    fn default() -> Self {
+        Self { units: Arc::new(Semaphore::new(MAX_HELD_BYTES / UNIT_BYTES)) }
+    }
+}
+
+/// Memory of one body, given back when dropped.
+pub(crate) struct Held {
+    units: Arc<Semaphore>,
+    permit: Option<OwnedSemaphorePermit>,
+    bytes: usize,
+}
+
+impl BodyMemory {
+    /// A body that holds nothing yet.
+    pub(crate) fn hold(&self) -> Held {
+        Held { units: self.units.clone(), permit: None, bytes: 0 }
+    }
+
+    /// Reads a body whole.
+    pub(crate) async fn collect(
+        &self,
+        mut body: Incoming,
+        max: usize,
+        until: Instant,
+    ) -> Result<(Bytes, Held), ReadError> {
+        let mut held = self.hold();
+        // Most bodies arrive in one piece, which is not copied then.
+        let mut first: Option<Bytes> = None;
+        let mut rest = BytesMut::new();
+        loop {
+            let frame = match timeout_at(until, body.frame()).await {
+                Err(_) => return Err(ReadError::Late),
+                Ok(None) => break,
+                Ok(Some(frame)) => frame.map_err(ReadError::Broken)?,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if data.len() > max - held.bytes {
+                return Err(ReadError::TooLarge(max));
+            }
+            held.resize(held.bytes + data.len())?;
+            match &first {
+                None => first = Some(data),
+                Some(start) => {
+                    if rest.is_empty() {
+                        rest.extend_from_slice(start);
+                    }
+                    rest.extend_from_slice(&data);
+                }
+            }
+        }
+        let whole = if rest.is_empty() { first.unwrap_or_default() } else { rest.freeze() };
+        Ok((whole, held))
+    }
+}
+
+impl Held {
+    /// Holds so many bytes from now on.
+    pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), ReadError> {
+        let (old, new) = (self.bytes.div_ceil(UNIT_BYTES), bytes.div_ceil(UNIT_BYTES));
+        if new > old {
+            let more = u32::try_from(new - old).map_err(|_| ReadError::NoRoom)?;
+            let permit = self.units.clone().try_acquire_many_owned(more);
+            let permit = permit.map_err(|_| {
+                metrics::counter!("poplarspan_relay_bodies_without_room_total").increment(1);
+                ReadError::NoRoom
+            })?;
+            match &mut self.permit {
+                Some(held) => held.merge(permit),
+                None => self.permit = Some(permit),
+            }
+        } else if let Some(held) = &mut self.permit {
+            drop(held.split(old - new));
+        }
+        self.bytes = bytes;
+        Ok(())
+    }
+}
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod events;
 mod handler;
 pub(crate) mod listener;
+pub(crate) mod memory;
 pub(crate) mod programs;
 pub(crate) mod rates;
 mod refusal;
@@ -31,6 +32,7 @@
     fleet::{Fleet, Report},
 };
 use endpoints::Chosen;
+use memory::BodyMemory;
 use programs::Programs;
 use rates::Rates;
 use schedule::Schedule;
@@ -52,6 +54,7 @@
     pub(crate) rates: Arc<Rates>,
     pub(crate) programs: Arc<Programs>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) memory: BodyMemory,
 }
 
 impl Front {
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -15,6 +15,7 @@
     endpoints::Outcome,
     events::EventReader,
     handler::Ending,
+    memory::Held,
     programs::{KeptTurn, OpenTurn},
 };
 
@@ -42,6 +43,8 @@
     pub(crate) keeping: Option<Keeping>,
     pub(crate) ending: Ending,
     pub(crate) is_done: bool,
+    /// Memory of what has arrived of the next event, and of the output that is kept.
+    pub(crate) held: Held,
 }
 
 /// What came next from the endpoint.
@@ -73,7 +76,17 @@
                 return Some(Ok(piece));
             }
             match self.read().await {
-                Next::Bytes(bytes) => self.reader.push(&bytes),
+                Next::Bytes(bytes) => {
+                    let kept = self.keeping.as_ref().map_or(0, |k| k.output.len());
+                    let bytes_held = kept + self.reader.pending() + bytes.len();
+                    if let Err(e) = self.held.resize(bytes_held) {
+                        if let Err(cut) = self.go_on_elsewhere(&e.to_string()).await {
+                            return Some(Err(cut));
+                        }
+                        continue;
+                    }
+                    self.reader.push(&bytes);
+                }
                 Next::End => return self.end().await,
                 Next::Broken(cause) => {
                     if let Err(cut) = self.go_on_elsewhere(&cause).await {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -21,7 +21,10 @@
     Board, Dialect, Duty, Settings, Turns,
     control::{Control, ListReader, OrderServer},
     fleet::{Fleet, Report},
-    front::{Front, listener::Listener, programs::Programs, rates::Rates, schedule::Schedule},
+    front::{
+        Front, listener::Listener, memory::BodyMemory, programs::Programs, rates::Rates,
+        schedule::Schedule,
+    },
     groups,
     replica::{self, Folder, GroupStart, Replica, Wishes},
     store::Store,
@@ -221,6 +224,7 @@
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
             pool,
+            memory: BodyMemory::default(),
         });
         self.serve_peers(Arc::new(NoDuties), None);
         let (beats, report) = (fleet.clone(), front.clone() as Arc<dyn Report>);
--- /dev/null
+++ b/tests/support/faulty.rs
@@ -0,0 +1,66 @@
+//! Answers of servers in trouble: bytes that are no answer, without an end, until the caller closes.
+//!
+//! A server takes this part for a connection whose first request asks for it by its path.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
+
+const MARK: &str = "/faulty/";
+const PIECE_BYTES: usize = 16 * 1024;
+/// Nothing that a test waits for takes longer.
+const STALL: Duration = Duration::from_secs(120);
+
+/// The fault that the first request asks for, if any.
+pub async fn wanted(stream: &TcpStream) -> Option<String> {
+    let mut buf = [0; 4096];
+    let len = stream.peek(&mut buf).await.ok()?;
+    let line = std::str::from_utf8(&buf[..len]).ok()?.lines().next()?.to_owned();
+    let path = line.split(' ').nth(1)?;
+    Some(path.split_once(MARK)?.1.to_owned())
+}
+
+/// Sends the faulty answer until the other side closes.
+pub async fn answer(stream: &mut TcpStream, kind: &str) {
+    let mut buf = vec![0; PIECE_BYTES];
+    let Ok(len) = stream.read(&mut buf).await else { return };
+    let head = String::from_utf8_lossy(&buf[..len]).to_lowercase();
+    let header = |name: &str| {
+        let line = head.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.split_once(": ")).map_or("", |(_, value)| value).to_owned()
+    };
+    let id = header("request-id");
+    let sealed = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: s\r\n");
+    let text = "a".repeat(PIECE_BYTES);
+    let event = "data: a\n\n".repeat(PIECE_BYTES / 9);
+    let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let streamed = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let (start, piece) = match kind {
+        "head" => (format!("{sealed}x-a: "), text),
+        "heads" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(500)),
+        "body" => (format!("{sealed}\r\n"), text),
+        "chunks" => (format!("{sealed}{chunked}"), chunk(&text)),
+        "extension" => (format!("{sealed}{chunked}1;"), text),
+        "trailer" => (format!("{sealed}{chunked}0\r\nx-a: "), text),
+        "event" => (format!("{sealed}{streamed}"), chunk(&text)),
+        "events" => (format!("{sealed}{streamed}"), chunk(&event)),
+        "refusal" => {
+            let refusal = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 9\r\n\r\n";
+            (refusal.to_owned(), String::new())
+        }
+        _ => panic!("unknown fault {kind}"),
+    };
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    if piece.is_empty() {
+        return sleep(STALL).await;
+    }
+    // Ends when the other side has closed.
+    while stream.write_all(piece.as_bytes()).await.is_ok() {}
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -34,6 +34,8 @@
 
 use self::proxy::Link;
 
+#[path = "faulty.rs"]
+pub mod faulty;
 #[path = "proxy.rs"]
 pub mod proxy;
 
@@ -199,6 +201,16 @@
         let _ = kill(pid, signal);
     }
 
+    /// Memory that the process uses now, in MiB.
+    pub fn memory_mib(&self) -> u64 {
+        let child = self.child.as_ref().expect("it runs");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("a running process");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
+        let kib: u64 = line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("KiB");
+        kib >> 10
+    }
+
     /// How the process has ended, if it has without being asked to.
     pub fn ended_early(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut().filter(|_| !self.is_ending)?;
@@ -421,10 +433,13 @@
             let socket = TcpListener::bind((ip, SERVER_PORT)).await.expect("an address of its own");
             let servers = self.servers.clone();
             tokio::spawn(async move {
-                while let Ok((stream, _)) = socket.accept().await {
+                while let Ok((mut stream, _)) = socket.accept().await {
                     let servers = servers.clone();
                     let service = service_fn(move |req| servers.clone().answer(server, req));
                     tokio::spawn(async move {
+                        if let Some(kind) = faulty::wanted(&stream).await {
+                            return faulty::answer(&mut stream, &kind).await;
+                        }
                         // Ends with an error when it is to lose an answer.
                         let _ = http1::Builder::new()
                             .serve_connection(TokioIo::new(stream), service)
