front: a stream that is cut within an event is not whole

Cause: a stream without a length whose server closed in the middle of an event was handed on with its rest, as complete.

Change: it counts as broken off, and goes on elsewhere where the route allows that.

Tests: foreign_answers::cut_event fails before. late_copy (a second copy of an answer on a connection in use again) passed at once; with the check of the answer's id off it fails: the next caller gets the copy.

--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
+use http::{header, response};
 use http_body_util::BodyExt;
 use poplarspan_policy::Name;
 use tokio::time::timeout_at;
@@ -161,6 +162,13 @@
 
     /// The endpoint has ended its answer. A kept turn is made durable before the caller sees the end.
     async fn end(&mut self) -> Option<Result<Bytes, Cut>> {
+        if self.reader.pending() > 0 && self.begun.as_ref().is_some_and(|b| !has_end(&b.parts)) {
+            // The connection was closed in the middle of an event.
+            return match self.go_on_elsewhere("the stream ends within an event").await {
+                Ok(()) => Box::pin(self.step()).await,
+                Err(cut) => Some(Err(cut)),
+            };
+        }
         self.is_done = true;
         if let Some(begun) = self.begun.take() {
             begun.reuse.finish();
@@ -219,6 +227,12 @@
     }
 }
 
+/// Whether an answer says where it ends, and not only by the end of its connection.
+fn has_end(head: &response::Parts) -> bool {
+    head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Tokens that an event stands for at the service of a call.
 pub(crate) fn tokens_per_event(front: &Arc<Front>, service: &str) -> u64 {
     let view = front.fleet.view();
--- /dev/null
+++ b/tests/foreign_answers.rs
@@ -0,0 +1,48 @@
+//! Answers of servers in trouble that must not reach a caller as its own, or as whole.
+
+#[path = "support/platform.rs"]
+mod platform;
+
+use futures::future::join_all;
+use platform::{Call, KEY, World, config, eventually};
+
+const CALLS: usize = 12;
+
+/// A second copy of an answer arrives late, on a connection that is in use again.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy() {
+    let world = World::start(&config(3, &[KEY])).await;
+    // All at once, so that most get a connection of their own.
+    let first = async |n: usize| {
+        let id = format!("first-{n}");
+        world.call(0, "/once/faulty/copy", &id, Call::default()).await
+    };
+    let first = join_all((0..CALLS).map(first)).await;
+    let copies = first.iter().filter(|answer| answer.status == 200);
+    assert!(copies.clone().all(|answer| answer.text() == "copy"));
+    assert!(copies.count() > 0, "no connection is left that answers late");
+    for n in 0..CALLS {
+        for path in ["/once/x", "/safe/x"] {
+            let own = format!("{path} {n}");
+            let call = Call { body: &own, ..Call::default() };
+            let answer = world.call(0, path, &format!("own-{n}"), call).await;
+            assert!(answer.status != 200 || answer.text() == own, "{own}: {}", answer.text());
+        }
+    }
+    // The servers are used again.
+    let served = async || {
+        let answer = world.call(0, "/safe/x", "later", Call::default()).await;
+        answer.status == 200 && answer.text() == "in"
+    };
+    eventually("calls are served", served).await;
+}
+
+/// A stream without a length ends in the middle of an event.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_event() {
+    let world = World::start(&config(3, &[KEY])).await;
+    for path in ["/stream/faulty/cut", "/kept/faulty/cut"] {
+        let answer = world.call(0, path, path, Call::default()).await;
+        assert!(answer.status != 200 || answer.body.is_err(), "{path}: {}", answer.text());
+    }
+}
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -40,6 +40,9 @@
     let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
     let chunked = "transfer-encoding: chunked\r\n\r\n";
     let streamed = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    if kind == "copy" {
+        return send_copy(stream, &sealed).await;
+    }
     let (start, piece) = match kind {
         "head" => (format!("{sealed}x-a: "), text),
         "heads" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(500)),
@@ -49,6 +52,11 @@
         "trailer" => (format!("{sealed}{chunked}0\r\nx-a: "), text),
         "event" => (format!("{sealed}{streamed}"), chunk(&text)),
         "events" => (format!("{sealed}{streamed}"), chunk(&event)),
+        // Ends in the middle of an event, with nothing that tells its length.
+        "cut" => {
+            let cut = "content-type: text/event-stream\r\n\r\ndata: a\n\ndata: b";
+            (format!("{sealed}{cut}"), String::new())
+        }
         "refusal" => {
             let refusal = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 9\r\n\r\n";
             (refusal.to_owned(), String::new())
@@ -58,9 +66,26 @@
     if stream.write_all(start.as_bytes()).await.is_err() {
         return;
     }
+    if kind == "cut" {
+        return;
+    }
     if piece.is_empty() {
         return sleep(STALL).await;
     }
     // Ends when the other side has closed.
     while stream.write_all(piece.as_bytes()).await.is_ok() {}
 }
+
+/// Answers one request, and sends the same answer again when the next one has arrived.
+async fn send_copy(stream: &mut TcpStream, sealed: &str) {
+    let answer = format!("{sealed}content-length: 4\r\n\r\ncopy");
+    if stream.write_all(answer.as_bytes()).await.is_err() {
+        return;
+    }
+    let mut buf = [0; 4096];
+    if let Ok(1..) = stream.read(&mut buf).await {
+        // The caller may have closed.
+        let _ = stream.write_all(answer.as_bytes()).await;
+        sleep(STALL).await;
+    }
+}
