front: read the first request of a connection while idle ones are closed

Cause: after SIGTERM a front closes connections that wait for a request; one that had just been accepted was closed too, with its request on the way.

Change: a new connection has 500 ms for its first request.

--- a/crates/relay/src/front/listener.rs
+++ b/crates/relay/src/front/listener.rs
@@ -8,6 +8,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
+    time::{Instant, sleep_until},
 };
 
 use super::Front;
@@ -15,6 +16,9 @@
 /// Connections from callers. With those to endpoints they stay below the platform's limit of
 /// descriptors.
 const MAX_CONNECTIONS: usize = 2_500;
+/// Time in which the first request of a new connection is read, also when connections are being
+/// closed: it may have been sent before the caller could know.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
 /// Pause after a failed accept, for instance when the process is out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Smallest buffer that hyper allows.
@@ -84,9 +88,11 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let mut closing = self.closing.subscribe();
+        let accepted = Instant::now();
         let asked = async {
             // Fails only when the listener is gone.
             let _ = closing.wait_for(|closing| *closing).await;
+            sleep_until(accepted + FIRST_REQUEST).await;
         };
         let served = tokio::select! {
             served = connection.as_mut() => served,
