front: a server at the address of another speaks for itself only

Cause: an answer 421 with the word that its server is leaving was taken for the word of the server that was expected at that address, which then got no calls until its next start.

Change: such an answer says nothing of the expected server.

--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -191,7 +191,7 @@
         if let Some(load) = head.load {
             slot.report(load);
         }
-        if head.is_leaving {
+        if head.is_leaving && !head.is_other_endpoint {
             slot.note_leaving();
         }
         if head.not_run || head.is_other_endpoint {
--- a/tests/leaving_endpoints.rs
+++ b/tests/leaving_endpoints.rs
@@ -36,3 +36,13 @@
     eventually("control is back", served).await;
     check_spared(&world, left, "in-touch").await;
 }
+
+/// Another server at the address of one that was listed speaks for itself only.
+#[tokio::test(flavor = "multi_thread")]
+async fn told_by_another() {
+    let world = World::start(&config(3, &[KEY])).await;
+    let answer = world.call(0, "/once/misdirected", "other", Call::default()).await;
+    assert_eq!(answer.status, 503, "nothing has run");
+    let served = async || world.call(0, "/safe/x", "own", Call::default()).await.status == 200;
+    eventually("the listed servers are used", served).await;
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -120,6 +120,11 @@
             leaving.headers_mut().insert("server-leaving", "1".parse().expect("a header"));
             return Ok(leaving);
         }
+        if path.ends_with("/misdirected") {
+            let mut other = answer(421, &id, false, Bytes::new());
+            other.headers_mut().insert("server-leaving", "1".parse().expect("a header"));
+            return Ok(other);
+        }
         if path.ends_with("/named") {
             tokio::time::sleep(WORK).await;
             return Ok(answer(200, &id, true, Bytes::from(format!("body of {id}"))));
