dev: go on when nobody reads what is printed; a test of budgets that ended early

first_call, an empty answer at the third start. Cause: the test reads the first lines only, and dev ended by a panic when it printed the others into the closed pipe; reproduced by hand 2 of 3 times. dev now logs that it could not print and serves on. closed_output fails before.

relay_path::budgets_and_turns, 200 instead of 402 at the end. Cause: the test took the first 402 for the end of the budget; it may only say that the reservation of the turn before is not given back yet (2 of 40 programs in a trial: 402, a second later 200). The test now lets the fourth turn run first and then wants 402 at once from each front, which is stricter.

--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -1,6 +1,13 @@
 //! Everything in one process, to try it out.
 
-use std::{net::SocketAddr, path::Path, process::ExitCode, sync::Arc, time::Duration};
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    path::Path,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::{Context, Result, bail};
 use poplarspan_objects::{ObjectSet, Secret, Source, generate_secret};
@@ -36,7 +43,12 @@
     publish(&running, &tls, folder.path(), &objects).await?;
     let ready = tokio::time::timeout(READY_TIMEOUT, running.ready()).await;
     ready.context("the sample objects were not in force in time")?;
-    print_help(running.entry_address, running.probe_address, &key);
+    let help = help(running.entry_address, running.probe_address, &key);
+    if let Err(e) = io::stdout().write_all(help.as_bytes()) {
+        // Whoever reads only the first lines still wants the calls served.
+        let error = e.to_string();
+        log::warn!(error = error.as_str(); "cannot print all calls");
+    }
     serve::until_signal(running).await
 }
 
@@ -139,9 +151,9 @@
     bail!("the instance did not start to lead in time")
 }
 
-fn print_help(entry: SocketAddr, probe: SocketAddr, key: &Secret) {
+fn help(entry: SocketAddr, probe: SocketAddr, key: &Secret) -> String {
     let key = key.expose();
-    println!(
+    format!(
         r#"Poplarspan serves calls at http://{entry}. Try:
 
   # A chat call
@@ -163,6 +175,7 @@
   # Metrics
   curl -s http://{probe}/metrics
 
-Stop with Ctrl-C."#
-    );
+Stop with Ctrl-C.
+"#
+    )
 }
--- a/tests/first_call.rs
+++ b/tests/first_call.rs
@@ -4,10 +4,16 @@
     io::{BufRead, BufReader, Read, Write},
     net::TcpStream,
     process::{Child, Command, Stdio},
+    thread::sleep,
+    time::{Duration, Instant},
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_poplarspan");
 const STARTS: usize = 5;
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+/// Several times what lies between the first served call and the printed lines.
+const SETTLED: Duration = Duration::from_secs(2);
 
 /// A process that is killed when dropped.
 struct Dev(Child);
@@ -64,3 +70,38 @@
         assert_eq!(first_call(), "HTTP/1.1 200 OK", "start {start}");
     }
 }
+
+/// Nobody reads what is printed; the calls are served all the same.
+#[test]
+fn closed_output() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let address = free.local_addr().expect("an address").to_string();
+    drop(free);
+    let child = Command::new(PROGRAM)
+        .args(["dev", "--entry-address", &address])
+        .stdout(writer)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    let mut dev = Dev(child);
+    let is_served = || {
+        let Ok(mut stream) = TcpStream::connect(&address) else { return false };
+        let call = "GET /orders/status HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        let mut answer = String::new();
+        // Fails when the process ends meanwhile.
+        let sent = stream.write_all(call.as_bytes());
+        let _ = sent.and_then(|()| stream.read_to_string(&mut answer));
+        answer.starts_with("HTTP/1.1 200")
+    };
+    let until = Instant::now() + PATIENCE;
+    while !is_served() {
+        assert!(dev.0.try_wait().expect("a process of ours").is_none(), "dev has ended");
+        assert!(Instant::now() < until, "no call is served");
+        sleep(POLL);
+    }
+    // It prints once the objects are in force, which is about now.
+    sleep(SETTLED);
+    assert!(dev.0.try_wait().expect("a process of ours").is_none(), "dev has ended");
+}
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -57,10 +57,10 @@
     let mut world = World::start(&config(1, &[KEY])).await;
     let turn = |headers| Call { headers, ..Call::default() };
 
-    // Two turns of at most 100 tokens that use 50 each leave 150 of 250; a third fits, and so on
-    // until the budget holds no turn of 100 more, whichever front is asked. Until what a turn has
-    // not used is given back, shortly after its end, the budget holds less.
-    for (n, front) in [(1, 0), (2, 1), (3, 0)] {
+    // Turns of at most 100 tokens use 50 each: the fourth still fits into 250, and then the budget
+    // holds none of 100 more, whichever front is asked. Until what a turn has not used is given
+    // back, shortly after its end, the budget holds less.
+    for (n, front) in [(1, 0), (2, 1), (3, 0), (4, 1)] {
         let id = format!("turn-{n}");
         let granted = async || {
             let answer = world.call(front, "/stream/events/5", &id, turn(&TURN)).await;
@@ -70,11 +70,11 @@
         eventually("what was not used is given back", granted).await;
         assert_eq!(world.servers.runs_of(&id).len(), 1, "a refusal has run");
     }
-    let spent = async || {
-        let answer = world.call(1, "/stream/events/5", "turn-4", turn(&TURN)).await;
-        answer.status == 402
-    };
-    eventually("100 tokens are left for a turn of 100, then none", spent).await;
+    for front in [0, 1] {
+        let spent = world.call(front, "/stream/events/5", "spent", turn(&TURN)).await;
+        assert_eq!(spent.status, 402);
+    }
+    assert!(world.servers.runs_of("spent").is_empty(), "a refusal has run");
 
     // A kept turn is continued at another front, from what was said before.
     let first = Call { body: "in1 ", ..Call::default() };
