relay: name the request in the log line of a run without a whole answer

An operator who sees servers end cannot tell from the logs whether one request comes back or many different ones meet a sick server: each attempt has an id of its own.

The line names a digest of team, method, host, path and body, for plain answers and streams alike. Calls that did not leave get another line, since they say nothing of what an endpoint has run. The digest is computed only when a run is lost. No change of logic.

--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -1,6 +1,10 @@
 //! Sends a call to one endpoint after another, as far as it may be repeated.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    fmt::Write,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
@@ -10,7 +14,7 @@
     Permission,
     pool::{Reuse, SendError},
 };
-use poplarspan_policy::Name;
+use poplarspan_policy::{Name, containment::Fingerprint};
 use tokio::time::Instant;
 
 use super::{
@@ -44,9 +48,29 @@
     pub(crate) deadline: Instant,
     /// Memory of the body.
     pub(crate) _held: Held,
+    /// Computed when it is first asked for.
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Call {
+    /// Identifies the request, whichever front it comes to and under whichever id.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let team = self.team.as_deref().unwrap_or("");
+            let place = format!("{team}\n{} {} {}", self.method, self.head.host, self.uri);
+            Fingerprint::new(&place, &self.body)
+        })
+    }
+
+    /// The fingerprint's first bytes, for the log.
+    pub(crate) fn request_digest(&self) -> String {
+        const LOGGED_BYTES: usize = 8;
+        self.fingerprint().0[..LOGGED_BYTES].iter().fold(String::new(), |mut text, byte| {
+            write!(text, "{byte:02x}").expect("a string takes any text");
+            text
+        })
+    }
+
     /// Whether it may run at a second endpoint, if it may have run at a first one.
     fn may_run_again(&self) -> bool {
         match self.route.kind {
@@ -159,7 +183,8 @@
     }
 
     /// Takes note that an endpoint that began to answer did not complete.
-    pub(crate) fn failed(&mut self, slot: Slot) {
+    pub(crate) fn failed(&mut self, slot: Slot, cause: &str) {
+        self.log_lost(&slot.endpoint.name, cause);
         self.ran += 1;
         self.tried.push(slot.endpoint.name.clone());
         slot.finish(Outcome::Failed);
@@ -226,8 +251,14 @@
     }
 
     fn note_failure(&self, slot: Slot, error: &SendError) -> Missed {
-        let (cause, endpoint, id) = (error.to_string(), &*slot.endpoint.name, &*self.call.head.id);
-        log::warn!(id, endpoint, cause = cause.as_str(); "endpoint gave no answer");
+        let cause = error.to_string();
+        match error {
+            SendError::NotPermitted | SendError::NotSent(_) => {
+                let (endpoint, id) = (&*slot.endpoint.name, &*self.call.head.id);
+                log::warn!(id, endpoint, cause = cause.as_str(); "call did not leave");
+            }
+            _ => self.log_lost(&slot.endpoint.name, &cause),
+        }
         match error {
             SendError::NotPermitted => {
                 // The lease has ended, or the endpoint is leaving; either says nothing of its health.
@@ -250,6 +281,13 @@
         }
     }
 
+    /// Logs that an endpoint may have run the call and gave no whole answer.
+    fn log_lost(&self, endpoint: &str, cause: &str) {
+        let (id, request) = (&*self.call.head.id, self.call.request_digest());
+        log::warn!(id, request = request.as_str(), endpoint, cause; "endpoint gave no whole answer");
+        metrics::counter!("poplarspan_relay_lost_runs_total").increment(1);
+    }
+
     fn log_miss(&self, slot: &Slot, what: &'static str, status: u16) {
         let (id, endpoint) = (&*self.call.head.id, &*slot.endpoint.name);
         log::info!(id, endpoint, status; "{what}");
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -1,6 +1,9 @@
 //! Admits a call and answers it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode, header, request};
@@ -18,7 +21,7 @@
     programs::{OpenTurn, TurnName, TurnNeeds},
     rates::Token,
     refusal::Refusal,
-    schedule::Want,
+    schedule::{Slot, Want},
     stream::{Keeping, Relaying, tokens_per_event},
 };
 use crate::{CallHead, ProgramHead, Publication, Route, RouteKind, Team};
@@ -332,6 +335,7 @@
             deadline,
             head,
             _held: held,
+            fingerprint: OnceLock::new(),
         }
     }
 
@@ -354,7 +358,7 @@
                     ending.finish("answered");
                     return answer;
                 }
-                Err(slot) => attempts.failed(slot),
+                Err((slot, cause)) => attempts.failed(slot, &cause),
             }
             if !attempts.may_retry() {
                 break attempts.lost();
@@ -366,12 +370,12 @@
         self.refuse(&refusal)
     }
 
-    /// Reads an answer whole. Returns the place at the endpoint if it was cut short.
+    /// Reads an answer whole. Returns the place at the endpoint if it was cut short, and why.
     async fn collect(
         &self,
         begun: Begun,
         deadline: Instant,
-    ) -> Result<Response<AnswerBody>, super::schedule::Slot> {
+    ) -> Result<Response<AnswerBody>, (Slot, String)> {
         let Begun { parts, body, reuse, slot } = begun;
         match self.memory.collect(body, MAX_ANSWER_BYTES, deadline).await {
             Ok((body, held)) => {
@@ -383,11 +387,7 @@
                 answer.headers_mut().remove(header::CONTENT_LENGTH);
                 Ok(answer)
             }
-            Err(e) => {
-                let (endpoint, error) = (&*slot.endpoint.name, e.to_string());
-                log::info!(endpoint, error = error.as_str(); "no whole answer");
-                Err(slot)
-            }
+            Err(e) => Err((slot, e.to_string())),
         }
     }
 
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -203,7 +203,7 @@
         if let Some(begun) = self.begun.take() {
             // The connection goes first, so that the endpoint stops before another one goes on.
             drop((begun.body, begun.reuse));
-            self.attempts.failed(begun.slot);
+            self.attempts.failed(begun.slot, cause);
         }
         if !self.attempts.may_retry() {
             self.is_done = true;
