--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -30,7 +30,10 @@
     unistd::Pid,
 };
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use self::proxy::Link;
 
@@ -51,6 +54,12 @@
 /// Work of a server for a request, or for an event, on paths that ask for it.
 const WORK: Duration = Duration::from_millis(20);
 
+/// Work of a server for requests that are to be under way for a while.
+const SLOW: Duration = Duration::from_millis(500);
+/// Time after which a server that has crashed is back.
+pub const DOWN: Duration = Duration::from_secs(2);
+pub const SERVERS: usize = 3;
+
 /// Fleets of one process whose addresses differ.
 const FLEETS: u8 = 60;
 
@@ -63,6 +72,7 @@
     pub at: Instant,
     pub server: usize,
     pub id: String,
+    pub path: String,
     pub body: Bytes,
     pub team: Option<String>,
     pub saw_key: bool,
@@ -72,6 +82,8 @@
 #[derive(Clone, Default)]
 pub struct Servers {
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Counts how often each server has crashed.
+    crashes: [watch::Sender<u32>; SERVERS],
 }
 
 impl Servers {
@@ -84,6 +96,50 @@
         self.runs().into_iter().filter(|r| r.id == id).collect()
     }
 
+    /// Runs of one path, under whichever id.
+    pub fn runs_of_path(&self, path: &str) -> Vec<Run> {
+        self.runs().into_iter().filter(|r| r.path == path).collect()
+    }
+
+    /// Ends a server, with all that it runs; it is back after [`DOWN`].
+    pub fn crash(&self, server: usize) {
+        self.crashes[server].send_modify(|count| *count += 1);
+    }
+
+    /// Serves on an address, again after each crash.
+    async fn serve(self, server: usize, address: SocketAddr) {
+        let mut crashes = self.crashes[server].subscribe();
+        loop {
+            let socket = TcpListener::bind(address).await.expect("an address of its own");
+            crashes.borrow_and_update();
+            loop {
+                let stream = tokio::select! {
+                    biased;
+                    _ = crashes.changed() => break,
+                    accepted = socket.accept() => accepted.expect("a connection").0,
+                };
+                let (servers, mut crash) = (self.clone(), crashes.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        _ = crash.changed() => {}
+                        () = servers.serve_connection(server, stream) => {}
+                    }
+                });
+            }
+            drop(socket);
+            tokio::time::sleep(DOWN).await;
+        }
+    }
+
+    async fn serve_connection(self, server: usize, mut stream: TcpStream) {
+        if let Some(kind) = faulty::wanted(&stream).await {
+            return faulty::answer(&mut stream, &kind).await;
+        }
+        let service = service_fn(move |req| self.clone().answer(server, req));
+        // Ends with an error when it is to lose an answer.
+        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    }
+
     async fn answer(
         self,
         server: usize,
@@ -105,9 +161,23 @@
             return Ok(full);
         }
         let body = req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
-        let run =
-            Run { at: Instant::now(), server, id: id.clone(), body: body.clone(), team, saw_key };
+        let run = Run {
+            at: Instant::now(),
+            server,
+            id: id.clone(),
+            path: path.clone(),
+            body: body.clone(),
+            team,
+            saw_key,
+        };
         self.runs.lock().expect("no panic while locked").push(run);
+        if path.ends_with("/crash") {
+            self.crash(server);
+            return std::future::pending().await;
+        }
+        if path.ends_with("/slow") {
+            tokio::time::sleep(SLOW).await;
+        }
         if path.ends_with("/lost") {
             // Closes the connection without an answer.
             return Err(std::io::Error::other("lost on request"));
@@ -433,25 +503,9 @@
     }
 
     async fn start_servers(&self) {
-        for server in 0..3usize {
-            let ip = self.ip(2 + server as u8);
-            let socket = TcpListener::bind((ip, SERVER_PORT)).await.expect("an address of its own");
-            let servers = self.servers.clone();
-            tokio::spawn(async move {
-                while let Ok((mut stream, _)) = socket.accept().await {
-                    let servers = servers.clone();
-                    let service = service_fn(move |req| servers.clone().answer(server, req));
-                    tokio::spawn(async move {
-                        if let Some(kind) = faulty::wanted(&stream).await {
-                            return faulty::answer(&mut stream, &kind).await;
-                        }
-                        // Ends with an error when it is to lose an answer.
-                        let _ = http1::Builder::new()
-                            .serve_connection(TokioIo::new(stream), service)
-                            .await;
-                    });
-                }
-            });
+        for server in 0..SERVERS {
+            let address = SocketAddr::from((self.ip(2 + server as u8), SERVER_PORT));
+            tokio::spawn(self.servers.clone().serve(server, address));
         }
         let first = if self.links.is_empty() { 2 } else { 50 };
         let mut list: Vec<Value> = (0..3u8)
