relay: put requests under which endpoints end on trial, and refuse them

Cause: the relay's pipeline has no memory of requests. Each resend is a new call, and runs on as many servers as its route allows. The mechanism exists for `serve` (policy::containment) and was never built for the relay; docs/platform.md has listed it as not done since.

The log lines have one request under six ids at both fronts, ran = 2 and unsent = 0 in each call.

Change: fronts tell the leader of the control group which requests an endpoint may have been running when it ended. After two ends a request is a suspect: it runs only with the leader's word, once at a time in the fleet and not beside another suspect. If the endpoint ends again, the request is condemned in the replicated log and refused with 422 at every front; a whole answer clears it. The other pipeline's rule, two endpoints and one recorded request an endpoint, was not taken over: an engine runs up to 128 requests when it ends, and all of them would queue.

Bystanders of the same test get no 422.

Why it works: a request that ends every endpoint cannot be answered, so it is never cleared, and it is alone among suspects when it ends the third. One that ran beside it is answered in its own trial or before. What is condemned is in the log, so restarts and elections keep it; suspects are handed to a new leader by the fronts.

--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -209,6 +209,22 @@
         }
     }
 
+    /// Whether an endpoint accepts a new connection, which is kept for the next call.
+    pub async fn is_accepting(&self, address: SocketAddr) -> bool {
+        let deadline = Instant::now() + self.cfg.connect_timeout;
+        match connect(address, deadline, &self.cfg).await {
+            Ok(sender) => {
+                self.put(address, sender);
+                true
+            }
+            Err(e) => {
+                let (address, error) = (address.to_string(), e.to_string());
+                log::info!(address = address.as_str(), error = error.as_str(); "endpoint accepts no connection");
+                false
+            }
+        }
+    }
+
     fn check(
         self: &Arc<Self>,
         response: Response<Incoming>,
--- a/crates/policy/src/containment.rs
+++ b/crates/policy/src/containment.rs
@@ -18,6 +18,8 @@
 //!
 //! Owner of the state: each instance has a copy; a restarted one receives the others'.
 
+use std::fmt;
+
 use crate::Name;
 use crate::check::invariant;
 
@@ -39,6 +41,14 @@
     }
 }
 
+/// The first bytes, for logs.
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        const SHOWN_BYTES: usize = 8;
+        self.0[..SHOWN_BYTES].iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// Record that an endpoint crashed while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Crash {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,8 @@
 //! * [`ramp`]: load of endpoints that have just started.
 //! * [`starts`]: bound on the calls that start at a cold endpoint in a second.
 //! * [`retry`]: budget for retries.
-//! * [`containment`]: requests that crash the endpoints that run them.
+//! * [`containment`]: requests that crash the endpoints that run them, known by all instances.
+//! * [`quarantine`]: the same, decided by a leader that all instances lease from.
 //! * [`placement`]: models on endpoints.
 //!
 //! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
@@ -71,6 +72,7 @@
 pub mod departures;
 pub mod fair;
 pub mod placement;
+pub mod quarantine;
 pub mod quota;
 pub mod ramp;
 pub mod rate;
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -4,7 +4,7 @@
 pub struct Request {
     #[prost(
         oneof = "request::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: ::core::option::Option<request::Body>,
 }
@@ -44,13 +44,15 @@
         TurnBegin(super::TurnBegin),
         #[prost(message, tag = "16")]
         TurnEnds(super::TurnEnds),
+        #[prost(message, tag = "17")]
+        Suspects(super::SuspectEvents),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Response {
     #[prost(
         oneof = "response::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: ::core::option::Option<response::Body>,
 }
@@ -90,6 +92,8 @@
         TurnBegun(super::TurnBegun),
         #[prost(message, tag = "16")]
         TurnsEnded(super::TurnsEnded),
+        #[prost(message, tag = "17")]
+        Suspects(super::SuspectRulings),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -521,6 +525,12 @@
     /// Absent unless the duty is to store.
     #[prost(message, optional, tag = "10")]
     pub store: ::core::option::Option<StoreState>,
+    /// Number of the quarantine that the instance has in force.
+    #[prost(uint64, tag = "11")]
+    pub quarantine: u64,
+    /// Suspects that the instance knows of, for a leader that may be new; it takes them over.
+    #[prost(bytes = "bytes", repeated, tag = "12")]
+    pub suspects: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 /// What a team asks of an instance, and the share of the team's rate that the instance holds.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -592,6 +602,22 @@
     /// Empty until it is decided how many groups there are.
     #[prost(uint32, repeated, tag = "12")]
     pub group_leaders: ::prost::alloc::vec::Vec<u32>,
+    /// Absent when the instance's quarantine is the newest.
+    #[prost(message, optional, tag = "13")]
+    pub quarantine: ::core::option::Option<Quarantine>,
+}
+/// Digests of the requests that do not run freely.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Quarantine {
+    /// Term of the leader in the upper half, changes in the term in the lower half.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Run on trial only; sorted.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub suspects: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Are refused; sorted.
+    #[prost(bytes = "bytes", repeated, tag = "3")]
+    pub condemned: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Published {
@@ -757,6 +783,31 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnsEnded {}
+/// What became of requests under which endpoints may end.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SuspectEvents {
+    #[prost(message, repeated, tag = "1")]
+    pub events: ::prost::alloc::vec::Vec<SuspectEvent>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectEvent {
+    #[prost(enumeration = "SuspectEventKind", tag = "1")]
+    pub kind: i32,
+    /// Digest of the request.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub request: ::prost::bytes::Bytes,
+    #[prost(string, tag = "3")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Longest time that the request runs, for a beginning.
+    #[prost(uint64, tag = "4")]
+    pub run_ms: u64,
+}
+/// Rulings on the events, in their order.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectRulings {
+    #[prost(enumeration = "SuspectRuling", repeated, tag = "1")]
+    pub rulings: ::prost::alloc::vec::Vec<i32>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum FailureCode {
@@ -866,3 +917,83 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum SuspectEventKind {
+    Unspecified = 0,
+    /// The endpoint has ended while it may have been running the request.
+    EndpointEnded = 1,
+    /// The request is about to run at the endpoint.
+    Begin = 2,
+    /// The request was answered whole.
+    Answered = 3,
+    /// A trial has shown nothing.
+    TrialOver = 4,
+}
+impl SuspectEventKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "SUSPECT_EVENT_KIND_UNSPECIFIED",
+            Self::EndpointEnded => "SUSPECT_EVENT_KIND_ENDPOINT_ENDED",
+            Self::Begin => "SUSPECT_EVENT_KIND_BEGIN",
+            Self::Answered => "SUSPECT_EVENT_KIND_ANSWERED",
+            Self::TrialOver => "SUSPECT_EVENT_KIND_TRIAL_OVER",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "SUSPECT_EVENT_KIND_UNSPECIFIED" => Some(Self::Unspecified),
+            "SUSPECT_EVENT_KIND_ENDPOINT_ENDED" => Some(Self::EndpointEnded),
+            "SUSPECT_EVENT_KIND_BEGIN" => Some(Self::Begin),
+            "SUSPECT_EVENT_KIND_ANSWERED" => Some(Self::Answered),
+            "SUSPECT_EVENT_KIND_TRIAL_OVER" => Some(Self::TrialOver),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum SuspectRuling {
+    Unspecified = 0,
+    /// The event is noted, or the request runs freely.
+    Free = 1,
+    OnTrial = 2,
+    /// On trial elsewhere.
+    Busy = 3,
+    /// Another suspect is on trial at the endpoint.
+    EndpointTaken = 4,
+    Condemned = 5,
+}
+impl SuspectRuling {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "SUSPECT_RULING_UNSPECIFIED",
+            Self::Free => "SUSPECT_RULING_FREE",
+            Self::OnTrial => "SUSPECT_RULING_ON_TRIAL",
+            Self::Busy => "SUSPECT_RULING_BUSY",
+            Self::EndpointTaken => "SUSPECT_RULING_ENDPOINT_TAKEN",
+            Self::Condemned => "SUSPECT_RULING_CONDEMNED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "SUSPECT_RULING_UNSPECIFIED" => Some(Self::Unspecified),
+            "SUSPECT_RULING_FREE" => Some(Self::Free),
+            "SUSPECT_RULING_ON_TRIAL" => Some(Self::OnTrial),
+            "SUSPECT_RULING_BUSY" => Some(Self::Busy),
+            "SUSPECT_RULING_ENDPOINT_TAKEN" => Some(Self::EndpointTaken),
+            "SUSPECT_RULING_CONDEMNED" => Some(Self::Condemned),
+            _ => None,
+        }
+    }
+}
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -2,7 +2,7 @@
 /// A command of the control group of a relay fleet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BoardCommand {
-    #[prost(oneof = "board_command::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "board_command::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<board_command::Body>,
 }
 /// Nested message and enum types in `BoardCommand`.
@@ -17,6 +17,10 @@
         Form(super::FormStore),
         #[prost(message, tag = "4")]
         Retire(super::Retire),
+        #[prost(message, tag = "5")]
+        Condemn(super::Condemn),
+        #[prost(message, tag = "6")]
+        Acquit(super::Acquit),
     }
 }
 /// Takes effect if its version is the highest so far.
@@ -48,6 +52,22 @@
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
 }
+/// Refuses a request under which endpoints end.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Condemn {
+    /// Digest of the request.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request: ::prost::bytes::Bytes,
+    /// Milliseconds since the epoch at the proposer.
+    #[prost(uint64, tag = "2")]
+    pub at_ms: u64,
+}
+/// Lets a request run again.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Acquit {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request: ::prost::bytes::Bytes,
+}
 /// Result of a command.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BoardResult {
@@ -56,7 +76,7 @@
     pub version: u64,
 }
 /// Whole state of the control group.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BoardSnapshot {
     #[prost(uint64, tag = "1")]
     pub version: u64,
@@ -70,6 +90,9 @@
     /// Sorted.
     #[prost(string, repeated, tag = "5")]
     pub retiring: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Sorted by request.
+    #[prost(message, repeated, tag = "6")]
+    pub condemned: ::prost::alloc::vec::Vec<Condemn>,
 }
 /// A command of a group that keeps programs and their turns.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -1,15 +1,34 @@
-//! What the control group replicates: the publication, zones that are out, and the stores' groups.
+//! What the control group replicates: the publication, zones that are out, the stores' groups, and
+//! condemned requests.
 //!
 //! Owner: the replicated log of the control replicas. Of two publications the one with the higher
 //! version takes effect, whatever the order in which they arrive; one that is not higher changes
 //! nothing.
 
+use std::sync::Arc;
+
+use anyhow::Context;
 use bytes::Bytes;
 use poplarspan_agreement::StateMachine;
-use poplarspan_policy::Name;
+use poplarspan_policy::{Name, containment::Fingerprint};
 use poplarspan_proto::relay::{self as pb, board_command::Body};
 use prost::Message;
 
+/// A condemned request runs again after this time, in milliseconds; what it ends may have been
+/// mended by then.
+const CONDEMNED_FOR_MS: u64 = 7 * 24 * 3600 * 1000;
+/// Condemned requests that are kept; beyond, the one that was condemned longest ago runs again.
+const MAX_CONDEMNED: usize = 4_096;
+
+/// A request that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Condemned {
+    /// The request.
+    pub request: Fingerprint,
+    /// When it was condemned, in milliseconds since the epoch.
+    pub at_ms: u64,
+}
+
 /// State machine of the control group.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Board {
@@ -20,6 +39,8 @@
     stores: pb::FormStore,
     // Sorted.
     retiring: Vec<Name>,
+    // Sorted by request.
+    condemned: Arc<Vec<Condemned>>,
 }
 
 impl Board {
@@ -53,6 +74,36 @@
         &self.retiring
     }
 
+    /// Requests that are refused, sorted by request.
+    pub fn condemned(&self) -> &Arc<Vec<Condemned>> {
+        &self.condemned
+    }
+
+    /// Whether a request is refused.
+    pub fn is_condemned(&self, request: Fingerprint) -> bool {
+        self.condemned.binary_search_by_key(&request, |c| c.request).is_ok()
+    }
+
+    fn condemn(&mut self, request: Fingerprint, at_ms: u64) {
+        let condemned = Arc::make_mut(&mut self.condemned);
+        condemned.retain(|c| c.at_ms.saturating_add(CONDEMNED_FOR_MS) > at_ms);
+        match condemned.binary_search_by_key(&request, |c| c.request) {
+            Ok(at) => condemned[at].at_ms = at_ms,
+            Err(at) => condemned.insert(at, Condemned { request, at_ms }),
+        }
+        if condemned.len() > MAX_CONDEMNED
+            && let Some(oldest) = (0..condemned.len()).min_by_key(|at| condemned[*at].at_ms)
+        {
+            condemned.remove(oldest);
+        }
+    }
+
+    fn acquit(&mut self, request: Fingerprint) {
+        if self.is_condemned(request) {
+            Arc::make_mut(&mut self.condemned).retain(|c| c.request != request);
+        }
+    }
+
     fn execute(&mut self, body: Body) {
         match body {
             Body::Publish(publish) if publish.version > self.version => {
@@ -64,6 +115,14 @@
             Body::Form(form) if self.stores.ring.is_empty() => self.stores = form,
             Body::Form(_) => {}
             Body::Retire(retire) => set(&mut self.retiring, retire.instance.into(), true),
+            Body::Condemn(condemn) => match read_fingerprint(&condemn.request) {
+                Some(request) => self.condemn(request, condemn.at_ms),
+                None => log::error!("a digest of another length is ignored"),
+            },
+            Body::Acquit(acquit) => match read_fingerprint(&acquit.request) {
+                Some(request) => self.acquit(request),
+                None => log::error!("a digest of another length is ignored"),
+            },
         }
     }
 }
@@ -79,6 +138,16 @@
     }
 }
 
+/// Reads the digest of a request. None if its length is wrong.
+pub(crate) fn read_fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
+    bytes.try_into().ok().map(Fingerprint)
+}
+
+/// Writes the digest of a request.
+pub(crate) fn write_fingerprint(request: Fingerprint) -> Bytes {
+    Bytes::copy_from_slice(&request.0)
+}
+
 /// Encodes a command.
 pub(crate) fn command(body: Body) -> Bytes {
     pb::BoardCommand { body: Some(body) }.encode_to_vec().into()
@@ -105,17 +174,28 @@
             zones_out: names(&self.zones_out),
             stores: Some(self.stores.clone()),
             retiring: names(&self.retiring),
+            condemned: self.condemned.iter().map(write_condemned).collect(),
         }
         .encode_to_vec()
         .into()
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
-        let pb::BoardSnapshot { version, body, zones_out, stores, retiring } =
+        let pb::BoardSnapshot { version, body, zones_out, stores, retiring, condemned } =
             pb::BoardSnapshot::decode(snapshot)?;
         let names = |list: Vec<String>| list.into_iter().map(Name::from).collect();
         let (zones_out, retiring) = (names(zones_out), names(retiring));
-        *self = Self { version, body, zones_out, stores: stores.unwrap_or_default(), retiring };
+        let read = |c: &pb::Condemn| {
+            let request = read_fingerprint(&c.request).context("a digest of another length")?;
+            Ok(Condemned { request, at_ms: c.at_ms })
+        };
+        let condemned = condemned.iter().map(read).collect::<anyhow::Result<Vec<_>>>()?.into();
+        let stores = stores.unwrap_or_default();
+        *self = Self { version, body, zones_out, stores, retiring, condemned };
         Ok(())
     }
 }
+
+fn write_condemned(condemned: &Condemned) -> pb::Condemn {
+    pb::Condemn { request: write_fingerprint(condemned.request), at_ms: condemned.at_ms }
+}
--- a/crates/relay/src/control/leading.rs
+++ b/crates/relay/src/control/leading.rs
@@ -1,8 +1,8 @@
-//! What the leader of the control group knows in memory: live instances, the list of endpoints, and
-//! the shares of each team's rate.
+//! What the leader of the control group knows in memory: live instances, the list of endpoints, the
+//! shares of each team's rate, and requests under which endpoints have ended.
 //!
 //! Owner: the leader of a term. A successor starts with nothing, and learns instances from their
-//! next beats, endpoints from the platform's list, and shares from what instances report.
+//! next beats, endpoints from the platform's list, and shares and suspects from what instances report.
 
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
@@ -14,6 +14,7 @@
 };
 use poplarspan_proto::peer::{self, Duty as PeerDuty};
 
+use super::suspects::Suspects;
 use crate::{ListedEndpoint, Publication};
 
 /// Time by which the clocks of two machines may drift apart during a lease.
@@ -66,6 +67,7 @@
     teams: Vec<(Name, Allocator)>,
     // Sorted by team.
     held_back: Vec<HeldBack>,
+    pub(crate) suspects: Suspects,
     /// Instances that joined or were lost, for the log.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -80,6 +82,7 @@
             directory: Directory::default(),
             teams: Vec::new(),
             held_back: Vec::new(),
+            suspects: Suspects::new(term),
             changes: VecDeque::new(),
         }
     }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod leading;
 mod list;
 mod orders;
+mod suspects;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -25,6 +26,7 @@
 use crate::{
     Board, Dialect, Duty, Publication, Settings, board,
     groups::group_count,
+    now_ms,
     replica::{Replica, plan::machine},
 };
 use leading::Leading;
@@ -109,6 +111,8 @@
         for (instance, change) in leading.take_changes() {
             log::info!(instance = &*instance; "{change}");
         }
+        leading.suspects.observe(&board, &beat, now);
+        let quarantine = leading.suspects.list_for(beat.quarantine);
         let place = leading.place(&beat.instance);
         let shares = publication.map_or_else(Vec::new, |publication| {
             leading.share(&Name::from(&*beat.instance), &beat.demand, &publication, now)
@@ -129,6 +133,7 @@
             store_ring: board.store_ring().to_vec(),
             retiring: leading.store_replicas(board.retiring()),
             group_leaders: leading.group_leaders(board.store_groups()),
+            quarantine,
         })
     }
 
@@ -159,6 +164,31 @@
         })
     }
 
+    /// Rules on events of requests under which endpoints end.
+    async fn rule(
+        &self,
+        events: peer::SuspectEvents,
+    ) -> Result<peer::SuspectRulings, peer::Failure> {
+        let board = self.board().await?;
+        let now = (self.clock.now(), now_ms());
+        let (mut rulings, mut commands) = (Vec::new(), Vec::new());
+        {
+            let mut state = self.leading().ok_or_else(|| self.replica.not_leader())?;
+            for event in &events.events {
+                let (ruling, command) = state.leading.suspects.rule(event, &board, now);
+                rulings.push(ruling.into());
+                commands.extend(command);
+            }
+        }
+        for command in commands {
+            self.commit(command.clone()).await.map_err(|e| unavailable(&e.to_string()))?;
+            if let Some(mut state) = self.leading() {
+                state.leading.suspects.committed(&command);
+            }
+        }
+        Ok(peer::SuspectRulings { rulings })
+    }
+
     /// Commits a command of the board.
     async fn commit(&self, body: board_command::Body) -> Result<u64, ProposeError> {
         let result = self.replica.propose(board::command(body)).await?;
@@ -204,11 +234,15 @@
 }
 
 pub(crate) fn invalid(message: &str) -> peer::Failure {
-    peer::Failure {
-        code: FailureCode::Invalid.into(),
-        message: message.to_owned(),
-        leader_address: String::new(),
-    }
+    failed(FailureCode::Invalid, message)
+}
+
+fn unavailable(message: &str) -> peer::Failure {
+    failed(FailureCode::Unavailable, message)
+}
+
+fn failed(code: FailureCode, message: &str) -> peer::Failure {
+    peer::Failure { code: code.into(), message: message.to_owned(), leader_address: String::new() }
 }
 
 impl PeerService for Control {
@@ -222,6 +256,9 @@
                 request::Body::Borrow(borrow) => {
                     self.borrow(borrow).await.map(response::Body::Borrowed)
                 }
+                request::Body::Suspects(events) => {
+                    self.rule(events).await.map(response::Body::Suspects)
+                }
                 request::Body::Join(join) => {
                     self.replica.join(join).await.map(response::Body::Joined)
                 }
--- /dev/null
+++ b/crates/relay/src/control/suspects.rs
@@ -0,0 +1,136 @@
+//! The leader's part in the quarantine of requests under which endpoints end.
+
+use std::{sync::Arc, time::Duration};
+
+use poplarspan_policy::{
+    Name,
+    containment::Fingerprint,
+    quarantine::{Quarantine, Ruling},
+};
+use poplarspan_proto::{
+    peer::{self, SuspectEventKind, SuspectRuling},
+    relay::{self as pb, board_command},
+};
+
+use crate::{
+    Board,
+    board::{Condemned, read_fingerprint, write_fingerprint},
+};
+
+/// Time beyond that of the run in which an instance finds out how a trial has ended.
+const VERDICT_TIME: Duration = Duration::from_secs(4);
+
+/// Suspects of one term, and the list of them that instances hold.
+pub(crate) struct Suspects {
+    quarantine: Quarantine,
+    /// As in [`peer::Quarantine`].
+    number: u64,
+    /// As last seen on the board.
+    condemned: Arc<Vec<Condemned>>,
+}
+
+impl Suspects {
+    pub(crate) fn new(term: u64) -> Self {
+        Self { quarantine: Quarantine::default(), number: term << 32, condemned: Arc::default() }
+    }
+
+    /// Follows what is condemned, and takes over the suspects of a former leader.
+    pub(crate) fn observe(&mut self, board: &Board, beat: &peer::Beat, now: Duration) {
+        if !Arc::ptr_eq(&self.condemned, board.condemned()) {
+            self.condemned = board.condemned().clone();
+            self.number += 1;
+        }
+        let has_other_leader = beat.quarantine >> 32 != self.number >> 32;
+        if !has_other_leader {
+            return;
+        }
+        for request in beat.suspects.iter().filter_map(|bytes| read_fingerprint(bytes)) {
+            if !board.is_condemned(request) && self.quarantine.adopt(request, now) {
+                self.number += 1;
+            }
+        }
+    }
+
+    /// The list for an instance that holds the list `held`. None if it is current.
+    pub(crate) fn list_for(&self, held: u64) -> Option<peer::Quarantine> {
+        (held != self.number).then(|| peer::Quarantine {
+            number: self.number,
+            suspects: self.quarantine.suspects().map(write_fingerprint).collect(),
+            condemned: self.condemned.iter().map(|c| write_fingerprint(c.request)).collect(),
+        })
+    }
+
+    /// Rules on an event. The command, if there is one, is to be committed before the answer, and
+    /// then to be told to [`Suspects::committed`].
+    pub(crate) fn rule(
+        &mut self,
+        event: &peer::SuspectEvent,
+        board: &Board,
+        (now, now_ms): (Duration, u64),
+    ) -> (SuspectRuling, Option<board_command::Body>) {
+        let Some(request) = read_fingerprint(&event.request) else {
+            return (SuspectRuling::Unspecified, None);
+        };
+        let is_condemned = board.is_condemned(request);
+        let endpoint = Name::from(&*event.endpoint);
+        match event.kind() {
+            SuspectEventKind::EndpointEnded if is_condemned => (SuspectRuling::Condemned, None),
+            SuspectEventKind::EndpointEnded => {
+                if self.quarantine.is_on_trial(request, &endpoint) {
+                    let request = write_fingerprint(request);
+                    let condemn = pb::Condemn { request, at_ms: now_ms };
+                    let command = board_command::Body::Condemn(condemn);
+                    return (SuspectRuling::Condemned, Some(command));
+                }
+                if self.quarantine.note(request, &endpoint, now) {
+                    self.number += 1;
+                    log_request(request, "request is a suspect: it runs on trial");
+                }
+                (SuspectRuling::Free, None)
+            }
+            SuspectEventKind::Begin if is_condemned => (SuspectRuling::Condemned, None),
+            SuspectEventKind::Begin => {
+                let until = now + Duration::from_millis(event.run_ms) + VERDICT_TIME;
+                let ruling = match self.quarantine.begin(request, &endpoint, until, now) {
+                    Ruling::Free => SuspectRuling::Free,
+                    Ruling::OnTrial => SuspectRuling::OnTrial,
+                    Ruling::Busy => SuspectRuling::Busy,
+                    Ruling::EndpointTaken => SuspectRuling::EndpointTaken,
+                };
+                (ruling, None)
+            }
+            SuspectEventKind::Answered => {
+                if self.quarantine.remove(request) {
+                    self.number += 1;
+                    log_request(request, "suspect is cleared: it was answered");
+                }
+                let acquit = || {
+                    let request = write_fingerprint(request);
+                    board_command::Body::Acquit(pb::Acquit { request })
+                };
+                (SuspectRuling::Free, is_condemned.then(acquit))
+            }
+            SuspectEventKind::TrialOver => {
+                self.quarantine.end_trial(request, &endpoint);
+                (SuspectRuling::Free, None)
+            }
+            SuspectEventKind::Unspecified => (SuspectRuling::Unspecified, None),
+        }
+    }
+
+    /// Takes note of a command that has been committed.
+    pub(crate) fn committed(&mut self, command: &board_command::Body) {
+        let board_command::Body::Condemn(condemn) = command else { return };
+        let Some(request) = read_fingerprint(&condemn.request) else { return };
+        if self.quarantine.remove(request) {
+            self.number += 1;
+        }
+        log_request(request, "request is refused: endpoints end under it");
+        metrics::counter!("poplarspan_relay_condemned_requests_total").increment(1);
+    }
+}
+
+fn log_request(request: Fingerprint, what: &'static str) {
+    let request = request.to_string();
+    log::warn!(request = request.as_str(); "{what}");
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -15,17 +15,22 @@
 
 use anyhow::Result;
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use poplarspan_agreement::{Clock, ReplicaId};
 use poplarspan_node::{CallError, PeerClient};
-use poplarspan_policy::{Name, starts::Place};
+use poplarspan_policy::{Name, containment::Fingerprint, starts::Place};
 use poplarspan_proto::peer::{self, request, response};
 use tokio::{
     sync::{Notify, watch},
     time::{Instant, sleep, timeout},
 };
 
-use crate::{Dialect, ListedEndpoint, Publication, Settings, control};
+use crate::{
+    Dialect, ListedEndpoint, Publication, Settings,
+    board::{read_fingerprint, write_fingerprint},
+    control,
+};
 
 /// Time between two beats. A change reaches an instance after this long at most, plus the way.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -55,6 +60,26 @@
     pub(crate) group_leaders: Vec<Option<SocketAddr>>,
     /// Replicas of stores that are to be emptied.
     pub(crate) retiring: Vec<u64>,
+    pub(crate) quarantined: Arc<Quarantined>,
+}
+
+/// Requests that do not run freely.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantined {
+    /// As in [`peer::Quarantine`].
+    number: u64,
+    /// Run on trial only; sorted.
+    pub(crate) suspects: Vec<Fingerprint>,
+    /// Are refused; sorted.
+    pub(crate) condemned: Vec<Fingerprint>,
+}
+
+impl Quarantined {
+    fn read(list: &peer::Quarantine) -> Self {
+        let read = |list: &[Bytes]| list.iter().filter_map(|b| read_fingerprint(b)).collect();
+        let (suspects, condemned) = (read(&list.suspects), read(&list.condemned));
+        Self { number: list.number, suspects, condemned }
+    }
 }
 
 /// The list of endpoints.
@@ -98,6 +123,8 @@
 #[derive(Default)]
 struct Known {
     leader: Option<SocketAddr>,
+    /// Who answered the last beat as the leader.
+    answered: Option<SocketAddr>,
     cores: Vec<SocketAddr>,
     seeds: Vec<SocketAddr>,
     turn: usize,
@@ -128,6 +155,7 @@
             store_ring: Vec::new(),
             group_leaders: Vec::new(),
             retiring: Vec::new(),
+            quarantined: Arc::default(),
         };
         let known = Known { seeds: settings.control_peers(), ..Known::default() };
         Arc::new(Self {
@@ -181,6 +209,12 @@
         self.hurry.notify_one();
     }
 
+    /// Whether a beat goes to others than the leader that answered the last one.
+    fn asks_others(&self, candidates: &[SocketAddr]) -> bool {
+        let known = self.known.lock().expect("no panic while locked");
+        known.answered.is_none_or(|answered| candidates != [answered])
+    }
+
     /// Takes the seeds of changed settings.
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         self.known.lock().expect("no panic while locked").seeds = seeds;
@@ -210,6 +244,10 @@
     async fn beat(&self, report: &dyn Report) -> bool {
         let candidates = self.candidates();
         let view = self.view();
+        let suspects = match self.asks_others(&candidates) {
+            true => view.quarantined.suspects.iter().map(|s| write_fingerprint(*s)).collect(),
+            false => Vec::new(),
+        };
         let mut beat = peer::Beat {
             instance: self.settings.instance.to_string(),
             incarnation: self.incarnation,
@@ -221,6 +259,8 @@
             demand: Vec::new(),
             draining: self.is_draining(),
             store: None,
+            quarantine: view.quarantined.number,
+            suspects,
         };
         report.fill(&mut beat).await;
         let asked_at = self.clock.now();
@@ -281,6 +321,7 @@
 
     fn found(&self, address: SocketAddr) {
         let mut known = self.known.lock().expect("no panic while locked");
+        known.answered = Some(address);
         if known.leader.replace(address) != Some(address) {
             let leader = address.to_string();
             log::info!(leader = leader.as_str(); "found the leader of the control group");
@@ -324,6 +365,9 @@
             store_ring: answer.store_ring.into_iter().map(ReplicaId).collect(),
             group_leaders,
             retiring: answer.retiring,
+            quarantined: answer
+                .quarantine
+                .map_or_else(|| old.quarantined.clone(), |q| Arc::new(Quarantined::read(&q))),
         };
         if view.zones_out != old.zones_out {
             let zones = view.zones_out.join(",");
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -1,7 +1,6 @@
 //! Sends a call to one endpoint after another, as far as it may be repeated.
 
 use std::{
-    fmt::Write,
     sync::{Arc, OnceLock},
     time::Duration,
 };
@@ -19,8 +18,9 @@
 
 use super::{
     Front,
-    endpoints::Outcome,
+    endpoints::{Chosen, Outcome},
     memory::Held,
+    quarantine::{Entry, Trial},
     refusal::Refusal,
     schedule::{NoPlace, Slot, Want},
 };
@@ -62,15 +62,6 @@
         })
     }
 
-    /// The fingerprint's first bytes, for the log.
-    pub(crate) fn request_digest(&self) -> String {
-        const LOGGED_BYTES: usize = 8;
-        self.fingerprint().0[..LOGGED_BYTES].iter().fold(String::new(), |mut text, byte| {
-            write!(text, "{byte:02x}").expect("a string takes any text");
-            text
-        })
-    }
-
     /// Whether it may run at a second endpoint, if it may have run at a first one.
     fn may_run_again(&self) -> bool {
         match self.route.kind {
@@ -106,6 +97,8 @@
     pub(crate) waited: Duration,
     /// The endpoint that was tried last.
     pub(crate) last: Option<Name>,
+    /// Open while the call runs on trial.
+    trial: Option<Trial>,
 }
 
 /// What became of one attempt that gave no answer.
@@ -114,6 +107,8 @@
     NotRun,
     /// The endpoint may have run the call.
     Unknown,
+    /// The call must not run now at any endpoint.
+    Barred(Refusal),
 }
 
 impl Attempts {
@@ -126,12 +121,16 @@
             unsent: 0,
             waited: Duration::ZERO,
             last: None,
+            trial: None,
         }
     }
 
     /// Sends the call until an endpoint begins to answer. A stream goes on after `last_event`.
     pub(crate) async fn next(&mut self, last_event: Option<&Name>) -> Result<Begun, Refusal> {
         loop {
+            if self.front.quarantine.is_condemned(&self.call) {
+                return Err(self.ends_endpoints());
+            }
             let since = Instant::now();
             let placed = self.front.schedule.acquire(&self.call.want, &self.tried).await;
             self.waited += since.elapsed();
@@ -160,6 +159,7 @@
                         return Err(self.give_up("refused", message, COME_BACK));
                     }
                 }
+                Err(Missed::Barred(refusal)) => return Err(refusal),
                 Err(Missed::Unknown) => {
                     self.ran += 1;
                     if !self.may_retry() {
@@ -184,7 +184,7 @@
 
     /// Takes note that an endpoint that began to answer did not complete.
     pub(crate) fn failed(&mut self, slot: Slot, cause: &str) {
-        self.log_lost(&slot.endpoint.name, cause);
+        self.note_lost(&slot.endpoint, cause);
         self.ran += 1;
         self.tried.push(slot.endpoint.name.clone());
         slot.finish(Outcome::Failed);
@@ -198,6 +198,16 @@
             self.unsent = MAX_UNSENT;
             return Err(Missed::NotRun);
         }
+        match self.front.quarantine.enter(&call, &endpoint).await {
+            Entry::Free => {}
+            Entry::OnTrial(trial) => self.trial = Some(trial),
+            Entry::EndpointTaken => return Err(Missed::NotRun),
+            Entry::Condemned => return Err(Missed::Barred(self.ends_endpoints())),
+            Entry::NotNow => {
+                let message = "the request is on trial, since endpoints have ended under it";
+                return Err(Missed::Barred(self.give_up("on_trial", message, COME_BACK)));
+            }
+        }
         let request = self.request(&endpoint.name, last_event);
         let (front, chosen) = (self.front.clone(), endpoint.clone());
         let may_send: Permission = Arc::new(move || front.may_send(&chosen));
@@ -221,6 +231,7 @@
         }
         if head.not_run || head.is_other_endpoint {
             self.log_miss(&slot, "endpoint has not run the call", parts.status.as_u16());
+            self.trial = None;
             tokio::spawn(drain(body, reuse));
             slot.finish(if head.is_other_endpoint { Outcome::Failed } else { Outcome::Refused });
             return Err(Missed::NotRun);
@@ -228,6 +239,7 @@
         if !is_genuine(parts.status, &head) {
             self.log_miss(&slot, "answer is not the endpoint's", parts.status.as_u16());
             metrics::counter!("poplarspan_relay_foreign_answers_total").increment(1);
+            self.trial = None;
             slot.finish(Outcome::Failed);
             return Err(Missed::Unknown);
         }
@@ -250,15 +262,16 @@
         request
     }
 
-    fn note_failure(&self, slot: Slot, error: &SendError) -> Missed {
+    fn note_failure(&mut self, slot: Slot, error: &SendError) -> Missed {
         let cause = error.to_string();
         match error {
             SendError::NotPermitted | SendError::NotSent(_) => {
                 let (endpoint, id) = (&*slot.endpoint.name, &*self.call.head.id);
                 log::warn!(id, endpoint, cause = cause.as_str(); "call did not leave");
             }
-            _ => self.log_lost(&slot.endpoint.name, &cause),
+            _ => self.note_lost(&slot.endpoint, &cause),
         }
+        self.trial = None;
         match error {
             SendError::NotPermitted => {
                 // The lease has ended, or the endpoint is leaving; either says nothing of its health.
@@ -281,11 +294,18 @@
         }
     }
 
-    /// Logs that an endpoint may have run the call and gave no whole answer.
-    fn log_lost(&self, endpoint: &str, cause: &str) {
-        let (id, request) = (&*self.call.head.id, self.call.request_digest());
-        log::warn!(id, request = request.as_str(), endpoint, cause; "endpoint gave no whole answer");
+    /// Takes note that an endpoint may have run the call and gave no whole answer.
+    fn note_lost(&mut self, endpoint: &Chosen, cause: &str) {
+        let (id, request) = (&*self.call.head.id, self.call.fingerprint().to_string());
+        let name = &*endpoint.name;
+        log::warn!(id, request = request.as_str(), endpoint = name, cause; "endpoint gave no whole answer");
         metrics::counter!("poplarspan_relay_lost_runs_total").increment(1);
+        self.front.quarantine.lost(&self.call, endpoint, self.trial.take());
+    }
+
+    /// Takes note that the call has a whole answer.
+    pub(crate) fn answered(&mut self) {
+        self.front.quarantine.answered(&self.call, self.trial.take());
     }
 
     fn log_miss(&self, slot: &Slot, what: &'static str, status: u16) {
@@ -298,6 +318,12 @@
         if self.ran > 0 { self.lost() } else { Refusal::not_now(code, message, come_back) }
     }
 
+    /// The answer for a request under which endpoints end.
+    fn ends_endpoints(&self) -> Refusal {
+        let message = "endpoints have ended each time that they ran this request";
+        Refusal::new(StatusCode::UNPROCESSABLE_ENTITY, "request_crashes_endpoints", message)
+    }
+
     /// The answer for a call that may have run, but has no answer.
     pub(crate) fn lost(&self) -> Refusal {
         if self.call.time_left().is_zero() {
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -355,6 +355,7 @@
             }
             match self.collect(begun, admitted.call.deadline).await {
                 Ok(answer) => {
+                    attempts.answered();
                     ending.finish("answered");
                     return answer;
                 }
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod listener;
 pub(crate) mod memory;
 pub(crate) mod programs;
+pub(crate) mod quarantine;
 pub(crate) mod rates;
 mod refusal;
 pub(crate) mod schedule;
@@ -34,6 +35,7 @@
 use endpoints::Chosen;
 use memory::BodyMemory;
 use programs::Programs;
+use quarantine::Quarantine;
 use rates::Rates;
 use schedule::Schedule;
 
@@ -54,6 +56,7 @@
     pub(crate) rates: Arc<Rates>,
     pub(crate) programs: Arc<Programs>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) memory: BodyMemory,
 }
 
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -174,6 +174,7 @@
             begun.reuse.finish();
             begun.slot.finish(Outcome::Answered);
         }
+        self.attempts.answered();
         let rest = self.reader.take_rest();
         if let (Some(keeping), Some(turn)) = (self.keeping.take(), &mut self.turn) {
             let call = &self.attempts.call;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! * What operators publish belongs to a replicated log on the control replicas, and survives any
 //!   minority of them. Its leader also owns, in memory, the list of endpoints, the shares of each
-//!   team's rate and the list of live instances; a successor rebuilds them from the next reports.
+//!   team's rate, the list of live instances and the suspects among requests; a successor rebuilds
+//!   them from the next reports.
 //! * Budgets and kept turns belong to replicated logs on the stores, one for each group of programs.
 //! * A front owns the calls in flight, its queues and its connections, which are lost with it. It
 //!   serves calls only under a lease from the leader of the control replicas, which is counted from
@@ -35,7 +36,7 @@
 mod store;
 mod turns;
 
-pub use board::Board;
+pub use board::{Board, Condemned};
 pub use call::{
     AnswerHead, CallHead, Forward, ListPage, ListedEndpoint, Load, Order, ProgramHead, PromptPart,
     Secret,
@@ -54,3 +55,10 @@
 pub use run::{Relay, Running};
 pub use settings::{Bounds, Duty, Settings};
 pub use turns::Turns;
+
+/// Time of day in milliseconds. It only decides when what is kept expires, with a margin for clocks
+/// that differ.
+fn now_ms() -> u64 {
+    let elapsed = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -22,8 +22,8 @@
     control::{Control, ListReader, OrderServer},
     fleet::{Fleet, Report},
     front::{
-        Front, listener::Listener, memory::BodyMemory, programs::Programs, rates::Rates,
-        schedule::Schedule,
+        Front, listener::Listener, memory::BodyMemory, programs::Programs, quarantine::Quarantine,
+        rates::Rates, schedule::Schedule,
     },
     groups,
     replica::{self, Folder, GroupStart, Replica, Wishes},
@@ -216,6 +216,7 @@
         let pool = Front::pool(&*self.dialect);
         let schedule =
             Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
+        let quarantine = Quarantine::new(fleet.clone(), client.clone(), pool.clone());
         let front = Arc::new(Front {
             dialect: self.dialect.clone(),
             fleet: fleet.clone(),
@@ -224,12 +225,14 @@
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
             pool,
+            quarantine: quarantine.clone(),
             memory: BodyMemory::default(),
         });
         self.serve_peers(Arc::new(NoDuties), None);
         let (beats, report) = (fleet.clone(), front.clone() as Arc<dyn Report>);
         self.supervisor.start("beats", move || beats.clone().run(report.clone()));
         self.supervisor.start("schedule", move || schedule.clone().run());
+        self.supervisor.start("quarantine", move || quarantine.clone().run());
         let sweeping = front.clone();
         self.supervisor.start("idle connections", move || sweeping.clone().run_sweep());
         // Its queue lives as long as the task, so a failure ends the instance's settling.
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{
     sync::{Arc, Mutex},
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 
 use futures::future::BoxFuture;
@@ -16,7 +16,7 @@
 use prost::Message;
 use tokio::{sync::Semaphore, time::timeout};
 
-use crate::{Turns, control::invalid, replica::Replica};
+use crate::{Turns, control::invalid, now_ms, replica::Replica};
 
 /// Time in which a command is committed, or its outcome is left open.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -139,12 +139,6 @@
     pb::TurnResult::decode(result).map_err(|e| unknown(&e.to_string()))
 }
 
-/// Time of day. It only decides when kept turns expire, with a margin for clocks that differ.
-fn now_ms() -> u64 {
-    let elapsed = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl PeerService for Store {
     fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body> {
         Box::pin(async move {
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -95,7 +95,8 @@
             | Body::Join(_)
             | Body::Borrow(_)
             | Body::TurnBegin(_)
-            | Body::TurnEnds(_) => {
+            | Body::TurnEnds(_)
+            | Body::Suspects(_) => {
                 Err(failed(FailureCode::Invalid, "this instance is not part of a relay fleet"))
             }
         }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -3,7 +3,7 @@
 #[path = "support/platform.rs"]
 mod platform;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use platform::{Call, DOWN, KEY, World, config, eventually};
@@ -14,36 +14,54 @@
 const MOST_RETRIES: usize = 3;
 const SETTLED: Duration = Duration::from_secs(3);
 const RESENDS: usize = 6;
+/// All servers are back, and fronts use them again.
+const PAUSE: Duration = DOWN.saturating_add(Duration::from_secs(1));
+const REFUSED: u16 = 422;
 
-async fn check_served(world: &World, id: &str) {
-    let served = async || world.call(0, "/safe/x", id, Call::default()).await.status == 200;
+async fn check_served(world: &World, path: &str, call: Call<'_>) {
+    let served = async || world.call(0, path, "other", call).await.status == 200;
     eventually("others are served", served).await;
 }
 
-/// Sends the same request again and again, to both fronts in turn, each time when all servers are
-/// back; returns what the last answer was.
-async fn resend(world: &World, path: &str, what: &str) -> u16 {
+/// Sends the same request again and again, to both fronts in turn; returns the last answer's status.
+async fn resend(world: &World, path: &str, resends: usize) -> u16 {
     let mut status = 0;
-    for n in 0..RESENDS {
-        let id = format!("{what}-{n}");
+    for n in 0..resends {
+        tokio::time::sleep(PAUSE).await;
+        let id = format!("{path}-{n}");
         status = world.call((n % 2) as u8, path, &id, Call::default()).await.status;
-        tokio::time::sleep(DOWN * 3 / 2).await;
     }
     status
 }
 
+async fn check_ends_few(path: &str) {
+    let world = World::start(&config(3, &[KEY])).await;
+    let status = resend(&world, path, RESENDS).await;
+    let ended = world.servers.runs_of_path(path).len();
+    assert!(ended <= MOST_ENDED, "{ended} servers have ended");
+    assert_eq!(status, REFUSED);
+    check_served(&world, "/safe/x", Call::default()).await;
+    // The same place with another body is another request.
+    let path = path.replace("/crash", "/x");
+    check_served(&world, &path, Call { body: "other", ..Call::default() }).await;
+}
+
 /// Guards against a request that is sent on after three servers have ended under it.
 #[tokio::test(flavor = "multi_thread")]
 async fn ends_three_servers_only() {
-    let world = World::start(&config(3, &[KEY])).await;
-    for kind in ["safe", "once"] {
-        let path = format!("/{kind}/crash");
-        let status = resend(&world, &path, kind).await;
-        let ended = world.servers.runs_of_path(&path).len();
-        assert!(ended <= MOST_ENDED, "{kind}: {ended} servers have ended");
-        assert_eq!(status, 422, "{kind}");
-        check_served(&world, kind).await;
-    }
+    check_ends_few("/safe/crash").await;
+}
+
+/// Guards against the same where each attempt reaches one server.
+#[tokio::test(flavor = "multi_thread")]
+async fn unrepeatable_ends_three() {
+    check_ends_few("/once/crash").await;
+}
+
+/// Guards against the same where servers end in the middle of their answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_ends_three() {
+    check_ends_few("/stream/midway/crash").await;
 }
 
 /// Guards against copies of such a request that come to all fronts at once.
@@ -56,11 +74,73 @@
             world.call((n % 2) as u8, "/once/crash", &id, Call::default()).await.status
         };
         join_all((0..4).map(copy)).await;
-        tokio::time::sleep(DOWN * 3 / 2).await;
+        tokio::time::sleep(PAUSE).await;
     }
     let runs = world.servers.runs_of_path("/once/crash");
     let third = runs[MOST_ENDED - 1].at;
     let late = runs.iter().filter(|run| run.at > third + SETTLED).count();
     assert!(late <= MOST_RETRIES, "{late} runs after the third");
-    check_served(&world, "after").await;
+    check_served(&world, "/safe/x", Call::default()).await;
+}
+
+/// Guards against a refused request that runs again after a restart of all processes.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_after_restart() {
+    let mut world = World::start(&config(3, &[KEY])).await;
+    assert_eq!(resend(&world, "/safe/crash", 4).await, REFUSED);
+    let ended = world.servers.runs_of_path("/safe/crash").len();
+    for machine in world.cores.iter_mut().chain(&mut world.fronts) {
+        machine.kill();
+    }
+    for machine in world.cores.iter_mut().chain(&mut world.fronts) {
+        machine.restart();
+    }
+    check_served(&world, "/safe/x", Call::default()).await;
+    assert_eq!(resend(&world, "/safe/crash", 2).await, REFUSED);
+    assert_eq!(world.servers.runs_of_path("/safe/crash").len(), ended);
+}
+
+/// Guards against the loss of suspects when control ends before the third server.
+#[tokio::test(flavor = "multi_thread")]
+async fn suspect_after_leader_loss() {
+    let mut world = World::start(&config(3, &[KEY])).await;
+    resend(&world, "/safe/crash", 1).await;
+    tokio::time::sleep(PAUSE).await;
+    for core in &mut world.cores {
+        core.kill();
+        core.restart();
+    }
+    check_served(&world, "/safe/x", Call::default()).await;
+    assert_eq!(resend(&world, "/safe/crash", 3).await, REFUSED);
+    let ended = world.servers.runs_of_path("/safe/crash").len();
+    assert!(ended <= MOST_ENDED, "{ended} servers have ended");
+}
+
+/// Guards against the refusal of requests that only ran beside one that ends servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn bystanders_are_served() {
+    const CALLERS: usize = 12;
+    let world = World::start(&config(3, &[KEY])).await;
+    let until = Instant::now() + PAUSE * 5;
+    let caller = async |n: usize| {
+        let (mut served, mut refused) = (0, 0);
+        let body = format!("of {n}");
+        while Instant::now() < until {
+            let call = Call { body: &body, ..Call::default() };
+            let id = format!("bystander-{n}-{served}");
+            match world.call((n % 2) as u8, "/safe/slow", &id, call).await.status {
+                200 => served += 1,
+                REFUSED => refused += 1,
+                _ => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+        (served, refused)
+    };
+    let callers = join_all((0..CALLERS).map(caller));
+    let (counts, status) = futures::join!(callers, resend(&world, "/safe/crash", 4));
+    assert_eq!(status, REFUSED);
+    for (served, refused) in counts {
+        assert_eq!(refused, 0);
+        assert!(served > 0);
+    }
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -171,6 +171,18 @@
             saw_key,
         };
         self.runs.lock().expect("no panic while locked").push(run);
+        if path.ends_with("/midway/crash") {
+            let event = Bytes::from_static(b"id: 1\ndata: out1\n\n");
+            let first = stream::iter([Ok(Frame::data(event))]);
+            let rest = stream::once(async move {
+                // The first event is on its way.
+                tokio::time::sleep(WORK).await;
+                self.crash(server);
+                std::future::pending().await
+            });
+            let body = BoxBody::new(StreamBody::new(first.chain(rest)));
+            return Ok(answer(200, &id, true, Bytes::new()).map(|_| body));
+        }
         if path.ends_with("/crash") {
             self.crash(server);
             return std::future::pending().await;
