node: a connection that is closed at once is no sign of an endpoint

What callers would see: behind an address translator or a proxy, a request goes on ending servers, since each that has ended still seems to accept connections.

Cause: the look at an endpoint took the handshake alone as its answer, and what stands in front of the endpoint completes that.

Change: a connection counts once it has stayed open for 50 ms. It works since whatever accepts for an endpoint that is gone has nowhere to carry the connection and closes it.

--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -24,6 +24,9 @@
 /// close do not cross.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1000);
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
+/// A connection that is closed within this time was not accepted by the endpoint itself, but by
+/// something in front of it.
+const ACCEPTED_AFTER: Duration = Duration::from_millis(50);
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 
 /// How a [`Pool`] treats its connections.
@@ -212,17 +215,20 @@
     /// Whether an endpoint accepts a new connection, which is kept for the next call.
     pub async fn is_accepting(&self, address: SocketAddr) -> bool {
         let deadline = Instant::now() + self.cfg.connect_timeout;
-        match connect(address, deadline, &self.cfg).await {
+        let error = match connect(address, deadline, &self.cfg).await {
             Ok(sender) => {
-                self.put(address, sender);
-                true
-            }
-            Err(e) => {
-                let (address, error) = (address.to_string(), e.to_string());
-                log::info!(address = address.as_str(), error = error.as_str(); "endpoint accepts no connection");
-                false
+                tokio::time::sleep(ACCEPTED_AFTER).await;
+                if !sender.http.is_closed() {
+                    self.put(address, sender);
+                    return true;
+                }
+                "closed at once".to_owned()
             }
-        }
+            Err(e) => e.to_string(),
+        };
+        let address = address.to_string();
+        log::info!(address = address.as_str(), error = error.as_str(); "endpoint accepts no connection");
+        false
     }
 
     fn check(
--- /dev/null
+++ b/crates/node/tests/accepted_connections.rs
@@ -0,0 +1,48 @@
+//! Whether an endpoint accepts connections.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use http::HeaderName;
+use poplarspan_node::pool::{Pool, PoolConfig};
+use tokio::net::TcpListener;
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let socket = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = socket.local_addr().expect("an address");
+    (socket, address)
+}
+
+fn pool() -> std::sync::Arc<Pool> {
+    Pool::new(PoolConfig::new(HeaderName::from_static("x-id")))
+}
+
+#[tokio::test]
+async fn kept_open() {
+    let (socket, address) = listener().await;
+    let serving = tokio::spawn(async move { socket.accept().await.expect("a connection") });
+    let pool = pool();
+    assert!(pool.is_accepting(address).await);
+    assert_eq!(pool.connected(), [address], "the connection is kept for a call");
+    serving.await.expect("no panic");
+}
+
+#[tokio::test]
+async fn nobody_listens() {
+    let (socket, address) = listener().await;
+    drop(socket);
+    assert!(!pool().is_accepting(address).await);
+}
+
+/// Guards against taking what stands in front of an endpoint for the endpoint.
+#[tokio::test]
+async fn closed_at_once() {
+    let (socket, address) = listener().await;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = socket.accept().await {
+            drop(stream)
+        }
+    });
+    let pool = pool();
+    assert!(!pool.is_accepting(address).await);
+    assert!(pool.connected().is_empty());
+}
