relay: refuse a request for a while, then try it again

What callers would see: a request that was condemned by mistake, since its endpoint ended for another reason during the trial, or one whose endpoints have been mended, is refused for a week, for all callers of its team.

Cause: a condemnation ended by its age only.

Change: a request is refused for a minute, then it is on trial again; after the next end for ten minutes, then for a week. An answer clears it. If it is the cause, it ends one more endpoint after a minute and one more after eleven.

The leader works out from the board and the time who is refused, so a new one comes to the same result; repeated reports of one trial count once.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -617,7 +617,7 @@
     pub suspects: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
     /// Are refused; sorted.
     #[prost(bytes = "bytes", repeated, tag = "3")]
-    pub condemned: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    pub refused: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Published {
@@ -967,7 +967,7 @@
     Busy = 3,
     /// Another suspect is on trial at the endpoint.
     EndpointTaken = 4,
-    Condemned = 5,
+    Refused = 5,
 }
 impl SuspectRuling {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -981,7 +981,7 @@
             Self::OnTrial => "SUSPECT_RULING_ON_TRIAL",
             Self::Busy => "SUSPECT_RULING_BUSY",
             Self::EndpointTaken => "SUSPECT_RULING_ENDPOINT_TAKEN",
-            Self::Condemned => "SUSPECT_RULING_CONDEMNED",
+            Self::Refused => "SUSPECT_RULING_REFUSED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -992,7 +992,7 @@
             "SUSPECT_RULING_ON_TRIAL" => Some(Self::OnTrial),
             "SUSPECT_RULING_BUSY" => Some(Self::Busy),
             "SUSPECT_RULING_ENDPOINT_TAKEN" => Some(Self::EndpointTaken),
-            "SUSPECT_RULING_CONDEMNED" => Some(Self::Condemned),
+            "SUSPECT_RULING_REFUSED" => Some(Self::Refused),
             _ => None,
         }
     }
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -61,6 +61,9 @@
     /// Milliseconds since the epoch at the proposer.
     #[prost(uint64, tag = "2")]
     pub at_ms: u64,
+    /// How often it was condemned; in snapshots only.
+    #[prost(uint32, tag = "3")]
+    pub times: u32,
 }
 /// Lets a request run again.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -14,19 +14,31 @@
 use poplarspan_proto::relay::{self as pb, board_command::Body};
 use prost::Message;
 
-/// A condemned request runs again after this time, in milliseconds; what it ends may have been
-/// mended by then.
-const CONDEMNED_FOR_MS: u64 = 7 * 24 * 3600 * 1000;
+/// For how long a request is refused, in milliseconds: the first time, the second, and from then on.
+/// It may have been condemned for an end that had another cause, or what it ends may be mended.
+const REFUSED_FOR_MS: [u64; 3] = [60 * 1000, 600 * 1000, KEPT_FOR_MS];
+/// For how long it is remembered that a request was condemned, in milliseconds.
+const KEPT_FOR_MS: u64 = 7 * 24 * 3600 * 1000;
 /// Condemned requests that are kept; beyond, the one that was condemned longest ago runs again.
 const MAX_CONDEMNED: usize = 4_096;
 
-/// A request that is refused.
+/// A request under which endpoints have ended. It is refused for a while, and then runs on trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Condemned {
     /// The request.
     pub request: Fingerprint,
-    /// When it was condemned, in milliseconds since the epoch.
+    /// When it was condemned last, in milliseconds since the epoch.
     pub at_ms: u64,
+    /// How often it was condemned.
+    pub times: u32,
+}
+
+impl Condemned {
+    /// When it may run on trial, in milliseconds since the epoch.
+    pub fn refused_until_ms(&self) -> u64 {
+        let earlier = usize::try_from(self.times.saturating_sub(1)).unwrap_or(usize::MAX);
+        self.at_ms.saturating_add(REFUSED_FOR_MS[earlier.min(REFUSED_FOR_MS.len() - 1)])
+    }
 }
 
 /// State machine of the control group.
@@ -74,22 +86,28 @@
         &self.retiring
     }
 
-    /// Requests that are refused, sorted by request.
+    /// Requests that were condemned, sorted by request.
     pub fn condemned(&self) -> &Arc<Vec<Condemned>> {
         &self.condemned
     }
 
-    /// Whether a request is refused.
-    pub fn is_condemned(&self, request: Fingerprint) -> bool {
-        self.condemned.binary_search_by_key(&request, |c| c.request).is_ok()
+    /// What is known of a request that was condemned.
+    pub fn condemnation(&self, request: Fingerprint) -> Option<Condemned> {
+        let at = self.condemned.binary_search_by_key(&request, |c| c.request).ok()?;
+        Some(self.condemned[at])
     }
 
     fn condemn(&mut self, request: Fingerprint, at_ms: u64) {
         let condemned = Arc::make_mut(&mut self.condemned);
-        condemned.retain(|c| c.at_ms.saturating_add(CONDEMNED_FOR_MS) > at_ms);
+        condemned.retain(|c| c.at_ms.saturating_add(KEPT_FOR_MS) > at_ms);
         match condemned.binary_search_by_key(&request, |c| c.request) {
-            Ok(at) => condemned[at].at_ms = at_ms,
-            Err(at) => condemned.insert(at, Condemned { request, at_ms }),
+            // One that is refused already is told again.
+            Ok(at) if at_ms < condemned[at].refused_until_ms() => {}
+            Ok(at) => {
+                condemned[at].at_ms = at_ms;
+                condemned[at].times += 1;
+            }
+            Err(at) => condemned.insert(at, Condemned { request, at_ms, times: 1 }),
         }
         if condemned.len() > MAX_CONDEMNED
             && let Some(oldest) = (0..condemned.len()).min_by_key(|at| condemned[*at].at_ms)
@@ -99,7 +117,7 @@
     }
 
     fn acquit(&mut self, request: Fingerprint) {
-        if self.is_condemned(request) {
+        if self.condemnation(request).is_some() {
             Arc::make_mut(&mut self.condemned).retain(|c| c.request != request);
         }
     }
@@ -187,7 +205,7 @@
         let (zones_out, retiring) = (names(zones_out), names(retiring));
         let read = |c: &pb::Condemn| {
             let request = read_fingerprint(&c.request).context("a digest of another length")?;
-            Ok(Condemned { request, at_ms: c.at_ms })
+            Ok(Condemned { request, at_ms: c.at_ms, times: c.times })
         };
         let condemned = condemned.iter().map(read).collect::<anyhow::Result<Vec<_>>>()?.into();
         let stores = stores.unwrap_or_default();
@@ -197,5 +215,6 @@
 }
 
 fn write_condemned(condemned: &Condemned) -> pb::Condemn {
-    pb::Condemn { request: write_fingerprint(condemned.request), at_ms: condemned.at_ms }
+    let Condemned { request, at_ms, times } = *condemned;
+    pb::Condemn { request: write_fingerprint(request), at_ms, times }
 }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -30,6 +30,7 @@
     replica::{Replica, plan::machine},
 };
 use leading::Leading;
+use suspects::Now;
 
 pub(crate) use list::ListReader;
 pub(crate) use orders::OrderServer;
@@ -111,7 +112,7 @@
         for (instance, change) in leading.take_changes() {
             log::info!(instance = &*instance; "{change}");
         }
-        leading.suspects.observe(&board, &beat, now);
+        leading.suspects.observe(&board, &beat, Now { steady: now, epoch_ms: now_ms() });
         let quarantine = leading.suspects.list_for(beat.quarantine);
         let place = leading.place(&beat.instance);
         let shares = publication.map_or_else(Vec::new, |publication| {
@@ -164,13 +165,17 @@
         })
     }
 
+    fn now(&self) -> Now {
+        Now { steady: self.clock.now(), epoch_ms: now_ms() }
+    }
+
     /// Rules on events of requests under which endpoints end.
     async fn rule(
         &self,
         events: peer::SuspectEvents,
     ) -> Result<peer::SuspectRulings, peer::Failure> {
         let board = self.board().await?;
-        let now = (self.clock.now(), now_ms());
+        let now = self.now();
         let (mut rulings, mut commands) = (Vec::new(), Vec::new());
         {
             let mut state = self.leading().ok_or_else(|| self.replica.not_leader())?;
--- a/crates/relay/src/control/suspects.rs
+++ b/crates/relay/src/control/suspects.rs
@@ -20,6 +20,13 @@
 /// Time beyond that of the run in which an instance finds out how a trial has ended.
 const VERDICT_TIME: Duration = Duration::from_secs(4);
 
+/// A time since the leader's start, and the same as milliseconds since the epoch.
+#[derive(Clone, Copy)]
+pub(crate) struct Now {
+    pub(crate) steady: Duration,
+    pub(crate) epoch_ms: u64,
+}
+
 /// Suspects of one term, and the list of them that instances hold.
 pub(crate) struct Suspects {
     quarantine: Quarantine,
@@ -27,25 +34,53 @@
     number: u64,
     /// As last seen on the board.
     condemned: Arc<Vec<Condemned>>,
+    /// Those of them that are refused, sorted.
+    refused: Vec<Fingerprint>,
+    /// When one of them goes on trial, in milliseconds since the epoch.
+    refused_until_ms: u64,
 }
 
 impl Suspects {
     pub(crate) fn new(term: u64) -> Self {
-        Self { quarantine: Quarantine::default(), number: term << 32, condemned: Arc::default() }
+        Self {
+            quarantine: Quarantine::default(),
+            number: term << 32,
+            condemned: Arc::default(),
+            refused: Vec::new(),
+            refused_until_ms: u64::MAX,
+        }
     }
 
-    /// Follows what is condemned, and takes over the suspects of a former leader.
-    pub(crate) fn observe(&mut self, board: &Board, beat: &peer::Beat, now: Duration) {
-        if !Arc::ptr_eq(&self.condemned, board.condemned()) {
-            self.condemned = board.condemned().clone();
-            self.number += 1;
+    /// Follows what is condemned: it is refused, and then goes on trial.
+    fn follow(&mut self, board: &Board, now: Now) {
+        let is_known = Arc::ptr_eq(&self.condemned, board.condemned());
+        if is_known && now.epoch_ms < self.refused_until_ms {
+            return;
         }
+        self.condemned = board.condemned().clone();
+        self.refused_until_ms = u64::MAX;
+        self.refused.clear();
+        for condemned in self.condemned.iter() {
+            let until_ms = condemned.refused_until_ms();
+            if now.epoch_ms < until_ms {
+                self.refused_until_ms = self.refused_until_ms.min(until_ms);
+                self.refused.push(condemned.request);
+            } else {
+                self.quarantine.adopt(condemned.request, now.steady);
+            }
+        }
+        self.number += 1;
+    }
+
+    /// Follows what is condemned, and takes over the suspects of a former leader.
+    pub(crate) fn observe(&mut self, board: &Board, beat: &peer::Beat, now: Now) {
+        self.follow(board, now);
         let has_other_leader = beat.quarantine >> 32 != self.number >> 32;
         if !has_other_leader {
             return;
         }
         for request in beat.suspects.iter().filter_map(|bytes| read_fingerprint(bytes)) {
-            if !board.is_condemned(request) && self.quarantine.adopt(request, now) {
+            if !self.is_refused(request) && self.quarantine.adopt(request, now.steady) {
                 self.number += 1;
             }
         }
@@ -56,42 +91,47 @@
         (held != self.number).then(|| peer::Quarantine {
             number: self.number,
             suspects: self.quarantine.suspects().map(write_fingerprint).collect(),
-            condemned: self.condemned.iter().map(|c| write_fingerprint(c.request)).collect(),
+            refused: self.refused.iter().copied().map(write_fingerprint).collect(),
         })
     }
 
+    fn is_refused(&self, request: Fingerprint) -> bool {
+        self.refused.binary_search(&request).is_ok()
+    }
+
     /// Rules on an event. The command, if there is one, is to be committed before the answer, and
     /// then to be told to [`Suspects::committed`].
     pub(crate) fn rule(
         &mut self,
         event: &peer::SuspectEvent,
         board: &Board,
-        (now, now_ms): (Duration, u64),
+        now: Now,
     ) -> (SuspectRuling, Option<board_command::Body>) {
         let Some(request) = read_fingerprint(&event.request) else {
             return (SuspectRuling::Unspecified, None);
         };
-        let is_condemned = board.is_condemned(request);
+        self.follow(board, now);
+        let is_refused = self.is_refused(request);
         let endpoint = Name::from(&*event.endpoint);
         match event.kind() {
-            SuspectEventKind::EndpointEnded if is_condemned => (SuspectRuling::Condemned, None),
+            SuspectEventKind::EndpointEnded if is_refused => (SuspectRuling::Refused, None),
             SuspectEventKind::EndpointEnded => {
                 if self.quarantine.is_on_trial(request, &endpoint) {
                     let request = write_fingerprint(request);
-                    let condemn = pb::Condemn { request, at_ms: now_ms };
+                    let condemn = pb::Condemn { request, at_ms: now.epoch_ms, times: 0 };
                     let command = board_command::Body::Condemn(condemn);
-                    return (SuspectRuling::Condemned, Some(command));
+                    return (SuspectRuling::Refused, Some(command));
                 }
-                if self.quarantine.note(request, &endpoint, now) {
+                if self.quarantine.note(request, &endpoint, now.steady) {
                     self.number += 1;
                     log_request(request, "request is a suspect: it runs on trial");
                 }
                 (SuspectRuling::Free, None)
             }
-            SuspectEventKind::Begin if is_condemned => (SuspectRuling::Condemned, None),
+            SuspectEventKind::Begin if is_refused => (SuspectRuling::Refused, None),
             SuspectEventKind::Begin => {
-                let until = now + Duration::from_millis(event.run_ms) + VERDICT_TIME;
-                let ruling = match self.quarantine.begin(request, &endpoint, until, now) {
+                let until = now.steady + Duration::from_millis(event.run_ms) + VERDICT_TIME;
+                let ruling = match self.quarantine.begin(request, &endpoint, until, now.steady) {
                     Ruling::Free => SuspectRuling::Free,
                     Ruling::OnTrial => SuspectRuling::OnTrial,
                     Ruling::Busy => SuspectRuling::Busy,
@@ -108,7 +148,7 @@
                     let request = write_fingerprint(request);
                     board_command::Body::Acquit(pb::Acquit { request })
                 };
-                (SuspectRuling::Free, is_condemned.then(acquit))
+                (SuspectRuling::Free, board.condemnation(request).map(|_| acquit()))
             }
             SuspectEventKind::TrialOver => {
                 self.quarantine.end_trial(request, &endpoint);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -71,14 +71,14 @@
     /// Run on trial only; sorted.
     pub(crate) suspects: Vec<Fingerprint>,
     /// Are refused; sorted.
-    pub(crate) condemned: Vec<Fingerprint>,
+    pub(crate) refused: Vec<Fingerprint>,
 }
 
 impl Quarantined {
     fn read(list: &peer::Quarantine) -> Self {
         let read = |list: &[Bytes]| list.iter().filter_map(|b| read_fingerprint(b)).collect();
-        let (suspects, condemned) = (read(&list.suspects), read(&list.condemned));
-        Self { number: list.number, suspects, condemned }
+        let (suspects, refused) = (read(&list.suspects), read(&list.refused));
+        Self { number: list.number, suspects, refused }
     }
 }
 
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -128,7 +128,7 @@
     /// Sends the call until an endpoint begins to answer. A stream goes on after `last_event`.
     pub(crate) async fn next(&mut self, last_event: Option<&Name>) -> Result<Begun, Refusal> {
         loop {
-            if self.front.quarantine.is_condemned(&self.call) {
+            if self.front.quarantine.is_refused(&self.call) {
                 return Err(self.ends_endpoints());
             }
             let since = Instant::now();
@@ -201,8 +201,8 @@
         match self.front.quarantine.enter(&call, &endpoint).await {
             Entry::Free => {}
             Entry::OnTrial(trial) => self.trial = Some(trial),
-            Entry::EndpointTaken => return Err(Missed::NotRun),
-            Entry::Condemned => return Err(Missed::Barred(self.ends_endpoints())),
+            Entry::NotHere => return Err(Missed::NotRun),
+            Entry::Refused => return Err(Missed::Barred(self.ends_endpoints())),
             Entry::NotNow => {
                 let message = "the request is on trial, since endpoints have ended under it";
                 return Err(Missed::Barred(self.give_up("on_trial", message, COME_BACK)));
--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -51,10 +51,10 @@
     Free,
     OnTrial(Trial),
     /// Another suspect runs at the endpoint.
-    EndpointTaken,
+    NotHere,
     /// The request runs elsewhere, or no leader answers.
     NotNow,
-    Condemned,
+    Refused,
 }
 
 /// A run on trial. Dropping it says that the trial has shown nothing.
@@ -94,13 +94,19 @@
 
 impl Quarantine {
     pub(crate) fn new(fleet: Arc<Fleet>, client: PeerClient, pool: Arc<Pool>) -> Arc<Self> {
-        let (waiting, looks) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { fleet, client, pool, waiting, is_waiting: Notify::new(), looks })
+        Arc::new(Self {
+            fleet,
+            client,
+            pool,
+            waiting: Mutex::default(),
+            is_waiting: Notify::new(),
+            looks: Mutex::default(),
+        })
     }
 
     /// Whether the request of a call is refused.
-    pub(crate) fn is_condemned(&self, call: &Call) -> bool {
-        let list = &self.fleet.view().quarantined.condemned;
+    pub(crate) fn is_refused(&self, call: &Call) -> bool {
+        let list = &self.fleet.view().quarantined.refused;
         !list.is_empty() && list.binary_search(&call.fingerprint()).is_ok()
     }
 
@@ -111,8 +117,8 @@
 
     /// Asks whether a call may be sent to an endpoint.
     pub(crate) async fn enter(self: &Arc<Self>, call: &Call, endpoint: &Chosen) -> Entry {
-        if self.is_condemned(call) {
-            return Entry::Condemned;
+        if self.is_refused(call) {
+            return Entry::Refused;
         }
         if !self.is_suspect(call) {
             return Entry::Free;
@@ -124,11 +130,11 @@
         match rulings.as_deref().and_then(|rulings| rulings.first()) {
             Some(SuspectRuling::Free) => Entry::Free,
             Some(SuspectRuling::OnTrial) => {
-                let (quarantine, endpoint) = (self.clone(), endpoint.name.clone());
-                Entry::OnTrial(Trial { quarantine, request, endpoint })
+                let (quarantine, name) = (self.clone(), endpoint.name.clone());
+                Entry::OnTrial(Trial { quarantine, request, endpoint: name })
             }
-            Some(SuspectRuling::EndpointTaken) => Entry::EndpointTaken,
-            Some(SuspectRuling::Condemned) => Entry::Condemned,
+            Some(SuspectRuling::EndpointTaken) => Entry::NotHere,
+            Some(SuspectRuling::Refused) => Entry::Refused,
             Some(SuspectRuling::Busy | SuspectRuling::Unspecified) | None => Entry::NotNow,
         }
     }
@@ -152,7 +158,7 @@
 
     /// Takes note that a call has a whole answer.
     pub(crate) fn answered(&self, call: &Call, trial: Option<Trial>) {
-        if trial.is_some() || self.is_suspect(call) || self.is_condemned(call) {
+        if trial.is_some() || self.is_suspect(call) || self.is_refused(call) {
             self.push(event(SuspectEventKind::Answered, call.fingerprint(), ""));
         }
     }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -3,7 +3,10 @@
 #[path = "support/platform.rs"]
 mod platform;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
 
 use futures::future::join_all;
 use platform::{Call, DOWN, KEY, World, config, eventually};
@@ -100,6 +103,23 @@
     assert_eq!(world.servers.runs_of_path("/safe/crash").len(), ended);
 }
 
+/// Guards against a refusal that outlives the fault: after a minute the request is tried again.
+#[tokio::test(flavor = "multi_thread")]
+async fn served_once_mended() {
+    let world = World::start(&config(3, &[KEY])).await;
+    assert_eq!(resend(&world, "/safe/crash", 4).await, REFUSED);
+    world.servers.is_mended.store(true, Ordering::Relaxed);
+    let tries = AtomicUsize::new(0);
+    let served = async || {
+        let n = tries.fetch_add(1, Ordering::Relaxed);
+        let id = format!("mended-{n}");
+        world.call((n % 2) as u8, "/safe/crash", &id, Call::default()).await.status == 200
+    };
+    // The refusal lasts as long as the patience of the test.
+    tokio::time::sleep(PAUSE * 5).await;
+    eventually("a request that is mended is served", served).await;
+}
+
 /// Guards against the loss of suspects when control ends before the third server.
 #[tokio::test(flavor = "multi_thread")]
 async fn suspect_after_leader_loss() {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -10,7 +10,7 @@
     process::{Child, Command, ExitStatus, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -84,6 +84,8 @@
     runs: Arc<Mutex<Vec<Run>>>,
     /// Counts how often each server has crashed.
     crashes: [watch::Sender<u32>; SERVERS],
+    /// Whether requests that would end a server are answered.
+    pub is_mended: Arc<AtomicBool>,
 }
 
 impl Servers {
@@ -171,6 +173,9 @@
             saw_key,
         };
         self.runs.lock().expect("no panic while locked").push(run);
+        if path.ends_with("/crash") && self.is_mended.load(Ordering::Relaxed) {
+            return Ok(answer(200, &id, true, body));
+        }
         if path.ends_with("/midway/crash") {
             let event = Bytes::from_static(b"id: 1\ndata: out1\n\n");
             let first = stream::iter([Ok(Frame::data(event))]);
