relay: no trial at an endpoint that has ended, nor for requests just answered

What callers would see: calls that many callers send alike are refused with 422 for all of them, after servers have ended under another request.

A suspect went on trial at an endpoint that had ended before, and behind a proxy the lost connection looked like the endpoint's end. And the same request of many callers was running at all endpoints when these ended, so it was suspected at each.

Evidence: the fault soak now has requests that end servers in each even seed, and two checks: their late runs, and refusals of others, bounded by the users' rule (5 and one in 500).

It works since an end counts against a request only if the endpoint was up when the trial began, and a request that ends every endpoint is never answered.

--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! budget), placed ([`schedule`]), sent ([`attempt`]), and its answer is handed on whole
 //! ([`handler`]) or as it arrives ([`stream`]).
 
+mod answered;
 mod attempt;
 mod body;
 pub(crate) mod endpoints;
--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -2,7 +2,9 @@
 //!
 //! A front tells the leader of the control group when an endpoint has ended while it may have been
 //! running a request, and learns with its lease which requests are suspects and which are refused.
-//! A suspect runs only with the leader's word that it runs nowhere else.
+//! A suspect runs only with the leader's word that it runs nowhere else. A request that was answered
+//! here a short time ago is no reason for the end of an endpoint, so that the same request of many
+//! callers is not suspected when several endpoints end.
 //!
 //! Owner: the leader; a front only has the list of its last lease, and the events that it has not
 //! passed on yet. These are dropped when they cannot be passed on in time: a front that is cut off
@@ -28,7 +30,7 @@
     time::{Instant, sleep},
 };
 
-use super::{attempt::Call, endpoints::Chosen};
+use super::{answered::Answered, attempt::Call, endpoints::Chosen};
 use crate::{board::write_fingerprint, fleet::Fleet};
 
 /// A look at an endpoint serves all calls that are lost there within this time.
@@ -50,7 +52,7 @@
 pub(crate) enum Entry {
     Free,
     OnTrial(Trial),
-    /// Another suspect runs at the endpoint.
+    /// Another suspect runs at the endpoint, or it accepts no connection.
     NotHere,
     /// The request runs elsewhere, or no leader answers.
     NotNow,
@@ -90,6 +92,7 @@
     waiting: Mutex<Vec<Waiting>>,
     is_waiting: Notify,
     looks: Mutex<Vec<Look>>,
+    answered: Mutex<Answered>,
 }
 
 impl Quarantine {
@@ -101,6 +104,7 @@
             waiting: Mutex::default(),
             is_waiting: Notify::new(),
             looks: Mutex::default(),
+            answered: Mutex::default(),
         })
     }
 
@@ -131,7 +135,12 @@
             Some(SuspectRuling::Free) => Entry::Free,
             Some(SuspectRuling::OnTrial) => {
                 let (quarantine, name) = (self.clone(), endpoint.name.clone());
-                Entry::OnTrial(Trial { quarantine, request, endpoint: name })
+                let trial = Trial { quarantine, request, endpoint: name };
+                // An endpoint that has ended before says nothing of this run.
+                match self.pool.is_accepting(endpoint.address).await {
+                    true => Entry::OnTrial(trial),
+                    false => Entry::NotHere,
+                }
             }
             Some(SuspectRuling::EndpointTaken) => Entry::NotHere,
             Some(SuspectRuling::Refused) => Entry::Refused,
@@ -143,6 +152,9 @@
     /// whether it has ended.
     pub(crate) fn lost(self: &Arc<Self>, call: &Call, endpoint: &Chosen, trial: Option<Trial>) {
         let (this, request, endpoint) = (self.clone(), call.fingerprint(), endpoint.clone());
+        if self.answered_requests().contains(request, Instant::now()) {
+            return;
+        }
         tokio::spawn(async move {
             let has_ended = match &trial {
                 Some(_) => this.has_ended_for_good(&endpoint).await,
@@ -158,11 +170,16 @@
 
     /// Takes note that a call has a whole answer.
     pub(crate) fn answered(&self, call: &Call, trial: Option<Trial>) {
+        self.answered_requests().insert(call.fingerprint(), Instant::now());
         if trial.is_some() || self.is_suspect(call) || self.is_refused(call) {
             self.push(event(SuspectEventKind::Answered, call.fingerprint(), ""));
         }
     }
 
+    fn answered_requests(&self) -> MutexGuard<'_, Answered> {
+        self.answered.lock().expect("no panic while locked")
+    }
+
     /// Whether an endpoint accepts no connection, and goes on so for a while.
     async fn has_ended_for_good(&self, endpoint: &Chosen) -> bool {
         for _ in 0..TRIAL_LOOKS {
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -1,4 +1,4 @@
-//! A soak with faults from outside: processes that are killed, paused, ended and started again,
+//! A soak with faults from outside: requests that end servers, processes that are killed, paused, ended and started again,
 //! disks that are lost, connections that are delayed, silenced and reset, operators who race.
 //!
 //! `SOAK_SEEDS=1..51 cargo test --test fault_soak -- --ignored` plays the seeds 1 to 50. Of a seed
@@ -15,11 +15,23 @@
 use tokio::{sync::Semaphore, task::JoinSet};
 
 /// Seeds that failed once, with the cause.
-const FORMER: [(u64, &str); 1] = [(
-    28,
-    "SIGHUP ended a process that had just been started, before it listened for signals; nobody \
-     started it again",
-)];
+const FORMER: [(u64, &str); 7] = [
+    (
+        28,
+        "SIGHUP ended a process that had just been started, before it listened for signals; nobody \
+         started it again",
+    ),
+    (100, LATE_TRIAL),
+    (102, LATE_TRIAL),
+    (106, LATE_TRIAL),
+    (108, LATE_TRIAL),
+    (110, LATE_TRIAL),
+    (
+        120,
+        "the same request of many callers was condemned; none had been answered of late at a front",
+    ),
+];
+const LATE_TRIAL: &str = "a request went on trial at a server that had ended before";
 /// Seeds of the short run.
 const SHORT: [u64; 2] = [1, 2];
 /// Runs at a time; eight processes each.
@@ -123,6 +135,15 @@
     assert!(is_found(spent, vec![]));
     let blue = |n: u32| Ran { team: "blue".to_owned(), ..ran(&n.to_string(), "") };
     assert!(is_found(vec![], (0..200).map(blue).collect()));
+    let crashing = |n: u64| seen(&n.to_string(), Kind::Crashing { path: "/p" }, 502, "");
+    let begun = Instant::now();
+    let ends = |n: u64| Ran { at: begun + Duration::from_secs(n), ..ran(&n.to_string(), "") };
+    assert!(is_found((0..10).map(crashing).collect(), (0..10).map(ends).collect()));
+    assert!(!is_found((0..10).map(crashing).collect(), (0..9).map(ends).collect()));
+    assert!(is_found(vec![Seen { status: 200, ..crashing(0) }], vec![]));
+    let refused = |n: u64| seen(&n.to_string(), Kind::Safe, 422, "");
+    assert!(is_found((0..6).map(refused).collect(), vec![]));
+    assert!(!is_found((0..5).map(refused).collect(), vec![]));
     let late = Seen { sent: Instant::now() + Duration::from_secs(6), ..history.seen[0].clone() };
     let revoked = Some((platform::KEY, Instant::now()));
     let history = History { seen: vec![late], revoked, ..History::default() };
--- a/tests/support/soak/check.rs
+++ b/tests/support/soak/check.rs
@@ -12,6 +12,10 @@
 pub enum Kind {
     Safe,
     Once,
+    /// Ends each server that runs it, whichever id it has.
+    Crashing {
+        path: &'static str,
+    },
     /// A stream of so many events that counts against the budget of its program.
     Budgeted {
         program: String,
@@ -57,6 +61,8 @@
     pub versions: Vec<u64>,
     /// When a key was taken away, by the operator's answer.
     pub revoked: Option<(&'static str, Instant)>,
+    /// When all faults had ended.
+    pub calm: Option<Instant>,
     /// What was not served once all faults had ended.
     pub unserved: Vec<String>,
 }
@@ -73,6 +79,14 @@
 const SLACK: f64 = 20.0;
 /// A key that was taken away stops after this time at the latest.
 const REVOKE: Duration = Duration::from_secs(5);
+/// Runs of a request that come later than this after it has ended so many servers.
+const MOST_ENDED: usize = 3;
+const MOST_RETRIES: usize = 3;
+const SETTLED: Duration = Duration::from_secs(3);
+/// Refusals of other requests as such that end servers: a few, and so many in a thousand calls.
+const REFUSED: u16 = 422;
+const REFUSED_FEW: usize = 5;
+const REFUSED_PER_THOUSAND: usize = 2;
 
 impl History {
     /// All that is wrong; empty if nothing is.
@@ -90,6 +104,8 @@
         findings.extend(self.budgets());
         findings.extend(self.rate());
         findings.extend(self.revocation());
+        findings.extend(self.crashing(&runs));
+        findings.extend(self.bystanders());
         if let Some(at) = self.versions.windows(2).position(|w| w[0] > w[1]) {
             findings.push(format!("version {:?} went back", &self.versions[at..at + 2]));
         }
@@ -127,6 +143,36 @@
         (worst as f64 > most).then(|| format!("{worst} calls of a team in a window of {most}"))
     }
 
+    fn crashing(&self, runs: &BTreeMap<&str, Vec<&Ran>>) -> Vec<String> {
+        let mut at: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
+        for seen in &self.seen {
+            if let Kind::Crashing { path } = seen.kind {
+                let runs = runs.get(&*seen.id).map_or(&[][..], |r| r);
+                at.entry(path).or_default().extend(runs.iter().map(|r| r.at));
+            }
+        }
+        let mut findings = Vec::new();
+        for (path, mut at) in at {
+            at.sort_unstable();
+            let Some(third) = at.get(MOST_ENDED - 1) else { continue };
+            let from = self.calm.map_or(*third, |calm| calm.max(*third)) + SETTLED;
+            let late = at.iter().filter(|at| **at > from).count();
+            if late > MOST_RETRIES {
+                findings.push(format!("{path}: {late} runs after {MOST_ENDED} servers have ended"));
+            }
+        }
+        findings
+    }
+
+    fn bystanders(&self) -> Option<String> {
+        let is_other = |s: &&Seen| !matches!(s.kind, Kind::Crashing { .. });
+        let calls = self.seen.iter().filter(is_other).count();
+        let refused = self.seen.iter().filter(is_other).filter(|s| s.status == REFUSED).count();
+        let most = REFUSED_FEW + calls * REFUSED_PER_THOUSAND / 1_000;
+        (refused > most)
+            .then(|| format!("{refused} of {calls} other calls refused, at most {most}"))
+    }
+
     fn revocation(&self) -> Vec<String> {
         let Some((key, at)) = self.revoked else { return Vec::new() };
         let late = |s: &&Seen| s.key == key && s.sent > at + REVOKE && s.status == 200;
@@ -159,6 +205,11 @@
                 find(format!("wrong answer {:?}", seen.body));
             }
         }
+        Kind::Crashing { .. } => {
+            if seen.status == 200 {
+                find("is answered, though no server has answered it".to_owned());
+            }
+        }
         Kind::Budgeted { events, .. } | Kind::Kept { events, .. } => {
             let all = expected_stream(*events);
             if seen.status == 200 && !all.starts_with(&seen.body) {
--- a/tests/support/soak/load.rs
+++ b/tests/support/soak/load.rs
@@ -12,10 +12,13 @@
 use super::{
     BLUE_KEY, Run, SECOND_KEY,
     check::{BUDGET, Kind, MOST, Seen, TOKENS_PER_EVENT},
+    plan::has_crashing_requests,
 };
 use crate::platform::{HOST, KEY};
 
 const PAUSE: Duration = Duration::from_millis(30);
+/// Between two attempts of a request that ends servers.
+const CRASH_PAUSE: Duration = Duration::from_millis(1_000);
 const TIME_LIMIT_MS: u64 = 3_000;
 /// Attempts to go on from a kept turn at the end.
 const LAST_TRIES: u32 = 40;
@@ -23,7 +26,8 @@
 /// Starts the callers; they end once the run is over.
 pub(super) fn start(run: &Arc<Run>, seed: u64) -> JoinSet<()> {
     let mut callers = JoinSet::new();
-    for number in 0..14u64 {
+    let count = if has_crashing_requests(seed) { 16 } else { 14 };
+    for number in 0..count {
         let rng = SmallRng::seed_from_u64(seed.wrapping_mul(100) + number);
         let client = reqwest::Client::builder().timeout(Duration::from_secs(6)).build();
         let client = client.expect("a client");
@@ -34,10 +38,12 @@
                 0..=2 => caller.plain(KEY).await,
                 3 => caller.plain(SECOND_KEY).await,
                 // Together they ask for more than the team's rate.
-                4..=5 | 11.. => caller.plain(BLUE_KEY).await,
+                4..=5 | 11..=13 => caller.plain(BLUE_KEY).await,
                 // Two callers share each program.
                 6..=8 => caller.budgeted(number / 2).await,
-                _ => caller.kept().await,
+                9..=10 => caller.kept().await,
+                14 => caller.crashing("/safe/crash").await,
+                _ => caller.crashing("/once/crash").await,
             }
         });
     }
@@ -73,6 +79,14 @@
         }
     }
 
+    /// Sends a request again and again that ends each server that runs it.
+    async fn crashing(&mut self, path: &'static str) {
+        while !self.run.is_over() {
+            self.call(Kind::Crashing { path }, KEY, path, &[], "in").await;
+            tokio::time::sleep(CRASH_PAUSE).await;
+        }
+    }
+
     async fn budgeted(&mut self, shared: u64) {
         let count = format!("5,{MOST}");
         for number in 0.. {
--- a/tests/support/soak/mod.rs
+++ b/tests/support/soak/mod.rs
@@ -31,6 +31,8 @@
 const ORDER_PATIENCE: Duration = Duration::from_secs(6);
 /// All faults have ended; a fleet that does not serve by then never will.
 const RECOVERY: Duration = Duration::from_secs(40);
+/// For how long callers go on after the faults, where requests end servers.
+const AFTERMATH: Duration = Duration::from_secs(9);
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What tasks of one run share.
@@ -155,6 +157,7 @@
     }
     tokio::time::sleep_until(begun + plan::CALM).await;
     run.world.links.iter().for_each(|link| link.set(Mode::Pass));
+    run.note(|h| h.calm = Some(Instant::now()));
     for machine in machines.iter_mut().flat_map(|(_, m)| m) {
         machine.signal(Signal::SIGCONT);
         // A process that gets SIGHUP before its first instruction ends as any other does.
@@ -175,6 +178,9 @@
             tokio::time::sleep(READ_INTERVAL).await;
         }
     }
+    if plan::has_crashing_requests(seed) {
+        tokio::time::sleep_until(begun + plan::CALM + AFTERMATH).await;
+    }
     run.is_over.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     let mut history = std::mem::take(&mut *run.history.lock().expect("no panic while locked"));
--- a/tests/support/soak/plan.rs
+++ b/tests/support/soak/plan.rs
@@ -46,6 +46,11 @@
     Revoke,
 }
 
+/// Whether requests come that end each server that runs them.
+pub fn has_crashing_requests(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
 /// Events with their times, in order.
 pub fn draw(seed: u64) -> Vec<(Duration, Event)> {
     let mut rng = SmallRng::seed_from_u64(seed);
