tests: serve forgets refused requests when all instances restart, known red

What callers would see: a request that crashes endpoints, and is refused everywhere, crashes two more after a restart of all instances.

Cause, as read: policy::containment lives in the processes and travels between them; when none is left, nothing is.

--- a/tests/crash_containment.rs
+++ b/tests/crash_containment.rs
@@ -73,3 +73,21 @@
     let other = Seen::of(fleet.order(2, "order-2", "{}")).await;
     assert_eq!(other.status, 200, "{other:?}");
 }
+
+/// A request that was refused reaches endpoints again after a restart of all instances.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_after_restart() {
+    let mut fleet = engines().await;
+    let refused = Seen::of(fleet.chat(1, "crash-me")).await;
+    assert_eq!(refused.code(), "request_crashes_endpoints", "{refused:?}");
+    let instances = fleet.members.len();
+    for i in 0..instances {
+        fleet.kill(i);
+    }
+    fleet.start_all().await;
+    fleet.wait_ready(1).await;
+    fleet.warm_up().await;
+    let again = Seen::of(fleet.chat(1, "crash-me")).await;
+    let not_run = ("request_crashes_endpoints".to_owned(), "no".to_owned());
+    assert_eq!(again.refusal(), not_run, "{again:?}");
+}
