relay: refuse a condemned request while the board commits it

What callers would see: with slow disks or busy machines, a request that has ended a server in its trial goes on trial again and ends more.

Cause: a request was refused only once its condemnation was committed. Until then its trial was over, so the next run got the leader's word.

The logs: the trial's end at 6.2 s, further ones at 9.3, 12.4 and 15.5, `request is refused` at 21.3, when the commit came through; fronts had lost the leader in between.

Change: the leader refuses a condemned request at once, in memory, for as long as a commit may take; fronts hand refused requests to a new leader as suspects. quarantine_trials::refused_before_durable guards the decision.

It works since refusing too early costs nothing but a resend, and refusing too late costs a server.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -15,7 +15,8 @@
 //!
 //! Owner: the leader of the control group. It alone knows of the ends of endpoints, so instances
 //! report them; suspects are adopted from the instances by a successor, and a trial that was open is
-//! forgotten. What is condemned belongs in durable state, which is up to the user of this module.
+//! forgotten. What is condemned belongs in durable state, which is up to the user of this module; the
+//! request is refused here while it is on the way there.
 
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     Busy,
     /// Another suspect is on trial at this endpoint; ask for another one.
     EndpointTaken,
+    /// It is condemned.
+    Refused,
 }
 
 struct Trial {
@@ -54,12 +57,24 @@
     ends: Vec<(Name, Duration)>,
     is_suspect: bool,
     trial: Option<Trial>,
+    condemned_until: Option<Duration>,
     heard_at: Duration,
 }
 
 impl Noted {
     fn new(request: Fingerprint, now: Duration) -> Self {
-        Self { request, ends: Vec::new(), is_suspect: false, trial: None, heard_at: now }
+        Self {
+            request,
+            ends: Vec::new(),
+            is_suspect: false,
+            trial: None,
+            condemned_until: None,
+            heard_at: now,
+        }
+    }
+
+    fn is_condemned(&self, now: Duration) -> bool {
+        self.condemned_until.is_some_and(|until| now < until)
     }
 }
 
@@ -101,6 +116,9 @@
         let is_open = |trial: &Trial| now < trial.until;
         let Ok(at) = self.position(request) else { return Ruling::Free };
         let noted = &self.noted[at];
+        if noted.is_condemned(now) {
+            return Ruling::Refused;
+        }
         if !noted.is_suspect {
             return Ruling::Free;
         }
@@ -133,7 +151,28 @@
         }
     }
 
-    /// Forgets a request that has been answered or condemned. Returns whether it was a suspect.
+    /// Refuses a request until its condemnation has become durable, or is known not to. Returns
+    /// whether it was not condemned before.
+    pub fn condemn(&mut self, request: Fingerprint, until: Duration, now: Duration) -> bool {
+        let noted = self.entry(request, now);
+        let is_new = !noted.is_condemned(now);
+        noted.is_suspect = true;
+        noted.trial = None;
+        noted.condemned_until = Some(until);
+        is_new
+    }
+
+    /// Whether a request is condemned.
+    pub fn is_condemned(&self, request: Fingerprint, now: Duration) -> bool {
+        self.position(request).is_ok_and(|at| self.noted[at].is_condemned(now))
+    }
+
+    /// The condemned requests, sorted.
+    pub fn condemned(&self, now: Duration) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.noted.iter().filter(move |noted| noted.is_condemned(now)).map(|noted| noted.request)
+    }
+
+    /// Forgets a request that has been answered. Returns whether it was a suspect.
     pub fn remove(&mut self, request: Fingerprint) -> bool {
         self.position(request).is_ok_and(|at| self.noted.remove(at).is_suspect)
     }
--- a/crates/policy/tests/quarantine_trials.rs
+++ b/crates/policy/tests/quarantine_trials.rs
@@ -70,7 +70,7 @@
                     back_at[n] = step + rng.random_range(1..30);
                     if quarantine.is_on_trial(request(n), &endpoint(place)) {
                         outcome.condemned.push(n);
-                        quarantine.remove(request(n));
+                        quarantine.condemn(request(n), ms(STEPS * 10), now);
                     } else {
                         quarantine.note(request(n), &endpoint(place), now);
                     }
@@ -78,7 +78,7 @@
             }
             let is_idle = running[n].is_none() && step >= back_at[n];
             let place = rng.random_range(0..endpoints);
-            if is_idle && step >= down_until[place] && !outcome.condemned.contains(&n) {
+            if is_idle && step >= down_until[place] {
                 let ruling = quarantine.begin(request(n), &endpoint(place), now + RUN, now);
                 if matches!(ruling, Ruling::Free | Ruling::OnTrial) {
                     let takes = if n == 0 { 2 } else { work };
@@ -156,6 +156,20 @@
     assert_eq!(quarantine.begin(request(1), &endpoint(7), late + RUN, late), Ruling::OnTrial);
 }
 
+/// A condemned request does not run while its condemnation is on the way to durable state.
+#[test]
+fn refused_before_durable() {
+    let mut quarantine = Quarantine::default();
+    suspect(&mut quarantine, request(1));
+    assert_eq!(quarantine.begin(request(1), &endpoint(5), RUN, ms(9)), Ruling::OnTrial);
+    assert!(quarantine.condemn(request(1), ms(500), ms(20)));
+    assert!(!quarantine.condemn(request(1), ms(520), ms(30)), "told again");
+    quarantine.end_trial(request(1), "e5");
+    assert_eq!(quarantine.begin(request(1), &endpoint(6), RUN, ms(40)), Ruling::Refused);
+    assert_eq!(quarantine.condemned(ms(40)).collect::<Vec<_>>(), [request(1)]);
+    assert_eq!(quarantine.begin(request(1), &endpoint(6), RUN, ms(520)), Ruling::OnTrial);
+}
+
 #[test]
 fn successor_adopts() {
     let mut quarantine = Quarantine::default();
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -528,7 +528,8 @@
     /// Number of the quarantine that the instance has in force.
     #[prost(uint64, tag = "11")]
     pub quarantine: u64,
-    /// Suspects that the instance knows of, for a leader that may be new; it takes them over.
+    /// Suspects and refused requests that the instance knows of, for a leader that may be new; it takes
+    /// over as suspects what it does not refuse.
     #[prost(bytes = "bytes", repeated, tag = "12")]
     pub suspects: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -112,8 +112,9 @@
         for (instance, change) in leading.take_changes() {
             log::info!(instance = &*instance; "{change}");
         }
-        leading.suspects.observe(&board, &beat, Now { steady: now, epoch_ms: now_ms() });
-        let quarantine = leading.suspects.list_for(beat.quarantine);
+        let moment = self.now();
+        leading.suspects.observe(&board, &beat, moment);
+        let quarantine = leading.suspects.list_for(beat.quarantine, moment);
         let place = leading.place(&beat.instance);
         let shares = publication.map_or_else(Vec::new, |publication| {
             leading.share(&Name::from(&*beat.instance), &beat.demand, &publication, now)
@@ -186,10 +187,7 @@
             }
         }
         for command in commands {
-            self.commit(command.clone()).await.map_err(|e| unavailable(&e.to_string()))?;
-            if let Some(mut state) = self.leading() {
-                state.leading.suspects.committed(&command);
-            }
+            self.commit(command).await.map_err(|e| unavailable(&e.to_string()))?;
         }
         Ok(peer::SuspectRulings { rulings })
     }
--- a/crates/relay/src/control/suspects.rs
+++ b/crates/relay/src/control/suspects.rs
@@ -19,6 +19,8 @@
 
 /// Time beyond that of the run in which an instance finds out how a trial has ended.
 const VERDICT_TIME: Duration = Duration::from_secs(4);
+/// A condemned request is on the board within this time, or goes on trial again.
+const COMMIT_TIME: Duration = Duration::from_secs(10);
 
 /// A time since the leader's start, and the same as milliseconds since the epoch.
 #[derive(Clone, Copy)]
@@ -32,9 +34,11 @@
     quarantine: Quarantine,
     /// As in [`peer::Quarantine`].
     number: u64,
+    /// Until when requests are refused whose condemnation may not be on the board yet.
+    condemned_until: Option<Duration>,
     /// As last seen on the board.
     condemned: Arc<Vec<Condemned>>,
-    /// Those of them that are refused, sorted.
+    /// Those on the board that are refused, sorted.
     refused: Vec<Fingerprint>,
     /// When one of them goes on trial, in milliseconds since the epoch.
     refused_until_ms: u64,
@@ -45,6 +49,7 @@
         Self {
             quarantine: Quarantine::default(),
             number: term << 32,
+            condemned_until: None,
             condemned: Arc::default(),
             refused: Vec::new(),
             refused_until_ms: u64::MAX,
@@ -53,6 +58,9 @@
 
     /// Follows what is condemned: it is refused, and then goes on trial.
     fn follow(&mut self, board: &Board, now: Now) {
+        if self.condemned_until.take_if(|until| now.steady >= *until).is_some() {
+            self.number += 1;
+        }
         let is_known = Arc::ptr_eq(&self.condemned, board.condemned());
         if is_known && now.epoch_ms < self.refused_until_ms {
             return;
@@ -86,12 +94,32 @@
         }
     }
 
+    /// Refuses a request, which is on its way to the board.
+    fn condemn(&mut self, request: Fingerprint, now: Now) -> board_command::Body {
+        let until = now.steady + COMMIT_TIME;
+        if self.quarantine.condemn(request, until, now.steady) {
+            log_request(request, "request is refused: endpoints end under it");
+            metrics::counter!("poplarspan_relay_condemned_requests_total").increment(1);
+        }
+        self.condemned_until = Some(until);
+        self.number += 1;
+        let request = write_fingerprint(request);
+        board_command::Body::Condemn(pb::Condemn { request, at_ms: now.epoch_ms, times: 0 })
+    }
+
     /// The list for an instance that holds the list `held`. None if it is current.
-    pub(crate) fn list_for(&self, held: u64) -> Option<peer::Quarantine> {
-        (held != self.number).then(|| peer::Quarantine {
+    pub(crate) fn list_for(&self, held: u64, now: Now) -> Option<peer::Quarantine> {
+        if held == self.number {
+            return None;
+        }
+        let mut refused = self.refused.clone();
+        refused.extend(self.quarantine.condemned(now.steady));
+        refused.sort_unstable();
+        refused.dedup();
+        Some(peer::Quarantine {
             number: self.number,
             suspects: self.quarantine.suspects().map(write_fingerprint).collect(),
-            refused: self.refused.iter().copied().map(write_fingerprint).collect(),
+            refused: refused.into_iter().map(write_fingerprint).collect(),
         })
     }
 
@@ -99,8 +127,7 @@
         self.refused.binary_search(&request).is_ok()
     }
 
-    /// Rules on an event. The command, if there is one, is to be committed before the answer, and
-    /// then to be told to [`Suspects::committed`].
+    /// Rules on an event. The command, if there is one, is to be committed before the answer.
     pub(crate) fn rule(
         &mut self,
         event: &peer::SuspectEvent,
@@ -114,14 +141,17 @@
         let is_refused = self.is_refused(request);
         let endpoint = Name::from(&*event.endpoint);
         match event.kind() {
-            SuspectEventKind::EndpointEnded if is_refused => (SuspectRuling::Refused, None),
             SuspectEventKind::EndpointEnded => {
-                if self.quarantine.is_on_trial(request, &endpoint) {
-                    let request = write_fingerprint(request);
-                    let condemn = pb::Condemn { request, at_ms: now.epoch_ms, times: 0 };
-                    let command = board_command::Body::Condemn(condemn);
+                let is_on_trial = self.quarantine.is_on_trial(request, &endpoint);
+                // An event that is told again asks for a command that may have failed.
+                if self.quarantine.is_condemned(request, now.steady) || (is_on_trial && !is_refused)
+                {
+                    let command = self.condemn(request, now);
                     return (SuspectRuling::Refused, Some(command));
                 }
+                if is_refused {
+                    return (SuspectRuling::Refused, None);
+                }
                 if self.quarantine.note(request, &endpoint, now.steady) {
                     self.number += 1;
                     log_request(request, "request is a suspect: it runs on trial");
@@ -136,6 +166,7 @@
                     Ruling::OnTrial => SuspectRuling::OnTrial,
                     Ruling::Busy => SuspectRuling::Busy,
                     Ruling::EndpointTaken => SuspectRuling::EndpointTaken,
+                    Ruling::Refused => SuspectRuling::Refused,
                 };
                 (ruling, None)
             }
@@ -148,7 +179,8 @@
                     let request = write_fingerprint(request);
                     board_command::Body::Acquit(pb::Acquit { request })
                 };
-                (SuspectRuling::Free, board.condemnation(request).map(|_| acquit()))
+                let is_condemned = is_refused || board.condemnation(request).is_some();
+                (SuspectRuling::Free, is_condemned.then(acquit))
             }
             SuspectEventKind::TrialOver => {
                 self.quarantine.end_trial(request, &endpoint);
@@ -157,17 +189,6 @@
             SuspectEventKind::Unspecified => (SuspectRuling::Unspecified, None),
         }
     }
-
-    /// Takes note of a command that has been committed.
-    pub(crate) fn committed(&mut self, command: &board_command::Body) {
-        let board_command::Body::Condemn(condemn) = command else { return };
-        let Some(request) = read_fingerprint(&condemn.request) else { return };
-        if self.quarantine.remove(request) {
-            self.number += 1;
-        }
-        log_request(request, "request is refused: endpoints end under it");
-        metrics::counter!("poplarspan_relay_condemned_requests_total").increment(1);
-    }
 }
 
 fn log_request(request: Fingerprint, what: &'static str) {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -75,6 +75,11 @@
 }
 
 impl Quarantined {
+    /// All of them. To a new leader they are suspects, as far as its board does not refuse them.
+    fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.suspects.iter().chain(&self.refused).copied()
+    }
+
     fn read(list: &peer::Quarantine) -> Self {
         let read = |list: &[Bytes]| list.iter().filter_map(|b| read_fingerprint(b)).collect();
         let (suspects, refused) = (read(&list.suspects), read(&list.refused));
@@ -245,7 +250,7 @@
         let candidates = self.candidates();
         let view = self.view();
         let suspects = match self.asks_others(&candidates) {
-            true => view.quarantined.suspects.iter().map(|s| write_fingerprint(*s)).collect(),
+            true => view.quarantined.all().map(write_fingerprint).collect(),
             false => Vec::new(),
         };
         let mut beat = peer::Beat {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -37,6 +37,13 @@
     status
 }
 
+fn check_few_retries(world: &World, path: &str) {
+    let runs = world.servers.runs_of_path(path);
+    let third = runs[MOST_ENDED - 1].at;
+    let late = runs.iter().filter(|run| run.at > third + SETTLED).count();
+    assert!(late <= MOST_RETRIES, "{late} late runs of {}", runs.len());
+}
+
 async fn check_ends_few(path: &str) {
     let world = World::start(&config(3, &[KEY])).await;
     let status = resend(&world, path, RESENDS).await;
@@ -79,10 +86,24 @@
         join_all((0..4).map(copy)).await;
         tokio::time::sleep(PAUSE).await;
     }
-    let runs = world.servers.runs_of_path("/once/crash");
-    let third = runs[MOST_ENDED - 1].at;
-    let late = runs.iter().filter(|run| run.at > third + SETTLED).count();
-    assert!(late <= MOST_RETRIES, "{late} runs after the third");
+    check_few_retries(&world, "/once/crash");
+    check_served(&world, "/safe/x", Call::default()).await;
+}
+
+/// Guards against resends that come to another front before it has heard of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn resent_at_once() {
+    let world = World::start(&config(3, &[KEY])).await;
+    let until = Instant::now() + PAUSE * RESENDS as u32;
+    for n in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let id = format!("again-{n}");
+        world.call((n % 2) as u8, "/safe/crash", &id, Call::default()).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    check_few_retries(&world, "/safe/crash");
     check_served(&world, "/safe/x", Call::default()).await;
 }
 
