relay: a look that found an endpoint up is not used again

What callers would see: a server more ends under a request, since one end was not noticed.

Cause: a look at an endpoint was shared by all calls that were lost there within a second, also by one that was lost after the look.

Change: only a look that is under way or has found the endpoint gone is shared. It works since an endpoint that has ended stays away for longer than a second, and one that was up may end at any time.

--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -33,7 +33,7 @@
 use super::{answered::Answered, attempt::Call, endpoints::Chosen};
 use crate::{board::write_fingerprint, fleet::Fleet};
 
-/// A look at an endpoint serves all calls that are lost there within this time.
+/// A look that finds that an endpoint has ended serves all calls that are lost there within this time.
 const LOOK_VALID: Duration = Duration::from_secs(1);
 /// Looks at an endpoint after a trial, and the time between two. It has ended if it accepts no
 /// connection in any of them.
@@ -191,11 +191,12 @@
         true
     }
 
-    /// Whether an endpoint accepts connections, or has just been seen to.
+    /// Whether an endpoint accepts connections. Calls that are lost together share a look.
     fn look(&self, address: SocketAddr) -> Shared<BoxFuture<'static, bool>> {
         let now = Instant::now();
         let mut looks = self.looks.lock().expect("no panic while locked");
-        looks.retain(|look| now < look.at + LOOK_VALID);
+        // One that has found an endpoint up says nothing of what came after it.
+        looks.retain(|l| now < l.at + LOOK_VALID && l.is_accepting.peek() != Some(&true));
         if let Some(look) = looks.iter().find(|look| look.address == address) {
             return look.is_accepting.clone();
         }
