relay: an endpoint that is away before a trial is paused

What callers would see: a suspect that comes back quickly makes its front open a connection to a server that is away every 30 ms.

Cause: the front that found an endpoint away before a trial gave its place back without saying so, and chose it again.

Evidence: the log of resent_at_once: some 60 looks at three servers in the two seconds for which they were away.

Change: the place is given back as failed, as with a call that finds no connection, so that the endpoint is paused.

--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -201,7 +201,11 @@
         match self.front.quarantine.enter(&call, &endpoint).await {
             Entry::Free => {}
             Entry::OnTrial(trial) => self.trial = Some(trial),
-            Entry::NotHere => return Err(Missed::NotRun),
+            Entry::EndpointTaken => return Err(Missed::NotRun),
+            Entry::EndpointAway => {
+                slot.finish(Outcome::Failed);
+                return Err(Missed::NotRun);
+            }
             Entry::Refused => return Err(Missed::Barred(self.ends_endpoints())),
             Entry::NotNow => {
                 let message = "the request is on trial, since endpoints have ended under it";
--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -52,8 +52,10 @@
 pub(crate) enum Entry {
     Free,
     OnTrial(Trial),
-    /// Another suspect runs at the endpoint, or it accepts no connection.
-    NotHere,
+    /// Another suspect runs at the endpoint.
+    EndpointTaken,
+    /// The endpoint accepts no connection.
+    EndpointAway,
     /// The request runs elsewhere, or no leader answers.
     NotNow,
     Refused,
@@ -139,10 +141,10 @@
                 // An endpoint that has ended before says nothing of this run.
                 match self.pool.is_accepting(endpoint.address).await {
                     true => Entry::OnTrial(trial),
-                    false => Entry::NotHere,
+                    false => Entry::EndpointAway,
                 }
             }
-            Some(SuspectRuling::EndpointTaken) => Entry::NotHere,
+            Some(SuspectRuling::EndpointTaken) => Entry::EndpointTaken,
             Some(SuspectRuling::Refused) => Entry::Refused,
             Some(SuspectRuling::Busy | SuspectRuling::Unspecified) | None => Entry::NotNow,
         }
