--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::future::join_all;
-use platform::{Call, DOWN, KEY, World, config, eventually};
+use platform::{Call, KEY, World, config, eventually, servers::DOWN};
 
 /// Servers that such a request may end before it is known.
 const MOST_ENDED: usize = 3;
--- a/tests/support/soak/mod.rs
+++ b/tests/support/soak/mod.rs
@@ -188,7 +188,7 @@
     history
 }
 
-fn ran(run: crate::platform::Run) -> Ran {
+fn ran(run: crate::platform::servers::Run) -> Ran {
     Ran {
         id: run.id,
         body: String::from_utf8_lossy(&run.body).into_owned(),
