policy, relay: among equal endpoints, choose by the program's hash

What callers saw: after a restart of all fronts, and whenever a conversation arrived at another front, its turn went to any engine, which read the whole history again.

Cause: where a conversation's prompts are cached is known only to the front that sent them there, and among endpoints of nearly equal cost the choice was random.

Change: rendezvous hashing of the program (for a plain service of the key of the object) among the endpoints of nearly the lowest cost, instead of the cheaper of two random ones. A known cached prompt, load, zones and exclusions decide first, as before. Calls that belong to nothing still take the cheaper of two.

--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -58,6 +58,7 @@
             block_tokens: 128,
             prompt_tokens: 128 * blocks as u32,
             last_endpoint: Some(EndpointId(77)),
+            affinity: None,
             excluded: &[],
         };
         c.bench_function(&format!("route/600 endpoints/{blocks} blocks"), |b| {
--- a/crates/policy/examples/route_calls.rs
+++ b/crates/policy/examples/route_calls.rs
@@ -57,6 +57,7 @@
                 block_tokens,
                 prompt_tokens,
                 last_endpoint: *last,
+                affinity: None,
                 excluded: avoid,
             };
             let choice = chooser.choose(&fleet, &prefixes, &req, &mut rng)?;
--- a/crates/policy/examples/sim/instance.rs
+++ b/crates/policy/examples/sim/instance.rs
@@ -187,6 +187,7 @@
             block_tokens,
             prompt_tokens,
             last_endpoint: last,
+            affinity: None,
             excluded: &[],
         };
         let choice = self.chooser.choose(&self.fleet, &self.prefixes, &req, rng)?;
--- a/crates/policy/src/route/choose.rs
+++ b/crates/policy/src/route/choose.rs
@@ -18,6 +18,9 @@
     pub prompt_tokens: u32,
     /// Endpoint that ran the previous call of the program.
     pub last_endpoint: Option<EndpointId>,
+    /// Hash of what the call belongs to, for example its program. Of several endpoints of nearly
+    /// the lowest cost, all instances choose the same one for the same hash.
+    pub affinity: Option<u64>,
     /// Endpoints that must not run the call, for example because they failed it before.
     pub excluded: &'a [EndpointId],
 }
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -90,6 +90,19 @@
         if excluded { f32::INFINITY } else { wait + prefill + distance + connect }
     }
 
+    /// Returns the endpoint of the highest weight for `hash` (rendezvous hashing) among those whose
+    /// cost is at most `limit`.
+    fn pick_by_hash(
+        &self,
+        fleet: &Fleet,
+        members: &[EndpointId],
+        limit: f32,
+        hash: u64,
+    ) -> Option<usize> {
+        let near = (0..members.len()).filter(|at| self.costs[*at] <= limit);
+        near.max_by_key(|at| mix(hash ^ fleet.name_hash(members[*at])))
+    }
+
     /// Returns the cheaper of two random endpoints whose cost is at most `limit`.
     fn pick_near_best(
         &self,
@@ -144,10 +157,21 @@
         let near = best + self.cfg.tie_s.max(self.cfg.tie_fraction * best);
         let at = match last {
             Some(at) if self.costs[at] <= stay => at,
-            _ => self.pick_near_best(members, near, rng).ok_or(NoRoute::Full)?,
+            _ => match req.affinity {
+                Some(hash) => self.pick_by_hash(fleet, members, near, hash),
+                None => self.pick_near_best(members, near, rng),
+            }
+            .ok_or(NoRoute::Full)?,
         };
         let endpoint = members[at];
         let cached_blocks = self.depths.get(endpoint);
         Ok(Choice { endpoint, cost_s: f64::from(self.costs[at]), cached_blocks })
     }
 }
+
+/// Spreads the bits of `n` (the finalizer of MurmurHash3).
+fn mix(n: u64) -> u64 {
+    let n = (n ^ (n >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let n = (n ^ (n >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    n ^ (n >> 33)
+}
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -67,6 +67,7 @@
 #[derive(Debug)]
 struct Endpoint {
     spec: EndpointSpec,
+    name_hash: u64,
     healthy: bool,
     present: bool,
     capacity_limit: Option<u32>,
@@ -277,6 +278,11 @@
         &self.endpoints[id.0 as usize].spec
     }
 
+    /// Returns a hash of an endpoint's name that is the same at all instances.
+    pub(super) fn name_hash(&self, id: EndpointId) -> u64 {
+        self.endpoints[id.0 as usize].name_hash
+    }
+
     /// Returns the id of the endpoint `name`.
     pub fn id(&self, name: &str) -> Option<EndpointId> {
         let at = self.endpoints.iter().position(|e| e.present && *e.spec.name == *name)?;
@@ -386,6 +392,7 @@
         };
         let endpoint = Endpoint {
             spec: spec.clone(),
+            name_hash: hash_name(&spec.name),
             healthy: true,
             present: true,
             capacity_limit: None,
@@ -424,3 +431,10 @@
         }
     }
 }
+
+/// FNV-1a, because instances of different builds must agree on the hash.
+fn hash_name(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
--- a/crates/policy/tests/route_choice.rs
+++ b/crates/policy/tests/route_choice.rs
@@ -29,6 +29,7 @@
         block_tokens: 100,
         prompt_tokens,
         last_endpoint: None,
+        affinity: None,
         excluded: &[],
     }
 }
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -340,6 +340,7 @@
                 .conversation
                 .as_ref()
                 .and_then(|conversation| self.last_of(conversation)),
+            affinity: placement.affinity,
             excluded: &[],
         };
         let mut rng = rand::rng();
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -311,9 +311,12 @@
         publication: &Publication,
     ) -> Call {
         let conversation = affinity_of(&head);
-        let hash = blake3::hash(conversation.as_ref().unwrap_or(&head.id).as_bytes());
-        let hash = u64::from_le_bytes(*hash.as_bytes().first_chunk().expect("32 bytes"));
+        let hash = hash_name(conversation.as_ref().unwrap_or(&head.id));
         let service = route.service(hash).clone();
+        // The prompts of sub-agents begin with that of their parent, so all conversations of a
+        // program go to one endpoint.
+        let program = head.program.as_ref().filter(|_| !head.prompt.is_empty()).map(|p| &p.id);
+        let affinity = program.or(conversation.as_ref()).map(|name| hash_name(name));
         let is_engine = publication.service(&service).is_some_and(|s| s.engine.is_some());
         let priority = team.and_then(|t| t.priority).unwrap_or(route.priority);
         let urgency = FIRST_URGENCY.saturating_add(priority.saturating_mul(URGENCY_STEP));
@@ -323,6 +326,7 @@
             team: team.map_or_else(|| "".into(), |t| t.name.clone()),
             program: head.program.as_ref().map(|p| p.id.clone()),
             conversation,
+            affinity,
             parts: head.prompt.as_slice().into(),
             blocks: blocks(&head.prompt).into(),
             prompt_tokens: head.prompt.iter().map(|p| p.tokens).sum(),
@@ -500,6 +504,12 @@
     head.program.as_ref().map(conversation)
 }
 
+/// Hash of a name that is the same at all fronts.
+fn hash_name(name: &str) -> u64 {
+    let digest = blake3::hash(name.as_bytes());
+    u64::from_le_bytes(*digest.as_bytes().first_chunk().expect("32 bytes"))
+}
+
 /// Estimated service cost in generated tokens.
 fn cost(head: &CallHead) -> u64 {
     if head.prompt.is_empty() {
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -49,6 +49,8 @@
     pub(crate) program: Option<Name>,
     /// Conversation that the call continues.
     pub(crate) conversation: Option<Name>,
+    /// Hash of the program, or of the key of the object that the call is about.
+    pub(crate) affinity: Option<u64>,
     /// Parts of the prompt, in order.
     pub(crate) parts: Arc<[PromptPart]>,
     /// Block ids of the whole prompt.
--- a/crates/server/src/schedule/endpoints.rs
+++ b/crates/server/src/schedule/endpoints.rs
@@ -223,6 +223,7 @@
             block_tokens: BLOCK_TOKENS,
             prompt_tokens: u32::try_from(spec.prompt_tokens).unwrap_or(u32::MAX),
             last_endpoint: spec.program.as_ref().and_then(|p| self.affine_endpoint(p)),
+            affinity: None,
             excluded: &excluded,
         };
         let mut rng = rand::rng();
