relay: a front that answered a request contradicts its suspicion

Cause: all plain callers of the soak send the same request, as many callers of a real service do, so one wrong decision refuses all of them. A front does not report a request that it has answered itself within the last half minute, but a front that has just started, or gets other calls, has not answered it, and two endpoints that it sees end make the request a suspect for the whole fleet. The next endpoint that ends for any reason during the trial blocks it.

Change: when a list of suspects arrives, a front that has recently answered one of them says so to the leader, which clears it, as it does for every other answer. Each answer counts once, so a request that begins to end endpoints is still blocked.

The test answered_elsewhere fails without the change (422 instead of 200) and passes with it.

--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -80,7 +80,7 @@
 impl QuarantineList {
     /// All quarantined requests. A new leader treats them as suspects unless its replicated state
     /// already blocks them.
-    fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+    pub(crate) fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         self.suspects.iter().chain(&self.refused).copied()
     }
 
--- a/crates/relay/src/front/answered.rs
+++ b/crates/relay/src/front/answered.rs
@@ -33,6 +33,19 @@
         [&self.current, &self.previous].iter().any(|list| list.binary_search(&request).is_ok())
     }
 
+    /// Forgets a request. Returns whether it was in the list.
+    pub(crate) fn remove(&mut self, request: Fingerprint, now: Instant) -> bool {
+        self.rotate(now);
+        let mut was_listed = false;
+        for list in [&mut self.current, &mut self.previous] {
+            if let Ok(at) = list.binary_search(&request) {
+                list.remove(at);
+                was_listed = true;
+            }
+        }
+        was_listed
+    }
+
     /// Starts a new generation when the current one is old or full.
     fn rotate(&mut self, now: Instant) {
         let age = self.current_since.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -4,7 +4,8 @@
 //! a request. With its lease it receives the lists of suspected and refused requests. A suspect
 //! only runs after the leader has confirmed that it runs nowhere else. A request that was recently
 //! answered through this front is not reported, so that a request sent by many callers is not
-//! suspected when several endpoints terminate for other reasons.
+//! suspected when several endpoints terminate for other reasons. If another front, which has not
+//! answered it, reports it all the same, this front contradicts when it receives the list.
 //!
 //! The leader owns the quarantine. A front has the lists of its last heartbeat and the events that
 //! it has not delivered yet. Undelivered events are dropped after a while, because a partitioned
@@ -31,7 +32,10 @@
 };
 
 use super::{answered::AnsweredRequests, attempt::Call, endpoints::ChosenEndpoint};
-use crate::{control_state::write_fingerprint, fleet_client::FleetClient};
+use crate::{
+    control_state::write_fingerprint,
+    fleet_client::{FleetClient, QuarantineList},
+};
 
 /// How long the result of a probe that found an endpoint down is shared with other calls that
 /// failed there.
@@ -235,11 +239,35 @@
         self.event_added.notify_one();
     }
 
-    /// Sends events to the leader until the task is cancelled.
+    /// Reports the requests that the leader suspects or refuses although they were recently answered
+    /// here. Each answer is reported once, so that a request that begins to terminate endpoints is
+    /// not cleared again and again.
+    fn contradict(&self, list: &QuarantineList) {
+        for request in list.all() {
+            if self.answered_requests().remove(request, Instant::now()) {
+                self.push(event(SuspectEventKind::Answered, request, ""));
+            }
+        }
+    }
+
+    /// Sends events to the leader, and checks its lists, until the task is cancelled.
     pub(crate) async fn run(self: Arc<Self>) -> anyhow::Result<()> {
+        let mut changes = self.fleet.subscribe();
+        let mut checked = self.fleet.view().quarantine_list.clone();
         loop {
             if self.pending().is_empty() {
-                self.event_added.notified().await;
+                tokio::select! {
+                    () = self.event_added.notified() => {}
+                    changed = changes.changed() => changed?,
+                }
+                let list = self.fleet.view().quarantine_list.clone();
+                if !Arc::ptr_eq(&list, &checked) {
+                    self.contradict(&list);
+                    checked = list;
+                }
+                if self.pending().is_empty() {
+                    continue;
+                }
                 sleep(BATCH_DELAY).await;
             }
             let events: Vec<_> = self.pending().iter().map(|w| w.event.clone()).collect();
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -142,6 +142,31 @@
     eventually("the request is served after the fix", served).await;
 }
 
+/// A request that another front has answered must not be refused because servers end under it at
+/// this one.
+#[tokio::test(flavor = "multi_thread")]
+async fn answered_elsewhere() {
+    let fleet = RelayFleet::start(&config(3, &[KEY])).await;
+    let path = "/once/crash";
+    let send =
+        async |front: u8, id: &str| fleet.call(front, path, id, Call::default()).await.status;
+    fleet.servers.is_fixed.store(true, Ordering::Relaxed);
+    let attempts = AtomicUsize::new(0);
+    eventually("the request is answered", async || {
+        let id = format!("first-{}", attempts.fetch_add(1, Ordering::Relaxed));
+        send(0, &id).await == 200
+    })
+    .await;
+    fleet.servers.is_fixed.store(false, Ordering::Relaxed);
+    for n in 0..MAX_CRASHES {
+        tokio::time::sleep(RECOVERY_DELAY).await;
+        send(1, &format!("ends-{n}")).await;
+    }
+    fleet.servers.is_fixed.store(true, Ordering::Relaxed);
+    tokio::time::sleep(RECOVERY_DELAY).await;
+    assert_eq!(send(1, "last").await, 200);
+}
+
 /// Suspected requests must not be forgotten when all control replicas are killed before the third
 /// crash.
 #[tokio::test(flavor = "multi_thread")]
