policy, relay: the field's terms in the quarantine; types out of circles

No change of behaviour. In policy::quarantine and the code that calls it, a trial is a run on probation, a ruling a decision, and a condemned request a blocked one; names on the wire, in stored data, of metrics and refusal codes stay. Call, PlacementRequest and SharedParts get files of their own, so that attempt and quarantine, and endpoints and schedule, no longer import one another. The test file quarantine_trials is request_quarantine.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -2,29 +2,30 @@
 //!
 //! A caller may send a request again after its endpoint has failed, with a new id and at any
 //! instance, so the same request can take down one endpoint after another. When an endpoint fails,
-//! many requests run there, and most of them are not the cause. So a request is only refused after
-//! a trial:
+//! many requests run there, and most of them are not the cause. So a request is only blocked after
+//! it has run on probation:
 //!
 //! 1. Each request that an endpoint may have been running when it failed is recorded with it.
-//! 2. A request with [`SUSPECT_FAILURES`] recorded failures is a suspect: it runs on trial only, at
-//!    most once at a time in the whole fleet, and no other suspect runs at the same endpoint.
-//! 3. If the endpoint fails during a trial, the request is condemned: it is refused. A complete
-//!    response, in a trial or not, clears the request.
+//! 2. A request with [`SUSPECT_FAILURES`] recorded failures is a suspect: it only runs on
+//!    probation, at most once at a time in the whole fleet, and no other suspect runs at the same
+//!    endpoint.
+//! 3. If the endpoint fails during that run, the request is blocked, that is, refused. A complete
+//!    response clears the request, whether it ran on probation or not.
 //!
 //! A request that crashes every endpoint thus crashes three, apart from copies that run
 //! concurrently before it is a suspect.
 //!
 //! The state belongs to the leader of the control group. It alone counts failures, so
 //! instances report them to it. After a change of leader the suspects are adopted from the
-//! instances, and a trial that was running is forgotten. Condemned requests belong in durable
-//! state, which is the responsibility of the user of this module; here a request is refused until
-//! that state has been written.
+//! instances, and a run on probation that has not ended is forgotten. Blocked requests belong in
+//! durable state, which is the responsibility of the user of this module; here a request is refused
+//! until that state has been written.
 
 use std::time::Duration;
 
 use crate::{Name, containment::Fingerprint};
 
-/// Failures of endpoints after which a request runs on trial only.
+/// Failures of endpoints after which a request runs on probation only.
 pub const SUSPECT_FAILURES: usize = 2;
 /// Reports of an endpoint's failure within this time are about the same failure.
 const FAILURE_DEDUP_WINDOW: Duration = Duration::from_secs(1);
@@ -35,20 +36,20 @@
 
 /// Decision whether a request may run at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ruling {
+pub enum Decision {
     /// The request is not a suspect and may run.
     Free,
-    /// The request may run on trial; the caller must report the outcome.
-    OnTrial,
-    /// The request is on trial elsewhere; retry later.
+    /// The request may run on probation; the caller must report the outcome.
+    OnProbation,
+    /// The request is on probation elsewhere; retry later.
     Busy,
-    /// Another suspect is on trial at this endpoint; try another endpoint.
+    /// Another suspect is on probation at this endpoint; try another endpoint.
     EndpointTaken,
-    /// The request is condemned and must not run.
+    /// The request is blocked and must not run.
     Refused,
 }
 
-struct Trial {
+struct ProbationRun {
     endpoint: Name,
     expires_at: Duration,
 }
@@ -58,8 +59,8 @@
     /// Endpoints that failed, and when.
     failures: Vec<(Name, Duration)>,
     is_suspect: bool,
-    trial: Option<Trial>,
-    condemned_until: Option<Duration>,
+    probation: Option<ProbationRun>,
+    blocked_until: Option<Duration>,
     last_seen: Duration,
 }
 
@@ -69,14 +70,14 @@
             request,
             failures: Vec::new(),
             is_suspect: false,
-            trial: None,
-            condemned_until: None,
+            probation: None,
+            blocked_until: None,
             last_seen: now,
         }
     }
 
-    fn is_condemned(&self, now: Duration) -> bool {
-        self.condemned_until.is_some_and(|until| now < until)
+    fn is_blocked(&self, now: Duration) -> bool {
+        self.blocked_until.is_some_and(|until| now < until)
     }
 }
 
@@ -108,74 +109,75 @@
         !std::mem::replace(&mut record.is_suspect, true)
     }
 
-    /// Decides whether a request may run at an endpoint. A trial that this starts expires at
-    /// `until`.
+    /// Decides whether a request may run at an endpoint. A run on probation that this starts
+    /// expires at `until`.
     pub fn admit(
         &mut self,
         request: Fingerprint,
         endpoint: &Name,
         until: Duration,
         now: Duration,
-    ) -> Ruling {
-        let is_open = |trial: &Trial| now < trial.expires_at;
-        let Ok(at) = self.position(request) else { return Ruling::Free };
+    ) -> Decision {
+        let is_open = |run: &ProbationRun| now < run.expires_at;
+        let Ok(at) = self.position(request) else { return Decision::Free };
         let record = &self.records[at];
-        if record.is_condemned(now) {
-            return Ruling::Refused;
+        if record.is_blocked(now) {
+            return Decision::Refused;
         }
         if !record.is_suspect {
-            return Ruling::Free;
+            return Decision::Free;
         }
-        if record.trial.as_ref().is_some_and(is_open) {
-            return Ruling::Busy;
+        if record.probation.as_ref().is_some_and(is_open) {
+            return Decision::Busy;
         }
-        let mut open = self.records.iter().filter_map(|n| n.trial.as_ref()).filter(|t| is_open(t));
-        if open.any(|trial| trial.endpoint == *endpoint) {
-            return Ruling::EndpointTaken;
+        let mut open =
+            self.records.iter().filter_map(|n| n.probation.as_ref()).filter(|run| is_open(run));
+        if open.any(|run| run.endpoint == *endpoint) {
+            return Decision::EndpointTaken;
         }
         let record = &mut self.records[at];
-        record.trial = Some(Trial { endpoint: endpoint.clone(), expires_at: until });
+        record.probation = Some(ProbationRun { endpoint: endpoint.clone(), expires_at: until });
         record.last_seen = now;
-        Ruling::OnTrial
+        Decision::OnProbation
     }
 
-    /// Returns whether a request is on trial at an endpoint.
-    pub fn is_on_trial(&self, request: Fingerprint, endpoint: &str) -> bool {
+    /// Returns whether a request is on probation at an endpoint.
+    pub fn is_on_probation(&self, request: Fingerprint, endpoint: &str) -> bool {
         self.position(request).is_ok_and(|at| {
-            self.records[at].trial.as_ref().is_some_and(|trial| *trial.endpoint == *endpoint)
+            self.records[at].probation.as_ref().is_some_and(|run| *run.endpoint == *endpoint)
         })
     }
 
-    /// Ends a trial without a result.
-    pub fn end_trial(&mut self, request: Fingerprint, endpoint: &str) {
-        if self.is_on_trial(request, endpoint)
+    /// Ends a run on probation without a result.
+    pub fn end_probation(&mut self, request: Fingerprint, endpoint: &str) {
+        if self.is_on_probation(request, endpoint)
             && let Ok(at) = self.position(request)
         {
-            self.records[at].trial = None;
+            self.records[at].probation = None;
         }
     }
 
-    /// Refuses a request until `until`, by when its condemnation is durable or has failed to become
-    /// so. Returns whether it was not condemned before.
-    pub fn condemn(&mut self, request: Fingerprint, until: Duration, now: Duration) -> bool {
+    /// Refuses a request until `until`, by when its block is durable or has failed to become so.
+    /// Returns whether it was not blocked before.
+    pub fn block(&mut self, request: Fingerprint, until: Duration, now: Duration) -> bool {
         let record = self.entry(request, now);
-        let is_new = !record.is_condemned(now);
+        let is_new = !record.is_blocked(now);
         record.is_suspect = true;
-        record.trial = None;
-        record.condemned_until = Some(until);
+        record.probation = None;
+        record.blocked_until = Some(until);
         is_new
     }
 
-    /// Returns whether a request is condemned.
-    pub fn is_condemned(&self, request: Fingerprint, now: Duration) -> bool {
-        self.position(request).is_ok_and(|at| self.records[at].is_condemned(now))
+    /// Returns whether a request is blocked.
+    pub fn is_blocked(&self, request: Fingerprint, now: Duration) -> bool {
+        self.position(request).is_ok_and(|at| self.records[at].is_blocked(now))
     }
 
-    /// Returns the condemned requests, sorted.
-    pub fn condemned(&self, now: Duration) -> impl Iterator<Item = Fingerprint> + '_ {
+    /// Returns the blocked requests, sorted.
+    pub fn blocked(&self, now: Duration) -> impl Iterator<Item = Fingerprint> + '_ {
         self.records
             .iter()
-            .filter(move |record| record.is_condemned(now))
+            .filter(move |record| record.is_blocked(now))
             .map(|record| record.request)
     }
 
--- a/crates/policy/tests/quarantine_trials.rs
+++ b/crates/policy/tests/request_quarantine.rs
@@ -12,7 +12,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const TRIAL_LIMIT: Duration = Duration::from_secs(3);
+const PROBATION_LIMIT: Duration = Duration::from_secs(3);
 
 fn request(n: usize) -> Fingerprint {
     Fingerprint::new("/v1", &n.to_le_bytes())
@@ -33,7 +33,7 @@
 struct Outcome {
     /// Number of endpoints that request 0 crashed.
     ended: usize,
-    condemned: Vec<usize>,
+    blocked: Vec<usize>,
 }
 
 /// Simulates a fleet in steps of 10 ms. Request 0 crashes each endpoint 20 ms after it starts
@@ -69,9 +69,9 @@
                 for n in lost {
                     running[n] = None;
                     back_at[n] = step + rng.random_range(1..30);
-                    if quarantine.is_on_trial(request(n), &endpoint(host)) {
-                        outcome.condemned.push(n);
-                        quarantine.condemn(request(n), ms(STEPS * 10), now);
+                    if quarantine.is_on_probation(request(n), &endpoint(host)) {
+                        outcome.blocked.push(n);
+                        quarantine.block(request(n), ms(STEPS * 10), now);
                     } else {
                         quarantine.record_failure(request(n), &endpoint(host), now);
                     }
@@ -80,8 +80,9 @@
             let is_idle = running[n].is_none() && step >= back_at[n];
             let host = rng.random_range(0..endpoints);
             if is_idle && step >= down_until[host] {
-                let ruling = quarantine.admit(request(n), &endpoint(host), now + TRIAL_LIMIT, now);
-                if matches!(ruling, Ruling::Free | Ruling::OnTrial) {
+                let decision =
+                    quarantine.admit(request(n), &endpoint(host), now + PROBATION_LIMIT, now);
+                if matches!(decision, Decision::Free | Decision::OnProbation) {
                     let takes = if n == 0 { 2 } else { work };
                     running[n] = Some((host, step + takes));
                 }
@@ -103,22 +104,31 @@
     ) {
         let outcome = simulate_fleet(seed, endpoints, others, work);
         prop_assert_eq!(outcome.ended, SUSPECT_FAILURES + 1);
-        prop_assert_eq!(outcome.condemned, vec![0]);
+        prop_assert_eq!(outcome.blocked, vec![0]);
     }
 }
 
 /// A request whose copies were running at many endpoints that failed at the same time goes on
-/// trial, and an answer clears it.
+/// probation, and an answer clears it.
 #[test]
 fn answer_clears() {
     let mut quarantine = Quarantine::default();
     for n in 0..20 {
         quarantine.record_failure(request(7), &endpoint(n), ms(5));
     }
-    assert_eq!(quarantine.admit(request(7), &endpoint(30), TRIAL_LIMIT, ms(10)), Ruling::OnTrial);
-    assert_eq!(quarantine.admit(request(7), &endpoint(31), TRIAL_LIMIT, ms(11)), Ruling::Busy);
+    assert_eq!(
+        quarantine.admit(request(7), &endpoint(30), PROBATION_LIMIT, ms(10)),
+        Decision::OnProbation
+    );
+    assert_eq!(
+        quarantine.admit(request(7), &endpoint(31), PROBATION_LIMIT, ms(11)),
+        Decision::Busy
+    );
     assert!(quarantine.remove(request(7)));
-    assert_eq!(quarantine.admit(request(7), &endpoint(31), TRIAL_LIMIT, ms(12)), Ruling::Free);
+    assert_eq!(
+        quarantine.admit(request(7), &endpoint(31), PROBATION_LIMIT, ms(12)),
+        Decision::Free
+    );
 }
 
 /// Several reports about one failure of an endpoint count once; a later failure of an endpoint with
@@ -133,51 +143,72 @@
 }
 
 #[test]
-fn one_trial_per_endpoint() {
+fn one_probation_per_endpoint() {
     let mut quarantine = Quarantine::default();
     suspect(&mut quarantine, request(1));
     suspect(&mut quarantine, request(2));
-    assert_eq!(quarantine.admit(request(1), &endpoint(5), TRIAL_LIMIT, ms(9)), Ruling::OnTrial);
     assert_eq!(
-        quarantine.admit(request(2), &endpoint(5), TRIAL_LIMIT, ms(9)),
-        Ruling::EndpointTaken
+        quarantine.admit(request(1), &endpoint(5), PROBATION_LIMIT, ms(9)),
+        Decision::OnProbation
     );
-    assert_eq!(quarantine.admit(request(2), &endpoint(6), TRIAL_LIMIT, ms(9)), Ruling::OnTrial);
-    assert!(!quarantine.is_on_trial(request(1), "e6"));
+    assert_eq!(
+        quarantine.admit(request(2), &endpoint(5), PROBATION_LIMIT, ms(9)),
+        Decision::EndpointTaken
+    );
+    assert_eq!(
+        quarantine.admit(request(2), &endpoint(6), PROBATION_LIMIT, ms(9)),
+        Decision::OnProbation
+    );
+    assert!(!quarantine.is_on_probation(request(1), "e6"));
 }
 
-/// A trial that has expired or ended without a result allows the next one.
+/// A run on probation that has expired or ended without a result allows the next one.
 #[test]
-fn trials_end() {
+fn probation_end() {
     let mut quarantine = Quarantine::default();
     suspect(&mut quarantine, request(1));
-    assert_eq!(quarantine.admit(request(1), &endpoint(5), TRIAL_LIMIT, ms(9)), Ruling::OnTrial);
-    let late = TRIAL_LIMIT + ms(1);
     assert_eq!(
-        quarantine.admit(request(1), &endpoint(6), late + TRIAL_LIMIT, late),
-        Ruling::OnTrial
+        quarantine.admit(request(1), &endpoint(5), PROBATION_LIMIT, ms(9)),
+        Decision::OnProbation
+    );
+    let late = PROBATION_LIMIT + ms(1);
+    assert_eq!(
+        quarantine.admit(request(1), &endpoint(6), late + PROBATION_LIMIT, late),
+        Decision::OnProbation
+    );
+    quarantine.end_probation(request(1), "e5");
+    assert_eq!(
+        quarantine.admit(request(1), &endpoint(7), late + PROBATION_LIMIT, late),
+        Decision::Busy
     );
-    quarantine.end_trial(request(1), "e5");
-    assert_eq!(quarantine.admit(request(1), &endpoint(7), late + TRIAL_LIMIT, late), Ruling::Busy);
-    quarantine.end_trial(request(1), "e6");
+    quarantine.end_probation(request(1), "e6");
     assert_eq!(
-        quarantine.admit(request(1), &endpoint(7), late + TRIAL_LIMIT, late),
-        Ruling::OnTrial
+        quarantine.admit(request(1), &endpoint(7), late + PROBATION_LIMIT, late),
+        Decision::OnProbation
     );
 }
 
-/// A condemned request is refused before its condemnation is durable.
+/// A blocked request is refused before its block is durable.
 #[test]
 fn refused_before_durable() {
     let mut quarantine = Quarantine::default();
     suspect(&mut quarantine, request(1));
-    assert_eq!(quarantine.admit(request(1), &endpoint(5), TRIAL_LIMIT, ms(9)), Ruling::OnTrial);
-    assert!(quarantine.condemn(request(1), ms(500), ms(20)));
-    assert!(!quarantine.condemn(request(1), ms(520), ms(30)), "condemned before");
-    quarantine.end_trial(request(1), "e5");
-    assert_eq!(quarantine.admit(request(1), &endpoint(6), TRIAL_LIMIT, ms(40)), Ruling::Refused);
-    assert_eq!(quarantine.condemned(ms(40)).collect::<Vec<_>>(), [request(1)]);
-    assert_eq!(quarantine.admit(request(1), &endpoint(6), TRIAL_LIMIT, ms(520)), Ruling::OnTrial);
+    assert_eq!(
+        quarantine.admit(request(1), &endpoint(5), PROBATION_LIMIT, ms(9)),
+        Decision::OnProbation
+    );
+    assert!(quarantine.block(request(1), ms(500), ms(20)));
+    assert!(!quarantine.block(request(1), ms(520), ms(30)), "blocked before");
+    quarantine.end_probation(request(1), "e5");
+    assert_eq!(
+        quarantine.admit(request(1), &endpoint(6), PROBATION_LIMIT, ms(40)),
+        Decision::Refused
+    );
+    assert_eq!(quarantine.blocked(ms(40)).collect::<Vec<_>>(), [request(1)]);
+    assert_eq!(
+        quarantine.admit(request(1), &endpoint(6), PROBATION_LIMIT, ms(520)),
+        Decision::OnProbation
+    );
 }
 
 #[test]
@@ -186,7 +217,10 @@
     assert!(quarantine.adopt_suspect(request(1), ms(0)));
     assert!(!quarantine.adopt_suspect(request(1), ms(0)));
     assert_eq!(quarantine.suspects().collect::<Vec<_>>(), [request(1)]);
-    assert_eq!(quarantine.admit(request(1), &endpoint(0), TRIAL_LIMIT, ms(1)), Ruling::OnTrial);
+    assert_eq!(
+        quarantine.admit(request(1), &endpoint(0), PROBATION_LIMIT, ms(1)),
+        Decision::OnProbation
+    );
 }
 
 /// The table stays within its limit, and suspects are kept.
--- a/crates/relay/src/control/suspects.rs
+++ b/crates/relay/src/control/suspects.rs
@@ -5,7 +5,7 @@
 use poplarspan_policy::{
     Name,
     containment::Fingerprint,
-    quarantine::{Quarantine, Ruling},
+    quarantine::{Decision, Quarantine},
 };
 use poplarspan_proto::{
     peer::{self, SuspectEventKind, SuspectRuling},
@@ -17,9 +17,9 @@
     control_state::{BlockedRequest, read_fingerprint, write_fingerprint},
 };
 
-/// Time beyond the run in which a front determines the result of a trial.
-const TRIAL_RESULT_TIMEOUT: Duration = Duration::from_secs(4);
-/// A blocked request is in the replicated state within this time, or goes on trial again.
+/// Time beyond the run in which a front determines the result of a run on probation.
+const PROBATION_RESULT_TIMEOUT: Duration = Duration::from_secs(4);
+/// A blocked request is in the replicated state within this time, or goes on probation again.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The same moment on the monotonic clock and in milliseconds since the Unix epoch.
@@ -57,7 +57,7 @@
     }
 
     /// Follows the blocked requests of the control state: they are refused until the block expires,
-    /// and then go on trial.
+    /// and then go on probation.
     fn sync_blocked(&mut self, control_state: &ControlState, now: Timestamps) {
         if self.pending_block_until.take_if(|until| now.monotonic >= *until).is_some() {
             self.number += 1;
@@ -104,7 +104,7 @@
     /// Refuses a request and returns the command that records the block.
     fn block(&mut self, request: Fingerprint, now: Timestamps) -> board_command::Body {
         let until = now.monotonic + COMMIT_TIMEOUT;
-        if self.quarantine.condemn(request, until, now.monotonic) {
+        if self.quarantine.block(request, until, now.monotonic) {
             log_request(request, "request is blocked: endpoints terminate while running it");
             metrics::counter!("poplarspan_relay_condemned_requests_total").increment(1);
         }
@@ -120,7 +120,7 @@
             return None;
         }
         let mut refused = self.refused.clone();
-        refused.extend(self.quarantine.condemned(now.monotonic));
+        refused.extend(self.quarantine.blocked(now.monotonic));
         refused.sort_unstable();
         refused.dedup();
         Some(peer::Quarantine {
@@ -149,11 +149,11 @@
         let endpoint = Name::from(&*event.endpoint);
         match event.kind() {
             SuspectEventKind::EndpointEnded => {
-                let is_on_trial = self.quarantine.is_on_trial(request, &endpoint);
+                let is_on_probation = self.quarantine.is_on_probation(request, &endpoint);
                 // For a repeated event the command is returned again, because it may not have been
                 // committed.
-                if self.quarantine.is_condemned(request, now.monotonic)
-                    || (is_on_trial && !is_blocked)
+                if self.quarantine.is_blocked(request, now.monotonic)
+                    || (is_on_probation && !is_blocked)
                 {
                     let command = self.block(request, now);
                     return (SuspectRuling::Refused, Some(command));
@@ -165,7 +165,7 @@
                     self.number += 1;
                     log_request(
                         request,
-                        "request is suspected of terminating endpoints; it only runs on trial",
+                        "request is suspected of terminating endpoints; it only runs on probation",
                     );
                 }
                 (SuspectRuling::Free, None)
@@ -173,15 +173,16 @@
             SuspectEventKind::Begin if is_blocked => (SuspectRuling::Refused, None),
             SuspectEventKind::Begin => {
                 let until =
-                    now.monotonic + Duration::from_millis(event.run_ms) + TRIAL_RESULT_TIMEOUT;
-                let ruling = match self.quarantine.admit(request, &endpoint, until, now.monotonic) {
-                    Ruling::Free => SuspectRuling::Free,
-                    Ruling::OnTrial => SuspectRuling::OnTrial,
-                    Ruling::Busy => SuspectRuling::Busy,
-                    Ruling::EndpointTaken => SuspectRuling::EndpointTaken,
-                    Ruling::Refused => SuspectRuling::Refused,
+                    now.monotonic + Duration::from_millis(event.run_ms) + PROBATION_RESULT_TIMEOUT;
+                let decision = match self.quarantine.admit(request, &endpoint, until, now.monotonic)
+                {
+                    Decision::Free => SuspectRuling::Free,
+                    Decision::OnProbation => SuspectRuling::OnTrial,
+                    Decision::Busy => SuspectRuling::Busy,
+                    Decision::EndpointTaken => SuspectRuling::EndpointTaken,
+                    Decision::Refused => SuspectRuling::Refused,
                 };
-                (ruling, None)
+                (decision, None)
             }
             SuspectEventKind::Answered => {
                 if self.quarantine.remove(request) {
@@ -196,7 +197,7 @@
                 (SuspectRuling::Free, was_blocked.then(acquit))
             }
             SuspectEventKind::TrialOver => {
-                self.quarantine.end_trial(request, &endpoint);
+                self.quarantine.end_probation(request, &endpoint);
                 (SuspectRuling::Free, None)
             }
             SuspectEventKind::Unspecified => (SuspectRuling::Unspecified, None),
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -1,30 +1,27 @@
 //! Sends a call to endpoints and retries where the route allows it.
 
-use std::{
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
+use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use poplarspan_node::{
     SendPermission,
     pool::{PooledConnection, SendError},
 };
-use poplarspan_policy::{Name, containment::Fingerprint};
+use poplarspan_policy::Name;
 use tokio::time::Instant;
 
 use super::{
     Front,
+    call::Call,
     endpoints::{ChosenEndpoint, Outcome},
-    memory::MemoryReservation,
-    quarantine::{Admission, Trial},
+    quarantine::{Admission, ProbationRun},
     refusal::Refusal,
-    schedule::{PlacementError, PlacementRequest, Slot},
+    schedule::{PlacementError, Slot},
 };
-use crate::{CallHead, Forward, ResponseHead, Route};
+use crate::{Forward, ResponseHead};
 
 /// Maximum number of endpoints that refuse a call or cannot be reached before the call is refused.
 const MAX_UNSENT: u32 = 6;
@@ -33,40 +30,6 @@
 /// When to retry a call that no endpoint has run.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// A call that was admitted.
-pub(crate) struct Call {
-    pub(crate) head: CallHead,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) route: Route,
-    pub(crate) team: Option<Name>,
-    pub(crate) placement: Arc<PlacementRequest>,
-    pub(crate) urgency: Option<u8>,
-    /// When the caller must have a response.
-    pub(crate) deadline: Instant,
-    /// Memory reserved for the body.
-    pub(crate) _memory: MemoryReservation,
-    /// Computed on first use.
-    pub(crate) fingerprint: OnceLock<Fingerprint>,
-}
-
-impl Call {
-    /// Digest that identifies the request across fronts and request ids.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let team = self.team.as_deref().unwrap_or("");
-            let place = format!("{team}\n{} {} {}", self.method, self.head.host, self.uri);
-            Fingerprint::new(&place, &self.body)
-        })
-    }
-
-    pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-}
-
 /// A response whose head has arrived.
 pub(crate) struct StartedResponse {
     pub(crate) parts: response::Parts,
@@ -88,8 +51,8 @@
     pub(crate) waited: Duration,
     /// The endpoint of the last attempt.
     pub(crate) last: Option<Name>,
-    /// Set while the call runs on trial.
-    trial: Option<Trial>,
+    /// Set while the call runs on probation.
+    probation: Option<ProbationRun>,
 }
 
 /// Why an attempt yielded no response.
@@ -112,7 +75,7 @@
             unsent: 0,
             waited: Duration::ZERO,
             last: None,
-            trial: None,
+            probation: None,
         }
     }
 
@@ -198,7 +161,7 @@
         }
         match self.front.quarantine.admit(&call, &endpoint).await {
             Admission::Free => {}
-            Admission::OnTrial(trial) => self.trial = Some(trial),
+            Admission::OnProbation(probation) => self.probation = Some(probation),
             Admission::EndpointTaken => return Err(AttemptError::NotRun),
             Admission::EndpointUnreachable => {
                 slot.finish(Outcome::Failed);
@@ -206,7 +169,7 @@
             }
             Admission::Refused => return Err(AttemptError::Refused(self.crashes_endpoints())),
             Admission::Busy => {
-                let message = "the request is on trial, since endpoints have ended under it";
+                let message = "the request is on probation, since endpoints have ended under it";
                 return Err(AttemptError::Refused(self.refuse("on_trial", message, RETRY_AFTER)));
             }
         }
@@ -240,7 +203,7 @@
         }
         if head.not_run || head.is_other_endpoint {
             self.log_no_answer(&slot, "endpoint did not run the call", parts.status.as_u16());
-            self.trial = None;
+            self.probation = None;
             tokio::spawn(drain(body, reuse));
             slot.finish(if head.is_other_endpoint { Outcome::Failed } else { Outcome::Refused });
             return Err(AttemptError::NotRun);
@@ -252,7 +215,7 @@
                 parts.status.as_u16(),
             );
             metrics::counter!("poplarspan_relay_foreign_answers_total").increment(1);
-            self.trial = None;
+            self.probation = None;
             slot.finish(Outcome::Failed);
             return Err(AttemptError::Unknown);
         }
@@ -284,7 +247,7 @@
             }
             _ => self.note_incomplete(&slot.endpoint, &cause),
         }
-        self.trial = None;
+        self.probation = None;
         match error {
             SendError::NotPermitted => {
                 // The lease expired or the endpoint is leaving; neither is a failure of the
@@ -314,12 +277,12 @@
         let name = &*endpoint.name;
         log::warn!(id, request = request.as_str(), endpoint = name, cause; "endpoint did not complete its response");
         metrics::counter!("poplarspan_relay_lost_runs_total").increment(1);
-        self.front.quarantine.note_incomplete(&self.call, endpoint, self.trial.take());
+        self.front.quarantine.note_incomplete(&self.call, endpoint, self.probation.take());
     }
 
     /// Records that the call has a complete response.
     pub(crate) fn answered(&mut self) {
-        self.front.quarantine.answered(&self.call, self.trial.take());
+        self.front.quarantine.answered(&self.call, self.probation.take());
     }
 
     fn log_no_answer(&self, slot: &Slot, what: &'static str, status: u16) {
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -13,15 +13,17 @@
 
 use super::{
     Front,
-    attempt::{Attempts, Call, StartedResponse},
+    attempt::{Attempts, StartedResponse},
     body::{self, ResponseBody},
+    call::Call,
     endpoints::{Outcome, blocks},
     events::EventReader,
     memory::{MemoryReservation, ReadError},
+    placement::PlacementRequest,
     programs::{OpenTurn, TurnName, TurnRequirements},
     rates::Token,
     refusal::Refusal,
-    schedule::{PlacementRequest, Slot},
+    schedule::Slot,
     stream::{StreamRelay, TurnRecording, tokens_per_event},
 };
 use crate::{CallHead, ProgramHead, Publication, Route, RouteKind, Team};
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -7,16 +7,19 @@
 mod answered;
 mod attempt;
 mod body;
+mod call;
 pub(crate) mod endpoints;
 pub(crate) mod events;
 mod handler;
 pub(crate) mod listener;
 pub(crate) mod memory;
+mod placement;
 pub(crate) mod programs;
 pub(crate) mod quarantine;
 pub(crate) mod rates;
 mod refusal;
 pub(crate) mod schedule;
+mod shared_parts;
 mod stream;
 
 use std::{sync::Arc, time::Duration};
--- /dev/null
+++ b/crates/relay/src/front/placement.rs
@@ -0,0 +1,31 @@
+//! What a front needs to know of a call to choose its endpoint.
+
+use std::{sync::Arc, time::Duration};
+
+use poplarspan_policy::Name;
+
+use crate::PromptPart;
+
+/// The properties of a call that determine its scheduling.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacementRequest {
+    pub(crate) service: Name,
+    /// Empty on open routes.
+    pub(crate) team: Name,
+    pub(crate) program: Option<Name>,
+    /// Conversation that the call continues.
+    pub(crate) conversation: Option<Name>,
+    /// Hash of the program, or of the key of the object that the call is about.
+    pub(crate) affinity: Option<u64>,
+    /// Parts of the prompt, in order.
+    pub(crate) parts: Arc<[PromptPart]>,
+    /// Block ids of the whole prompt.
+    pub(crate) blocks: Arc<[u64]>,
+    pub(crate) prompt_tokens: u32,
+    /// Whether another endpoint may run the call if the first one loses it.
+    pub(crate) may_repeat: bool,
+    /// Estimated service cost in tokens.
+    pub(crate) cost: u64,
+    /// When the caller stops waiting, by the front's clock.
+    pub(crate) deadline: Duration,
+}
--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -31,7 +31,7 @@
     time::{Instant, sleep},
 };
 
-use super::{answered::AnsweredRequests, attempt::Call, endpoints::ChosenEndpoint};
+use super::{answered::AnsweredRequests, call::Call, endpoints::ChosenEndpoint};
 use crate::{
     control_state::write_fingerprint,
     fleet_client::{FleetClient, QuarantineList},
@@ -40,9 +40,9 @@
 /// How long the result of a probe that found an endpoint down is shared with other calls that
 /// failed there.
 const PROBE_TTL: Duration = Duration::from_secs(1);
-/// Number of probes of an endpoint after a trial, and the time between them. The endpoint has
-/// terminated if it accepts no connection in any of them.
-const TRIAL_PROBES: u32 = 3;
+/// Number of probes of an endpoint after a run on probation, and the time between them. The
+/// endpoint has terminated if it accepts no connection in any of them.
+const PROBATION_PROBES: u32 = 3;
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay before events are sent, so that those of calls that fail together form one batch.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
@@ -56,7 +56,7 @@
 /// Decision whether a call may be sent to an endpoint.
 pub(crate) enum Admission {
     Free,
-    OnTrial(Trial),
+    OnProbation(ProbationRun),
     /// Another suspect runs at the endpoint.
     EndpointTaken,
     /// The endpoint accepts no connection.
@@ -66,14 +66,14 @@
     Refused,
 }
 
-/// A run on trial. When it is dropped, the leader is told that the trial is over.
-pub(crate) struct Trial {
+/// A run on probation. When it is dropped, the leader is told that the run is over.
+pub(crate) struct ProbationRun {
     quarantine: Arc<Quarantine>,
     request: Fingerprint,
     endpoint: Name,
 }
 
-impl Drop for Trial {
+impl Drop for ProbationRun {
     fn drop(&mut self) {
         let kind = SuspectEventKind::TrialOver;
         self.quarantine.push(event(kind, self.request, &self.endpoint));
@@ -142,15 +142,15 @@
         let request = call.fingerprint();
         let run_ms = u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX);
         let begin = event(SuspectEventKind::Begin, request, &endpoint.name);
-        let rulings = self.send_events(vec![SuspectEvent { run_ms, ..begin }]).await;
-        match rulings.as_deref().and_then(|rulings| rulings.first()) {
+        let decisions = self.send_events(vec![SuspectEvent { run_ms, ..begin }]).await;
+        match decisions.as_deref().and_then(|decisions| decisions.first()) {
             Some(SuspectRuling::Free) => Admission::Free,
             Some(SuspectRuling::OnTrial) => {
                 let (quarantine, name) = (self.clone(), endpoint.name.clone());
-                let trial = Trial { quarantine, request, endpoint: name };
+                let run = ProbationRun { quarantine, request, endpoint: name };
                 // If the endpoint is already down, its state says nothing about this run.
                 match self.pool.accepts_connections(endpoint.address).await {
-                    true => Admission::OnTrial(trial),
+                    true => Admission::OnProbation(run),
                     false => Admission::EndpointUnreachable,
                 }
             }
@@ -166,30 +166,30 @@
         self: &Arc<Self>,
         call: &Call,
         endpoint: &ChosenEndpoint,
-        trial: Option<Trial>,
+        probation: Option<ProbationRun>,
     ) {
         let (this, request, endpoint) = (self.clone(), call.fingerprint(), endpoint.clone());
         if self.answered_requests().contains(request, Instant::now()) {
             return;
         }
         tokio::spawn(async move {
-            let has_ended = match &trial {
+            let has_ended = match &probation {
                 Some(_) => this.stays_unreachable(&endpoint).await,
                 None => !this.probe(endpoint.address).await,
             };
             if has_ended {
                 this.push(event(SuspectEventKind::EndpointEnded, request, &endpoint.name));
             }
-            // The end of the trial is queued after the event, so that the leader handles the event
+            // The end of the run is queued after the event, so that the leader handles the event
             // first.
-            drop(trial);
+            drop(probation);
         });
     }
 
     /// Records that a call has a complete response.
-    pub(crate) fn answered(&self, call: &Call, trial: Option<Trial>) {
+    pub(crate) fn answered(&self, call: &Call, probation: Option<ProbationRun>) {
         self.answered_requests().insert(call.fingerprint(), Instant::now());
-        if trial.is_some() || self.is_suspect(call) || self.is_refused(call) {
+        if probation.is_some() || self.is_suspect(call) || self.is_refused(call) {
             self.push(event(SuspectEventKind::Answered, call.fingerprint(), ""));
         }
     }
@@ -200,7 +200,7 @@
 
     /// Whether an endpoint accepts no connection in several probes.
     async fn stays_unreachable(&self, endpoint: &ChosenEndpoint) -> bool {
-        for _ in 0..TRIAL_PROBES {
+        for _ in 0..PROBATION_PROBES {
             if self.pool.accepts_connections(endpoint.address).await {
                 return false;
             }
@@ -239,9 +239,9 @@
         self.event_added.notify_one();
     }
 
-    /// Reports the requests that the leader suspects or refuses although they were recently answered
-    /// here. Each answer is reported once, so that a request that begins to terminate endpoints is
-    /// not cleared again and again.
+    /// Reports the requests that the leader suspects or refuses although they were recently
+    /// answered here. Each answer is reported once, so that a request that begins to terminate
+    /// endpoints is not cleared again and again.
     fn contradict(&self, list: &QuarantineList) {
         for request in list.all() {
             if self.answered_requests().remove(request, Instant::now()) {
@@ -296,7 +296,7 @@
         let leader = self.fleet.leader()?;
         let body = request::Body::Suspects(peer::SuspectEvents { events });
         match self.client.call(leader, body, RULING_TIMEOUT).await {
-            Ok(response::Body::Suspects(rulings)) => Some(rulings.rulings().collect()),
+            Ok(response::Body::Suspects(decisions)) => Some(decisions.rulings().collect()),
             Ok(_) | Err(_) => None,
         }
     }
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -25,8 +25,11 @@
     time::{MissedTickBehavior, interval},
 };
 
-use super::endpoints::{ChosenEndpoint, Endpoints, Outcome};
-use crate::{Load, PromptPart, fleet_client::FleetClient};
+use super::{
+    endpoints::{ChosenEndpoint, Endpoints, Outcome},
+    placement::PlacementRequest,
+};
+use crate::{Load, fleet_client::FleetClient};
 
 const TICK: Duration = Duration::from_millis(100);
 /// Maximum number of waiting calls per service.
@@ -40,30 +43,6 @@
 /// How long a call waits for an endpoint to become available before it is refused.
 const OUTAGE_WAIT: Duration = Duration::from_millis(500);
 
-/// The properties of a call that determine its scheduling.
-#[derive(Clone, Debug)]
-pub(crate) struct PlacementRequest {
-    pub(crate) service: Name,
-    /// Empty on open routes.
-    pub(crate) team: Name,
-    pub(crate) program: Option<Name>,
-    /// Conversation that the call continues.
-    pub(crate) conversation: Option<Name>,
-    /// Hash of the program, or of the key of the object that the call is about.
-    pub(crate) affinity: Option<u64>,
-    /// Parts of the prompt, in order.
-    pub(crate) parts: Arc<[PromptPart]>,
-    /// Block ids of the whole prompt.
-    pub(crate) blocks: Arc<[u64]>,
-    pub(crate) prompt_tokens: u32,
-    /// Whether another endpoint may run the call if the first one loses it.
-    pub(crate) may_repeat: bool,
-    /// Estimated service cost in tokens.
-    pub(crate) cost: u64,
-    /// When the caller stops waiting, by the front's clock.
-    pub(crate) deadline: Duration,
-}
-
 /// Why a call gets no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PlacementError {
