--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`containment`]: requests that crash the endpoints that run them, replicated to all instances.
 //! * [`quarantine`]: the same, decided by a leader that all instances lease from.
 //! * [`departures`]: endpoints that have announced that they are about to stop.
-//! * [`probation`]: endpoints that fail the calls of several instances.
+//! * [`probation`]: endpoints that fail calls, avoided by all instances.
 //! * [`placement`]: assignment of models to endpoints.
 //!
 //! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
--- a/crates/policy/src/probation.rs
+++ b/crates/policy/src/probation.rs
@@ -1,4 +1,4 @@
-//! Endpoints that fail the calls of several instances, which the whole fleet then avoids.
+//! Endpoints that fail calls at any instance, which the whole fleet then avoids.
 //!
 //! The load is a service some of whose endpoints reset calls while they look healthy, or go down
 //! and come back by turns. A failing endpoint looks idle and attracts calls, and each instance
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -62,7 +62,7 @@
     /// Replicas of stores that are being drained.
     pub(crate) retiring: Vec<u64>,
     pub(crate) quarantine_list: Arc<QuarantineList>,
-    /// Endpoints that fail the calls of several instances; sorted.
+    /// Endpoints on probation, because calls failed there at any front; sorted.
     pub(crate) probation: Vec<Name>,
 }
 
