relay: log and count heartbeats that fail, and why

The record could not tell a heartbeat that gave up too early from a leader that is overloaded or changes: only the loss of the leader was logged, without a cause.

Now a failed heartbeat to the leader is logged with its outcome, cause, duration and the time left on the lease, and heartbeats and the leader's calls have counters and histograms. No change of behaviour.

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -264,6 +264,8 @@
             if role != Role::Instance {
                 return failure(FailureCode::Unauthorized, "only instances may ask for this");
             }
+            let started = self.clock.now();
+            let kind = call_kind(&body);
             let answer = match body {
                 request::Body::Beat(beat) => {
                     self.handle_heartbeat(beat).await.map(response::Body::Beat)
@@ -279,7 +281,21 @@
                 }
                 _ => Err(invalid("a control replica does not carry out this call")),
             };
+            let took = self.clock.now().saturating_sub(started);
+            metrics::histogram!("poplarspan_relay_control_call_seconds", "call" => kind)
+                .record(took.as_secs_f64());
             answer.unwrap_or_else(response::Body::Failure)
         })
     }
 }
+
+/// Name of a peer call in metrics.
+fn call_kind(body: &request::Body) -> &'static str {
+    match body {
+        request::Body::Beat(_) => "heartbeat",
+        request::Body::Borrow(_) => "borrow",
+        request::Body::Suspects(_) => "suspects",
+        request::Body::Join(_) => "join",
+        _ => "other",
+    }
+}
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -301,19 +301,57 @@
     ) -> bool {
         match answer {
             Ok(response::Body::Beat(answer)) => {
+                let took = self.clock.now().saturating_sub(asked_at);
+                metrics::counter!("poplarspan_relay_heartbeats_total", "outcome" => "answered")
+                    .increment(1);
+                metrics::histogram!("poplarspan_relay_heartbeat_seconds")
+                    .record(took.as_secs_f64());
                 report.apply_shares(&answer.shares);
                 self.leader_found(address);
                 self.apply(answer, asked_at);
                 true
             }
             Err(CallError::Failed(failure)) => {
-                self.leader_lost(address, failure.leader_address.parse().ok(), true);
+                let hint = failure.leader_address.parse().ok();
+                self.heartbeat_failed(address, asked_at, "refused", &failure.message);
+                self.leader_lost(address, hint, true);
                 false
             }
-            Ok(_) | Err(_) => {
+            Ok(_) => {
+                self.heartbeat_failed(
+                    address,
+                    asked_at,
+                    "invalid",
+                    "the answer is of another kind",
+                );
                 self.leader_lost(address, None, false);
                 false
             }
+            Err(e) => {
+                self.heartbeat_failed(address, asked_at, "unanswered", &e.to_string());
+                self.leader_lost(address, None, false);
+                false
+            }
+        }
+    }
+
+    /// Counts a failed heartbeat, and logs it if it went to the leader.
+    fn heartbeat_failed(
+        &self,
+        address: SocketAddr,
+        asked_at: Duration,
+        outcome: &'static str,
+        cause: &str,
+    ) {
+        metrics::counter!("poplarspan_relay_heartbeats_total", "outcome" => outcome).increment(1);
+        if self.leader() == Some(address) {
+            let took_ms = self.clock.now().saturating_sub(asked_at).as_millis() as u64;
+            let lease_left_ms = self.lease_left().unwrap_or_default().as_millis() as u64;
+            let leader = address.to_string();
+            log::warn!(
+                leader = leader.as_str(), outcome, cause, took_ms, lease_left_ms;
+                "heartbeat to the control leader failed"
+            );
         }
     }
 
