--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -31,6 +31,8 @@
     servers::{SERVERS, Servers, server_name},
 };
 
+#[path = "datagrams.rs"]
+pub mod datagrams;
 #[path = "faulty.rs"]
 pub mod faulty;
 #[path = "proxy.rs"]
@@ -40,6 +42,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_poplarspan");
 const PEER_PORT: u16 = 7780;
+/// Peer ports of a distant front. At the control replicas' addresses, relays listen on them.
+const DISTANT_PEER_PORT: u16 = 7820;
 const CONTROL_PORT: u16 = 8367;
 const FRONT_PORT: u16 = 8368;
 const READY_PORT: u16 = 8369;
@@ -87,6 +91,12 @@
         self.is_stopping = false;
     }
 
+    /// Process id. Panics if the process is not running.
+    pub fn pid(&self) -> Pid {
+        let child = self.child.as_ref().expect("process is not running");
+        Pid::from_raw(i32::try_from(child.id()).expect("pid out of range"))
+    }
+
     /// Sends a signal to the process if it is running.
     pub fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else { return };
@@ -321,7 +331,8 @@
             "node = \"{name}\"\nserves = [\"{serves}\"]\nip = \"{ip}\"\nzone = \"z1\"\n\
              portRange = [{PEER_PORT}, {last}]\nseeds = [{seeds}]\nbootstrap = true\n{data_line}\
              [zones]\nz1 = \"r\"\nz2 = \"r\"\n[listen]\n{listen}\n\
-             [faultTolerance]\nmachines = 1\n[bounds]\nrevokeMs = 5000\ngraceS = 8\n\
+             [faultTolerance]\nmachines = 1\n\
+             [bounds]\nrevokeMs = 5000\ngraceS = 8\nconfigApplyMs = 2500\n\
              [cloud]\naddress = \"{list}\"\n",
             last = PEER_PORT + 15,
             seeds = seeds.join(", "),
@@ -392,7 +403,26 @@
         self.operator_request("PUT", "/-/config", config.to_string()).await.0
     }
 
-    async fn wait_ready(&self, front: u8) {
+    /// Restarts a front whose datagrams to the control replicas, and the answers, arrive after
+    /// `delay`. Control replicas that it learns of later are reached directly.
+    pub async fn restart_distant(&mut self, front: u8, delay: Duration) {
+        for replica in 10..13 {
+            let near = SocketAddr::from((self.ip(replica), DISTANT_PEER_PORT));
+            let far = SocketAddr::from((self.ip(replica), PEER_PORT));
+            datagrams::delay(near, far, delay).await;
+        }
+        let machine = &mut self.fronts[usize::from(front)];
+        machine.kill();
+        let text = std::fs::read_to_string(&machine.settings).expect("cannot read the settings");
+        let text = text.replace(
+            &format!("portRange = [{PEER_PORT}, {}]", PEER_PORT + 15),
+            &format!("portRange = [{DISTANT_PEER_PORT}, {}]", DISTANT_PEER_PORT + 15),
+        );
+        std::fs::write(&machine.settings, text).expect("cannot write the settings");
+        machine.restart();
+    }
+
+    pub async fn wait_ready(&self, front: u8) {
         let url = format!("http://{}:{READY_PORT}/-/ready", self.ip(30 + front));
         let is_ready = async || {
             self.client.get(&url).send().await.is_ok_and(|answer| answer.status().is_success())
