relay: a heartbeat that is answered late still counts

A front that no answer reaches within 300 ms never got a lease; with two late answers its view was up to 2.95 s old, while the lease runs for 3 s and a publication must be in force after 2.0 to 3.0 s: after 300 ms the heartbeat was dropped together with its connection, and the leader, the only one that can answer, was not asked for a second.

Cause: a timeout that decides when to look elsewhere also decided that an answer no longer counts.

Evidence: distant_front, answers after 380 ms: before, not ready within 60 s; now ready at once, and each of 50 calls on a route that was added 2.5 s before is served.

Change: after 300 ms other candidates are asked as before, and the leader once more on a new connection, but the heartbeats that are open stay open for 1.5 s, across rounds; the first answer wins, and its lease runs from when its own heartbeat was sent. Rate shares of an answer to an earlier round are not applied, since the leader has been told since that the front does not hold them. A failure no longer clears a hint that another candidate gave in the same round.

Why it works: the age of the view is now bounded by the time that the leader needs to answer, not by a multiple of 1.3 s for each answer that is late.

--- a/crates/node/src/peer/client.rs
+++ b/crates/node/src/peer/client.rs
@@ -153,6 +153,14 @@
         }
     }
 
+    /// Makes the next call to the peer open a new connection. Calls on the current one continue.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut open = self.connections.lock().expect("mutex is not poisoned");
+        if let Ok(i) = open.binary_search_by_key(&address, |(a, _)| *a) {
+            open.remove(i);
+        }
+    }
+
     /// Closes all connections of the endpoint and waits until the peers have been notified.
     pub async fn close(&self) {
         self.endpoint.close(0u32.into(), b"done");
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -17,14 +17,14 @@
 use anyhow::Result;
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use poplarspan_agreement::{Clock, ReplicaId};
 use poplarspan_node::{CallError, PeerClient};
 use poplarspan_policy::{Name, cold_start::InstanceRank, containment::Fingerprint};
 use poplarspan_proto::peer::{self, request, response};
 use tokio::{
     sync::{Notify, watch},
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{
@@ -39,7 +39,12 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Instances that are asked in parallel while no leader is known.
 const PARALLEL_CANDIDATES: usize = 3;
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which other instances are asked as well, and the leader on a new connection. An
+/// answer that arrives later still counts.
+const LATE_AFTER: Duration = Duration::from_millis(300);
+/// Time after which no answer to a heartbeat is expected any more. Longer than a handshake in which
+/// the first datagram is lost.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// An instance that failed to answer a heartbeat is skipped for this long, even if others still
 /// name it as the leader.
 const UNRESPONSIVE_PAUSE: Duration = Duration::from_millis(1_000);
@@ -110,6 +115,22 @@
     fn apply_shares(&self, shares: &[peer::TeamShare]);
 }
 
+/// The answer to a heartbeat, or why there is none.
+struct HeartbeatAnswer {
+    address: SocketAddr,
+    asked_at: Duration,
+    /// Number of the round in which the heartbeat was sent.
+    round: u64,
+    answer: Result<response::Body, CallError>,
+}
+
+/// Heartbeats that are not answered yet.
+#[derive(Default)]
+struct OpenHeartbeats {
+    answers: FuturesUnordered<BoxFuture<'static, HeartbeatAnswer>>,
+    round: u64,
+}
+
 /// An instance's client of the control group.
 pub(crate) struct FleetClient {
     settings: Arc<Settings>,
@@ -239,9 +260,10 @@
 
     /// Sends heartbeats until the task is cancelled.
     pub(crate) async fn run(self: Arc<Self>, report: Arc<dyn HeartbeatReport>) -> Result<()> {
+        let mut open = OpenHeartbeats::default();
         loop {
             let started = Instant::now();
-            let is_answered = self.send_heartbeat(&*report).await;
+            let is_answered = self.send_heartbeat(&*report, &mut open).await;
             let pause = if is_answered { HEARTBEAT_INTERVAL } else { RETRY_PAUSE };
             let rest = pause.saturating_sub(started.elapsed()).max(RETRY_PAUSE);
             // A timeout only means that the next heartbeat is due.
@@ -252,11 +274,58 @@
         }
     }
 
-    /// Sends one heartbeat. Returns whether the leader answered it.
-    async fn send_heartbeat(&self, report: &dyn HeartbeatReport) -> bool {
+    /// Sends one heartbeat, and waits for its answer or that of an earlier one. Returns whether
+    /// the leader answered.
+    async fn send_heartbeat(
+        &self,
+        report: &dyn HeartbeatReport,
+        open: &mut OpenHeartbeats,
+    ) -> bool {
         let candidates = self.candidates();
+        let beat = self.heartbeat(report, &candidates).await;
+        open.round += 1;
+        for address in &candidates {
+            open.answers.push(self.ask(*address, beat.clone(), open.round));
+        }
+        let mut awaited = candidates;
+        let late_at = Instant::now() + LATE_AFTER;
+        while !awaited.is_empty() {
+            match timeout_at(late_at, open.answers.next()).await {
+                Ok(Some(answer)) => {
+                    if answer.round == open.round {
+                        awaited.retain(|address| *address != answer.address);
+                    }
+                    let is_newest = answer.round == open.round;
+                    if self.handle_answer(answer, is_newest, report) {
+                        open.answers.clear();
+                        return true;
+                    }
+                }
+                Ok(None) => return false,
+                Err(_) => {
+                    for address in awaited.drain(..) {
+                        if !self.note_late(address) {
+                            continue;
+                        }
+                        // The peer may have restarted, in which case it no longer knows the
+                        // connection.
+                        self.client.forget(address);
+                        open.answers.push(self.ask(address, beat.clone(), open.round));
+                    }
+                }
+            }
+        }
+        false
+    }
+
+    /// The contents of a heartbeat to these instances.
+    async fn heartbeat(
+        &self,
+        report: &dyn HeartbeatReport,
+        candidates: &[SocketAddr],
+    ) -> peer::Beat {
         let view = self.view();
-        let suspects = match self.asks_other_instances(&candidates) {
+        let suspects = match self.asks_other_instances(candidates) {
             true => view.quarantine_list.all().map(write_fingerprint).collect(),
             false => Vec::new(),
         };
@@ -276,29 +345,40 @@
             failures: Vec::new(),
         };
         report.fill(&mut beat).await;
-        let asked_at = self.clock.now();
-        let ask = |address| {
-            let call =
-                self.client.call(address, request::Body::Beat(beat.clone()), HEARTBEAT_TIMEOUT);
-            call.map(move |answer| (address, answer))
-        };
-        let mut asked: FuturesUnordered<_> = candidates.into_iter().map(ask).collect();
-        while let Some((address, answer)) = asked.next().await {
-            if self.handle_answer(address, answer, asked_at, report) {
-                return true;
-            }
-        }
-        false
+        beat
+    }
+
+    fn ask(
+        &self,
+        address: SocketAddr,
+        beat: peer::Beat,
+        round: u64,
+    ) -> BoxFuture<'static, HeartbeatAnswer> {
+        let (client, asked_at) = (self.client.clone(), self.clock.now());
+        Box::pin(async move {
+            let answer = client.call(address, request::Body::Beat(beat), HEARTBEAT_TIMEOUT).await;
+            HeartbeatAnswer { address, asked_at, round, answer }
+        })
+    }
+
+    /// Records that an instance has not answered a heartbeat yet. Returns whether it was considered
+    /// the leader.
+    fn note_late(&self, address: SocketAddr) -> bool {
+        let was_leader = self.leader() == Some(address);
+        let asked_at = self.clock.now().saturating_sub(LATE_AFTER);
+        self.heartbeat_failed(address, asked_at, "late", "no answer yet");
+        self.leader_lost(address, None, false);
+        was_leader
     }
 
     /// Handles the answer to a heartbeat. Returns whether it came from the leader.
     fn handle_answer(
         &self,
-        address: SocketAddr,
-        answer: Result<response::Body, CallError>,
-        asked_at: Duration,
+        answer: HeartbeatAnswer,
+        is_newest: bool,
         report: &dyn HeartbeatReport,
     ) -> bool {
+        let HeartbeatAnswer { address, asked_at, answer, .. } = answer;
         match answer {
             Ok(response::Body::Beat(answer)) => {
                 let took = self.clock.now().saturating_sub(asked_at);
@@ -306,7 +386,11 @@
                     .increment(1);
                 metrics::histogram!("poplarspan_relay_heartbeat_seconds")
                     .record(took.as_secs_f64());
-                report.apply_shares(&answer.shares);
+                // A later heartbeat has told the leader that the instance does not hold the shares
+                // of an earlier answer.
+                if is_newest {
+                    report.apply_shares(&answer.shares);
+                }
                 self.leader_found(address);
                 self.apply(answer, asked_at);
                 true
@@ -318,12 +402,8 @@
                 false
             }
             Ok(_) => {
-                self.heartbeat_failed(
-                    address,
-                    asked_at,
-                    "invalid",
-                    "the answer is of another kind",
-                );
+                let cause = "the answer is of another kind";
+                self.heartbeat_failed(address, asked_at, "invalid", cause);
                 self.leader_lost(address, None, false);
                 false
             }
@@ -391,7 +471,10 @@
         if !has_answered {
             search.unresponsive = Some((address, Instant::now() + UNRESPONSIVE_PAUSE));
         }
-        search.leader = hint.filter(|hint| *hint != address && !search.is_unresponsive(*hint));
+        let hint = hint.filter(|hint| *hint != address && !search.is_unresponsive(*hint));
+        if hint.is_some() || search.leader == Some(address) {
+            search.leader = hint;
+        }
     }
 
     fn apply(&self, answer: peer::BeatAnswer, asked_at: Duration) {
