relay: no final refusal on a view that may be outdated

Cause: a lease answers the question whether a withdrawn key may still be in use (0.6 of revokeMs, 3.0 s), and was also taken for the answer to whether the view is new enough to refuse for good, which must be true after configApplyMs (2.0 to 3.0 s). Between the two, a front that hears nothing from control refused a route or key that exists. A 404 or 401 ends a caller's program; a 503 sends it to another front.

Change: a front keeps when the last answered heartbeat was sent. A refusal because of an unknown route or key is final only if that is less than configApplyMs ago.

Why it works: the view holds all that was acknowledged before that heartbeat was sent. If it is less than configApplyMs old, no publication that it lacks has to be in force.

--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -49,6 +49,9 @@
 /// name it as the leader.
 const UNRESPONSIVE_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Maximum drift between the clocks of two machines while a publication comes into force.
+const DRIFT_MARGIN: Duration = Duration::from_millis(50);
+
 /// An instance's view of the fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct View {
@@ -143,6 +146,9 @@
     changed: watch::Sender<u64>,
     /// End of the lease, in microseconds of `clock`.
     lease_until_us: AtomicU64,
+    /// When the last answered heartbeat was sent, in microseconds of `clock`. The view contains
+    /// everything that was acknowledged before.
+    confirmed_at_us: AtomicU64,
     /// When the process ends; set once it is shutting down.
     ends_at: Mutex<Option<Instant>>,
     search: Mutex<LeaderSearch>,
@@ -201,6 +207,7 @@
             view: ArcSwap::from_pointee(view),
             changed: watch::Sender::new(0),
             lease_until_us: AtomicU64::new(0),
+            confirmed_at_us: AtomicU64::new(0),
             ends_at: Mutex::default(),
             search: Mutex::new(search),
             wake_heartbeat: Notify::new(),
@@ -223,6 +230,13 @@
         until.checked_sub(self.clock.now()).filter(|left| !left.is_zero())
     }
 
+    /// Whether every publication that must be in force by now is in the view.
+    pub(crate) fn is_view_current(&self) -> bool {
+        let confirmed_at = Duration::from_micros(self.confirmed_at_us.load(Ordering::Acquire));
+        let age = self.clock.now().saturating_sub(confirmed_at);
+        age + DRIFT_MARGIN < self.settings.time_limits.publication
+    }
+
     /// Marks the instance as shutting down; the process ends at `ends_at`.
     pub(crate) fn set_draining(&self, ends_at: Instant) {
         *self.ends_at.lock().expect("no panic while locked") = Some(ends_at);
@@ -519,6 +533,7 @@
             log::info!("lease acquired");
         }
         self.lease_until_us.fetch_max(until.as_micros() as u64, Ordering::AcqRel);
+        self.confirmed_at_us.fetch_max(asked_at.as_micros() as u64, Ordering::AcqRel);
         self.changed.send_modify(|n| *n += 1);
     }
 
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -221,10 +221,12 @@
         };
         record.lease_left = lease_left;
         let Some(route) = publication.route(&head.host, parts.uri.path()).cloned() else {
-            return Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_route", "no such route"));
+            let refusal = Refusal::new(StatusCode::NOT_FOUND, "unknown_route", "no such route");
+            return Err(self.unless_outdated(refusal));
         };
         record.route = Some(route.name.clone());
-        let team = team_of(&publication, &route, &head)?.cloned();
+        let team = team_of(&publication, &route, &head).map_err(|r| self.unless_outdated(r))?;
+        let team = team.cloned();
         record.team = team.as_ref().map(|t| t.name.clone());
         let time = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
         let deadline = record.started + time;
@@ -255,6 +257,16 @@
         Ok(AdmittedCall { call: Arc::new(call), turn, recording })
     }
 
+    /// The refusal, or a temporary one if a newer publication may be in force, under which the call
+    /// could be served.
+    fn unless_outdated(&self, refusal: Refusal) -> Refusal {
+        if self.fleet.is_view_current() {
+            return refusal;
+        }
+        let message = "the front may not have the publication in force";
+        Refusal::retry_later("outdated_view", message, RETRY_AFTER)
+    }
+
     /// Begins a turn if the call has a token budget or its turn is kept.
     async fn begin_turn(
         &self,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -77,6 +77,9 @@
 pub struct TimeLimits {
     /// Time after which a revoked key must not be accepted by any instance.
     pub key_revocation: Duration,
+    /// Time after its acknowledgement within which a publication must be in force at every instance
+    /// that reaches the control group.
+    pub publication: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub shutdown_grace: Duration,
 }
