--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -55,6 +55,8 @@
     crashes: [watch::Sender<u32>; SERVERS],
     /// Whether requests that otherwise crash a server succeed.
     pub is_fixed: Arc<AtomicBool>,
+    /// Requests per second that the first server names as its limit; 0 for none.
+    pub limit: Arc<AtomicU32>,
 }
 
 impl Servers {
@@ -115,6 +117,21 @@
         self,
         server: usize,
         req: Request<Incoming>,
+    ) -> Result<Response<BoxBody<Bytes, std::io::Error>>, std::io::Error> {
+        let limit = self.limit.clone();
+        let mut answer = self.run(server, req).await?;
+        let limit = limit.load(Ordering::Relaxed);
+        if server == 0 && limit > 0 {
+            let value = format!("{limit}.0").parse().expect("invalid header value");
+            answer.headers_mut().insert("server-limit", value);
+        }
+        Ok(answer)
+    }
+
+    async fn run(
+        self,
+        server: usize,
+        req: Request<Incoming>,
     ) -> Result<Response<BoxBody<Bytes, std::io::Error>>, std::io::Error> {
         let header =
             |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
