relay, policy: keep the limits that endpoints name, over all fronts

Cause: the header that names the limit was not read.

Change: a front that gets an answer with a limit keeps to its part of it at once, and reports it with its next heartbeat; the leader tells all fronts, so that those that the endpoint has not told, and a front that has just started, keep it too. The parts are those of cold endpoints (StartLimiter), over two seconds: they add up to the limit whatever the number of fronts, with which ones may use an endpoint differing between endpoints. Calls before the limit was named count. An answer without a limit to a call that was placed after the limit was learned ends it; else it ends after 5 s in which nobody names it.

Evidence: limit_kept fails without it (322 requests in 4 s, 35 allowed; that play was without the calls before the limit that the test now starts with, since an endpoint whose service time is not measured yet is avoided) and passes with it. Parts that a front does not use are not given to another one.

Why it works: the sum of the parts in any two seconds is at most what the endpoint allows in them, without asking anyone on the way of a call.

--- a/crates/policy/src/cold_start.rs
+++ b/crates/policy/src/cold_start.rs
@@ -1,4 +1,5 @@
-//! Limit on the calls that start at a cold endpoint per second, over all instances.
+//! Limit on the calls that start at an endpoint in a window of time, over all instances: at a cold
+//! endpoint, or at one that names a limit.
 //!
 //! When a zone returns or a release restarts endpoints, every instance sees the same idle cold
 //! endpoints and would send its calls there. So each instance has a share of the limit. Where there
@@ -11,7 +12,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-const WINDOW: Duration = Duration::from_secs(1);
+const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 
 /// Rank of an instance among those that share the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,13 +23,25 @@
     pub count: u32,
 }
 
-/// Limits the calls that one instance starts at one cold endpoint.
-#[derive(Clone, Debug, Default)]
+/// Limits the calls that one instance starts at one endpoint.
+#[derive(Clone, Debug)]
 pub struct StartLimiter {
+    window: Duration,
     starts: VecDeque<Duration>,
 }
 
+impl Default for StartLimiter {
+    fn default() -> Self {
+        Self::new(DEFAULT_WINDOW)
+    }
+}
+
 impl StartLimiter {
+    /// Returns a limiter that counts the starts within `window`.
+    pub fn new(window: Duration) -> Self {
+        Self { window, starts: VecDeque::new() }
+    }
+
     /// Returns whether one more call may start. `offset` varies between endpoints which instances
     /// may use them; all instances must pass the same number for an endpoint.
     pub fn allows(
@@ -38,23 +51,28 @@
         offset: u32,
         now: Duration,
     ) -> bool {
-        while self.starts.front().is_some_and(|at| now >= *at + WINDOW) {
-            self.starts.pop_front();
-        }
-        let limit = instance_limit(per_second, rank, offset);
+        self.drop_expired(now);
+        let limit = instance_limit(per_second * self.window.as_secs_f64(), rank, offset);
         u32::try_from(self.starts.len()).is_ok_and(|n| n < limit)
     }
 
     /// Records the start of a call.
     pub fn record_start(&mut self, now: Duration) {
+        self.drop_expired(now);
         self.starts.push_back(now);
     }
+
+    fn drop_expired(&mut self, now: Duration) {
+        while self.starts.front().is_some_and(|at| now >= *at + self.window) {
+            self.starts.pop_front();
+        }
+    }
 }
 
-/// Returns the number of calls that the instance may start per second. The limits of all instances
-/// add up to at most `per_second`.
-fn instance_limit(per_second: f64, rank: InstanceRank, offset: u32) -> u32 {
-    let whole = per_second.max(0.0) as u32;
+/// Returns the number of calls that the instance may start per window. The limits of all instances
+/// add up to at most `per_window`.
+fn instance_limit(per_window: f64, rank: InstanceRank, offset: u32) -> u32 {
+    let whole = per_window.max(0.0) as u32;
     let count = rank.count.max(1);
     let position = (rank.rank % count + offset % count) % count;
     whole / count + u32::from(position < whole % count)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`fair`]: fair queueing between teams and ordering of programs within a team.
 //! * [`route`]: endpoint selection, with the baselines round robin and least connections.
 //! * [`ramp`]: load of endpoints that have just started.
+//! * [`call_limit`]: limits that endpoints name, kept by all instances together.
 //! * [`cold_start`]: limit on the calls that start at a cold endpoint per second.
 //! * [`retry`]: retry budget.
 //! * [`containment`]: requests that crash the endpoints that run them, replicated to all instances.
@@ -71,6 +72,7 @@
 //! assert_eq!(served, [1, 3], "one call of each team");
 //! ```
 
+pub mod call_limit;
 pub mod cold_start;
 pub mod containment;
 pub mod departures;
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -563,6 +563,18 @@
     /// Endpoints that have failed calls of the instance since its last heartbeat.
     #[prost(message, repeated, tag = "13")]
     pub failures: ::prost::alloc::vec::Vec<EndpointFailures>,
+    /// Limits that endpoints have named to the instance since its last heartbeat.
+    #[prost(message, repeated, tag = "14")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+}
+/// Calls per second that an endpoint takes from all instances together.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointLimit {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Absent if the endpoint no longer names a limit.
+    #[prost(double, optional, tag = "2")]
+    pub per_second: ::core::option::Option<f64>,
 }
 /// Failures of an endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -652,6 +664,9 @@
     /// Endpoints that only get calls that may be repeated, sorted.
     #[prost(string, repeated, tag = "14")]
     pub probation: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Endpoints that name a limit, sorted.
+    #[prost(message, repeated, tag = "15")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
 }
 /// Digests of the requests that run on trial only or are refused, because endpoints terminated
 /// during them.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -95,6 +95,8 @@
     pub is_leaving: bool,
     /// Load of the endpoint when it made the response.
     pub load: Option<Load>,
+    /// Calls per second that the endpoint takes from all instances together, if it names a limit.
+    pub call_limit: Option<f64>,
 }
 
 /// Load of an endpoint.
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -8,6 +8,7 @@
 
 use poplarspan_policy::{
     Name,
+    call_limit::NamedLimits,
     cold_start::InstanceRank,
     probation::Probation,
     quota::{Allocator, Share, TeamLoad},
@@ -70,6 +71,7 @@
     throttled: Vec<ThrottledTeam>,
     pub(crate) suspects: Suspects,
     probation: Probation,
+    limits: NamedLimits,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -86,6 +88,7 @@
             throttled: Vec::new(),
             suspects: Suspects::new(term),
             probation: Probation::default(),
+            limits: NamedLimits::default(),
             changes: VecDeque::new(),
         }
     }
@@ -133,6 +136,26 @@
         }
     }
 
+    /// Records the endpoint limits that a heartbeat reports.
+    pub(crate) fn note_limits(&mut self, beat: &peer::Beat, now: Duration) {
+        for named in &beat.limits {
+            let endpoint = Name::from(&*named.endpoint);
+            let per_second = named.per_second.filter(|limit| limit.is_finite());
+            if self.limits.record(&endpoint, per_second, now) {
+                log::info!(endpoint = &*endpoint, per_second; "limit of an endpoint changed");
+            }
+        }
+    }
+
+    /// Endpoints that name a limit, sorted.
+    pub(crate) fn endpoint_limits(&self, now: Duration) -> Vec<peer::EndpointLimit> {
+        let named = |(endpoint, per_second): (&Name, f64)| peer::EndpointLimit {
+            endpoint: endpoint.to_string(),
+            per_second: Some(per_second),
+        };
+        self.limits.limits(now).map(named).collect()
+    }
+
     /// Endpoints on probation, sorted.
     pub(crate) fn endpoints_on_probation(&self, now: Duration) -> Vec<String> {
         self.probation.endpoints(now).map(|name| name.to_string()).collect()
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -117,6 +117,7 @@
             log::info!(instance = &*instance; "{change}");
         }
         leader.note_failures(&beat, now);
+        leader.note_limits(&beat, now);
         let timestamps = self.timestamps();
         leader.suspects.observe(&control_state, &beat, timestamps);
         let quarantine = leader.suspects.list_for(beat.quarantine, timestamps);
@@ -144,6 +145,7 @@
             group_leaders: leader.group_leaders(control_state.store_groups()),
             quarantine,
             probation: leader.endpoints_on_probation(now),
+            limits: leader.endpoint_limits(now),
         })
     }
 
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -72,6 +72,8 @@
     pub(crate) quarantine_list: Arc<QuarantineList>,
     /// Endpoints on probation, because calls failed there at any front; sorted.
     pub(crate) probation: Vec<Name>,
+    /// Endpoints that name a limit, sorted, and the limits in calls per second.
+    pub(crate) limits: Arc<[(Name, f64)]>,
 }
 
 /// Requests that are quarantined because endpoints terminated while running them.
@@ -194,6 +196,7 @@
             retiring: Vec::new(),
             quarantine_list: Arc::default(),
             probation: Vec::new(),
+            limits: Arc::default(),
         };
         let search =
             LeaderSearch { seeds: settings.control_peer_addresses(), ..LeaderSearch::default() };
@@ -357,6 +360,7 @@
             quarantine: view.quarantine_list.number,
             suspects,
             failures: Vec::new(),
+            limits: Vec::new(),
         };
         report.fill(&mut beat).await;
         beat
@@ -520,6 +524,7 @@
                 |q| Arc::new(QuarantineList::read(&q)),
             ),
             probation: names(answer.probation),
+            limits: read_limits(answer.limits),
         };
         if view.zones_out != old.zones_out {
             let zones = view.zones_out.join(",");
@@ -561,6 +566,11 @@
     }
 }
 
+fn read_limits(limits: Vec<peer::EndpointLimit>) -> Arc<[(Name, f64)]> {
+    let limit = |l: peer::EndpointLimit| Some((Name::from(l.endpoint), l.per_second?));
+    limits.into_iter().filter_map(limit).collect()
+}
+
 fn read_directory(directory: peer::Directory, at: Duration) -> Directory {
     let endpoint = |e: peer::DirectoryEntry| {
         Some(ListedEndpoint {
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -198,8 +198,11 @@
         if let Some(load) = head.load {
             slot.report(load);
         }
-        if head.is_leaving && !head.is_other_endpoint {
-            slot.note_leaving();
+        if !head.is_other_endpoint {
+            slot.note_limit(head.call_limit);
+            if head.is_leaving {
+                slot.note_leaving();
+            }
         }
         if head.not_run || head.is_other_endpoint {
             self.log_no_answer(&slot, "endpoint did not run the call", parts.status.as_u16());
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -11,6 +11,7 @@
 use poplarspan_node::pool::Pool;
 use poplarspan_policy::{
     Name,
+    call_limit::{LIMIT_TTL, LIMIT_WINDOW},
     cold_start::{InstanceRank, StartLimiter},
     departures::{Departures, EndpointRun},
     probation::{PROBATION, may_avoid},
@@ -67,6 +68,9 @@
     /// When the cold start phase ends.
     cold_until: Duration,
     gate: StartLimiter,
+    /// Counts calls also while there is no limit, so that a new one takes effect at once.
+    limiter: StartLimiter,
+    limit: Option<CallLimit>,
     failures: u32,
     /// No calls are sent until then; afterwards `PROBE_CALLS` at a time until one is answered.
     paused_until: Option<Duration>,
@@ -74,6 +78,18 @@
     avoided_until: Duration,
 }
 
+/// Limit that an endpoint has named to this front or to another one.
+#[derive(Clone, Copy, Debug)]
+struct CallLimit {
+    per_second: f64,
+    /// When this front learned of it. Only the answer to a later call shows that it has ended.
+    since: Duration,
+    /// When it ends unless it is named again.
+    until: Duration,
+    /// Whether the leader is to be told that the endpoint has named it.
+    is_unreported: bool,
+}
+
 /// An endpoint chosen for a call.
 #[derive(Clone, Debug)]
 pub(crate) struct ChosenEndpoint {
@@ -120,6 +136,10 @@
     probation: Vec<Name>,
     /// Number of failures of each endpoint since the last report; sorted by endpoint.
     unreported_failures: Vec<(Name, u32)>,
+    /// Endpoints that have answered without their limit since the last report.
+    unreported_ends: Vec<Name>,
+    /// The limits that the leader has last distributed.
+    limits: Arc<[(Name, f64)]>,
 }
 
 impl Endpoints {
@@ -139,6 +159,8 @@
             zones_out: Vec::new(),
             probation: Vec::new(),
             unreported_failures: Vec::new(),
+            unreported_ends: Vec::new(),
+            limits: Arc::default(),
         }
     }
 
@@ -161,6 +183,71 @@
         if view.probation != self.probation {
             self.probation.clone_from(&view.probation);
         }
+        if !Arc::ptr_eq(&view.limits, &self.limits) {
+            self.limits = view.limits.clone();
+            self.apply_limits(now);
+        }
+    }
+
+    /// Applies the limits that the leader has distributed. Those that an endpoint has named to this
+    /// front stay in force, as the leader may not know of them yet.
+    fn apply_limits(&mut self, now: Duration) {
+        for (name, per_second) in self.limits.clone().iter() {
+            if let Ok(at) = self.position(name) {
+                self.set_limit(at, *per_second, now);
+            }
+        }
+    }
+
+    /// Sets or extends the limit of the endpoint at this position.
+    fn set_limit(&mut self, at: usize, per_second: f64, now: Duration) -> &mut CallLimit {
+        let state = &mut self.endpoints[at];
+        let until = now + LIMIT_TTL;
+        let new = CallLimit { per_second, since: now, until, is_unreported: false };
+        let limit = state.limit.get_or_insert(new);
+        (limit.per_second, limit.until) = (per_second, until);
+        limit
+    }
+
+    /// Records the limit that an endpoint names in its answer to a call that was placed at
+    /// `placed_at`, or that it names none.
+    pub(crate) fn note_limit(
+        &mut self,
+        name: &Name,
+        per_second: Option<f64>,
+        placed_at: Duration,
+        now: Duration,
+    ) {
+        let Ok(at) = self.position(name) else { return };
+        let known = self.endpoints[at].limit;
+        match per_second {
+            Some(per_second) => {
+                if known.is_none() {
+                    log::info!(endpoint = &**name, per_second; "endpoint names a limit");
+                    metrics::counter!("poplarspan_relay_endpoint_limits_total").increment(1);
+                }
+                self.set_limit(at, per_second, now).is_unreported = true;
+            }
+            None if known.is_some_and(|limit| limit.since < placed_at) => {
+                log::info!(endpoint = &**name; "endpoint no longer names a limit");
+                self.endpoints[at].limit = None;
+                self.unreported_ends.push(name.clone());
+            }
+            None => {}
+        }
+    }
+
+    /// Takes the limits that endpoints have named since the last call, and those that have ended.
+    pub(crate) fn take_limits(&mut self) -> Vec<(Name, Option<f64>)> {
+        let ended = std::mem::take(&mut self.unreported_ends).into_iter().map(|name| (name, None));
+        let mut limits: Vec<_> = ended.collect();
+        for state in &mut self.endpoints {
+            if let Some(limit) = state.limit.as_mut().filter(|limit| limit.is_unreported) {
+                limit.is_unreported = false;
+                limits.push((state.name.clone(), Some(limit.per_second)));
+            }
+        }
+        limits
     }
 
     fn apply_list(&mut self, view: &View, now: Duration) {
@@ -221,6 +308,8 @@
                     started_ms: endpoint.started_ms,
                     cold_until,
                     gate: StartLimiter::default(),
+                    limiter: StartLimiter::new(LIMIT_WINDOW),
+                    limit: None,
                     failures: 0,
                     paused_until: None,
                     avoided_until: Duration::ZERO,
@@ -234,6 +323,7 @@
     pub(crate) fn tick(&mut self, now: Duration) {
         self.fleet.decay_reports(LOAD_HALF_LIFE, now);
         for state in &mut self.endpoints {
+            state.limit.take_if(|limit| now >= limit.until);
             if state.paused_until.is_some_and(|until| now >= until) {
                 state.paused_until = None;
                 self.fleet.set_healthy(state.id, true);
@@ -303,8 +393,8 @@
         (&placement.blocks[blocks..], placement.prompt_tokens - tokens)
     }
 
-    /// Endpoints that must not get the call: those already tried, and cold ones that have had as
-    /// many calls in this second as this front may send them.
+    /// Endpoints that must not get the call: those already tried, and those that are cold or name a
+    /// limit and have had as many calls as this front may send them.
     fn excluded(
         &mut self,
         placement: &PlacementRequest,
@@ -317,7 +407,11 @@
         for state in self.endpoints.iter_mut().filter(|k| k.service == placement.service) {
             let is_cold = rate > 0.0 && now < state.cold_until;
             let is_tried = tried.contains(&state.name);
-            if is_tried || (is_cold && !state.gate.allows(rate, rank, offset(&state.name), now)) {
+            let offset = offset(&state.name);
+            let is_used_up = state
+                .limit
+                .is_some_and(|limit| !state.limiter.allows(limit.per_second, rank, offset, now));
+            if is_tried || is_used_up || (is_cold && !state.gate.allows(rate, rank, offset, now)) {
                 excluded.push(state.id);
             }
         }
@@ -389,6 +483,7 @@
         if now < state.cold_until {
             state.gate.record_start(now);
         }
+        state.limiter.record_start(now);
         ChosenEndpoint { name, address: state.address }
     }
 
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -115,6 +115,7 @@
     fn fill<'a>(&'a self, beat: &'a mut peer::Beat) -> BoxFuture<'a, ()> {
         beat.demand = self.rates.demand();
         beat.failures = self.schedule.take_failures();
+        beat.limits = self.schedule.take_limits();
         Box::pin(std::future::ready(()))
     }
 
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -104,6 +104,14 @@
         schedule.lock().endpoints.report(&self.endpoint.name, load, now);
     }
 
+    /// Records the limit that the endpoint names in an answer, or that it names none.
+    pub(crate) fn note_limit(&self, per_second: Option<f64>) {
+        let schedule = &self.schedule;
+        let now = schedule.clock.now();
+        let name = &self.endpoint.name;
+        schedule.lock().endpoints.note_limit(name, per_second, self.since, now);
+    }
+
     /// Records that the endpoint announced its stop.
     pub(crate) fn note_leaving(&self) {
         self.schedule.lock().endpoints.note_leaving(&self.endpoint.name);
@@ -262,6 +270,16 @@
         failures.into_iter().map(report).collect()
     }
 
+    /// Takes the limits that endpoints have named since the last call.
+    pub(crate) fn take_limits(&self) -> Vec<peer::EndpointLimit> {
+        let limits = self.lock().endpoints.take_limits();
+        let report = |(endpoint, per_second): (Name, Option<f64>)| peer::EndpointLimit {
+            endpoint: endpoint.to_string(),
+            per_second,
+        };
+        limits.into_iter().map(report).collect()
+    }
+
     /// Number of waiting calls.
     pub(crate) fn waiting(&self) -> usize {
         self.lock().queues.iter().map(|q| q.queue.len()).sum()
--- a/tests/endpoint_limits.rs
+++ b/tests/endpoint_limits.rs
@@ -53,6 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_kept() {
     let fleet = RelayFleet::start(&config(3, &[KEY])).await;
+    load(&fleet, "before").await;
     fleet.servers.limit.store(LIMIT, Ordering::Relaxed);
     let named = Instant::now();
     load(&fleet, "limited").await;
