node, relay: a refusal counts only if it surely belongs to the call

Cause: a response without an id was accepted for whatever call was open, also on a connection that had carried other calls; and a call that all endpoints had refused was sent to them again on the same connections, where a copy of the first refusal carries the expected id.

Change: the pool remembers the ids of the last 16 calls of a connection and does not send a call on one that has carried it; an exchange says whether its response is attributed, that is, carries the id of the call or is the first on its connection.

Why it works: a copy of a refusal carries the id of a call that this connection has carried, or none; neither can be taken for the call that is open.

--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -4,6 +4,7 @@
 //! response to another call, affects only a single call.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -32,6 +33,8 @@
 /// A connection that is closed within this time was accepted by a proxy in front of the endpoint,
 /// not by the endpoint itself.
 const ACCEPT_CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Number of calls on a connection whose ids are remembered.
+const MAX_RECENT_IDS: usize = 16;
 /// Size of the read buffer, which limits the head of a response.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
@@ -70,6 +73,22 @@
     gate: Gate,
     /// Idle timeout of the endpoint, if it announced one in a `Keep-Alive` header.
     keep_alive: Option<Duration>,
+    /// Ids of the last calls. A call is not sent again on the same connection, because a second
+    /// copy of the first response would carry the expected id.
+    recent_ids: VecDeque<HeaderValue>,
+    /// Whether it has carried a response.
+    has_answered: bool,
+}
+
+impl Connection {
+    /// Records the id of a call that is about to be sent.
+    fn note_id(&mut self, id: Option<&HeaderValue>) {
+        let Some(id) = id else { return };
+        if self.recent_ids.len() >= MAX_RECENT_IDS {
+            self.recent_ids.pop_front();
+        }
+        self.recent_ids.push_back(id.clone());
+    }
 }
 
 impl Drop for Connection {
@@ -134,6 +153,9 @@
 pub struct Exchange {
     /// Head of the response, and its body, which may still be arriving.
     pub response: Response<Incoming>,
+    /// Whether the response is known to belong to the request: it carries its id, or it is the first
+    /// on its connection.
+    pub is_attributed: bool,
     connection: Connection,
     address: SocketAddr,
     pool: Arc<Pool>,
@@ -215,9 +237,10 @@
         let id = request.headers().get(&self.cfg.id_header).cloned();
         let mut request = request;
         if !new_connection {
-            while let Some(mut connection) = self.take_idle(address) {
+            while let Some(mut connection) = self.take_idle(address, id.as_ref()) {
                 let until = deadline.min(reused_deadline);
                 connection.gate.arm(may_send.clone());
+                connection.note_id(id.as_ref());
                 let sent = connection.try_send_request_until(request, until).await;
                 if matches!(sent, Err(SendError::Timeout)) {
                     self.close_idle(address);
@@ -235,6 +258,7 @@
         }
         let mut connection = connect(address, deadline, &self.cfg).await?;
         connection.gate.arm(may_send);
+        connection.note_id(id.as_ref());
         match connection.try_send_request_until(request, deadline).await? {
             SendOutcome::Response(response) => self.check_id(response, connection, address, id),
             SendOutcome::Unsent(_) => {
@@ -277,18 +301,26 @@
             metrics::counter!("poplarspan_crossed_answers_total").increment(1);
             return Err(SendError::IdMismatch);
         }
+        let is_attributed = response_id.is_some() || !connection.has_answered;
         let mut connection = connection;
+        connection.has_answered = true;
         connection.keep_alive = keep_alive(&response).or(connection.keep_alive);
-        Ok(Exchange { response, connection, address, pool: self.clone() })
+        Ok(Exchange { response, is_attributed, connection, address, pool: self.clone() })
     }
 
-    /// Removes the most recently used idle connection to an endpoint that is still usable.
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Removes the most recently used idle connection to an endpoint that is still usable and has
+    /// not carried the call with this id.
+    fn take_idle(&self, address: SocketAddr, id: Option<&HeaderValue>) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("mutex is not poisoned");
         let i = idle.binary_search_by_key(&address, |(a, _)| *a).ok()?;
-        while let Some(last) = idle[i].1.pop() {
-            if last.is_usable(self.cfg.idle_timeout) && last.connection.http.is_ready() {
-                return Some(last.connection);
+        let list = &mut idle[i].1;
+        let has_carried = |old: &Idle| id.is_some_and(|id| old.connection.recent_ids.contains(id));
+        for at in (0..list.len()).rev() {
+            if !has_carried(&list[at]) {
+                let last = list.remove(at);
+                if last.is_usable(self.cfg.idle_timeout) && last.connection.http.is_ready() {
+                    return Some(last.connection);
+                }
             }
         }
         None
@@ -415,7 +447,14 @@
             .await
             .map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::spawn(driver).abort_handle();
-        Ok(Connection { http, task, gate, keep_alive: None })
+        Ok(Connection {
+            http,
+            task,
+            gate,
+            keep_alive: None,
+            recent_ids: VecDeque::new(),
+            has_answered: false,
+        })
     };
     tokio::time::timeout_at(limit, open)
         .await
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -192,9 +192,17 @@
             Ok(exchange) => exchange,
             Err(e) => return Err(self.note_failure(slot, &e)),
         };
+        let is_attributed = exchange.is_attributed;
         let (response, reuse) = exchange.into_parts();
         let (parts, body) = response.into_parts();
         let head = self.front.protocol.parse_response(&parts);
+        if (head.not_run || head.is_other_endpoint) && !is_attributed {
+            // An earlier refusal may have been sent again while the endpoint runs the call.
+            metrics::counter!("poplarspan_relay_foreign_answers_total").increment(1);
+            self.note_incomplete(&endpoint, "the refusal may belong to an earlier call");
+            slot.finish(Outcome::Failed);
+            return Err(AttemptError::Unknown);
+        }
         if let Some(load) = head.load {
             slot.report(load);
         }
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -4,7 +4,7 @@
 mod platform;
 
 use futures::future::join_all;
-use platform::{Call, KEY, RelayFleet, config, eventually};
+use platform::{Call, KEY, RelayFleet, config, eventually, faulty::refused_while_running};
 
 const CALLS: usize = 12;
 
@@ -37,12 +37,65 @@
     eventually("calls are served", served).await;
 }
 
-/// A stream without a length that ends within an event must not be reported as complete.
+/// A server sends an earlier refusal once more while it runs a request: neither may the caller be
+/// told that the request did not run, nor may another server run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_refusal() {
+    let mut config = config(3, &[KEY]);
+    for route in config["routes"].as_array_mut().expect("no list of routes") {
+        // The servers never complete the requests that they refuse late.
+        route["timeoutMs"] = 1_000.into();
+    }
+    let fleet = RelayFleet::start(&config).await;
+    let mut answers = Vec::new();
+    for fault in ["refusal-copy", "anonymous-refusal-copy"] {
+        // One after the other: all servers refuse, then one gets the call again on the same
+        // connection.
+        let path = format!("/once/faulty/{fault}");
+        for (path, name) in [(&*path, fault), ("/once/x", "after")] {
+            for n in 0..CALLS {
+                let id = format!("{name}-{fault}-{n}");
+                let status = fleet.call(0, path, &id, Call::default()).await.status;
+                answers.push((id, status));
+            }
+        }
+    }
+    let ran = refused_while_running();
+    assert!(!ran.is_empty(), "no refusal was sent twice");
+    for (id, status) in answers {
+        let runs = ran.iter().filter(|r| **r == id).count() + fleet.servers.runs_of(&id).len();
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(runs == 0 || status != 503, "{id} ran and was refused");
+    }
+}
+
+/// A stream that ends within an event must not be reported as complete, however its end is marked.
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_event() {
     let fleet = RelayFleet::start(&config(3, &[KEY])).await;
-    for path in ["/stream/faulty/cut", "/kept/faulty/cut"] {
-        let answer = fleet.call(0, path, path, Call::default()).await;
-        assert!(answer.status != 200 || answer.body.is_err(), "{path}: {}", answer.text());
+    for route in ["stream", "kept"] {
+        for fault in ["cut", "cut-chunks", "cut-length"] {
+            let path = format!("/{route}/faulty/{fault}");
+            let answer = fleet.call(0, &path, &path, Call::default()).await;
+            assert!(answer.status != 200 || answer.body.is_err(), "{path}: {}", answer.text());
+        }
+    }
+}
+
+/// A response that ends with its connection is complete, unless the connection is reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_answers() {
+    let fleet = RelayFleet::start(&config(3, &[KEY])).await;
+    for (path, body) in [
+        ("/once/faulty/unframed", "whole"),
+        ("/stream/faulty/unframed-events", "data: a\n\ndata: b\n\n"),
+        ("/kept/faulty/unframed-events", "data: a\n\ndata: b\n\n"),
+    ] {
+        let headers = [("program-id", "p"), ("token-count", "5,100")];
+        let call = Call { headers: &headers, ..Call::default() };
+        let answer = fleet.call(0, path, path, call).await;
+        assert_eq!((answer.status, answer.text()), (200, body), "{path}");
     }
+    let answer = fleet.call(0, "/once/faulty/unframed-reset", "reset", Call::default()).await;
+    assert!(answer.status != 200 || answer.body.is_err(), "{}", answer.text());
 }
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -3,7 +3,7 @@
 //! A server sends one of these on a connection if the path of its first request contains
 //! [`PATH_MARKER`] and the name of the fault.
 
-use std::time::Duration;
+use std::{sync::Mutex, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -16,6 +16,14 @@
 /// Longer than any wait of a test.
 const STALL_TIME: Duration = Duration::from_secs(120);
 
+/// Ids of the requests that a server was running when it sent an earlier refusal once more.
+static REFUSED_WHILE_RUNNING: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+/// Ids of the requests that a server was running when it sent an earlier refusal once more.
+pub fn refused_while_running() -> Vec<String> {
+    REFUSED_WHILE_RUNNING.lock().expect("lock is poisoned").clone()
+}
+
 /// Returns the fault that the first request of a connection asks for, without consuming bytes.
 pub async fn requested_fault(stream: &TcpStream) -> Option<String> {
     let mut buf = [0; 4096];
@@ -41,8 +49,14 @@
     let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
     let chunked = "transfer-encoding: chunked\r\n\r\n";
     let streamed = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-    if kind == "copy" {
-        return send_twice(stream, &sealed).await;
+    match kind {
+        "copy" => return send_twice(stream, &sealed).await,
+        "refusal-copy" => return refuse_twice(stream, &format!("request-id: {id}\r\n")).await,
+        "anonymous-refusal-copy" => return refuse_twice(stream, "").await,
+        "unframed" | "unframed-events" | "unframed-reset" => {
+            return send_unframed(stream, kind, &sealed).await;
+        }
+        _ => {}
     }
     let (start, repeated) = match kind {
         "head" => (format!("{sealed}x-a: "), text),
@@ -58,6 +72,15 @@
             let cut = "content-type: text/event-stream\r\n\r\ndata: a\n\ndata: b";
             (format!("{sealed}{cut}"), String::new())
         }
+        "cut-chunks" => {
+            let cut = chunk("data: a\n\ndata: b");
+            (format!("{sealed}{streamed}{cut}0\r\n\r\n"), String::new())
+        }
+        "cut-length" => {
+            let cut = "data: a\n\ndata: b";
+            let kind = "content-type: text/event-stream\r\n";
+            (format!("{sealed}{kind}content-length: {}\r\n\r\n{cut}", cut.len()), String::new())
+        }
         "refusal" => {
             let refusal = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 9\r\n\r\n";
             (refusal.to_owned(), String::new())
@@ -67,7 +90,7 @@
     if stream.write_all(start.as_bytes()).await.is_err() {
         return;
     }
-    if kind == "cut" {
+    if kind.starts_with("cut") {
         return;
     }
     if repeated.is_empty() {
@@ -77,6 +100,40 @@
     while stream.write_all(repeated.as_bytes()).await.is_ok() {}
 }
 
+/// Sends a response without a length or chunks, which ends with its connection.
+async fn send_unframed(stream: &mut TcpStream, kind: &str, sealed: &str) {
+    let body = match kind {
+        "unframed-events" => "content-type: text/event-stream\r\n\r\ndata: a\n\ndata: b\n\n",
+        _ => "\r\nwhole",
+    };
+    if stream.write_all(format!("{sealed}{body}").as_bytes()).await.is_err() {
+        return;
+    }
+    if kind == "unframed-reset" {
+        // Lets the body arrive before the reset.
+        sleep(Duration::from_millis(50)).await;
+        // If this fails, the connection ends cleanly, and the test fails.
+        let _ = stream.set_zero_linger();
+    }
+}
+
+/// Refuses one request on a connection, and sends the refusal again while it runs the next one.
+async fn refuse_twice(stream: &mut TcpStream, id_line: &str) {
+    let refusal =
+        format!("HTTP/1.1 503 Busy\r\n{id_line}not-run: 1\r\ncontent-length: 4\r\n\r\nbusy");
+    if stream.write_all(refusal.as_bytes()).await.is_err() {
+        return;
+    }
+    let mut buf = [0; 4096];
+    let Ok(len @ 1..) = stream.read(&mut buf).await else { return };
+    let head = String::from_utf8_lossy(&buf[..len]).to_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default();
+    REFUSED_WHILE_RUNNING.lock().expect("lock is poisoned").push(id.to_owned());
+    // The peer may have closed the connection.
+    let _ = stream.write_all(refusal.as_bytes()).await;
+    sleep(STALL_TIME).await;
+}
+
 /// Responds to one request, and sends the same response again to the next one.
 async fn send_twice(stream: &mut TcpStream, sealed: &str) {
     let answer = format!("{sealed}content-length: 4\r\n\r\ncopy");
