relay: a stream that ends within an event is cut, however its end is marked

The relay took it for complete if the response had a length or chunks.

Evidence: cut_event fails before for both framings and passes now; unframed_answers shows that responses and streams without a length or chunks are complete when their connection ends, and not when it is reset.

Change: the end of a response whose buffered rest is more than empty lines is an interruption: the stream is resumed elsewhere where its route allows it, and is cut at the caller otherwise. Responses with a content type other than text/event-stream are passed on as before. serve was strict already: its streams end with their last event.

--- a/crates/relay/src/front/events.rs
+++ b/crates/relay/src/front/events.rs
@@ -48,6 +48,11 @@
         self.buf.len()
     }
 
+    /// Whether the buffered bytes are the start of an event, rather than empty lines.
+    pub fn is_within_event(&self) -> bool {
+        self.buf.iter().any(|b| !matches!(b, b'\r' | b'\n'))
+    }
+
     /// Discards the buffered bytes.
     pub fn clear(&mut self) {
         self.buf.clear();
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -165,8 +165,9 @@
     /// Handles the end of the endpoint's response. A kept turn is made durable before the caller
     /// sees the end of the stream.
     async fn end(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
-        if self.reader.pending() > 0 && self.response.as_ref().is_some_and(|b| !has_end(&b.parts)) {
-            // The connection was closed in the middle of an event.
+        if self.reader.is_within_event()
+            && self.response.as_ref().is_some_and(|b| is_events(&b.parts))
+        {
             return match self.resume_elsewhere("stream ended within an event").await {
                 Ok(()) => Box::pin(self.next_chunk()).await,
                 Err(cut) => Some(Err(cut)),
@@ -233,10 +234,11 @@
     }
 }
 
-/// Whether the end of a response is marked by its framing, not only by the end of the connection.
-fn has_end(head: &response::Parts) -> bool {
-    head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING)
+/// Whether the body of a response is a series of events. A response without a content type is taken
+/// for one.
+fn is_events(head: &response::Parts) -> bool {
+    let kind = head.headers.get(header::CONTENT_TYPE);
+    kind.is_none_or(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
 }
 
 /// Number of tokens that an event of a service stands for.
