tests: the error of the server that is to resume a stream stays out of it

It does not happen here: a response that resumes a stream must be a sealed success with the id of the call. error_of_next_server passes on the code as it is, for a sealed 500, an unsealed 503 and 200, and a response to another call.

--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -138,6 +138,7 @@
         let path = req.uri().path().to_owned();
         let id = header("request-id").unwrap_or_default();
         let expected = header("expect-instance");
+        let is_resumed = header("last-event-id").is_some();
         let (team, saw_key) = (header("tenant"), req.headers().contains_key("api-key"));
         if expected.as_deref() != Some(&*server_name(server)) {
             return Ok(response(421, &id, false, Bytes::new()));
@@ -206,6 +207,9 @@
             tokio::time::sleep(WORK_TIME).await;
             return Ok(response(200, &id, true, Bytes::from(format!("body of {id}"))));
         }
+        if let Some((_, next)) = path.split_once("/broken/then/") {
+            return Ok(broken_stream(&id, next, is_resumed));
+        }
         if let Some((before, events)) = path.rsplit_once("/events/") {
             let count: usize = events.parse().expect("no number of events in the path");
             let pause = if before.ends_with("/paced") { WORK_TIME } else { Duration::ZERO };
@@ -237,6 +241,34 @@
     builder.body(body).expect("invalid response")
 }
 
+/// A stream that breaks off within its second event. The response to the request that resumes it
+/// is the one that `next` names.
+fn broken_stream(
+    id: &str,
+    next: &str,
+    is_resumed: bool,
+) -> Response<BoxBody<Bytes, std::io::Error>> {
+    if !is_resumed {
+        let start = Ok(Frame::data(Bytes::from_static(b"id: 1\ndata: out1\n\nid: 2\nda")));
+        let cut = stream::once(async {
+            // Lets the first event be sent before the connection closes.
+            tokio::time::sleep(WORK_TIME).await;
+            Err(std::io::Error::other("broken on request"))
+        });
+        let body = StreamBody::new(stream::iter([start]).chain(cut));
+        return response(200, id, true, Bytes::new()).map(|_| BoxBody::new(body));
+    }
+    let text = Bytes::from_static(b"data: error of the next server\n\n");
+    match next {
+        "error" => response(500, id, true, text),
+        "refusal" => response(503, id, false, text),
+        "unsealed" => response(200, id, false, text),
+        "foreign" => response(200, "another-id", true, text),
+        "whole" => response(200, id, true, Bytes::from_static(b"id: 2\ndata: out2\n\n")),
+        _ => panic!("unknown response {next}"),
+    }
+}
+
 pub fn server_name(server: usize) -> String {
     format!("i-{server}")
 }
