relay: calls that the limits of all endpoints leave no room for are refused at once

Cause: the expected wait of a queued call counted slots only, and endpoints at their limit have free slots.

Change: if all available endpoints of a service name a limit, the wait is the time at which the parts of this front allow the call behind those already queued. A call that cannot be served in its time is refused with that time as Retry-After.

Why it works: the limiter knows when each of the next calls may start.

--- a/crates/policy/src/cold_start.rs
+++ b/crates/policy/src/cold_start.rs
@@ -62,6 +62,22 @@
         self.starts.push_back(now);
     }
 
+    /// Returns when each of the next calls may start, as many as this instance may start per
+    /// window, in order. The arguments are as for [`StartLimiter::allows`].
+    pub fn next_starts(
+        &mut self,
+        per_second: f64,
+        rank: InstanceRank,
+        offset: u32,
+        now: Duration,
+    ) -> impl Iterator<Item = Duration> + '_ {
+        self.drop_expired(now);
+        let limit = instance_limit(per_second * self.window.as_secs_f64(), rank, offset) as usize;
+        let free = std::iter::repeat_n(now, limit.saturating_sub(self.starts.len()));
+        let used = self.starts.iter().skip(self.starts.len().saturating_sub(limit));
+        free.chain(used.map(|at| *at + self.window))
+    }
+
     fn drop_expired(&mut self, now: Duration) {
         while self.starts.front().is_some_and(|at| now >= *at + self.window) {
             self.starts.pop_front();
--- a/crates/policy/tests/call_limits.rs
+++ b/crates/policy/tests/call_limits.rs
@@ -77,3 +77,16 @@
         assert_eq!(open.count(), 9);
     }
 }
+
+/// The next calls may start when the calls before them leave the window.
+#[test]
+fn next_starts() {
+    let only = InstanceRank { rank: 0, count: 1 };
+    let ms = Duration::from_millis;
+    let mut limiter = StartLimiter::new(ms(2_000));
+    limiter.record_start(ms(100));
+    limiter.record_start(ms(300));
+    let starts: Vec<_> = limiter.next_starts(1.5, only, 0, ms(500)).collect();
+    assert_eq!(starts, [ms(500), ms(2_100), ms(2_300)]);
+    assert_eq!(limiter.next_starts(0.0, only, 0, ms(500)).count(), 0);
+}
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -559,6 +559,35 @@
         open.map(|id| self.fleet.spec(*id).capacity).sum()
     }
 
+    /// How long a call has to wait behind `ahead` others until the limits of a service's endpoints
+    /// allow it. `None` if an available endpoint has no limit, or there is none.
+    pub(crate) fn wait_for_limits(
+        &mut self,
+        service: &str,
+        ahead: usize,
+        now: Duration,
+    ) -> Option<Duration> {
+        let Self { endpoints, fleet, rank, .. } = self;
+        let mut starts = Vec::new();
+        let mut is_limited = false;
+        for state in endpoints.iter_mut().filter(|k| *k.service == *service) {
+            if fleet.is_available(state.id) {
+                is_limited = true;
+                let rate = state.limit?.per_second;
+                let offset = offset(&state.name);
+                starts.extend(state.limiter.next_starts(rate, *rank, offset, now));
+            }
+        }
+        if !is_limited {
+            return None;
+        }
+        starts.sort_unstable();
+        let Some(windows) = ahead.checked_div(starts.len()) else { return Some(LIMIT_TTL) };
+        let windows = u32::try_from(windows).unwrap_or(u32::MAX);
+        let start = starts[ahead % starts.len()] + LIMIT_WINDOW.saturating_mul(windows);
+        Some(start.saturating_sub(now))
+    }
+
     fn position(&self, name: &str) -> Result<usize, usize> {
         self.endpoints.binary_search_by(|k| (*k.name).cmp(name))
     }
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -315,7 +315,9 @@
     ) -> Result<(QueueId, oneshot::Receiver<Result<ChosenEndpoint, PlacementError>>), PlacementError>
     {
         let queue = &mut self.queues[at];
-        let wait = queue.expected_wait();
+        let wait_for_limits =
+            self.endpoints.wait_for_limits(&queue.service, queue.queue.len(), now);
+        let wait = queue.expected_wait().max(wait_for_limits.unwrap_or_default());
         let needed = Duration::from_secs_f64(queue.hold_time_s / 2.0);
         if now + wait + needed > placement.deadline {
             return Err(PlacementError::TooLate { retry_after: wait.max(RETRY_AFTER) });
--- a/tests/endpoint_limits.rs
+++ b/tests/endpoint_limits.rs
@@ -19,6 +19,8 @@
 /// In this window, one and a half times the limit and [`SLACK`] requests are allowed.
 const WINDOW: Duration = Duration::from_secs(4);
 const SLACK: usize = 5;
+/// A quarter of the timeout of the route.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 const LOAD_TIME: Duration = Duration::from_secs(9);
 /// Callers at each front, and the pause of each between two calls.
 const CALLERS: usize = 6;
@@ -50,11 +52,42 @@
     at.iter().map(count).max().unwrap_or(0)
 }
 
+/// While all servers name a limit, a call that they cannot take in time must be refused at once,
+/// with a time to come back, and must not wait until its timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_at_once() {
+    let mut config = config(3, &[KEY]);
+    config["routes"][0]["timeoutMs"] = 2_000.into();
+    let fleet = RelayFleet::start(&config).await;
+    let call = async |n: usize| {
+        let since = Instant::now();
+        let answer = fleet.call(0, "/safe/x", &format!("call-{n}"), Call::default()).await;
+        (answer, since.elapsed())
+    };
+    for limit in &*fleet.servers.limits {
+        limit.store(1, Ordering::Relaxed);
+    }
+    let named = async || {
+        let answer = call(0).await.0;
+        answer.headers.contains_key("server-limit")
+    };
+    eventually("a server names its limit", named).await;
+    join_all((0..CALLERS).map(call)).await;
+    let answers = join_all((0..20 * CALLERS).map(call)).await;
+    let refused: Vec<_> = answers.iter().filter(|(answer, _)| answer.status != 200).collect();
+    assert!(refused.len() > 10 * CALLERS, "{} calls were refused", refused.len());
+    for (answer, took) in refused {
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert!(answer.headers.contains_key("retry-after"));
+        assert!(*took < REFUSAL_TIME, "refused after {took:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_kept() {
     let fleet = RelayFleet::start(&config(3, &[KEY])).await;
     load(&fleet, "before").await;
-    fleet.servers.limit.store(LIMIT, Ordering::Relaxed);
+    fleet.servers.limits[0].store(LIMIT, Ordering::Relaxed);
     let named = Instant::now();
     load(&fleet, "limited").await;
     let most = most_in_window(&fleet, 0, named + STABLE_TIME);
@@ -63,7 +96,7 @@
     assert!(most > LIMIT as usize * 2, "the server is hardly used: {most} requests in 4 s");
 
     // Without the limit, the server gets its part of the load again.
-    fleet.servers.limit.store(0, Ordering::Relaxed);
+    fleet.servers.limits[0].store(0, Ordering::Relaxed);
     let used = async || {
         let since = Instant::now();
         load(&fleet, "unlimited").await;
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -55,8 +55,8 @@
     crashes: [watch::Sender<u32>; SERVERS],
     /// Whether requests that otherwise crash a server succeed.
     pub is_fixed: Arc<AtomicBool>,
-    /// Requests per second that the first server names as its limit; 0 for none.
-    pub limit: Arc<AtomicU32>,
+    /// Requests per second that each server names as its limit; 0 for none.
+    pub limits: Arc<[AtomicU32; SERVERS]>,
 }
 
 impl Servers {
@@ -118,10 +118,10 @@
         server: usize,
         req: Request<Incoming>,
     ) -> Result<Response<BoxBody<Bytes, std::io::Error>>, std::io::Error> {
-        let limit = self.limit.clone();
+        let limits = self.limits.clone();
         let mut answer = self.run(server, req).await?;
-        let limit = limit.load(Ordering::Relaxed);
-        if server == 0 && limit > 0 {
+        let limit = limits[server].load(Ordering::Relaxed);
+        if limit > 0 {
             let value = format!("{limit}.0").parse().expect("invalid header value");
             answer.headers_mut().insert("server-limit", value);
         }
