relay: wait for open heartbeats while there is nobody else to ask

What callers would see: with a single control replica that answers late, a front that has no other candidate did not read the answer until the pause after a late heartbeat, a second, had passed.

Cause: a round without candidates ended at once. It now waits for the answers to earlier heartbeats, up to the time after which others would be asked. Found by reading; no test plays a single replica. The case for the re-sent heartbeat is a function of its own.

--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -304,37 +304,42 @@
         for address in &candidates {
             open.answers.push(self.ask(*address, beat.clone(), open.round));
         }
-        let mut awaited = candidates;
+        let mut unanswered = candidates.clone();
         let late_at = Instant::now() + LATE_AFTER;
-        while !awaited.is_empty() {
+        // Without candidates, only earlier heartbeats can still be answered.
+        while candidates.is_empty() || !unanswered.is_empty() {
             match timeout_at(late_at, open.answers.next()).await {
                 Ok(Some(answer)) => {
-                    if answer.round == open.round {
-                        awaited.retain(|address| *address != answer.address);
-                    }
                     let is_newest = answer.round == open.round;
+                    if is_newest {
+                        unanswered.retain(|address| *address != answer.address);
+                    }
                     if self.handle_answer(answer, is_newest, report) {
                         open.answers.clear();
                         return true;
                     }
                 }
-                Ok(None) => return false,
+                Ok(None) => break,
                 Err(_) => {
-                    for address in awaited.drain(..) {
-                        if !self.note_late(address) {
-                            continue;
-                        }
-                        // The peer may have restarted, in which case it no longer knows the
-                        // connection.
-                        self.client.forget(address);
-                        open.answers.push(self.ask(address, beat.clone(), open.round));
-                    }
+                    self.ask_again(&unanswered, &beat, open);
+                    break;
                 }
             }
         }
         false
     }
 
+    /// Records that instances have not answered a heartbeat yet, and asks the leader once more, if
+    /// it is among them. It may have restarted and not know the connection any more.
+    fn ask_again(&self, unanswered: &[SocketAddr], beat: &peer::Beat, open: &mut OpenHeartbeats) {
+        for address in unanswered {
+            if self.note_late(*address) {
+                self.client.forget(*address);
+                open.answers.push(self.ask(*address, beat.clone(), open.round));
+            }
+        }
+    }
+
     /// The contents of a heartbeat to these instances.
     async fn heartbeat(
         &self,
