relay: a response on a stream route that is no series of events is not cut

What callers would see: on a route for streams, a response without a content type whose body is not made of events, such as an error page with a length, ended as a cut stream since.

Cause: without a content type, any rest at the end was taken for the start of an event.

Change: without one, a response is a series of events if it has contained an event, or if only the end of the connection marks its end, as before.

--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -162,12 +162,20 @@
         }
     }
 
+    /// Whether the response is a series of events. One without a content type is taken for a series
+    /// if it has contained an event, or if nothing but the end of the connection marks its end.
+    fn is_event_stream(&self) -> bool {
+        let Some(response) = &self.response else { return false };
+        match response.parts.headers.get(header::CONTENT_TYPE) {
+            Some(kind) => kind.as_bytes().starts_with(b"text/event-stream"),
+            None => self.events > 0 || !has_end(&response.parts),
+        }
+    }
+
     /// Handles the end of the endpoint's response. A kept turn is made durable before the caller
     /// sees the end of the stream.
     async fn end(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
-        if self.reader.is_within_event()
-            && self.response.as_ref().is_some_and(|b| is_events(&b.parts))
-        {
+        if self.reader.is_within_event() && self.is_event_stream() {
             return match self.resume_elsewhere("stream ended within an event").await {
                 Ok(()) => Box::pin(self.next_chunk()).await,
                 Err(cut) => Some(Err(cut)),
@@ -234,11 +242,10 @@
     }
 }
 
-/// Whether the body of a response is a series of events. A response without a content type is taken
-/// for one.
-fn is_events(head: &response::Parts) -> bool {
-    let kind = head.headers.get(header::CONTENT_TYPE);
-    kind.is_none_or(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+/// Whether the end of a response is marked by its framing, not only by the end of the connection.
+fn has_end(head: &response::Parts) -> bool {
+    head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
 }
 
 /// Number of tokens that an event of a service stands for.
