relay, platform: log the software versions between which streams move

Logs could not tell whether a stream that breaks off goes on at another software version: the version in the list of endpoints and the caller's `Resumes` were not decoded.

`call`, `stream interrupted` and `stream resumed at another endpoint` name the endpoint's `software`; `caller resumes a stream` names the attempt that began the stream, and where it goes on. No decision reads them yet.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -720,6 +720,9 @@
     /// Start time in milliseconds since the Unix epoch, if the list contains it.
     #[prost(uint64, optional, tag = "8")]
     pub started_ms: ::core::option::Option<u64>,
+    /// Version of its software, if the list contains it.
+    #[prost(string, optional, tag = "9")]
+    pub software: ::core::option::Option<::prost::alloc::string::String>,
 }
 /// Share of an instance in the rate of a team.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -39,6 +39,8 @@
     pub affinity: Option<Name>,
     /// Id of the event after which a stream is resumed.
     pub last_event: Option<Name>,
+    /// Id of the attempt that brought the first event of the stream that is resumed.
+    pub resumes: Option<Name>,
 }
 
 /// The parts of a call's head that concern its program.
@@ -129,6 +131,8 @@
     pub cold_left: Duration,
     /// Start time in milliseconds since the Unix epoch, if the list has it.
     pub started_ms: Option<u64>,
+    /// Version of its software, if the list has it.
+    pub software: Option<Name>,
 }
 
 /// A page of the platform's endpoint list.
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -299,6 +299,7 @@
             leaving: e.leaving,
             cold_left_ms: e.cold_left.saturating_sub(age).as_millis() as u64,
             started_ms: e.started_ms,
+            software: e.software.as_deref().map(str::to_owned),
         };
         let endpoints = self.directory.endpoints.iter().map(entry).collect();
         Some(peer::Directory { number: self.directory.number, endpoints })
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -377,6 +377,7 @@
             leaving: e.leaving,
             cold_left: Duration::from_millis(e.cold_left_ms),
             started_ms: e.started_ms,
+            software: e.software.map(Into::into),
         })
     };
     let endpoints = directory.endpoints.into_iter().filter_map(endpoint).collect();
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -50,7 +50,7 @@
     /// Time spent waiting for a slot.
     pub(crate) waited: Duration,
     /// The endpoint of the last attempt.
-    pub(crate) last: Option<Name>,
+    pub(crate) last: Option<ChosenEndpoint>,
     /// Set while the call runs on probation.
     probation: Option<ProbationRun>,
 }
@@ -106,7 +106,7 @@
                     return Err(self.refuse("too_late", message, retry_after));
                 }
             };
-            self.last = Some(slot.endpoint.name.clone());
+            self.last = Some(slot.endpoint.clone());
             match self.send(slot, last_event).await {
                 Ok(started) => return Ok(started),
                 Err(AttemptError::NotRun) => {
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -68,6 +68,7 @@
     id: EndpointId,
     address: SocketAddr,
     started_ms: Option<u64>,
+    software: Option<Name>,
     /// When the cold start phase ends.
     cold_until: Duration,
     gate: StartLimiter,
@@ -86,6 +87,8 @@
 pub(crate) struct ChosenEndpoint {
     pub(crate) name: Name,
     pub(crate) address: SocketAddr,
+    /// Version of its software, if the list has it.
+    pub(crate) software: Option<Name>,
 }
 
 /// Result of a call at an endpoint.
@@ -226,6 +229,7 @@
                 let state = &mut self.endpoints[at];
                 state.cold_until = state.cold_until.max(cold_until);
                 state.started_ms = endpoint.started_ms;
+                state.software.clone_from(&endpoint.software);
             }
             Err(at) => {
                 let blocks = engine.map_or(0, |e| e.cache_tokens / u64::from(BLOCK_TOKENS));
@@ -236,6 +240,7 @@
                     id,
                     address: endpoint.address,
                     started_ms: endpoint.started_ms,
+                    software: endpoint.software.clone(),
                     cold_until,
                     gate: StartLimiter::default(),
                     limiter: StartLimiter::new(LIMIT_WINDOW),
@@ -414,7 +419,7 @@
             state.gate.record_start(now);
         }
         state.limiter.record_start(now);
-        ChosenEndpoint { name, address: state.address }
+        ChosenEndpoint { name, address: state.address, software: state.software.clone() }
     }
 
     fn last_of(&self, conversation: &Name) -> Option<EndpointId> {
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -16,7 +16,7 @@
     attempt::{Attempts, StartedResponse},
     body::{self, ResponseBody},
     call::Call,
-    endpoints::{Outcome, blocks},
+    endpoints::{ChosenEndpoint, Outcome, blocks},
     events::EventReader,
     memory::{MemoryReservation, ReadError},
     placement::PlacementRequest,
@@ -65,7 +65,7 @@
     program: Option<Name>,
     route: Option<Name>,
     team: Option<Name>,
-    endpoint: Option<Name>,
+    endpoint: Option<ChosenEndpoint>,
     version: u64,
     lease_left: Duration,
     status: u16,
@@ -126,13 +126,15 @@
         }
         let name = |name: &Option<Name>| name.as_deref().unwrap_or("").to_owned();
         let (program, route, team) = (name(&self.program), name(&self.route), name(&self.team));
-        let endpoint = name(&self.endpoint);
+        let endpoint = name(&self.endpoint.as_ref().map(|e| e.name.clone()));
+        let software = name(&self.endpoint.as_ref().and_then(|e| e.software.clone()));
         log::info!(
             id = &*self.id,
             program = program.as_str(),
             route = route.as_str(),
             team = team.as_str(),
             endpoint = endpoint.as_str(),
+            software = software.as_str(),
             version = self.version,
             lease_left_ms = self.lease_left.as_millis() as u64,
             status = self.status,
@@ -455,6 +457,17 @@
         record: CallRecord,
     ) -> Response<ResponseBody> {
         let AdmittedCall { call, turn, recording } = admitted;
+        if call.head.last_event.is_some() {
+            let endpoint = &started.slot.endpoint;
+            log::info!(
+                id = &*call.head.id,
+                resumes = call.head.resumes.as_deref().unwrap_or(""),
+                endpoint = &*endpoint.name,
+                software = endpoint.software.as_deref().unwrap_or("");
+                "caller resumes a stream"
+            );
+            metrics::counter!("poplarspan_relay_resumed_streams_total").increment(1);
+        }
         let mut answer = Response::new(());
         *answer.status_mut() = started.parts.status;
         *answer.headers_mut() = end_to_end(&started.parts.headers);
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -211,7 +211,10 @@
     async fn resume_elsewhere(&mut self, cause: &str) -> Result<(), TruncatedBody> {
         let id = self.attempts.call.head.id.clone();
         let events = self.events;
-        log::warn!(id = &*id, cause, events; "stream interrupted");
+        let endpoint = self.response.as_ref().map(|r| r.slot.endpoint.clone());
+        let software = endpoint.and_then(|e| e.software);
+        let began = software.as_deref().unwrap_or("");
+        log::warn!(id = &*id, cause, events, software = began; "stream interrupted");
         metrics::counter!("poplarspan_relay_broken_streams_total").increment(1);
         self.reader.clear();
         if let Some(response) = self.response.take() {
@@ -228,8 +231,12 @@
         let last_event = self.last_event.clone();
         match self.attempts.next(last_event.as_ref()).await {
             Ok(response) if response.parts.status.is_success() => {
-                let endpoint = response.slot.endpoint.name.clone();
-                log::info!(id = &*id, endpoint = &*endpoint; "stream resumed at another endpoint");
+                let endpoint = &response.slot.endpoint;
+                let software = endpoint.software.as_deref().unwrap_or("");
+                log::info!(
+                    id = &*id, endpoint = &*endpoint.name, software, began;
+                    "stream resumed at another endpoint"
+                );
                 self.response = Some(response);
                 Ok(())
             }
