--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -350,16 +350,20 @@
             tokio::spawn(self.servers.clone().serve(server, address));
         }
         let first = if self.links.is_empty() { 2 } else { 50 };
-        let mut list: Vec<Value> = (0..3u8)
-            .map(|n| {
-                json!({"id": server_name(n.into()), "service": "s",
-                    "address": format!("{}:{SERVER_PORT}", self.ip(first + n)), "zone": "z1",
-                    "slots": 8, "state": "ready", "coldLeftMs": 0})
-            })
-            .collect();
-        // An entry in another writer's format, which the fleet must skip.
-        list.push(json!({"id": 7, "service": "s", "state": "sleeping"}));
-        let page = json!({"instances": list, "nextToken": null}).to_string();
+        let addresses: Vec<_> =
+            (0..3u8).map(|n| format!("{}:{SERVER_PORT}", self.ip(first + n))).collect();
+        let servers = self.servers.clone();
+        let page = Arc::new(move || {
+            let entry = |(n, address): (usize, &String)| {
+                Some(json!({"id": server_name(n), "service": "s", "address": address,
+                    "zone": "z1", "version": servers.software(n)?, "slots": 8, "state": "ready",
+                    "coldLeftMs": 0}))
+            };
+            let mut list: Vec<Value> = addresses.iter().enumerate().filter_map(entry).collect();
+            // An entry in another writer's format, which the fleet must skip.
+            list.push(json!({"id": 7, "service": "s", "state": "sleeping"}));
+            json!({"instances": list, "nextToken": null}).to_string()
+        });
         let socket = TcpListener::bind((self.ip(1), SERVER_PORT))
             .await
             .expect("failed to bind the instance list");
@@ -368,7 +372,7 @@
                 let page = page.clone();
                 let service = service_fn(move |_req: Request<Incoming>| {
                     let page = page.clone();
-                    async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(page)))) }
+                    async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(page())))) }
                 });
                 tokio::spawn(async move {
                     // A client may disconnect at any time.
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -48,7 +48,7 @@
 }
 
 /// Executions of all servers, and the controls of their faults.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Servers {
     runs: Arc<Mutex<Vec<Run>>>,
     /// Number of crashes of each server.
@@ -57,9 +57,33 @@
     pub is_fixed: Arc<AtomicBool>,
     /// Requests per second that each server names as its limit; 0 for none.
     pub limits: Arc<[AtomicU32; SERVERS]>,
+    software: Arc<Mutex<[Option<&'static str>; SERVERS]>>,
+}
+
+impl Default for Servers {
+    fn default() -> Self {
+        Self {
+            runs: Arc::default(),
+            crashes: Default::default(),
+            is_fixed: Arc::default(),
+            limits: Arc::default(),
+            software: Arc::new(Mutex::new([Some("v1"); SERVERS])),
+        }
+    }
 }
 
 impl Servers {
+    /// Sets the software version that the list names for a server. Without one, the server is not
+    /// in the list.
+    pub fn set_software(&self, server: usize, version: Option<&'static str>) {
+        self.software.lock().expect("lock is poisoned")[server] = version;
+    }
+
+    /// Software version of a server, or `None` if it is not in the list.
+    pub fn software(&self, server: usize) -> Option<&'static str> {
+        self.software.lock().expect("lock is poisoned")[server]
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("lock is poisoned").clone()
     }
