relay: a stream resumed within its answer keeps to its software version

Callers received streams whose first events came from an endpoint of one software version and whose rest came from one of another, in one answer and with nothing to show it. A front that resumes a stream took any endpoint of the service.

`mixed_streams::resumed_within_answer` failed: "broken-0 ran at ["new", "old"]".

A stream that has passed an event on is resumed only at endpoints of the version that made it. Without a version in the list, it is cut.

--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -17,6 +17,7 @@
     Front,
     call::Call,
     endpoints::{ChosenEndpoint, Outcome},
+    placement::EndpointFilter,
     quarantine::{Admission, ProbationRun},
     refusal::Refusal,
     schedule::{PlacementError, Slot},
@@ -42,7 +43,7 @@
 pub(crate) struct Attempts {
     front: Arc<Front>,
     pub(crate) call: Arc<Call>,
-    tried: Vec<Name>,
+    filter: EndpointFilter,
     /// Number of endpoints that may have run the call.
     pub(crate) ran: u32,
     /// Number of attempts that certainly did not run the call.
@@ -70,7 +71,7 @@
         Self {
             front,
             call,
-            tried: Vec::new(),
+            filter: EndpointFilter::default(),
             ran: 0,
             unsent: 0,
             waited: Duration::ZERO,
@@ -89,13 +90,13 @@
                 return Err(self.crashes_endpoints());
             }
             let since = Instant::now();
-            let placed = self.front.schedule.acquire(&self.call.placement, &self.tried).await;
+            let placed = self.front.schedule.acquire(&self.call.placement, &self.filter).await;
             self.waited += since.elapsed();
             let slot = match placed {
                 Ok(slot) => slot,
                 Err(PlacementError::NoEndpoint { .. }) if self.may_retry_refused() => {
                     tokio::time::sleep(REFUSED_PAUSE).await;
-                    self.tried.clear();
+                    self.filter.tried.clear();
                     continue;
                 }
                 Err(PlacementError::NoEndpoint { retry_after }) => {
@@ -105,6 +106,7 @@
                     let message = "the call cannot be served in time";
                     return Err(self.refuse("too_late", message, retry_after));
                 }
+                Err(PlacementError::SoftwareGone) => return Err(self.software_gone()),
             };
             self.last = Some(slot.endpoint.clone());
             match self.send(slot, last_event).await {
@@ -139,11 +141,16 @@
             && !self.call.time_left().is_zero()
     }
 
+    /// Restricts further attempts to endpoints of one software version.
+    pub(crate) fn restrict_to(&mut self, software: Name) {
+        self.filter.software = Some(software);
+    }
+
     /// Records that an endpoint did not complete its response.
     pub(crate) fn failed(&mut self, slot: Slot, cause: &str) {
         self.note_incomplete(&slot.endpoint, cause);
         self.ran += 1;
-        self.tried.push(slot.endpoint.name.clone());
+        self.filter.tried.push(slot.endpoint.name.clone());
         slot.finish(Outcome::Failed);
     }
 
@@ -154,7 +161,7 @@
     ) -> Result<StartedResponse, AttemptError> {
         let call = self.call.clone();
         let endpoint = slot.endpoint.clone();
-        self.tried.push(endpoint.name.clone());
+        self.filter.tried.push(endpoint.name.clone());
         if self.front.fleet.lease_left().is_none() {
             self.unsent = MAX_UNSENT;
             return Err(AttemptError::NotRun);
@@ -311,6 +318,16 @@
         }
     }
 
+    /// The refusal for a stream that no endpoint can resume. It names no time to retry, since the
+    /// caller can only start the stream anew.
+    fn software_gone(&self) -> Refusal {
+        if self.ran > 0 {
+            return self.unknown_outcome();
+        }
+        let message = "no endpoint of the software version that began the stream is left";
+        Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "software_gone", message)
+    }
+
     /// The refusal for a request that terminates endpoints.
     fn crashes_endpoints(&self) -> Refusal {
         let message = "endpoints have ended each time that they ran this request";
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -23,7 +23,10 @@
     },
 };
 
-use super::{placement::PlacementRequest, shared_parts::SharedParts};
+use super::{
+    placement::{EndpointFilter, PlacementRequest},
+    shared_parts::SharedParts,
+};
 use crate::{ListedEndpoint, Load, PromptPart, Publication, fleet_client::View};
 use limits::CallLimit;
 
@@ -275,14 +278,14 @@
     pub(crate) fn place(
         &mut self,
         placement: &PlacementRequest,
-        tried: &[Name],
+        filter: &EndpointFilter,
         publication: Option<&Publication>,
         now: Duration,
     ) -> Result<ChosenEndpoint, NoRoute> {
         let cold_rate = publication
             .and_then(|p| p.service(&placement.service))
             .map_or(0.0, |s| s.cold_per_second);
-        let excluded = self.excluded(placement, tried, cold_rate, now);
+        let excluded = self.excluded(placement, filter, cold_rate, now);
         let avoided = self.avoided(placement, now);
         let excluded_or_avoided: Vec<_> = excluded.iter().chain(&avoided).copied().collect();
         self.note_connections(&placement.service);
@@ -328,12 +331,12 @@
         (&placement.blocks[blocks..], placement.prompt_tokens - tokens)
     }
 
-    /// Endpoints that must not get the call: those already tried, and those that are cold or name a
-    /// limit and have had as many calls as this front may send them.
+    /// Endpoints that must not get the call: those that the filter excludes, and those that are cold
+    /// or name a limit and have had as many calls as this front may send them.
     fn excluded(
         &mut self,
         placement: &PlacementRequest,
-        tried: &[Name],
+        filter: &EndpointFilter,
         rate: f64,
         now: Duration,
     ) -> Vec<EndpointId> {
@@ -341,12 +344,17 @@
         let mut excluded = Vec::new();
         for state in self.endpoints.iter_mut().filter(|k| k.service == placement.service) {
             let is_cold = rate > 0.0 && now < state.cold_until;
-            let is_tried = tried.contains(&state.name);
+            let is_tried = filter.tried.contains(&state.name);
+            let is_other_software = !filter.fits(state.software.as_ref());
             let offset = offset(&state.name);
             let is_used_up = state
                 .limit
                 .is_some_and(|limit| !state.limiter.allows(limit.per_second, rank, offset, now));
-            if is_tried || is_used_up || (is_cold && !state.gate.allows(rate, rank, offset, now)) {
+            if is_tried
+                || is_other_software
+                || is_used_up
+                || (is_cold && !state.gate.allows(rate, rank, offset, now))
+            {
                 excluded.push(state.id);
             }
         }
@@ -487,6 +495,35 @@
         })
     }
 
+    /// Whether an endpoint of the service has the filter's software version and stays, even if it
+    /// takes no calls at the moment.
+    pub(crate) fn has_software(&self, service: &str, filter: &EndpointFilter) -> bool {
+        self.fitting(service, filter).any(|k| !self.fleet.spec(k.id).leaving)
+    }
+
+    /// Whether the filter allows an endpoint of the service that stays, even if it takes no calls at
+    /// the moment.
+    pub(crate) fn has_candidate(&self, service: &str, filter: &EndpointFilter) -> bool {
+        let mut untried = self.fitting(service, filter).filter(|k| !filter.tried.contains(&k.name));
+        untried.any(|k| !self.fleet.spec(k.id).leaving)
+    }
+
+    /// Whether the filter allows an endpoint of the service that takes calls.
+    pub(crate) fn has_available(&self, service: &str, filter: &EndpointFilter) -> bool {
+        let mut untried = self.fitting(service, filter).filter(|k| !filter.tried.contains(&k.name));
+        untried.any(|k| self.fleet.is_available(k.id))
+    }
+
+    /// The endpoints of a service that have the filter's software version.
+    fn fitting<'a>(
+        &'a self,
+        service: &'a str,
+        filter: &'a EndpointFilter,
+    ) -> impl Iterator<Item = &'a EndpointState> {
+        let fits = |k: &&EndpointState| *k.service == *service && filter.fits(k.software.as_ref());
+        self.endpoints.iter().filter(fits)
+    }
+
     /// Number of concurrent calls that the available endpoints of a service can run.
     pub(crate) fn capacity(&self, service: &str) -> u32 {
         let members = self.fleet.members(service).unwrap_or(&[]);
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -478,6 +478,7 @@
             reader: EventReader::default(),
             last_event: call.head.last_event.clone(),
             events: 0,
+            began_at: None,
             tokens_per_event: tokens_per_event(self, &call.placement.service),
             turn,
             recording,
--- a/crates/relay/src/front/placement.rs
+++ b/crates/relay/src/front/placement.rs
@@ -29,3 +29,19 @@
     /// When the caller stops waiting, by the front's clock.
     pub(crate) deadline: Duration,
 }
+
+/// Restricts the endpoints that a call may be sent to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointFilter {
+    /// Endpoints that have been tried.
+    pub(crate) tried: Vec<Name>,
+    /// The only software version that may run the call, if it resumes a stream.
+    pub(crate) software: Option<Name>,
+}
+
+impl EndpointFilter {
+    /// Whether an endpoint of this software version may run the call.
+    pub(crate) fn fits(&self, software: Option<&Name>) -> bool {
+        self.software.is_none() || self.software.as_ref() == software
+    }
+}
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -27,7 +27,7 @@
 
 use super::{
     endpoints::{ChosenEndpoint, Endpoints, Outcome},
-    placement::PlacementRequest,
+    placement::{EndpointFilter, PlacementRequest},
 };
 use crate::{Load, fleet_client::FleetClient};
 
@@ -50,11 +50,13 @@
     NoEndpoint { retry_after: Duration },
     /// The call cannot be served before its deadline.
     TooLate { retry_after: Duration },
+    /// No endpoint of the software version that began the stream is left.
+    SoftwareGone,
 }
 
 struct WaitingCall {
     placement: Arc<PlacementRequest>,
-    tried: Vec<Name>,
+    filter: EndpointFilter,
     since: Duration,
     tx: oneshot::Sender<Result<ChosenEndpoint, PlacementError>>,
 }
@@ -176,34 +178,43 @@
         }
     }
 
-    /// Waits for a slot at an endpoint that is not in `tried`.
+    /// Waits for a slot at an endpoint that the filter allows.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         placement: &Arc<PlacementRequest>,
-        tried: &[Name],
+        filter: &EndpointFilter,
     ) -> Result<Slot, PlacementError> {
         let now = self.clock.now();
         let (id, rx) = {
             let view = self.fleet.view();
             let mut state = self.lock();
             state.endpoints.observe(&view, now);
-            let at = state.queue(&placement.service);
+            let service = &placement.service;
+            if filter.software.is_some() && !state.endpoints.has_software(service, filter) {
+                return Err(PlacementError::SoftwareGone);
+            }
+            let at = state.queue(service);
             if state.queues[at].queue.is_empty() {
                 let publication = view.publication.as_deref();
-                match state.endpoints.place(placement, tried, publication, now) {
+                match state.endpoints.place(placement, filter, publication, now) {
                     Ok(endpoint) => {
                         state.queues[at].in_flight += 1;
                         drop(state);
                         return Ok(self.slot(endpoint, placement));
                     }
                     Err(NoRoute::Full) => {}
-                    Err(NoRoute::NoneAvailable) if tried.is_empty() => {}
+                    Err(NoRoute::NoneAvailable) if filter.tried.is_empty() => {}
+                    // A stream that breaks off is lost work, so it waits for an endpoint that is
+                    // paused after a failure.
+                    Err(NoRoute::NoneAvailable)
+                        if filter.software.is_some()
+                            && state.endpoints.has_candidate(service, filter) => {}
                     Err(NoRoute::NoneAvailable) => {
                         return Err(PlacementError::NoEndpoint { retry_after: RETRY_AFTER });
                     }
                 }
             }
-            state.push(at, placement, tried, now)?
+            state.push(at, placement, filter, now)?
         };
         let mut guard = DequeueOnDrop { schedule: self, service: &placement.service, id: Some(id) };
         let result = rx.await;
@@ -310,7 +321,7 @@
         &mut self,
         at: usize,
         placement: &Arc<PlacementRequest>,
-        tried: &[Name],
+        filter: &EndpointFilter,
         now: Duration,
     ) -> Result<(QueueId, oneshot::Receiver<Result<ChosenEndpoint, PlacementError>>), PlacementError>
     {
@@ -331,7 +342,7 @@
             deadline: placement.deadline,
             payload: WaitingCall {
                 placement: placement.clone(),
-                tried: tried.to_vec(),
+                filter: filter.clone(),
                 since: now,
                 tx,
             },
@@ -363,17 +374,17 @@
             if waiting.tx.is_closed() {
                 continue;
             }
-            match endpoints.place(&waiting.placement, &waiting.tried, publication, now) {
+            match endpoints.place(&waiting.placement, &waiting.filter, publication, now) {
                 Ok(endpoint) => {
                     *in_flight += 1;
                     placed.push((entry.call.payload, endpoint));
                 }
                 Err(_) => {
-                    // A call that has already tried some endpoints may find no slot while others
-                    // could.
-                    let is_first = waiting.tried.is_empty();
+                    // A call that may not go to all endpoints may find no slot while others could.
+                    let filter = &waiting.filter;
+                    let is_unrestricted = filter.tried.is_empty() && filter.software.is_none();
                     skipped.push(entry);
-                    if is_first {
+                    if is_unrestricted {
                         break;
                     }
                 }
@@ -395,18 +406,23 @@
 
     /// Refuses calls that can no longer be served in time.
     fn refuse_expired(&mut self, now: Duration) {
-        for queue in &mut self.queues {
-            let is_open = self.endpoints.capacity(&queue.service) > 0;
+        let Self { endpoints, queues } = self;
+        for queue in queues {
+            let service = &queue.service;
+            let is_open = |filter: &EndpointFilter| match filter.software {
+                Some(_) => endpoints.has_available(service, filter),
+                None => endpoints.capacity(service) > 0,
+            };
             let needed = Duration::from_secs_f64(queue.hold_time_s / 4.0);
             let expired = queue.queue.expire(now);
             let too_late = queue.queue.remove_where(|call| {
                 let w = &call.payload;
                 let is_late = now + needed > w.placement.deadline;
-                is_late || (!is_open && now > w.since + OUTAGE_WAIT)
+                is_late || (!is_open(&w.filter) && now > w.since + OUTAGE_WAIT)
             });
             for entry in expired.into_iter().chain(too_late) {
                 let retry_after = RETRY_AFTER;
-                let error = if is_open {
+                let error = if is_open(&entry.call.payload.filter) {
                     PlacementError::TooLate { retry_after }
                 } else {
                     PlacementError::NoEndpoint { retry_after }
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -13,7 +13,7 @@
     Front,
     attempt::{Attempts, StartedResponse},
     body::{ResponseBody, TruncatedBody, streamed},
-    endpoints::Outcome,
+    endpoints::{ChosenEndpoint, Outcome},
     events::EventReader,
     handler::CallRecord,
     memory::MemoryReservation,
@@ -39,6 +39,8 @@
     pub(crate) reader: EventReader,
     pub(crate) last_event: Option<Name>,
     pub(crate) events: u64,
+    /// The endpoint that the first event passed on came from.
+    pub(crate) began_at: Option<ChosenEndpoint>,
     pub(crate) tokens_per_event: u64,
     pub(crate) turn: Option<OpenTurn>,
     pub(crate) recording: Option<TurnRecording>,
@@ -127,6 +129,9 @@
     /// Takes the complete events as one chunk.
     fn take_events(&mut self) -> Bytes {
         let Some(first) = self.reader.next_event() else { return Bytes::new() };
+        if self.began_at.is_none() {
+            self.began_at = self.response.as_ref().map(|r| r.slot.endpoint.clone());
+        }
         let mut chunk: Option<BytesMut> = None;
         let mut event = first;
         let raw = event.raw.clone();
@@ -207,12 +212,11 @@
     }
 
     /// Resumes the stream at another endpoint after the last complete event, if the route allows
-    /// it.
+    /// it and an endpoint of the software version that began it is left.
     async fn resume_elsewhere(&mut self, cause: &str) -> Result<(), TruncatedBody> {
         let id = self.attempts.call.head.id.clone();
         let events = self.events;
-        let endpoint = self.response.as_ref().map(|r| r.slot.endpoint.clone());
-        let software = endpoint.and_then(|e| e.software);
+        let software = self.began_at.as_ref().and_then(|e| e.software.clone());
         let began = software.as_deref().unwrap_or("");
         log::warn!(id = &*id, cause, events, software = began; "stream interrupted");
         metrics::counter!("poplarspan_relay_broken_streams_total").increment(1);
@@ -223,11 +227,16 @@
             drop((response.body, response.reuse));
             self.attempts.failed(response.slot, cause);
         }
-        if !self.attempts.may_retry() {
+        let is_known = self.began_at.is_none() || software.is_some();
+        if !self.attempts.may_retry() || !is_known {
             self.is_done = true;
             self.record.finish("broken");
             return Err(TruncatedBody("the endpoint failed"));
         }
+        // What two software versions write does not fit together.
+        if let Some(software) = &software {
+            self.attempts.restrict_to(software.clone());
+        }
         let last_event = self.last_event.clone();
         match self.attempts.next(last_event.as_ref()).await {
             Ok(response) if response.parts.status.is_success() => {
