relay: streams that callers resume go on only at the version that began them

Callers whose streams had broken off took them up again and received 200 and a text joined from two software versions.

Cause: a call with `Last-Event-Id` was placed like a new one. Nothing knew which version had begun the stream, and what a front could remember would be lost with it.

`mixed_streams::{resumed_at_other_front, resumed_after_all_fronts_killed, version_left_while_fronts_were_down, unknown_stream}` failed each time.

When the first event of a stream on a route that may be resumed arrives, its front records service and software version in the stores, under the id of the caller's attempt; first one wins, kept as long as the caller may wait. A call that resumes a stream reads the origin of the attempt that `Resumes` names, behind a read barrier, and runs only at that service and version. Settlements and records share the code that batches by group.

Why it holds: a stream has one version, since it is recorded at the first event and later ones come from that version only; the record survives all fronts; and what is not recorded is refused, not guessed. So a record that was lost with its front costs a resume, not a mixture.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -5,7 +5,7 @@
 pub struct Request {
     #[prost(
         oneof = "request::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: ::core::option::Option<request::Body>,
 }
@@ -47,6 +47,10 @@
         TurnEnds(super::TurnEnds),
         #[prost(message, tag = "17")]
         Suspects(super::SuspectEvents),
+        #[prost(message, tag = "18")]
+        StreamStarts(super::StreamStarts),
+        #[prost(message, tag = "19")]
+        StreamLookup(super::StreamLookup),
     }
 }
 /// The response to a call, on the same stream.
@@ -54,7 +58,7 @@
 pub struct Response {
     #[prost(
         oneof = "response::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: ::core::option::Option<response::Body>,
 }
@@ -96,6 +100,10 @@
         TurnsEnded(super::TurnsEnded),
         #[prost(message, tag = "17")]
         Suspects(super::SuspectRulings),
+        #[prost(message, tag = "18")]
+        StreamsRecorded(super::StreamsRecorded),
+        #[prost(message, tag = "19")]
+        StreamLookup(super::StreamLookupResult),
     }
 }
 /// The call failed.
@@ -860,6 +868,47 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnsEnded {}
+/// Records which software versions began streams of one group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamStarts {
+    #[prost(message, repeated, tag = "1")]
+    pub starts: ::prost::alloc::vec::Vec<StreamStart>,
+    #[prost(uint32, tag = "2")]
+    pub group: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamStart {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    /// Id of the caller's attempt that brought the first event.
+    #[prost(string, tag = "2")]
+    pub stream: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub software: ::prost::alloc::string::String,
+    /// How long to keep the record.
+    #[prost(uint64, tag = "5")]
+    pub keep_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamsRecorded {}
+/// Asks which software version began a stream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamLookup {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub stream: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub group: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamLookupResult {
+    /// Absent if no start of the stream is recorded.
+    #[prost(message, optional, tag = "1")]
+    pub start: ::core::option::Option<StreamStart>,
+}
 /// Events of requests during which endpoints may terminate.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SuspectEvents {
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -113,6 +113,8 @@
     pub reserve: ::prost::alloc::vec::Vec<Reserve>,
     #[prost(message, repeated, tag = "3")]
     pub settle: ::prost::alloc::vec::Vec<Settle>,
+    #[prost(message, repeated, tag = "4")]
+    pub streams: ::prost::alloc::vec::Vec<StreamOrigin>,
 }
 /// Reserves tokens of the budget of a program.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -168,6 +170,22 @@
     #[prost(uint64, tag = "6")]
     pub expires_ms: u64,
 }
+/// Software version that began a stream. The first one recorded for a stream stays.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    /// Id of the caller's attempt that brought the first event.
+    #[prost(string, tag = "2")]
+    pub stream: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub software: ::prost::alloc::string::String,
+    /// The origin is kept at least until this time, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "5")]
+    pub expires_ms: u64,
+}
 /// Result of a `TurnCommand`, with one entry for each of its reservations.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TurnResult {
@@ -192,6 +210,8 @@
     pub accounts: ::prost::alloc::vec::Vec<Account>,
     #[prost(message, repeated, tag = "3")]
     pub turns: ::prost::alloc::vec::Vec<Turn>,
+    #[prost(message, repeated, tag = "4")]
+    pub streams: ::prost::alloc::vec::Vec<StreamOrigin>,
 }
 /// Token account of a program.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -41,7 +41,7 @@
 
 /// State of the attempts of one call.
 pub(crate) struct Attempts {
-    front: Arc<Front>,
+    pub(crate) front: Arc<Front>,
     pub(crate) call: Arc<Call>,
     filter: EndpointFilter,
     /// Number of endpoints that may have run the call.
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -20,7 +20,7 @@
     events::EventReader,
     memory::{MemoryReservation, ReadError},
     placement::PlacementRequest,
-    programs::{OpenTurn, TurnName, TurnRequirements},
+    programs::{OpenTurn, TurnName, TurnRequirements, origins::Origin},
     rates::Token,
     refusal::Refusal,
     schedule::Slot,
@@ -238,6 +238,7 @@
         }
         let (body, reservation) =
             self.read_body(body, publication.limits.max_body, deadline).await?;
+        let origin = self.origin(&route, &head, team.as_ref(), deadline).await?;
         let token = match &team {
             Some(team) => {
                 let program = head.program.as_ref().map(|p| &p.id);
@@ -255,8 +256,32 @@
             }
         };
         let body = (body, reservation);
-        let call = self.call(parts, head, body, route, team.as_ref(), deadline, &publication);
-        Ok(AdmittedCall { call: Arc::new(call), turn, recording })
+        let (team, service) = (team.as_ref(), origin.as_ref().map(|o| &o.service));
+        let call = self.call(parts, head, body, route, team, service, deadline, &publication);
+        let software = origin.map(|o| o.software);
+        Ok(AdmittedCall { call: Arc::new(call), turn, recording, software })
+    }
+
+    /// Where the stream began that the call resumes; `None` if it resumes none.
+    async fn origin(
+        &self,
+        route: &Route,
+        head: &CallHead,
+        team: Option<&Team>,
+        deadline: Instant,
+    ) -> Result<Option<Origin>, Refusal> {
+        let is_stream = matches!(route.kind, RouteKind::Stream { .. });
+        if !is_stream || head.last_event.is_none() {
+            return Ok(None);
+        }
+        let team = team.map_or("", |t| &*t.name);
+        let origin = self.origins.find(team, head.resumes.as_ref(), deadline).await?;
+        if !route.has_service(&origin.service) {
+            let message = "the route no longer has the service that began the stream";
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "service_gone", message);
+            return Err(refusal);
+        }
+        Ok(Some(origin))
     }
 
     /// The refusal, or a temporary one if a newer publication may be in force, under which the call
@@ -323,12 +348,13 @@
         (body, reservation): (Bytes, MemoryReservation),
         route: Route,
         team: Option<&Team>,
+        service: Option<&Name>,
         deadline: Instant,
         publication: &Publication,
     ) -> Call {
         let conversation = affinity_of(&head);
         let hash = hash_name(conversation.as_ref().unwrap_or(&head.id));
-        let service = route.service(hash).clone();
+        let service = service.unwrap_or_else(|| route.service(hash)).clone();
         // The prompts of sub-agents begin with that of their parent, so all conversations of a
         // program go to one endpoint.
         let program = head.program.as_ref().filter(|_| !head.prompt.is_empty()).map(|p| &p.id);
@@ -372,6 +398,9 @@
         mut record: CallRecord,
     ) -> Response<ResponseBody> {
         let mut attempts = Attempts::new(self.clone(), admitted.call.clone());
+        if let Some(software) = &admitted.software {
+            attempts.restrict_to(software.clone());
+        }
         let refusal = loop {
             let started = attempts.next(None).await;
             record.attempts(&attempts);
@@ -456,7 +485,7 @@
         started: StartedResponse,
         record: CallRecord,
     ) -> Response<ResponseBody> {
-        let AdmittedCall { call, turn, recording } = admitted;
+        let AdmittedCall { call, turn, recording, .. } = admitted;
         if call.head.last_event.is_some() {
             let endpoint = &started.slot.endpoint;
             log::info!(
@@ -495,6 +524,8 @@
     call: Arc<Call>,
     turn: Option<OpenTurn>,
     recording: Option<TurnRecording>,
+    /// The software version that began the stream which the call resumes.
+    software: Option<Name>,
 }
 
 /// Returns the headers of a response without the hop-by-hop ones.
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -38,7 +38,7 @@
 };
 use endpoints::ChosenEndpoint;
 use memory::BodyMemory;
-use programs::Programs;
+use programs::{Programs, origins::Origins};
 use quarantine::Quarantine;
 use rates::Rates;
 use schedule::Schedule;
@@ -60,6 +60,7 @@
     pub(crate) schedule: Arc<Schedule>,
     pub(crate) rates: Arc<Rates>,
     pub(crate) programs: Arc<Programs>,
+    pub(crate) origins: Arc<Origins>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) memory: BodyMemory,
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -9,7 +9,9 @@
 //! response ends, because the caller may continue it immediately. Reservations of other turns are
 //! settled in the background.
 
+mod batches;
 mod history_cache;
+pub(crate) mod origins;
 
 use std::{
     net::SocketAddr,
@@ -17,9 +19,8 @@
     time::Duration,
 };
 
-use anyhow::Result;
 use bytes::{Bytes, BytesMut};
-use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
+use futures::future::join_all;
 use http::StatusCode;
 use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
@@ -27,11 +28,12 @@
 use poplarspan_proto::peer::{self, FailureCode, TurnVerdict, request, response};
 use tokio::{
     sync::mpsc,
-    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use super::refusal::Refusal;
 use crate::{fleet_client::FleetClient, groups::group_of};
+use batches::GroupBatches;
 use history_cache::HistoryCache;
 
 /// Timeout of a call to one store, after which another is asked.
@@ -45,6 +47,7 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_BATCH: usize = 256;
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Identifies a turn in the stores.
 #[derive(Clone, Debug)]
 pub(crate) struct TurnName {
@@ -73,19 +76,14 @@
     /// For each group, the store that last answered as the leader.
     leaders: Mutex<Vec<Option<SocketAddr>>>,
     history_cache: Mutex<HistoryCache>,
-    ends: mpsc::Sender<PendingSettlement>,
-}
-
-/// The end of a turn, queued for the group of its program.
-struct PendingSettlement {
-    group: u32,
-    end: peer::TurnEnd,
+    /// Ends of turns for the groups of their programs.
+    ends: mpsc::Sender<(u32, peer::TurnEnd)>,
 }
 
 /// Background task that settles reservations.
 pub(crate) struct Settler {
     programs: Arc<Programs>,
-    rx: mpsc::Receiver<PendingSettlement>,
+    batches: GroupBatches<peer::TurnEnd>,
 }
 
 /// A turn that has begun. Dropping it settles its reservation.
@@ -117,7 +115,8 @@
             history_cache: Mutex::default(),
             ends,
         });
-        (programs.clone(), Settler { programs, rx })
+        let batches = GroupBatches::new(rx, MAX_UNSETTLED, BATCH_INTERVAL, MAX_BATCH);
+        (programs.clone(), Settler { programs, batches })
     }
 
     /// Begins a turn and returns the inputs and outputs of the turns before it.
@@ -235,9 +234,9 @@
         self.history_cache.lock().expect("no panic while locked")
     }
 
-    fn settle(&self, end: PendingSettlement) {
-        if let Err(e) = self.ends.try_send(end) {
-            let program = e.into_inner().end.program;
+    fn settle(&self, group: u32, end: peer::TurnEnd) {
+        if let Err(e) = self.ends.try_send((group, end)) {
+            let program = e.into_inner().1.program;
             log::warn!(program = program.as_str(); "settlement queue is full; tokens stay reserved");
             metrics::counter!("poplarspan_relay_unsettled_total").increment(1);
         }
@@ -320,15 +319,14 @@
 }
 
 impl OpenTurn {
-    fn end(&self) -> PendingSettlement {
-        let end = peer::TurnEnd {
+    fn end(&self) -> peer::TurnEnd {
+        peer::TurnEnd {
             team: self.name.team.to_string(),
             program: self.name.program.to_string(),
             name: if self.is_reserved { self.name.turn.to_string() } else { String::new() },
             used: self.used,
             kept: None,
-        };
-        PendingSettlement { group: self.group, end }
+        }
     }
 
     /// Keeps the turn and returns once it is durable.
@@ -336,7 +334,7 @@
     /// Fails if the stores do not answer in time. The turn may have been kept nevertheless.
     pub(crate) async fn keep(&mut self, kept: KeptTurn, deadline: Instant) -> Result<(), Refusal> {
         let name = self.name.clone();
-        let PendingSettlement { group, mut end } = self.end();
+        let (group, mut end) = (self.group, self.end());
         // The group does not have the previous turns, so their history becomes part of this turn's
         // input.
         let (previous, input) = if self.continues_other_group {
@@ -371,55 +369,23 @@
 impl Drop for OpenTurn {
     fn drop(&mut self) {
         if self.is_reserved {
-            self.programs.settle(self.end());
+            self.programs.settle(self.group, self.end());
         }
     }
 }
 
 impl Settler {
-    /// Settles reservations until the task is cancelled. Each group has at most one call in flight,
-    /// so that a group without a leader does not delay the others.
-    pub(crate) async fn run(mut self) -> Result<()> {
-        // Sorted by group.
-        let mut pending: Vec<(u32, Vec<peer::TurnEnd>)> = Vec::new();
-        let mut busy: Vec<u32> = Vec::new();
-        let mut calls = FuturesUnordered::new();
-        let mut batches = interval(BATCH_INTERVAL);
-        batches.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                end = self.rx.recv(), if count(&pending) < MAX_UNSETTLED => {
-                    let Some(PendingSettlement { group, end }) = end else { return Ok(()) };
-                    match pending.binary_search_by_key(&group, |(g, _)| *g) {
-                        Ok(at) => pending[at].1.push(end),
-                        Err(at) => pending.insert(at, (group, vec![end])),
-                    }
-                }
-                Some(group) = calls.next() => busy.retain(|g| *g != group),
-                _ = batches.tick(), if !pending.is_empty() => {
-                    for (group, ends) in &mut pending {
-                        if !busy.contains(group) {
-                            busy.push(*group);
-                            let batch = ends.drain(..ends.len().min(MAX_BATCH)).collect();
-                            calls.push(settle(self.programs.clone(), *group, batch));
-                        }
-                    }
-                    pending.retain(|(_, ends)| !ends.is_empty());
-                }
-            }
-        }
+    /// Settles reservations until the task is cancelled.
+    pub(crate) async fn run(self) {
+        let Self { programs, batches } = self;
+        batches.run(|group, ends| settle(programs.clone(), group, ends)).await;
     }
 }
 
-fn count(pending: &[(u32, Vec<peer::TurnEnd>)]) -> usize {
-    pending.iter().map(|(_, ends)| ends.len()).sum()
-}
-
 /// Retries until the batch is committed, because unsettled reservations count against the budgets.
-async fn settle(programs: Arc<Programs>, group: u32, ends: Vec<peer::TurnEnd>) -> u32 {
+async fn settle(programs: Arc<Programs>, group: u32, ends: Vec<peer::TurnEnd>) {
     let body = || request::Body::TurnEnds(peer::TurnEnds { ends: ends.clone(), group });
     while programs.call(group, body, Instant::now() + 4 * CALL_TIMEOUT).await.is_none() {}
-    group
 }
 
 fn concat(parts: &[&Bytes]) -> Bytes {
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -17,7 +17,7 @@
     events::EventReader,
     handler::CallRecord,
     memory::MemoryReservation,
-    programs::{KeptTurn, OpenTurn},
+    programs::{KeptTurn, OpenTurn, origins::Origin},
 };
 
 /// Maximum size of an event and of a trailing incomplete event, in bytes.
@@ -131,6 +131,7 @@
         let Some(first) = self.reader.next_event() else { return Bytes::new() };
         if self.began_at.is_none() {
             self.began_at = self.response.as_ref().map(|r| r.slot.endpoint.clone());
+            self.record_origin();
         }
         let mut chunk: Option<BytesMut> = None;
         let mut event = first;
@@ -150,6 +151,21 @@
         chunk.map_or(raw, BytesMut::freeze)
     }
 
+    /// Records where the stream began, if its caller may resume it. One that the caller resumes has
+    /// its record already.
+    fn record_origin(&self) {
+        let call = &self.attempts.call;
+        let software = self.began_at.as_ref().and_then(|e| e.software.clone());
+        let Some(software) = software.filter(|_| call.head.last_event.is_none()) else { return };
+        if !call.route.may_run_again() {
+            return;
+        }
+        let origin = Origin { service: call.placement.service.clone(), software };
+        let keep = call.head.time_left.unwrap_or_default().max(call.route.timeout);
+        let team = call.team.as_deref().unwrap_or("");
+        self.attempts.front.origins.record(team, &call.head.id, &origin, keep);
+    }
+
     fn note(&mut self, event: &super::events::Event) {
         if let Some(id) = &event.id
             && let Ok(id) = std::str::from_utf8(id)
--- a/crates/relay/src/publication.rs
+++ b/crates/relay/src/publication.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Whether calls of the route may go to the service.
+    pub(crate) fn has_service(&self, service: &str) -> bool {
+        self.split.iter().any(|(name, _)| **name == *service)
+    }
+
     /// Picks the service of a call by weight. Calls with the same `hash` go to the same service.
     pub fn service(&self, hash: u64) -> &Name {
         let total: u64 = self.split.iter().map(|(_, w)| u64::from(*w)).sum();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -22,8 +22,13 @@
     control::{Control, EndpointListReader, OperatorServer},
     fleet_client::{FleetClient, HeartbeatReport},
     front::{
-        Front, listener::Listener, memory::BodyMemory, programs::Programs, quarantine::Quarantine,
-        rates::Rates, schedule::Schedule,
+        Front,
+        listener::Listener,
+        memory::BodyMemory,
+        programs::{Programs, origins::Origins},
+        quarantine::Quarantine,
+        rates::Rates,
+        schedule::Schedule,
     },
     groups,
     replica::{self, GroupStart, MembershipGoals, Replica, ReplicaFolder},
@@ -213,6 +218,7 @@
         let fleet = self.fleet(peer::Duty::Front);
         let (client, clock) = (self.client.clone(), self.clock.clone());
         let (programs, settler) = Programs::new(fleet.clone(), client.clone(), clock.clone());
+        let (origins, recorder) = Origins::new(programs.clone());
         let pool = Front::pool(&*self.protocol);
         let schedule =
             Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
@@ -224,6 +230,7 @@
             schedule: schedule.clone(),
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
+            origins,
             pool,
             quarantine: quarantine.clone(),
             memory: BodyMemory::default(),
@@ -235,9 +242,10 @@
         self.supervisor.start("quarantine", move || quarantine.clone().run());
         let sweeping = front.clone();
         self.supervisor.start("idle connections", move || sweeping.clone().run_sweep());
-        // The settler owns its queue, so it is not restarted: if it ends, the instance no longer
-        // settles turns.
+        // These tasks own their queues, so they are not restarted: if they end, the instance no
+        // longer settles turns or records origins of streams.
         tokio::spawn(settler.run());
+        tokio::spawn(recorder.run());
         let listener = Listener::new(front.clone());
         let calls = listen(settings.call_address.context("a front needs a call address")?).await?;
         let accepting = listener.clone();
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -1,5 +1,5 @@
-//! A store: replicates token budgets and kept turns. For the groups that it leads, it begins and
-//! ends turns on behalf of the fronts.
+//! A store: replicates token budgets, kept turns and the origins of streams. For the groups that it
+//! leads, it begins and ends turns, and records and looks up origins, on behalf of the fronts.
 
 use std::{
     sync::{Arc, Mutex},
@@ -107,6 +107,36 @@
         Ok(peer::TurnsEnded {})
     }
 
+    async fn record_streams(
+        &self,
+        starts: peer::StreamStarts,
+    ) -> Result<peer::StreamsRecorded, peer::Failure> {
+        let replica = self.replica(starts.group)?;
+        let now_ms = now_ms();
+        let origin = |start: peer::StreamStart| {
+            let peer::StreamStart { team, stream, service, software, keep_ms } = start;
+            let expires_ms = now_ms.saturating_add(keep_ms);
+            pb::StreamOrigin { team, stream, service, software, expires_ms }
+        };
+        let streams = starts.starts.into_iter().map(origin).collect();
+        commit(&replica, pb::TurnCommand { streams, ..Default::default() }).await?;
+        Ok(peer::StreamsRecorded {})
+    }
+
+    async fn find_stream(
+        &self,
+        lookup: peer::StreamLookup,
+    ) -> Result<peer::StreamLookupResult, peer::Failure> {
+        let replica = self.replica(lookup.group)?;
+        let read = replica.query(move |turns: &TurnState| {
+            let origin = turns.stream_origin(&lookup.team, &lookup.stream)?;
+            let (service, software) = (origin.service.to_string(), origin.software.to_string());
+            Some(peer::StreamStart { service, software, ..Default::default() })
+        });
+        let start = read.await.ok_or_else(|| replica.not_leader())?;
+        Ok(peer::StreamLookupResult { start })
+    }
+
     /// Returns the state that heartbeats report to the control leader.
     pub(crate) async fn state(&self, id: u64) -> peer::StoreState {
         let mut leads = Vec::new();
@@ -159,6 +189,12 @@
                 request::Body::TurnEnds(ends) => {
                     self.end(ends).await.map(response::Body::TurnsEnded)
                 }
+                request::Body::StreamStarts(starts) => {
+                    self.record_streams(starts).await.map(response::Body::StreamsRecorded)
+                }
+                request::Body::StreamLookup(lookup) => {
+                    self.find_stream(lookup).await.map(response::Body::StreamLookup)
+                }
                 request::Body::Join(join) => match self.replica(join.group) {
                     Ok(replica) => replica.join(join).await.map(response::Body::Joined),
                     Err(failure) => Err(failure),
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -1,4 +1,5 @@
-//! State machine of a store group: used and reserved tokens of programs, and kept turns.
+//! State machine of a store group: used and reserved tokens of programs, kept turns, and the software
+//! versions that began streams.
 //!
 //! The state lives in the replicated log of the group. A front reserves tokens of a program's
 //! budget before it passes any on to the caller, and later settles the number it did pass on. If
@@ -14,15 +15,15 @@
 /// How long the account of a program is kept after its last turn, in milliseconds. The pauses
 /// between the turns of a running program are shorter.
 const ACCOUNT_TTL_MS: u64 = 10 * 60 * 1000;
-/// How long a turn is kept beyond the requested time, in milliseconds. Covers the clock difference
-/// between successive leaders.
+/// How long turns and origins of streams are kept beyond the requested time, in milliseconds. Covers
+/// the clock difference between successive leaders.
 const RETAIN_MARGIN_MS: u64 = 10_000;
 /// Time between two sweeps for expired entries, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 5_000;
 /// Maximum number of turns in a chain; a longer one cannot be continued.
 const MAX_CHAIN_TURNS: usize = 4096;
 
-/// Team and name of a program or turn.
+/// Team and name of a program, turn or stream.
 type Key = (Name, Name);
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -47,6 +48,16 @@
     expires_ms: u64,
 }
 
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamOrigin {
+    /// Service of the endpoint that began the stream.
+    pub service: Name,
+    /// Version of the endpoint's software.
+    pub software: Name,
+    expires_ms: u64,
+}
+
 /// State machine of a store group.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TurnState {
@@ -56,6 +67,8 @@
     accounts: Vec<(Key, Account)>,
     // Sorted by key.
     turns: Vec<(Key, KeptTurn)>,
+    // Sorted by key.
+    streams: Vec<(Key, StreamOrigin)>,
 }
 
 impl TurnState {
@@ -77,6 +90,11 @@
         find(&self.accounts, team, program).map_or(0, |at| self.accounts[at].1.committed())
     }
 
+    /// Where a stream of the team began, if that is recorded.
+    pub fn stream_origin(&self, team: &str, stream: &str) -> Option<&StreamOrigin> {
+        find(&self.streams, team, stream).ok().map(|at| &self.streams[at].1)
+    }
+
     /// Number of kept turns.
     pub fn len(&self) -> usize {
         self.turns.len()
@@ -157,6 +175,15 @@
         }
     }
 
+    fn record_stream(&mut self, origin: pb::StreamOrigin) {
+        let pb::StreamOrigin { team, stream, service, software, expires_ms } = origin;
+        if let Err(at) = find(&self.streams, &team, &stream) {
+            let origin =
+                StreamOrigin { service: service.into(), software: software.into(), expires_ms };
+            self.streams.insert(at, ((team.into(), stream.into()), origin));
+        }
+    }
+
     fn sweep(&mut self) {
         if self.now_ms < self.swept_ms + SWEEP_INTERVAL_MS {
             return;
@@ -164,6 +191,7 @@
         let now_ms = self.now_ms;
         self.swept_ms = now_ms;
         self.turns.retain(|(_, kept)| now_ms < kept.expires_ms + RETAIN_MARGIN_MS);
+        self.streams.retain(|(_, origin)| now_ms < origin.expires_ms + RETAIN_MARGIN_MS);
         self.accounts.retain(|(_, account)| now_ms < account.touched_ms + ACCOUNT_TTL_MS);
     }
 
@@ -172,6 +200,9 @@
         for settle in command.settle {
             self.settle(settle);
         }
+        for origin in command.streams {
+            self.record_stream(origin);
+        }
         let reserved = command.reserve.into_iter().map(|r| self.reserve(r)).collect();
         self.sweep();
         pb::TurnResult { reserved }
@@ -226,10 +257,18 @@
             output: kept.output.clone(),
             expires_ms: kept.expires_ms,
         };
+        let stream = |((team, stream), origin): &(Key, StreamOrigin)| pb::StreamOrigin {
+            team: team.to_string(),
+            stream: stream.to_string(),
+            service: origin.service.to_string(),
+            software: origin.software.to_string(),
+            expires_ms: origin.expires_ms,
+        };
         pb::TurnSnapshot {
             now_ms: self.now_ms,
             accounts: self.accounts.iter().map(account).collect(),
             turns: self.turns.iter().map(turn).collect(),
+            streams: self.streams.iter().map(stream).collect(),
         }
         .encode_to_vec()
         .into()
@@ -248,11 +287,17 @@
                 KeptTurn { previous, input: t.input, output: t.output, expires_ms: t.expires_ms };
             ((t.team.into(), t.turn.into()), kept)
         };
+        let stream = |s: pb::StreamOrigin| {
+            let (service, software) = (s.service.into(), s.software.into());
+            let origin = StreamOrigin { service, software, expires_ms: s.expires_ms };
+            ((s.team.into(), s.stream.into()), origin)
+        };
         *self = Self {
             now_ms: snapshot.now_ms,
             swept_ms: snapshot.now_ms,
             accounts: snapshot.accounts.into_iter().map(account).collect(),
             turns: snapshot.turns.into_iter().map(turn).collect(),
+            streams: snapshot.streams.into_iter().map(stream).collect(),
         };
         Ok(())
     }
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -96,7 +96,9 @@
             | Body::Borrow(_)
             | Body::TurnBegin(_)
             | Body::TurnEnds(_)
-            | Body::Suspects(_) => {
+            | Body::Suspects(_)
+            | Body::StreamStarts(_)
+            | Body::StreamLookup(_) => {
                 Err(failed(FailureCode::Invalid, "this instance is not part of a relay fleet"))
             }
         }
