relay, policy: a front tells when it has lost its links to all endpoints

The logs of a front that is cut off from all endpoints show failing endpoints, as those of a front beside crashed endpoints do.

On a suspicion, that is a connection that cannot be opened or breaks, or calls that wait while no endpoint has sent anything for 300 ms, a front opens connections to three endpoints, those that took calls last first. If none accepts, its links are cut until one does again. It is logged and counted; no decision reads it yet. `policy::links` judges, and is played against endpoints that are down (`lost_links`).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`quarantine`]: the same, decided by a leader that all instances lease from.
 //! * [`departures`]: endpoints that have announced that they are about to stop.
 //! * [`probation`]: endpoints that fail calls, avoided by all instances.
+//! * [`links`]: whether an instance has lost its own links to all endpoints.
 //! * [`placement`]: assignment of models to endpoints.
 //!
 //! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
@@ -78,6 +79,7 @@
 pub mod departures;
 pub mod fair;
 mod invariants;
+pub mod links;
 pub mod placement;
 pub mod probation;
 pub mod quarantine;
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -183,18 +183,10 @@
         let request = self.request(&endpoint.name, last_event);
         let (front, chosen) = (self.front.clone(), endpoint.clone());
         let may_send: SendPermission = Arc::new(move || front.may_send(&chosen));
-        let sent = self
-            .front
-            .pool
-            .send_if_permitted(
-                endpoint.address,
-                request,
-                false,
-                call.deadline,
-                call.deadline,
-                may_send,
-            )
-            .await;
+        let (address, deadline) = (endpoint.address, call.deadline);
+        let pool = &self.front.pool;
+        let sending = pool.send_if_permitted(address, request, false, deadline, deadline, may_send);
+        let sent = self.front.links.watch(sending).await;
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(e) => return Err(self.note_failure(slot, &e)),
@@ -258,6 +250,9 @@
 
     fn note_failure(&mut self, slot: Slot, error: &SendError) -> AttemptError {
         let cause = error.to_string();
+        if matches!(error, SendError::NotSent(_) | SendError::Lost(_)) {
+            self.front.links.note_failure();
+        }
         match error {
             SendError::NotPermitted | SendError::NotSent(_) => {
                 let (endpoint, id) = (&*slot.endpoint.name, &*self.call.head.id);
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -22,6 +22,7 @@
         NoRoute, PrefixIndex, RouteRequest,
     },
 };
+use rand::seq::IteratorRandom;
 
 use super::{
     placement::{EndpointFilter, PlacementRequest},
@@ -524,6 +525,20 @@
         self.endpoints.iter().filter(fits)
     }
 
+    /// Addresses of up to `count` endpoints at random. Endpoints that take calls come before those
+    /// that are paused after a failure.
+    pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
+        let mut rng = rand::rng();
+        let staying = || self.endpoints.iter().filter(|k| !self.fleet.spec(k.id).leaving);
+        let mut states =
+            staying().filter(|k| k.paused_until.is_none()).choose_multiple(&mut rng, count);
+        if states.len() < count {
+            let paused = staying().filter(|k| k.paused_until.is_some());
+            states.extend(paused.choose_multiple(&mut rng, count - states.len()));
+        }
+        states.into_iter().map(|k| k.address).collect()
+    }
+
     /// Number of concurrent calls that the available endpoints of a service can run.
     pub(crate) fn capacity(&self, service: &str) -> u32 {
         let members = self.fleet.members(service).unwrap_or(&[]);
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod endpoints;
 pub(crate) mod events;
 mod handler;
+pub(crate) mod links;
 pub(crate) mod listener;
 pub(crate) mod memory;
 mod placement;
@@ -37,6 +38,7 @@
     fleet_client::{FleetClient, HeartbeatReport},
 };
 use endpoints::ChosenEndpoint;
+use links::Links;
 use memory::BodyMemory;
 use programs::{Programs, origins::Origins};
 use quarantine::Quarantine;
@@ -62,6 +64,7 @@
     pub(crate) programs: Arc<Programs>,
     pub(crate) origins: Arc<Origins>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) links: Arc<Links>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) memory: BodyMemory,
 }
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -8,6 +8,7 @@
 //! callers.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, Weak},
     time::Duration,
 };
@@ -291,6 +292,11 @@
         limits.into_iter().map(report).collect()
     }
 
+    /// Addresses of up to `count` endpoints at random, those that take calls first.
+    pub(crate) fn sample_endpoints(&self, count: usize) -> Vec<SocketAddr> {
+        self.lock().endpoints.sample(count)
+    }
+
     /// Number of waiting calls.
     pub(crate) fn waiting(&self) -> usize {
         self.lock().queues.iter().map(|q| q.queue.len()).sum()
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -80,6 +80,7 @@
             }
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
+                    self.attempts.front.links.note_heard();
                     let kept = self.recording.as_ref().map_or(0, |k| k.output.len());
                     let needed_bytes = kept + self.reader.pending() + bytes.len();
                     if let Err(e) = self.reservation.resize(needed_bytes) {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -23,6 +23,7 @@
     fleet_client::{FleetClient, HeartbeatReport},
     front::{
         Front,
+        links::Links,
         listener::Listener,
         memory::BodyMemory,
         programs::{Programs, origins::Origins},
@@ -222,6 +223,7 @@
         let pool = Front::pool(&*self.protocol);
         let schedule =
             Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
+        let links = Links::new(clock.clone());
         let quarantine = Quarantine::new(fleet.clone(), client.clone(), pool.clone());
         let front = Arc::new(Front {
             protocol: self.protocol.clone(),
@@ -231,13 +233,17 @@
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
             origins,
-            pool,
+            pool: pool.clone(),
+            links: links.clone(),
             quarantine: quarantine.clone(),
             memory: BodyMemory::default(),
         });
         self.serve_peers(Arc::new(NoPeerCalls), None);
         let (heartbeats, report) = (fleet.clone(), front.clone() as Arc<dyn HeartbeatReport>);
         self.supervisor.start("beats", move || heartbeats.clone().run(report.clone()));
+        let (watched, connections) = (schedule.clone(), pool);
+        self.supervisor
+            .start("links", move || links.clone().run(watched.clone(), connections.clone()));
         self.supervisor.start("schedule", move || schedule.clone().run());
         self.supervisor.start("quarantine", move || quarantine.clone().run());
         let sweeping = front.clone();
