--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -1,15 +1,16 @@
-//! A TCP proxy on loopback that can delay data, stall one or both directions, and reset
-//! connections.
+//! A TCP proxy on loopback that can delay data, stall one or both directions, reset connections, and
+//! refuse those of one process.
 
 use std::{
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicI32, AtomicU8, Ordering},
     },
     time::Duration,
 };
 
+use nix::unistd::Pid;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, tcp},
@@ -39,17 +40,27 @@
 pub struct Link {
     mode: AtomicU8,
     resets: watch::Sender<u32>,
+    /// Process whose connections are refused; 0 for none.
+    cut_off: AtomicI32,
 }
 
 impl Link {
     /// Listens on `listen` and forwards each connection to `upstream`.
     pub async fn open(listen: SocketAddr, upstream: SocketAddr) -> Arc<Self> {
         let socket = TcpListener::bind(listen).await.expect("failed to bind the listener");
-        let link =
-            Arc::new(Self { mode: AtomicU8::new(Mode::Pass as u8), resets: watch::Sender::new(0) });
+        let link = Arc::new(Self {
+            mode: AtomicU8::new(Mode::Pass as u8),
+            resets: watch::Sender::new(0),
+            cut_off: AtomicI32::new(0),
+        });
         let accepting = link.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = socket.accept().await {
+            while let Ok((stream, client)) = socket.accept().await {
+                let cut_off = accepting.cut_off.load(Ordering::Relaxed);
+                if cut_off != 0 && owns_socket(cut_off, client, listen) {
+                    reset(stream);
+                    continue;
+                }
                 tokio::spawn(accepting.clone().forward(stream, upstream));
             }
         });
@@ -65,6 +76,17 @@
         self.resets.send_modify(|n| *n += 1);
     }
 
+    /// Resets all open connections, and refuses new ones of the process until [`Link::restore`].
+    pub fn cut_off(&self, process: Pid) {
+        self.cut_off.store(process.as_raw(), Ordering::Relaxed);
+        self.reset();
+    }
+
+    /// Accepts the connections of all processes again.
+    pub fn restore(&self) {
+        self.cut_off.store(0, Ordering::Relaxed);
+    }
+
     fn has_mode(&self, modes: &[Mode]) -> bool {
         let mode = self.mode.load(Ordering::Relaxed);
         modes.iter().any(|m| *m as u8 == mode)
@@ -122,6 +144,34 @@
     }
 }
 
+/// Whether a process has the socket that connects `local` to `remote`.
+fn owns_socket(pid: i32, local: SocketAddr, remote: SocketAddr) -> bool {
+    // A table that changes while it is read may lack entries.
+    const MAX_READS: usize = 20;
+    let Some(inode) = (0..MAX_READS).find_map(|_| inode_of(local, remote)) else { return false };
+    let target = format!("socket:[{inode}]");
+    // The process may have exited.
+    let Ok(fds) = std::fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
+    fds.flatten().any(|fd| std::fs::read_link(fd.path()).is_ok_and(|l| l.as_os_str() == &*target))
+}
+
+/// Inode of the socket that connects `local` to `remote`, from the kernel's table of sockets.
+fn inode_of(local: SocketAddr, remote: SocketAddr) -> Option<String> {
+    let hex = |address| {
+        let SocketAddr::V4(address) = address else { panic!("not an IPv4 address: {address}") };
+        // As in proc(5): the bytes of the address in host order.
+        let ip = u32::from_ne_bytes(address.ip().octets());
+        format!("{ip:08X}:{:04X}", address.port())
+    };
+    let (local, remote) = (hex(local), hex(remote));
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("cannot read the socket table");
+    table.lines().find_map(|line| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        let is_it = *fields.get(1)? == local && *fields.get(2)? == remote;
+        is_it.then(|| fields[9].to_owned())
+    })
+}
+
 fn reset(stream: TcpStream) {
     // If this fails, the connection closes cleanly, which is also a fault.
     let _ = stream.set_zero_linger();
