relay, node: a front without links reaches endpoints through other fronts

Callers of fronts that had lost their links to all endpoints were served one time in fifteen, while the other fronts served nearly all.

Cause: a front has no way to endpoints but its own; the other fronts reach both it and them.

A front whose links are cut says so in its heartbeats, and the control leader names up to four fronts that reach endpoints, drawn by hash so that none serves many. New connections to endpoints then go through one of these: a byte stream on its peer port, for endpoints in its list only. The cut front admits, places, counts and limits its calls as before. When the links are lost, it closes idle connections if nothing has arrived on any, gives up waiting calls that may run again, and forgets the failures that the loss has caused. A connection through a front carries one call; a front that stops waits for those that are open. One that fails is reset, so that it does not look like the end of an answer. A front that is cut and knows no other is not ready.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! whether the peer may have executed them. A failed task is restarted by its [`Supervisor`].
 
 pub mod clock;
+pub mod dial;
 mod gate;
 pub mod peer;
 pub mod pool;
--- a/crates/node/src/peer/client.rs
+++ b/crates/node/src/peer/client.rs
@@ -12,7 +12,9 @@
 use super::{
     frame,
     tls::{Credentials, INSTANCE_NAME},
+    tunnel,
 };
+use crate::dial::Stream;
 
 /// Time limit for the connection setup, including the TLS handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -109,6 +111,33 @@
         }
     }
 
+    /// Opens a connection to an endpoint through the peer. The caller limits the time.
+    ///
+    /// # Errors
+    ///
+    /// As for [`PeerClient::call`]. The peer reports an endpoint that it cannot reach as a failure.
+    pub async fn open_tunnel(
+        &self,
+        address: SocketAddr,
+        tunnel: peer::Tunnel,
+    ) -> Result<Box<dyn Stream>, CallError> {
+        let connection = self.connection(address).await?;
+        let unknown = |cause: String| CallError::Unknown { address, cause };
+        let request = peer::Request { body: Some(request::Body::Tunnel(tunnel)) };
+        let open = async {
+            let (mut tx, mut rx) = connection.open_bi().await?;
+            frame::write(&mut tx, &request).await?;
+            let answer: peer::Response = frame::read(&mut rx).await?;
+            anyhow::Ok((answer, tx, rx))
+        };
+        let (answer, tx, rx) = open.await.map_err(|e| unknown(e.to_string()))?;
+        match answer.body {
+            Some(response::Body::TunnelOpened(_)) => Ok(Box::new(tunnel::caller_end(tx, rx))),
+            Some(response::Body::Failure(failure)) => Err(CallError::Failed(failure)),
+            _ => Err(unknown("the answer is of another kind".to_owned())),
+        }
+    }
+
     /// Returns an open connection to the peer, or opens one if there is none.
     ///
     /// # Errors
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -8,8 +8,10 @@
 mod frame;
 mod server;
 mod tls;
+mod tunnel;
 
 pub use agreement::{AgreementTransport, ReplicaLookup};
 pub use client::{CallError, PeerClient};
 pub use server::{AgreementSink, PeerServer, PeerService, Role, failure};
 pub use tls::{Credentials, TlsFiles};
+pub use tunnel::OpenTunnel;
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -7,7 +7,10 @@
 use poplarspan_agreement::{FolderId, Node, PeerMessage, ReplicaId};
 use poplarspan_proto::peer::{self, AgreementBatch, FailureCode, request, response};
 
-use super::{frame, tls};
+use super::{
+    frame, tls,
+    tunnel::{self, OpenTunnel},
+};
 
 /// Role of a peer, taken from its TLS certificate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +25,24 @@
 pub trait PeerService: Send + Sync {
     /// Executes one call of a peer that has the given role, and returns the response.
     fn call(&self, role: Role, body: request::Body) -> BoxFuture<'_, response::Body>;
+
+    /// Connects to an endpoint on behalf of a peer. Most instances refuse.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint cannot be reached, or if the instance opens no tunnels.
+    fn open_tunnel(
+        &self,
+        _role: Role,
+        _tunnel: peer::Tunnel,
+    ) -> BoxFuture<'_, Result<OpenTunnel, peer::Failure>> {
+        let failure = peer::Failure {
+            code: FailureCode::Invalid.into(),
+            message: "the instance opens no tunnels".to_owned(),
+            leader_address: String::new(),
+        };
+        Box::pin(std::future::ready(Err(failure)))
+    }
 }
 
 /// Receives messages of the replicated log.
@@ -102,6 +123,12 @@
     mut rx: quinn::RecvStream,
 ) {
     let body = match frame::read::<peer::Request>(&mut rx).await {
+        Ok(peer::Request { body: Some(request::Body::Tunnel(request)) }) => {
+            match service.open_tunnel(role, request).await {
+                Ok(open) => return tunnel::serve(open, tx, rx).await,
+                Err(failure) => response::Body::Failure(failure),
+            }
+        }
         Ok(peer::Request { body: Some(body) }) => service.call(role, body).await,
         Ok(_) => failure(FailureCode::Invalid, "the request has no body known to this version"),
         Err(e) => failure(FailureCode::Invalid, &e.to_string()),
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -15,16 +15,15 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
+use tokio::{task::AbortHandle, time::Instant};
 
-use crate::gate::{Gate, GatedStream, SendPermission};
+use crate::{
+    dial::{Dial, Dialed, DirectDial},
+    gate::{Gate, GatedStream, SendPermission},
+};
 
-// TCP keepalive: the first probe after this idle time, then one per interval. The connection fails
-// when this many probes in a row are not acknowledged.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 3;
+/// Default for [`DirectDial::tcp_user_timeout`].
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(6);
 /// A connection is no longer reused when its endpoint is due to close it within this time, so that
 /// a call is not sent while the endpoint closes the connection.
 const KEEP_ALIVE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1000);
@@ -48,9 +47,8 @@
     /// Connections that have been idle for this long are not reused, because a firewall or a proxy
     /// on the path may have dropped their state.
     pub idle_timeout: Duration,
-    /// Maximum time that sent data may stay unacknowledged before the kernel closes the connection
-    /// (`TCP_USER_TIMEOUT`). Only has an effect on Linux.
-    pub tcp_user_timeout: Duration,
+    /// Opens the connections.
+    pub dial: Arc<dyn Dial>,
 }
 
 impl PoolConfig {
@@ -60,7 +58,7 @@
             id_header,
             connect_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(5),
-            tcp_user_timeout: Duration::from_secs(6),
+            dial: Arc::new(DirectDial { tcp_user_timeout: TCP_USER_TIMEOUT }),
         }
     }
 }
@@ -78,6 +76,8 @@
     recent_ids: VecDeque<HeaderValue>,
     /// Whether it has carried a response.
     has_answered: bool,
+    /// Whether it may carry further calls.
+    is_reusable: bool,
 }
 
 impl Connection {
@@ -328,6 +328,9 @@
 
     /// Adds an idle connection, unless there are [`MAX_IDLE_PER_ENDPOINT`] to the endpoint already.
     fn put_idle(&self, address: SocketAddr, connection: Connection) {
+        if !connection.is_reusable {
+            return;
+        }
         let entry = Idle { connection, since: Instant::now() };
         let mut idle = self.idle.lock().expect("mutex is not poisoned");
         match idle.binary_search_by_key(&address, |(a, _)| *a) {
@@ -353,6 +356,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.lock().expect("mutex is not poisoned").clear();
+    }
+
     /// Returns the addresses of the endpoints with usable idle connections, sorted.
     pub fn idle_endpoints(&self) -> Vec<SocketAddr> {
         let idle = self.idle.lock().expect("mutex is not poisoned");
@@ -415,21 +423,6 @@
     }
 }
 
-/// Disables Nagle's algorithm, and makes the kernel close the connection when the peer no longer
-/// acknowledges data or keepalive probes.
-fn set_socket_options(stream: &TcpStream, cfg: &PoolConfig) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&probes)?;
-    #[cfg(target_os = "linux")]
-    socket.set_tcp_user_timeout(Some(cfg.tcp_user_timeout))?;
-    Ok(())
-}
-
 async fn connect(
     address: SocketAddr,
     deadline: Instant,
@@ -438,8 +431,8 @@
     let not_sent = |cause: String| SendError::NotSent(cause);
     let limit = deadline.min(Instant::now() + cfg.connect_timeout);
     let open = async {
-        let stream = TcpStream::connect(address).await.map_err(|e| not_sent(e.to_string()))?;
-        set_socket_options(&stream, cfg).map_err(|e| not_sent(e.to_string()))?;
+        let Dialed { stream, is_reusable } =
+            cfg.dial.dial(address).await.map_err(|e| not_sent(e.to_string()))?;
         let gate = Gate::default();
         let (http, driver) = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
@@ -454,6 +447,7 @@
             keep_alive: None,
             recent_ids: VecDeque::new(),
             has_answered: false,
+            is_reusable,
         })
     };
     tokio::time::timeout_at(limit, open)
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -5,7 +5,7 @@
 pub struct Request {
     #[prost(
         oneof = "request::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub body: ::core::option::Option<request::Body>,
 }
@@ -51,6 +51,8 @@
         StreamStarts(super::StreamStarts),
         #[prost(message, tag = "19")]
         StreamLookup(super::StreamLookup),
+        #[prost(message, tag = "20")]
+        Tunnel(super::Tunnel),
     }
 }
 /// The response to a call, on the same stream.
@@ -58,7 +60,7 @@
 pub struct Response {
     #[prost(
         oneof = "response::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub body: ::core::option::Option<response::Body>,
 }
@@ -104,6 +106,8 @@
         StreamsRecorded(super::StreamsRecorded),
         #[prost(message, tag = "19")]
         StreamLookup(super::StreamLookupResult),
+        #[prost(message, tag = "20")]
+        TunnelOpened(super::TunnelOpened),
     }
 }
 /// The call failed.
@@ -574,6 +578,9 @@
     /// Limits that endpoints have named to the instance since its last heartbeat.
     #[prost(message, repeated, tag = "14")]
     pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// The instance has lost its links to all endpoints.
+    #[prost(bool, tag = "15")]
+    pub links_cut: bool,
 }
 /// Calls per second that an endpoint takes from all instances together.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -675,6 +682,9 @@
     /// Endpoints that name a limit, sorted.
     #[prost(message, repeated, tag = "15")]
     pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Peer addresses of fronts that reach endpoints. Only for an instance whose links are cut.
+    #[prost(string, repeated, tag = "16")]
+    pub detours: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Digests of the requests that run on trial only or are refused, because endpoints terminated
 /// during them.
@@ -909,6 +919,16 @@
     #[prost(message, optional, tag = "1")]
     pub start: ::core::option::Option<StreamStart>,
 }
+/// Asks a front to connect to an endpoint. After the response, the stream carries the bytes of the
+/// connection in both directions. It is reset when the connection to the endpoint fails.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Tunnel {
+    /// Address of the endpoint.
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TunnelOpened {}
 /// Events of requests during which endpoints may terminate.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SuspectEvents {
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -29,6 +29,9 @@
 /// Time until a new leader has heard from all live instances, which send several heartbeats in it.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_000);
 
+/// Number of detours that an instance is told; it asks two of them for a connection.
+const DETOURS: usize = 4;
+
 /// An instance with an unexpired lease.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -39,6 +42,8 @@
     pub(crate) store: Option<peer::StoreState>,
     first_seen: Duration,
     lease_until: Duration,
+    /// Whether it connects other fronts to endpoints.
+    is_detour: bool,
 }
 
 /// The endpoint list and when it was read.
@@ -114,6 +119,7 @@
             store: beat.store.clone(),
             first_seen,
             lease_until,
+            is_detour: beat.duty() == PbDuty::Front && !beat.links_cut && !beat.draining,
         };
         match at {
             Ok(at) => self.members[at] = member,
@@ -188,6 +194,18 @@
         Some(&self.members[at])
     }
 
+    /// Peer addresses of fronts through which an instance without links reaches endpoints. They
+    /// differ between instances, so that no front serves many of them.
+    pub(crate) fn detours(&self, instance: &str) -> Vec<String> {
+        let mut fronts: Vec<_> =
+            self.members.iter().filter(|m| m.is_detour && *m.name != *instance).collect();
+        fronts.sort_by_cached_key(|m| {
+            let pair = [instance.as_bytes(), m.name.as_bytes()].concat();
+            *blake3::hash(&pair).as_bytes()
+        });
+        fronts.iter().take(DETOURS).map(|m| m.address.to_string()).collect()
+    }
+
     /// Rank of an instance among the fronts, and their number.
     pub(crate) fn instance_rank(&self, name: &str) -> InstanceRank {
         let fronts = || self.members(PbDuty::Front);
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -146,6 +146,10 @@
             quarantine,
             probation: leader.endpoints_on_probation(now),
             limits: leader.endpoint_limits(now),
+            detours: match beat.links_cut {
+                true => leader.detours(&beat.instance),
+                false => Vec::new(),
+            },
         })
     }
 
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -63,6 +63,9 @@
     pub(crate) probation: Vec<Name>,
     /// Endpoints that name a limit, sorted, and the limits in calls per second.
     pub(crate) limits: Arc<[(Name, f64)]>,
+    /// Peer addresses of fronts that reach endpoints. Only known while the instance's own links are
+    /// cut.
+    pub(crate) detours: Vec<SocketAddr>,
 }
 
 /// Requests that are quarantined because endpoints terminated while running them.
@@ -170,6 +173,7 @@
             quarantine_list: Arc::default(),
             probation: Vec::new(),
             limits: Arc::default(),
+            detours: Vec::new(),
         };
         let search =
             LeaderSearch { seeds: settings.control_peer_addresses(), ..LeaderSearch::default() };
@@ -320,6 +324,7 @@
             ),
             probation: names(answer.probation),
             limits: read_limits(answer.limits),
+            detours: addresses(answer.detours),
         };
         if view.zones_out != old.zones_out {
             let zones = view.zones_out.join(",");
--- a/crates/relay/src/fleet_client/heartbeat.rs
+++ b/crates/relay/src/fleet_client/heartbeat.rs
@@ -134,6 +134,7 @@
             suspects,
             failures: Vec::new(),
             limits: Vec::new(),
+            links_cut: false,
         };
         report.fill(&mut beat).await;
         beat
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -186,7 +186,8 @@
         let (address, deadline) = (endpoint.address, call.deadline);
         let pool = &self.front.pool;
         let sending = pool.send_if_permitted(address, request, false, deadline, deadline, may_send);
-        let sent = self.front.links.watch(sending).await;
+        let may_run_again = call.route.may_run_again() && self.ran + 1 < call.route.max_endpoints;
+        let sent = self.front.links.watch(may_run_again, sending).await;
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(e) => return Err(self.note_failure(slot, &e)),
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -525,6 +525,19 @@
         self.endpoints.iter().filter(fits)
     }
 
+    /// Forgets the failures of endpoints, which the loss of the front's own links has caused.
+    pub(crate) fn forget_failures(&mut self) {
+        self.unreported_failures.clear();
+        for state in &mut self.endpoints {
+            state.avoided_until = Duration::ZERO;
+            if std::mem::take(&mut state.failures) > 0 {
+                state.paused_until = None;
+                self.fleet.set_healthy(state.id, true);
+                self.fleet.set_cap(state.id, None);
+            }
+        }
+    }
+
     /// Addresses of up to `count` endpoints at random. Endpoints that take calls come before those
     /// that are paused after a failure.
     pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
--- a/crates/relay/src/front/links.rs
+++ b/crates/relay/src/front/links.rs
@@ -4,6 +4,8 @@
 //! connection that cannot be opened or breaks, or calls that wait while no endpoint sends anything.
 
 use std::{
+    io,
+    net::SocketAddr,
     pin::pin,
     sync::{
         Arc, Mutex,
@@ -14,17 +16,23 @@
 
 use futures::future::join_all;
 use poplarspan_agreement::Clock;
-use poplarspan_node::pool::Pool;
+use poplarspan_node::pool::{Pool, SendError};
 use poplarspan_policy::links::{LinkChange, LinkMonitor, ROUND_ENDPOINTS, ROUND_INTERVAL, SILENCE};
 use tokio::{
     sync::{Notify, watch},
     time::{sleep, timeout},
 };
 
-use super::schedule::Schedule;
+use super::{CONNECT_TIMEOUT, DIRECT, schedule::Schedule};
+use crate::fleet_client::FleetClient;
+
+/// A connection that is closed within this time was accepted by something on the way, not by the
+/// endpoint itself. Only the finding that the links are sound takes this long.
+const ACCEPT_CHECK_DELAY: Duration = Duration::from_millis(300);
 
 /// A front's links to the endpoints.
 pub(crate) struct Links {
+    fleet: Arc<FleetClient>,
     clock: Arc<dyn Clock>,
     monitor: Mutex<LinkMonitor>,
     is_cut: watch::Sender<bool>,
@@ -34,8 +42,9 @@
 }
 
 impl Links {
-    pub(crate) fn new(clock: Arc<dyn Clock>) -> Arc<Self> {
+    pub(crate) fn new(fleet: Arc<FleetClient>, clock: Arc<dyn Clock>) -> Arc<Self> {
         Arc::new(Self {
+            fleet,
             clock,
             monitor: Mutex::default(),
             is_cut: watch::Sender::new(false),
@@ -60,22 +69,32 @@
     }
 
     /// Waits for an endpoint's answer, and suspects the links while nothing arrives from any
-    /// endpoint.
-    pub(crate) async fn watch<T, E>(
+    /// endpoint. If the call may run again, it is given up once the links are cut and silent.
+    pub(crate) async fn watch<T>(
         &self,
-        answer: impl Future<Output = Result<T, E>>,
-    ) -> Result<T, E> {
+        may_run_again: bool,
+        answer: impl Future<Output = Result<T, SendError>>,
+    ) -> Result<T, SendError> {
         let mut answer = pin!(answer);
+        let mut changes = self.is_cut.subscribe();
         loop {
-            match timeout(SILENCE, answer.as_mut()).await {
-                Ok(answer) => {
+            tokio::select! {
+                answer = answer.as_mut() => {
                     if answer.is_ok() {
                         self.note_heard();
                     }
                     return answer;
                 }
-                Err(_) if self.is_silent() => self.suspected.notify_one(),
-                Err(_) => {}
+                _ = changes.changed(), if may_run_again => {
+                    if self.is_cut() && self.is_silent() {
+                        return Err(SendError::Lost("the links were cut".to_owned()));
+                    }
+                }
+                () = sleep(SILENCE) => {
+                    if self.is_silent() {
+                        self.suspected.notify_one();
+                    }
+                }
             }
         }
     }
@@ -102,7 +121,7 @@
 
     async fn check(&self, schedule: &Schedule, pool: &Pool) {
         let endpoints = schedule.sample_endpoints(ROUND_ENDPOINTS);
-        let probes = endpoints.iter().map(|address| pool.accepts_connections(*address));
+        let probes = endpoints.iter().map(|address| accepts_connections(*address));
         let reached = join_all(probes).await.into_iter().filter(|accepts| *accepts).count();
         let tried = endpoints.len();
         let change =
@@ -113,13 +132,30 @@
                 log::warn!(tried, is_silent; "lost the links to all endpoints");
                 metrics::counter!("poplarspan_relay_link_losses_total").increment(1);
                 self.is_cut.send_replace(true);
+                if is_silent {
+                    pool.close_all_idle();
+                }
+                schedule.forget_failures();
+                self.fleet.send_heartbeat_now();
             }
             Some(LinkChange::Restored) => {
                 log::info!(tried, reached; "links to endpoints are back");
                 self.is_cut.send_replace(false);
+                schedule.forget_failures();
+                self.fleet.send_heartbeat_now();
             }
             None => {}
         }
         metrics::gauge!("poplarspan_relay_links_cut").set(f64::from(u8::from(self.is_cut())));
     }
 }
+
+/// Whether an endpoint accepts a connection and keeps it open for a while.
+async fn accepts_connections(address: SocketAddr) -> bool {
+    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, DIRECT.connect(address)).await else {
+        return false;
+    };
+    sleep(ACCEPT_CHECK_DELAY).await;
+    // An open connection has nothing to read, since nothing was asked.
+    matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 mod call;
+pub(crate) mod detours;
 pub(crate) mod endpoints;
 pub(crate) mod events;
 mod handler;
@@ -29,6 +30,7 @@
 use poplarspan_agreement::Clock;
 use poplarspan_node::{
     Readiness,
+    dial::{Dial, DirectDial},
     pool::{Pool, PoolConfig},
 };
 use poplarspan_proto::peer;
@@ -47,12 +49,13 @@
 
 /// Connection attempts to endpoints are aborted after this time; a round trip takes a few
 /// milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle connections to endpoints are closed after this time, which is long because reconnecting is
 /// costly.
 const MAX_IDLE: Duration = Duration::from_secs(20);
-/// An endpoint that acknowledges no data for this long counts as unreachable.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Opens connections to endpoints. One that acknowledges no data for this long counts as
+/// unreachable.
+pub(crate) const DIRECT: DirectDial = DirectDial { tcp_user_timeout: Duration::from_millis(1_500) };
 
 /// State shared by the calls of a front.
 pub(crate) struct Front {
@@ -71,11 +74,11 @@
 
 impl Front {
     /// Creates the connection pool for endpoints.
-    pub(crate) fn pool(protocol: &dyn Protocol) -> Arc<Pool> {
+    pub(crate) fn pool(protocol: &dyn Protocol, dial: Arc<dyn Dial>) -> Arc<Pool> {
         Pool::new(PoolConfig {
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: MAX_IDLE,
-            tcp_user_timeout: UNACKNOWLEDGED,
+            dial,
             ..PoolConfig::new(protocol.request_id_header())
         })
     }
@@ -108,6 +111,9 @@
             return Some("the instance holds no lease");
         }
         let view = self.fleet.view();
+        if self.links.is_cut() && view.detours.is_empty() {
+            return Some("the instance reaches no endpoint");
+        }
         if view.publication.is_none() {
             return Some("nothing has been published yet");
         }
@@ -120,6 +126,7 @@
         beat.demand = self.rates.demand();
         beat.failures = self.schedule.take_failures();
         beat.limits = self.schedule.take_limits();
+        beat.links_cut = self.links.is_cut();
         Box::pin(std::future::ready(()))
     }
 
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -292,6 +292,17 @@
         limits.into_iter().map(report).collect()
     }
 
+    /// Forgets the failures of endpoints, which the loss of the front's own links has caused.
+    pub(crate) fn forget_failures(&self) {
+        let now = self.clock.now();
+        let placed = {
+            let mut state = self.lock();
+            state.endpoints.forget_failures();
+            state.serve_all(&self.fleet, now)
+        };
+        self.notify_placed(placed);
+    }
+
     /// Addresses of up to `count` endpoints at random, those that take calls first.
     pub(crate) fn sample_endpoints(&self, count: usize) -> Vec<SocketAddr> {
         self.lock().endpoints.sample(count)
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,10 +7,10 @@
 use poplarspan_agreement::{Clock, ReplicaId};
 use poplarspan_node::{
     BootClock, Credentials, PeerClient, Readiness, Supervisor, TlsFiles,
-    peer::{AgreementSink, PeerServer, PeerService, Role},
+    peer::{AgreementSink, PeerServer, PeerService},
     probes,
 };
-use poplarspan_proto::peer::{self, FailureCode, request, response};
+use poplarspan_proto::peer;
 use tokio::{
     net::TcpListener,
     time::{Instant, sleep},
@@ -23,6 +23,7 @@
     fleet_client::{FleetClient, HeartbeatReport},
     front::{
         Front,
+        detours::{DetourDial, TunnelService},
         links::Links,
         listener::Listener,
         memory::BodyMemory,
@@ -57,6 +58,7 @@
     settings: Arc<Settings>,
     fleet: Option<Arc<FleetClient>>,
     listener: Option<Arc<Listener>>,
+    tunnels: Option<Arc<TunnelService>>,
     replica: Option<Arc<Replica>>,
     store: Option<Arc<Store>>,
     stop: CancellationToken,
@@ -125,6 +127,7 @@
             settings: self.settings,
             fleet: None,
             listener: None,
+            tunnels: None,
             replica: None,
             store: None,
             stop: self.stop,
@@ -220,10 +223,11 @@
         let (client, clock) = (self.client.clone(), self.clock.clone());
         let (programs, settler) = Programs::new(fleet.clone(), client.clone(), clock.clone());
         let (origins, recorder) = Origins::new(programs.clone());
-        let pool = Front::pool(&*self.protocol);
+        let links = Links::new(fleet.clone(), clock.clone());
+        let dial = DetourDial::new(links.clone(), fleet.clone(), client.clone());
+        let pool = Front::pool(&*self.protocol, Arc::new(dial));
         let schedule =
             Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
-        let links = Links::new(clock.clone());
         let quarantine = Quarantine::new(fleet.clone(), client.clone(), pool.clone());
         let front = Arc::new(Front {
             protocol: self.protocol.clone(),
@@ -238,7 +242,8 @@
             quarantine: quarantine.clone(),
             memory: BodyMemory::default(),
         });
-        self.serve_peers(Arc::new(NoPeerCalls), None);
+        let tunnels = TunnelService::new(links.clone(), fleet.clone());
+        self.serve_peers(tunnels.clone(), None);
         let (heartbeats, report) = (fleet.clone(), front.clone() as Arc<dyn HeartbeatReport>);
         self.supervisor.start("beats", move || heartbeats.clone().run(report.clone()));
         let (watched, connections) = (schedule.clone(), pool);
@@ -261,7 +266,12 @@
             let server = crate::readiness::ReadinessServer::new(front, self.protocol.clone());
             self.supervisor.start("readiness", move || server.clone().run(socket.clone()));
         }
-        Ok(RunningInstance { fleet: Some(fleet), listener: Some(listener), ..self.running() })
+        Ok(RunningInstance {
+            fleet: Some(fleet),
+            listener: Some(listener),
+            tunnels: Some(tunnels),
+            ..self.running()
+        })
     }
 }
 
@@ -310,7 +320,8 @@
         if let Some(listener) = &self.listener {
             sleep(DEREGISTRATION_TIME).await;
             listener.close_idle();
-            while listener.open() > 0 && Instant::now() < end {
+            let tunnels = || self.tunnels.as_ref().map_or(0, |tunnels| tunnels.open());
+            while listener.open() + tunnels() > 0 && Instant::now() < end {
                 sleep(DRAIN_POLL).await;
             }
             open = listener.open();
@@ -429,17 +440,6 @@
     }
 }
 
-/// Peer service of a front, which handles no calls.
-struct NoPeerCalls;
-
-impl PeerService for NoPeerCalls {
-    fn call(&self, _role: Role, _body: request::Body) -> BoxFuture<'_, response::Body> {
-        let message = "a front carries out no calls";
-        let failure = poplarspan_node::peer::failure(FailureCode::Invalid, message);
-        Box::pin(std::future::ready(failure))
-    }
-}
-
 /// Readiness of the metrics port, which answers as long as the process runs.
 struct AlwaysReady;
 
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -98,7 +98,8 @@
             | Body::TurnEnds(_)
             | Body::Suspects(_)
             | Body::StreamStarts(_)
-            | Body::StreamLookup(_) => {
+            | Body::StreamLookup(_)
+            | Body::Tunnel(_) => {
                 Err(failed(FailureCode::Invalid, "this instance is not part of a relay fleet"))
             }
         }
