tests: an answer that is cut within its head is no answer

Operators of similar systems report a server that stopped in the middle of its answer's head, after which clients got a 200 with an empty or short body, framed as whole. It does not happen here: cut in the status line, after a header line, in a header's name or value, and before the empty line, the answer is 502 on idempotent calls, calls that must not be repeated, streams and kept turns alike.

--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -3,8 +3,11 @@
 #[path = "support/platform.rs"]
 mod platform;
 
+use std::time::Duration;
+
 use futures::future::join_all;
 use platform::{Call, KEY, RelayFleet, config, eventually, faulty::refused_while_running};
+use tokio::time::sleep;
 
 const CALLS: usize = 12;
 
@@ -99,3 +102,24 @@
     let answer = fleet.call(0, "/once/faulty/unframed-reset", "reset", Call::default()).await;
     assert!(answer.status != 200 || answer.body.is_err(), "{}", answer.text());
 }
+
+/// A server that stops within the head of its answer and closes has answered nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_head() {
+    let fleet = RelayFleet::start(&config(3, &[KEY])).await;
+    for fault in ["cut-status", "cut-head-line", "cut-head-name", "cut-head-value", "cut-head-end"]
+    {
+        for route in ["safe", "once", "stream", "kept"] {
+            let path = format!("/{route}/faulty/{fault}");
+            // 503 means that no server was asked, since all are paused after a failure.
+            let answer = loop {
+                let answer = fleet.call(0, &path, &path, Call::default()).await;
+                if answer.status != 503 {
+                    break answer;
+                }
+                sleep(Duration::from_millis(50)).await;
+            };
+            assert_eq!(answer.status, 502, "{path}: {:?}", answer.body);
+        }
+    }
+}
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -81,6 +81,14 @@
             let kind = "content-type: text/event-stream\r\n";
             (format!("{sealed}{kind}content-length: {}\r\n\r\n{cut}", cut.len()), String::new())
         }
+        // Ends within the head, in different places.
+        "cut-status" => ("HTTP/1.1 200 O".to_owned(), String::new()),
+        "cut-head-line" => (sealed.clone(), String::new()),
+        "cut-head-name" => (format!("{sealed}content-le"), String::new()),
+        "cut-head-value" => (format!("{sealed}content-length: 1"), String::new()),
+        "cut-head-end" => {
+            (format!("{sealed}{streamed}").trim_end().to_owned() + "\r\n", String::new())
+        }
         "refusal" => {
             let refusal = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 9\r\n\r\n";
             (refusal.to_owned(), String::new())
