tests: calls that arrive late in a planned stop are answered or have not run

Operators of similar systems report requests that came late in the grace period, were passed on and then cut without an answer. It does not happen here: a front that is stopping refuses a call whose deadline is later than its own end (503, not run), and answers the others. Not covered: a deadline within the last milliseconds before the front ends.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -14,6 +14,9 @@
 /// Covers the time before and after the front closes its idle connections.
 const CALL_TIME: Duration = Duration::from_millis(4_500);
 const CALL_INTERVAL: Duration = Duration::from_millis(15);
+/// At this interval the servers have free slots, and the calls outlast the grace period of 8 s.
+const LATE_INTERVAL: Duration = Duration::from_millis(40);
+const LATE_CALLS: u32 = 225;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn new_connections() {
@@ -42,3 +45,40 @@
     assert!(calls > 50, "{calls} calls");
     assert!(stream.status == 200 && stream.text().contains("out250"), "{}", stream.status);
 }
+
+/// Calls that arrive until the process is gone get a complete response or have not run. Their routes
+/// allow 1 s, so that the front takes them until shortly before its exit.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_calls() {
+    let mut config = config(3, &[KEY]);
+    for route in config["routes"].as_array_mut().expect("no list of routes") {
+        route["timeoutMs"] = 1_000.into();
+    }
+    let mut fleet = RelayFleet::start(&config).await;
+    fleet.fronts[0].request_stop();
+    let calls = {
+        let fleet = &fleet;
+        (0..LATE_CALLS).map(move |n| async move {
+            sleep(LATE_INTERVAL * n).await;
+            let path = ["/once/slow", "/once/silent", "/stream/paced/events/20"][n as usize % 3];
+            let id = format!("late-{n}");
+            let answer = fleet.call(0, path, &id, Call::default()).await;
+            let runs = fleet.servers.runs_of(&id).len();
+            match (answer.status, &answer.body) {
+                (200, Ok(_)) => assert_eq!(runs, 1, "{id}"),
+                // A front that is gone accepts no connection.
+                (503 | 0, _) => {
+                    assert_eq!(runs, 0, "{id} was answered {} and has run", answer.status)
+                }
+                (504, Ok(_)) => assert!(path.ends_with("/silent"), "{id}: 504 on {path}"),
+                (status, body) => panic!("{id} on {path}: {status}, {body:?}, {runs} runs"),
+            }
+            answer.status
+        })
+    };
+    let statuses = futures::future::join_all(calls).await;
+    fleet.fronts[0].wait_stopped().await;
+    for status in [200, 504, 0] {
+        assert!(statuses.contains(&status), "no call was answered {status}");
+    }
+}
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -206,6 +206,9 @@
         if path.ends_with("/slow") {
             tokio::time::sleep(SLOW_WORK_TIME).await;
         }
+        if path.ends_with("/silent") {
+            return std::future::pending().await;
+        }
         if path.ends_with("/lost") {
             // Closes the connection without a response.
             return Err(std::io::Error::other("lost on request"));
