node, relay: a sound endpoint may be silent for two seconds

With 1.5 s and a probe each second, a connection that had been idle for 3 s was closed once a single probe had stayed unacknowledged for 1 s, which is within what a sound server does; its call, a stream or one that must not be repeated, was lost. The three probes never counted.

Probes are 2 s apart, and sent data may stay unacknowledged for 2 s. Both are set on purpose, and say so.

--- a/crates/node/src/dial.rs
+++ b/crates/node/src/dial.rs
@@ -9,10 +9,13 @@
     net::TcpStream,
 };
 
-// TCP keepalive: the first probe after this idle time, then one per interval. The connection fails
-// when this many probes in a row are not acknowledged.
+/// Idle time after which the first TCP keepalive probe is sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two keepalive probes. With a `TCP_USER_TIMEOUT` that is shorter than the idle time,
+/// Linux closes the connection as soon as the first probe has not been acknowledged for this long,
+/// whatever their count. A sound endpoint may be silent for a second or so.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Only has an effect without a `TCP_USER_TIMEOUT`.
 const KEEPALIVE_RETRIES: u32 = 3;
 
 /// A connection to an endpoint.
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -54,8 +54,8 @@
 /// costly.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 /// Opens connections to endpoints. One that acknowledges no data for this long counts as
-/// unreachable.
-pub(crate) const DIRECT: DirectDial = DirectDial { tcp_user_timeout: Duration::from_millis(1_500) };
+/// unreachable; a sound one may be silent for a second or so.
+pub(crate) const DIRECT: DirectDial = DirectDial { tcp_user_timeout: Duration::from_secs(2) };
 
 /// State shared by the calls of a front.
 pub(crate) struct Front {
