relay: calls that a cut front loses are no evidence that their request ends endpoints

A request whose calls were lost at a front without links was put on probation at all fronts, and callers at fronts that reach the endpoints could be answered 503 "the request is on probation"; after a third loss it would have been refused with 422.

Cause: after a lost call, a front asks the endpoint whether it accepts connections, and reports it as ended if not. The front's own links were not thought of.

Evidence: `lost_links::lost_calls_are_no_suspects` failed: six calls lost right after the cut, then "later-0: the request is on probation, since endpoints have ended under it".

Before it reports, a front waits for a verdict on its links, until any endpoint sends something or a check is complete; if they are cut, it asks through another front, which can tell an endpoint that has ended from one out of reach. Where no other front reaches endpoints, the endpoints themselves are down, and it reports as before: without that, `crashing_requests` failed two of its ten tests (all three servers down looked like cut links). Now both pass.

--- a/crates/relay/src/front/links.rs
+++ b/crates/relay/src/front/links.rs
@@ -20,7 +20,7 @@
 use poplarspan_policy::links::{LinkChange, LinkMonitor, ROUND_ENDPOINTS, ROUND_INTERVAL, SILENCE};
 use tokio::{
     sync::{Notify, watch},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{CONNECT_TIMEOUT, DIRECT, schedule::Schedule};
@@ -30,6 +30,10 @@
 /// endpoint itself. Only the finding that the links are sound takes this long.
 const ACCEPT_CHECK_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a failure waits for a verdict on the links: the rest of a check, a pause, and a check.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const VERDICT_POLL: Duration = Duration::from_millis(20);
+
 /// A front's links to the endpoints.
 pub(crate) struct Links {
     fleet: Arc<FleetClient>,
@@ -39,6 +43,8 @@
     suspected: Notify,
     /// When an endpoint last sent something, in microseconds of `clock`.
     heard_at_us: AtomicU64,
+    /// When the last completed check began, in microseconds of `clock`.
+    checked_at_us: AtomicU64,
 }
 
 impl Links {
@@ -50,6 +56,7 @@
             is_cut: watch::Sender::new(false),
             suspected: Notify::new(),
             heard_at_us: AtomicU64::new(0),
+            checked_at_us: AtomicU64::new(0),
         })
     }
 
@@ -99,9 +106,31 @@
         }
     }
 
+    /// Whether the links are cut, after a failure that may be theirs. Waits until an endpoint has
+    /// sent something or a check is complete, if they are not known to be cut.
+    pub(crate) async fn are_cut_after_failure(&self) -> bool {
+        let since = self.clock.now();
+        self.note_failure();
+        let until = Instant::now() + VERDICT_TIMEOUT;
+        while !self.is_cut() && Instant::now() < until {
+            if self.heard_at() > since || self.checked_at() > since {
+                break;
+            }
+            sleep(VERDICT_POLL).await;
+        }
+        self.is_cut()
+    }
+
     fn is_silent(&self) -> bool {
-        let heard_at = Duration::from_micros(self.heard_at_us.load(Ordering::Relaxed));
-        self.clock.now().saturating_sub(heard_at) >= SILENCE
+        self.clock.now().saturating_sub(self.heard_at()) >= SILENCE
+    }
+
+    fn heard_at(&self) -> Duration {
+        Duration::from_micros(self.heard_at_us.load(Ordering::Relaxed))
+    }
+
+    fn checked_at(&self) -> Duration {
+        Duration::from_micros(self.checked_at_us.load(Ordering::Relaxed))
     }
 
     /// Checks suspicions until the task is cancelled.
@@ -120,6 +149,7 @@
     }
 
     async fn check(&self, schedule: &Schedule, pool: &Pool) {
+        let began_at = self.clock.now();
         let endpoints = schedule.sample_endpoints(ROUND_ENDPOINTS);
         let probes = endpoints.iter().map(|address| accepts_connections(*address));
         let reached = join_all(probes).await.into_iter().filter(|accepts| *accepts).count();
@@ -146,6 +176,7 @@
             }
             None => {}
         }
+        self.checked_at_us.store(began_at.as_micros() as u64, Ordering::Relaxed);
         metrics::gauge!("poplarspan_relay_links_cut").set(f64::from(u8::from(self.is_cut())));
     }
 }
--- a/crates/relay/src/front/quarantine.rs
+++ b/crates/relay/src/front/quarantine.rs
@@ -31,7 +31,7 @@
     time::{Instant, sleep},
 };
 
-use super::{answered::AnsweredRequests, call::Call, endpoints::ChosenEndpoint};
+use super::{answered::AnsweredRequests, call::Call, endpoints::ChosenEndpoint, links::Links};
 use crate::{
     control_state::write_fingerprint,
     fleet_client::{FleetClient, QuarantineList},
@@ -96,6 +96,7 @@
     fleet: Arc<FleetClient>,
     client: PeerClient,
     pool: Arc<Pool>,
+    links: Arc<Links>,
     pending: Mutex<Vec<PendingEvent>>,
     event_added: Notify,
     probes: Mutex<Vec<Probe>>,
@@ -103,11 +104,17 @@
 }
 
 impl Quarantine {
-    pub(crate) fn new(fleet: Arc<FleetClient>, client: PeerClient, pool: Arc<Pool>) -> Arc<Self> {
+    pub(crate) fn new(
+        fleet: Arc<FleetClient>,
+        client: PeerClient,
+        pool: Arc<Pool>,
+        links: Arc<Links>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             fleet,
             client,
             pool,
+            links,
             pending: Mutex::default(),
             event_added: Notify::new(),
             probes: Mutex::default(),
@@ -173,10 +180,15 @@
             return;
         }
         tokio::spawn(async move {
-            let has_ended = match &probation {
+            let mut has_ended = match &probation {
                 Some(_) => this.stays_unreachable(&endpoint).await,
                 None => !this.probe(endpoint.address).await,
             };
+            // While the front's own links are cut, the probe goes through another front, which can
+            // tell an endpoint that has ended from one out of this front's reach.
+            if has_ended && this.links.are_cut_after_failure().await {
+                has_ended = !this.pool.accepts_connections(endpoint.address).await;
+            }
             if has_ended {
                 this.push(event(SuspectEventKind::EndpointEnded, request, &endpoint.name));
             }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -228,7 +228,8 @@
         let pool = Front::pool(&*self.protocol, Arc::new(dial));
         let schedule =
             Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
-        let quarantine = Quarantine::new(fleet.clone(), client.clone(), pool.clone());
+        let quarantine =
+            Quarantine::new(fleet.clone(), client.clone(), pool.clone(), links.clone());
         let front = Arc::new(Front {
             protocol: self.protocol.clone(),
             fleet: fleet.clone(),
--- a/tests/lost_links.rs
+++ b/tests/lost_links.rs
@@ -110,3 +110,19 @@
     }
     fleet.fronts[1].wait_stopped().await;
 }
+
+/// Calls that a cut front loses are no evidence that their request ends servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_calls_are_no_suspects() {
+    let (fleet, _logs) = start().await;
+    cut_off(&fleet, 0);
+    for n in 0..6 {
+        fleet.call(0, "/once/other", &format!("lost-{n}"), Call::default()).await;
+    }
+    sleep(STABLE_TIME).await;
+    for front in [1, 0] {
+        let id = format!("later-{front}");
+        let answer = fleet.call(front, "/once/other", &id, Call::default()).await;
+        assert_eq!(answer.status, 200, "{id}: {:?}", answer.body);
+    }
+}
