review: stand-ins for programs, cold servers and odd list entries

The stand-ins' servers can turn slow, turn cold and crash; the list of servers lags and can hold an entry of another writer; processes that the script started end with it.

--- a/review/standins/desk.rs
+++ b/review/standins/desk.rs
@@ -4,7 +4,7 @@
     io::{self, Write},
     net::TcpStream,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread::{self, JoinHandle},
@@ -18,36 +18,101 @@
     servers::{Runs, Work, answer_head},
 };
 
-/// Answers after its work, and names its limit if it has one.
+/// What a cold server bears in a second, as a multiple of what it tolerates, before it crashes.
+const CRASH_FACTOR: f64 = 2.5;
+/// Time until a server that has crashed is back.
+const CRASHED: Duration = Duration::from_secs(2);
+
+/// State of one server.
+#[derive(Default)]
+struct Place {
+    running: AtomicU32,
+    cold: Mutex<Cold>,
+}
+
+#[derive(Default)]
+struct Cold {
+    until: Duration,
+    came: Vec<Duration>,
+    down_until: Duration,
+    crashes: usize,
+}
+
+/// Answers after its work. While it is cold, a server crashes when it gets too many requests in a second:
+/// the requests that it runs are lost, and it is down for a while.
 pub struct Desk {
-    pub work: Duration,
-    pub slots: u32,
-    /// Requests a second that the servers name as their limits; 0 for none.
-    pub limits: Arc<Vec<AtomicU32>>,
-    pub running: Arc<Vec<AtomicU32>>,
+    work: Duration,
+    slots: u32,
+    cold_per_s: f64,
+    places: Vec<Place>,
+}
+
+impl Desk {
+    pub fn new(servers: usize, work: Duration, slots: u32, cold_per_s: f64) -> Self {
+        let places = (0..servers).map(|_| Place::default()).collect();
+        Self { work, slots, cold_per_s, places }
+    }
+
+    fn cold(&self, server: usize) -> MutexGuard<'_, Cold> {
+        self.places[server].cold.lock().expect("no panic while locked")
+    }
+
+    pub fn set_cold(&self, server: usize, until: Duration) {
+        self.cold(server).until = until;
+    }
+
+    pub fn crashes(&self) -> usize {
+        (0..self.places.len()).map(|n| self.cold(n).crashes).sum()
+    }
+
+    /// Counts a request that came. Returns whether the server is down.
+    fn note(&self, server: usize) -> bool {
+        let now = record::now();
+        let mut cold = self.cold(server);
+        if now < cold.down_until {
+            return true;
+        }
+        if now >= cold.until {
+            return false;
+        }
+        cold.came.retain(|at| now - *at < Duration::from_secs(1));
+        cold.came.push(now);
+        if cold.came.len() as f64 <= self.cold_per_s * CRASH_FACTOR {
+            return false;
+        }
+        record::line(&format!("server {server} crashes: {} requests in 1 s", cold.came.len()));
+        cold.down_until = now + CRASHED;
+        cold.crashes += 1;
+        true
+    }
 }
 
 impl Work for Desk {
+    fn is_down(&self, server: usize) -> bool {
+        record::now() < self.cold(server).down_until
+    }
+
     fn answer(&self, server: usize, head: &Head, _: &[u8], to: &mut TcpStream) -> io::Result<()> {
-        let running = &self.running[server];
+        if self.note(server) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        let running = &self.places[server].running;
         let now = running.fetch_add(1, Ordering::Relaxed) + 1;
         // Requests beyond the slots wait for them.
         let rounds = now.div_ceil(self.slots);
         thread::sleep(self.work * rounds);
         let left = running.fetch_sub(1, Ordering::Relaxed) - 1;
-        let mut more = format!(
-            "Server-Load: {},{},{}\r\n",
-            left.min(self.slots),
-            left.saturating_sub(self.slots),
-            self.slots
-        );
-        let limit = self.limits[server].load(Ordering::Relaxed);
-        if limit > 0 {
-            more.push_str(&format!("Server-Limit: {limit}.0\r\n"));
+        if self.is_down(server) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
         }
+        let (busy, waiting) = (left.min(self.slots), left.saturating_sub(self.slots));
         let body = "x".repeat(800);
-        let text =
-            answer_head(head, &format!("{more}Content-Length: {}\r\n\r\n{body}", body.len()));
+        let more = format!(
+            "Server-Load: {busy},{waiting},{}\r\nContent-Length: {}\r\n\r\n{body}",
+            self.slots,
+            body.len()
+        );
+        let text = answer_head(head, &more);
         to.write_all(text.as_bytes())
     }
 }
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -27,12 +28,14 @@
 pub const SERVER_PORT: u16 = 8080;
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const ZONES: [&str; 3] = ["z-a", "z-b", "z-c"];
 pub const HOST: &str = "calls.example";
 pub const KEY: &str = "key-of-red";
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
 /// Numbers of machines in the subnet of a run.
@@ -61,6 +64,14 @@
             }
         }
         let errors = log.try_clone().expect("cannot open a log");
+        // If the script is ended, its processes end with it.
+        let end_with_parent = || {
+            // SAFETY: `prctl` may be called between fork and exec.
+            unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+            Ok(())
+        };
+        // SAFETY: the closure calls only `prctl`.
+        unsafe { cmd.pre_exec(end_with_parent) };
         let child = cmd.stdin(Stdio::null()).stdout(log).stderr(errors).spawn();
         match child {
             Ok(child) => self.child = Some(child),
@@ -91,23 +102,31 @@
 
 /// The platform's list of servers, as it was `LIST_LAG` ago.
 #[derive(Clone, Default)]
-pub struct List(Arc<Mutex<Vec<(Duration, Vec<Listed>)>>>);
+pub struct List {
+    versions: Arc<Mutex<Vec<(Duration, Vec<Listed>)>>>,
+    /// An entry that comes from another writer, as it stands in the page.
+    foreign: Arc<Mutex<Option<Vec<u8>>>>,
+}
 
 /// `maxLagMs` of the settings.
 const LIST_LAG: Duration = Duration::from_millis(800);
 
 impl List {
     pub fn set(&self, entries: Vec<Listed>) {
-        self.0.lock().expect("no panic while locked").push((record::now(), entries));
+        self.versions.lock().expect("no panic while locked").push((record::now(), entries));
+    }
+
+    pub fn set_foreign(&self, entry: &[u8]) {
+        *self.foreign.lock().expect("no panic while locked") = Some(entry.to_vec());
     }
 
-    fn page(&self) -> String {
+    fn page(&self) -> Vec<u8> {
         let now = record::now();
-        let versions = self.0.lock().expect("no panic while locked");
+        let versions = self.versions.lock().expect("no panic while locked");
         let is_first = versions.len() == 1;
         let old = versions.iter().rev().find(|(at, _)| is_first || *at + LIST_LAG <= now);
         let Some((_, entries)) = old.or(versions.first()) else {
-            return "{\"instances\":[],\"nextToken\":null}".to_owned();
+            return b"{\"instances\":[],\"nextToken\":null}".to_vec();
         };
         let seen = now.saturating_sub(LIST_LAG);
         let entry = |e: &Listed| {
@@ -123,8 +142,9 @@
                 if e.is_leaving { "draining" } else { "ready" }
             )
         };
-        let entries: Vec<_> = entries.iter().map(entry).collect();
-        format!("{{\"instances\":[{}],\"nextToken\":null}}", entries.join(","))
+        let mut entries: Vec<Vec<u8>> = entries.iter().map(|e| entry(e).into_bytes()).collect();
+        entries.extend(self.foreign.lock().expect("no panic while locked").clone());
+        [b"{\"instances\":[", &*entries.join(&b","[..]), b"],\"nextToken\":null}"].concat()
     }
 
     fn serve(self, address: SocketAddr) {
@@ -138,10 +158,15 @@
                         let page = list.page();
                         let text = format!(
                             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
-                             Content-Length: {}\r\n\r\n{page}",
+                             Content-Length: {}\r\n\r\n",
                             page.len()
                         );
-                        if std::io::Write::write_all(&mut conn.stream, text.as_bytes()).is_err() {
+                        if std::io::Write::write_all(
+                            &mut conn.stream,
+                            &[text.as_bytes(), &*page].concat(),
+                        )
+                        .is_err()
+                        {
                             return;
                         }
                     }
@@ -360,6 +385,26 @@
         record::line(&format!("{class} {nth}: SIGKILL"));
     }
 
+    /// Kills all processes at the same moment with SIGKILL.
+    pub fn kill_all(&self) {
+        let mut machines = self.machines();
+        machines.iter().for_each(|m| m.signal(SIGKILL));
+        for child in machines.iter_mut().filter_map(|m| m.child.as_mut()) {
+            let _ = child.wait();
+        }
+        record::line("all processes: SIGKILL");
+    }
+
+    /// Starts all processes again.
+    pub fn restart_all(&self) {
+        let size = &self.size;
+        for (class, count) in
+            [("core", size.cores), ("storage", size.stores), ("front", size.fronts)]
+        {
+            (0..usize::from(count)).for_each(|n| self.restart(class, n));
+        }
+    }
+
     /// Stops a process with SIGTERM, as in planned work.
     pub fn terminate(&self, class: &str, nth: usize) {
         self.with(class, nth, |machine| machine.signal(SIGTERM));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! the case could not run.
 
 mod desk;
+mod endless_program;
 mod evacuated_zone;
 mod fleet;
 mod http;
@@ -11,6 +12,7 @@
 mod resumed_turn;
 mod servers;
 mod slow_turn;
+mod unreadable_entry;
 
 use std::path::Path;
 
@@ -25,8 +27,10 @@
     record::say(&format!("case {case}, disruption: {trouble}"));
     let run: fn(bool) -> Vec<String> = match case.as_str() {
         "resumed-turn" => resumed_turn::run,
+        "endless-program" => endless_program::run,
         "evacuated-zone" => evacuated_zone::run,
         "new-leader" => new_leader::run,
+        "unreadable-entry" => unreadable_entry::run,
         "slow-turn" => slow_turn::run,
         _ => std::process::exit(2),
     };
--- a/review/standins/new_leader.rs
+++ b/review/standins/new_leader.rs
@@ -23,13 +23,12 @@
 /// The leader is killed this long after the release began.
 const KILL_AFTER: Duration = Duration::from_millis(2_500);
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-desk","host":"calls.example","prefix":"/desk/","kind":"safe","timeoutMs":800,"goalMs":150,"priority":2,"service":"desk","attempts":2,"retain":false,"retainS":60.0,"public":false,"sticky":false,"canResume":false}],"services":[{"name":"desk","healthPath":"/healthz","maxConns":180,"protocol":"h1","tls":false,"coldStartS":6.0,"coldPerS":26.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"red","apiKeys":["key-of-red"],"priority":1,"ratePerS":0,"burst":0}]}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-desk","host":"calls.example","prefix":"/desk/","kind":"unsafe","timeoutMs":800,"goalMs":150,"priority":2,"service":"desk","attempts":1,"retain":false,"retainS":60.0,"public":false,"sticky":false,"canResume":false}],"services":[{"name":"desk","healthPath":"/healthz","maxConns":180,"protocol":"h1","tls":false,"coldStartS":6.0,"coldPerS":26.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"red","apiKeys":["key-of-red"],"priority":1,"ratePerS":0,"burst":0}]}"#;
 
 pub fn run(trouble: bool) -> Vec<String> {
     let fleet = Fleet::new(Size { cores: 3, stores: 3, fronts: FRONTS.len() as u8 });
     let runs = Runs::default();
-    let numbers = || Arc::new((0..SERVERS).map(|_| Default::default()).collect());
-    let desk = Arc::new(Desk { work: WORK, slots: SLOTS, limits: numbers(), running: numbers() });
+    let desk = Arc::new(Desk::new(SERVERS, WORK, SLOTS, COLD_PER_S));
     let listed: Vec<Listed> = (0..SERVERS)
         .map(|n| {
             let (id, address) = (format!("i-{n}"), fleet.server_address(n));
@@ -63,6 +62,7 @@
         true => Listed { is_leaving: true, ..e.clone() },
         false => Listed { cold_until, ..e.clone() },
     });
+    (WARM..SERVERS).for_each(|n| desk.set_cold(n, cold_until));
     fleet.list.set(released.collect());
     record::line(&format!(
         "servers are released, the new ones are cold until {:.3}",
@@ -83,6 +83,12 @@
     if served * 8 < sent.len() {
         record::fail("the fleet does not serve the load");
     }
+    let begun: std::collections::HashSet<String> = runs.all().into_iter().map(|r| r.id).collect();
+    let lost = sent.iter().filter(|(id, _, status)| *status != 200 && begun.contains(id)).count();
+    record::say(&format!(
+        "{} crashes; {lost} requests were begun and not answered",
+        desk.crashes()
+    ));
     let allowed = (COLD_PER_S * COLD_EXCESS + COLD_SLACK) as usize;
     let mut broken = Vec::new();
     for server in WARM..SERVERS {
--- a/review/standins/servers.rs
+++ b/review/standins/servers.rs
@@ -42,6 +42,11 @@
 
 /// How a server works on a request once it has been read.
 pub trait Work: Send + Sync + 'static {
+    /// Whether the server has crashed and isn't back yet.
+    fn is_down(&self, _server: usize) -> bool {
+        false
+    }
+
     /// Writes the response, which begins with [`answer_head`].
     fn answer(&self, server: usize, head: &Head, body: &[u8], to: &mut TcpStream)
     -> io::Result<()>;
@@ -58,6 +63,9 @@
     let socket = TcpListener::bind(address).unwrap_or_else(|e| record::fail(&e.to_string()));
     thread::spawn(move || {
         for stream in socket.incoming().flatten() {
+            if work.is_down(server) {
+                continue;
+            }
             let (runs, work, name) = (runs.clone(), work.clone(), name.clone());
             thread::spawn(move || {
                 let mut conn = Conn::new(stream);
