--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -41,7 +41,7 @@
 /// Numbers of machines in the subnet of a run.
 const FIRST_CORE: u8 = 10;
 const FIRST_STORE: u8 = 20;
-const FIRST_FRONT: u8 = 30;
+const FIRST_FRONT: u8 = 60;
 pub const FIRST_SERVER: u8 = 100;
 
 struct Machine {
@@ -385,6 +385,53 @@
         record::line(&format!("{class} {nth}: SIGKILL"));
     }
 
+    /// Removes a machine for good, with its disk.
+    pub fn remove(&self, class: &str, nth: usize) {
+        self.kill(class, nth);
+        let data = self.with(class, nth, |m| self.dir.join(&m.name));
+        fs::remove_dir_all(data).expect("cannot remove the data folder");
+        record::line(&format!("{class} {nth}: removed with its disk"));
+    }
+
+    /// A machine loses its disk: its process ends and is started again on an empty one.
+    pub fn wipe(&self, class: &str, nth: usize) {
+        self.remove(class, nth);
+        let data = self.with(class, nth, |m| self.dir.join(&m.name));
+        fs::create_dir(data).expect("cannot create the data folder");
+        self.restart(class, nth);
+    }
+
+    /// Adds an empty store machine in a zone and returns its place among the stores.
+    pub fn add_store(&self, zone: usize) -> usize {
+        let commands = deploy_commands();
+        let Some(run) = commands.get("storage") else { record::fail("no command for a store") };
+        let stores = self.machines().iter().filter(|m| m.name.starts_with("storage")).count();
+        let nth = stores + (zone + ZONES.len() - stores % ZONES.len()) % ZONES.len();
+        let machine = self.machine("storage", "storage", FIRST_STORE + nth as u8, nth, run);
+        self.machines().push(machine);
+        self.restart("storage", stores);
+        stores
+    }
+
+    pub fn name(&self, class: &str, nth: usize) -> String {
+        self.with(class, nth, |m| m.name.clone())
+    }
+
+    /// Copies the lines of a machine's log that contain a text to the record.
+    pub fn note_log(&self, class: &str, nth: usize, text: &str) {
+        let log = self.with(class, nth, |m| fs::read_to_string(&m.log).unwrap_or_default());
+        log.lines()
+            .filter(|l| l.contains(text))
+            .for_each(|l| record::line(&format!("{class} {nth}: {l}")));
+    }
+
+    /// Asks the control machines in turn until one answers 200, and returns its answer.
+    pub fn ask(&self, path: &str) -> Option<String> {
+        let cores = 0..usize::from(self.size.cores);
+        let mut answers = cores.map(|core| get(self.control_address(core), path));
+        answers.find(|a| a.status == 200).map(|a| a.text())
+    }
+
     /// Kills all processes at the same moment with SIGKILL.
     pub fn kill_all(&self) {
         let mut machines = self.machines();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod new_leader;
 mod record;
+mod replaced_stores;
 mod resumed_turn;
 mod servers;
 mod slow_turn;
@@ -31,6 +32,7 @@
         "evacuated-zone" => evacuated_zone::run,
         "new-leader" => new_leader::run,
         "unreadable-entry" => unreadable_entry::run,
+        "replaced-stores" => replaced_stores::run,
         "slow-turn" => slow_turn::run,
         _ => std::process::exit(2),
     };
