--- a/review/standins/replaced_stores.rs
+++ b/review/standins/replaced_stores.rs
@@ -1,5 +1,5 @@
-//! The stores are replaced one after the other: one is retired and removed, another one loses its disk
-//! right after, and an empty store is added. Meanwhile the core machines are stopped and started in turn.
+//! A store is retired and removed, another one loses its disk right after, and an empty store is added.
+//! Meanwhile the leading core machine is stopped and started. Played on several fleets, one after the other.
 
 use std::{
     io::{self, Write},
@@ -20,10 +20,22 @@
 const STORES: usize = 4;
 const PROGRAMS: usize = 16;
 const TIME_LIMIT: Duration = Duration::from_millis(3000);
-/// The stores are replaced this many times at most.
-const ROUNDS: usize = 10;
-/// The leading core machine is stopped this long after the order to retire a store was acknowledged.
-const STOP_AFTER: Duration = Duration::from_millis(300);
+/// The leading core machine is stopped this long after the order to retire a store was acknowledged, in a
+/// fleet of its own each.
+const STOP_AFTER: [Duration; 6] = [
+    Duration::from_millis(300),
+    Duration::from_millis(350),
+    Duration::from_millis(250),
+    Duration::from_millis(400),
+    Duration::from_millis(300),
+    Duration::from_millis(350),
+];
+/// No further fleet is started after this time.
+const LAST_START: Duration = Duration::from_secs(72);
+/// Time that a script may take.
+const TIME: Duration = Duration::from_secs(118);
+/// Time in which a new fleet forms its groups of stores and moves their leads.
+const SETTLE: Duration = Duration::from_secs(5);
 /// Time from the answer that a store is empty until its machine is gone.
 const REMOVAL: Duration = Duration::from_millis(200);
 /// Pause of the operator between two questions.
@@ -101,13 +113,13 @@
     programs.into_iter().filter_map(|p| p.join().expect("no panic")).collect()
 }
 
-/// Replaces a store. Returns the new one, or `None` if the old one is not empty in time.
-fn replace(fleet: &Arc<Fleet>, trouble: bool, old: usize, wiped: usize) -> Option<usize> {
+/// Replaces a store, and wipes another one right after.
+fn replace(fleet: &Arc<Fleet>, trouble: bool, stop_after: Duration, old: usize, wiped: usize) {
     let path = format!("/-/retire/{}", fleet.name("storage", old));
     if !fleet.order("POST", &path, "{\"overS\":10}") {
         record::fail("the order to retire a store is not acknowledged");
     }
-    thread::sleep(STOP_AFTER);
+    thread::sleep(stop_after);
     let leader = fleet.leader();
     if trouble {
         fleet.terminate("core", leader);
@@ -120,24 +132,23 @@
             break;
         }
         if record::now() > until {
-            return None;
+            record::fail("the store is not empty in time");
         }
         thread::sleep(QUESTIONS);
     }
     thread::sleep(REMOVAL);
     fleet.remove("storage", old);
     fleet.wipe("storage", wiped);
-    let new = fleet.add_store(old % ZONES.len());
+    fleet.add_store(old % ZONES.len());
     if trouble {
         thread::sleep(Duration::from_secs(1));
         fleet.restart("core", leader);
     }
-    Some(new)
 }
 
-pub fn run(trouble: bool) -> Vec<String> {
+/// Starts a fleet whose stores have formed their groups.
+fn start(runs: &Runs) -> Arc<Fleet> {
     let fleet = Fleet::new(Size { cores: 3, stores: STORES as u8, fronts: 2 });
-    let runs = Runs::default();
     let listed = (0..SERVERS).map(|n| {
         let (id, address) = (format!("i-{n}"), fleet.server_address(n));
         servers::serve(n, id.clone(), address, runs.clone(), Arc::new(Model));
@@ -146,60 +157,57 @@
     });
     fleet.list.set(listed.collect());
     fleet.start(CONFIG);
-    fleet.watch_time(Duration::from_secs(118));
-    let fleet = Arc::new(fleet);
-    thread::sleep(Duration::from_secs(5));
-    let mut stores: Vec<usize> = (0..STORES).collect();
-    let mut whole = first_turns(&fleet, 0);
-    if whole.len() < PROGRAMS {
-        record::fail("turns are not served before the disruption");
-    }
-    let mut back = record::now();
-    for round in 1..=ROUNDS {
-        let old = stores.remove(0);
-        let wiped = stores[1];
-        let Some(new) = replace(&fleet, trouble, old, wiped) else {
-            record::say(&format!("round {round}: store {old} is not empty in time"));
-            break;
-        };
-        stores.push(new);
-        back = record::now();
-        thread::sleep(CATCH_UP + Duration::from_millis(300));
-        let next = first_turns(&fleet, round);
-        if next.len() < PROGRAMS {
-            record::say(&format!("round {round}: {} of {PROGRAMS} first turns served", next.len()));
-            break;
-        }
-        whole = next;
-    }
-    thread::sleep((back + RECOVER).saturating_sub(record::now()));
+    fleet.watch_time(TIME.saturating_sub(record::now()));
+    thread::sleep(SETTLE);
+    Arc::new(fleet)
+}
 
-    // The last 4 s: each program goes on from its turn that was answered whole.
-    let tries: Vec<_> = whole
-        .into_iter()
-        .enumerate()
-        .map(|(n, (previous, program))| {
-            let fleet = fleet.clone();
-            thread::spawn(move || {
-                let ids: Vec<_> = (0..TRIES).map(|k| format!("b{n}-{k}")).collect();
-                for (k, id) in ids.iter().enumerate() {
-                    turn(&fleet, (n + k) % 2, id, &program, Some(&previous), TRY_LIMIT);
-                }
-                (previous, ids)
-            })
+/// The last 4 s: each program goes on from its turn that was answered whole. Returns those turns that no
+/// turn which goes on from them reaches a server.
+fn lost_turns(fleet: &Arc<Fleet>, runs: &Runs, whole: Vec<(String, String)>) -> Vec<String> {
+    let tries = whole.into_iter().enumerate().map(|(n, (previous, program))| {
+        let fleet = fleet.clone();
+        thread::spawn(move || {
+            let ids: Vec<_> = (0..TRIES).map(|k| format!("b-{previous}-{k}")).collect();
+            for (k, id) in ids.iter().enumerate() {
+                turn(&fleet, (n + k) % 2, id, &program, Some(&previous), TRY_LIMIT);
+            }
+            (previous, ids)
         })
-        .collect();
-    let tries: Vec<_> = tries.into_iter().map(|t| t.join().expect("no panic")).collect();
-    let mut broken = Vec::new();
-    for (previous, ids) in &tries {
-        if ids.iter().all(|id| runs.of(id).is_empty()) {
-            broken.push(format!(
-                "no turn that goes on from {previous} reaches a server in {TRIES} tries"
-            ));
+    });
+    let tries: Vec<_> = tries.collect();
+    let tries = tries.into_iter().map(|t| t.join().expect("no panic"));
+    let reach_none = |ids: &[String]| ids.iter().all(|id| runs.of(id).is_empty());
+    tries.filter(|(_, ids)| reach_none(ids)).map(|(previous, _)| previous).collect()
+}
+
+pub fn run(trouble: bool) -> Vec<String> {
+    let runs = Runs::default();
+    for (round, stop_after) in STOP_AFTER.iter().enumerate() {
+        if record::now() > LAST_START {
+            break;
+        }
+        let fleet = start(&runs);
+        let whole = first_turns(&fleet, round);
+        if whole.len() < PROGRAMS {
+            record::fail("turns are not served before the disruption");
+        }
+        let (old, wiped) = (round % STORES, (round + 2) % STORES);
+        replace(&fleet, trouble, *stop_after, old, wiped);
+        let back = record::now();
+        thread::sleep(CATCH_UP + Duration::from_millis(300));
+        let after = first_turns(&fleet, round + 100).len();
+        record::say(&format!("fleet {round}: {after} of {PROGRAMS} first turns served after it"));
+        if after == PROGRAMS {
+            continue;
         }
+        thread::sleep((back + RECOVER).saturating_sub(record::now()));
+        let lost = lost_turns(&fleet, &runs, whole);
+        record::say(&format!("{} of {PROGRAMS} programs do not go on", lost.len()));
+        (0..=STORES).for_each(|n| fleet.note_log("storage", n, "membership change"));
+        let text =
+            |turn| format!("no turn that goes on from {turn} reaches a server in {TRIES} tries");
+        return lost.into_iter().map(text).collect();
     }
-    record::say(&format!("{} of {} programs went on", tries.len() - broken.len(), tries.len()));
-    let count = STORES + ROUNDS.min(stores.iter().max().unwrap_or(&0) + 1 - STORES);
-    (0..count).for_each(|n| fleet.note_log("storage", n, "membership change"));
-    broken
+    Vec::new()
 }
