--- a/review/standins/unreadable_entry.rs
+++ b/review/standins/unreadable_entry.rs
@@ -21,7 +21,8 @@
 
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-desk","host":"calls.example","prefix":"/desk/","kind":"safe","timeoutMs":1200,"goalMs":150,"priority":2,"service":"desk","attempts":2,"retain":false,"retainS":60.0,"public":false,"sticky":false,"canResume":false}],"services":[{"name":"desk","healthPath":"/healthz","maxConns":180,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"red","apiKeys":["key-of-red"],"priority":1,"ratePerS":0,"burst":0}]}"#;
 
-/// The entry. Its fields are those of the other entries, but the bytes of its id cannot be read.
+/// The entry. Its fields are those of the other entries, but the bytes of its id cannot be read. With `ODD`
+/// in the environment, it is another one: its id is not UTF-8, it is not JSON, or it is cut off.
 fn foreign() -> Vec<u8> {
     match std::env::var("ODD").as_deref() {
         Ok("utf8") => {
