--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and checks of the review's scripts: `standins CASE RECORD`. With `TROUBLE=0` in the
-//! environment, the disruption is left out. Exits with 1 if the rule was broken, 0 if it held, and 2 if
+//! Stand-ins and checks of the review's scripts: `standins CASE RECORD DISRUPTION`, the last
+//! being `with-disruption` or `without-disruption`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run.
 
 mod desk;
@@ -19,12 +19,16 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, file] = &args[..] else {
-        eprintln!("usage: standins CASE RECORD");
+    let [_, case, file, disruption] = &args[..] else {
+        eprintln!("usage: standins CASE RECORD with-disruption|without-disruption");
         std::process::exit(2);
     };
     record::open(Path::new(file));
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = match disruption.as_str() {
+        "with-disruption" => true,
+        "without-disruption" => false,
+        _ => std::process::exit(2),
+    };
     record::say(&format!("case {case}, disruption: {trouble}"));
     let run: fn(bool) -> Vec<String> = match case.as_str() {
         "resumed-turn" => resumed_turn::run,
