relay: a kept turn that its caller resumes contains the events from before the break

Callers that resumed a stream whose turn is kept got all of its events, but the next turn's endpoint got the history without those from before the break: the model went on from a part of its own answer, and nobody was told.

Cause: the front records the output of a turn in memory only, and a call with `Last-Event-Id` began an empty recording. What earlier attempts of the caller had passed on was known to the front that had carried them, and to nobody once that front was killed.

The three tests of `resumed_turns` failed on it: `killed_front` with "out11 of turn-0-again" as the first event of the history where "out1 of turn-0" is due, `resumed_twice` likewise, `unknown_event` with 200 where 503 is due.

On routes that keep turns and allow resumes, each event is now made durable at the stores before it is passed on, under the attempt that brought it. An attempt that resumes the stream reads the output up to the event it names, and its recording begins with that. A resume after an event that nobody has recorded is refused with 503 before it reaches an endpoint. Events wait 100 ms at most, so that streams go on while a group of stores elects a leader; a stream whose front ends just then cannot be resumed.

Events are stored as kept turns that continue one another. Attempts are told apart, because a front that was frozen may still record events for one that was given up.

Other routes make no further calls.

--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -20,11 +20,16 @@
     events::EventReader,
     memory::{MemoryReservation, ReadError},
     placement::PlacementRequest,
-    programs::{OpenTurn, TurnName, TurnRequirements, origins::Origin},
+    programs::{
+        OpenTurn, TurnName, TurnRequirements,
+        origins::Origin,
+        outputs::{OutputRecord, StreamAttempt},
+    },
     rates::Token,
+    recording::TurnRecording,
     refusal::Refusal,
     schedule::Slot,
-    stream::{StreamRelay, TurnRecording, tokens_per_event},
+    stream::{StreamRelay, tokens_per_event},
 };
 use crate::{CallHead, ProgramHead, Publication, Route, RouteKind, Team};
 
@@ -323,12 +328,14 @@
             deadline,
         };
         let (turn, history) = self.programs.begin(&name, needs).await?;
-        let recording = route.retain.map(|_| TurnRecording {
-            history: history.clone(),
-            input: body.clone(),
-            previous: previous.cloned(),
-            output: BytesMut::new(),
-        });
+        let recording = match route.retain {
+            Some(_) => {
+                let recording =
+                    TurnRecording::new(history.clone(), body.clone(), previous.cloned());
+                Some(self.recorded(recording, route, head, name.team, deadline).await?)
+            }
+            None => None,
+        };
         let body = if history.is_empty() {
             body
         } else {
@@ -340,6 +347,35 @@
         Ok((Some(turn), recording, body))
     }
 
+    /// Records the events of a stream durably if its caller may resume it. If the call resumes a
+    /// stream, the recording begins with the output so far.
+    async fn recorded(
+        &self,
+        recording: TurnRecording,
+        route: &Route,
+        head: &CallHead,
+        team: Name,
+        deadline: Instant,
+    ) -> Result<TurnRecording, Refusal> {
+        if !route.may_run_again() {
+            return Ok(recording);
+        }
+        let stream = head.resumes.as_ref().filter(|_| head.last_event.is_some());
+        let attempt = StreamAttempt {
+            team,
+            stream: stream.unwrap_or(&head.id).clone(),
+            id: head.id.clone(),
+            until: Instant::now() + head.time_left.unwrap_or_default().max(route.timeout),
+        };
+        let Some(last_event) = &head.last_event else {
+            let record = OutputRecord::begin(&self.programs, attempt, deadline).await?;
+            return Ok(recording.with_record(record, &[]));
+        };
+        let (record, output) =
+            OutputRecord::resume(&self.programs, attempt, last_event, deadline).await?;
+        Ok(recording.with_record(record, &output))
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn call(
         &self,
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod programs;
 pub(crate) mod quarantine;
 pub(crate) mod rates;
+mod recording;
 mod refusal;
 pub(crate) mod schedule;
 mod shared_parts;
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -12,6 +12,7 @@
 mod batches;
 mod history_cache;
 pub(crate) mod origins;
+pub(crate) mod outputs;
 
 use std::{
     net::SocketAddr,
@@ -153,9 +154,11 @@
             least: needs.most,
         };
         let mut begun = self.begin_at(&begin, needs.deadline).await?;
-        if begun.verdict() == TurnVerdict::UnknownTurn {
-            let Some(history) = self.find_in_other_groups(&begin, groups, needs.deadline).await?
-            else {
+        if let Some(previous) = unread.filter(|_| begun.verdict() == TurnVerdict::UnknownTurn) {
+            let (group, deadline) = (open.group, needs.deadline);
+            let found =
+                self.find_in_other_groups(group, groups, &name.team, previous, deadline).await?;
+            let Some(history) = found else {
                 open.is_reserved = false;
                 let message = "the team has no such turn";
                 return Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_turn", message));
@@ -205,25 +208,40 @@
         }
     }
 
-    /// Looks up the turn that `begin` continues in all other groups. Returns `None` if every group
-    /// reports that it does not have the turn.
+    /// Inputs and outputs up to and including a kept turn. `None` if the group has no such turn.
+    async fn history(
+        &self,
+        group: u32,
+        team: &str,
+        turn: &str,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, Refusal> {
+        let read = peer::TurnBegin {
+            group,
+            team: team.to_owned(),
+            previous: Some(turn.to_owned()),
+            ..Default::default()
+        };
+        let begun = self.begin_at(&read, deadline).await?;
+        Ok((begun.verdict() == TurnVerdict::Granted).then_some(begun.history))
+    }
+
+    /// Looks up a turn in all groups but one. Returns `None` if every group reports that it does not
+    /// have the turn.
     async fn find_in_other_groups(
         &self,
-        begin: &peer::TurnBegin,
+        own_group: u32,
         groups: u32,
+        team: &str,
+        turn: &str,
         deadline: Instant,
     ) -> Result<Option<Bytes>, Refusal> {
-        let ask = |group| async move {
-            let read = peer::TurnBegin { group, budget: None, least: 0, ..begin.clone() };
-            self.begin_at(&read, deadline).await
-        };
+        let others = (0..groups).filter(|g| *g != own_group);
         let mut unanswered = None;
-        for answer in join_all((0..groups).filter(|g| *g != begin.group).map(ask)).await {
+        for answer in join_all(others.map(|g| self.history(g, team, turn, deadline))).await {
             match answer {
-                Ok(begun) if begun.verdict() == TurnVerdict::Granted => {
-                    return Ok(Some(begun.history));
-                }
-                Ok(_) => {}
+                Ok(Some(history)) => return Ok(Some(history)),
+                Ok(None) => {}
                 Err(refusal) => unanswered = Some(refusal),
             }
         }
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -17,21 +17,13 @@
     events::EventReader,
     handler::CallRecord,
     memory::MemoryReservation,
-    programs::{KeptTurn, OpenTurn, origins::Origin},
+    programs::{OpenTurn, origins::Origin},
+    recording::TurnRecording,
 };
 
 /// Maximum size of an event and of a trailing incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Data of a turn that is to be kept.
-pub(crate) struct TurnRecording {
-    /// Inputs and outputs of the turns before.
-    pub(crate) history: Bytes,
-    pub(crate) input: Bytes,
-    pub(crate) previous: Option<Name>,
-    pub(crate) output: BytesMut,
-}
-
 /// A stream that is being relayed to a caller. Dropping it cancels the call at the endpoint.
 pub(crate) struct StreamRelay {
     pub(crate) attempts: Attempts,
@@ -76,12 +68,15 @@
         loop {
             let chunk = self.take_events();
             if !chunk.is_empty() {
+                if let Some(recording) = &mut self.recording {
+                    recording.sync(self.attempts.call.deadline).await;
+                }
                 return Some(Ok(chunk));
             }
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
                     self.attempts.front.links.note_heard();
-                    let kept = self.recording.as_ref().map_or(0, |k| k.output.len());
+                    let kept = self.recording.as_ref().map_or(0, TurnRecording::len);
                     let needed_bytes = kept + self.reader.pending() + bytes.len();
                     if let Err(e) = self.reservation.resize(needed_bytes) {
                         if let Err(cut) = self.resume_elsewhere(&e.to_string()).await {
@@ -180,7 +175,7 @@
             }
         }
         if let Some(recording) = &mut self.recording {
-            event.write_data(&mut recording.output);
+            recording.push(event);
         }
     }
 
@@ -212,13 +207,7 @@
         let rest = self.reader.take_rest();
         if let (Some(recording), Some(turn)) = (self.recording.take(), &mut self.turn) {
             let call = &self.attempts.call;
-            let kept = KeptTurn {
-                previous: recording.previous,
-                history: recording.history,
-                input: recording.input,
-                output: recording.output.freeze(),
-                retain: call.route.retain.unwrap_or_default(),
-            };
+            let kept = recording.finish(call.route.retain.unwrap_or_default());
             if let Err(refusal) = turn.keep(kept, call.deadline).await {
                 self.record.finish(refusal.code);
                 return Some(Err(TruncatedBody("the turn could not be kept")));
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -162,7 +162,8 @@
         let path = req.uri().path().to_owned();
         let id = header("request-id").unwrap_or_default();
         let expected = header("expect-instance");
-        let is_resumed = header("last-event-id").is_some();
+        let last_event = header("last-event-id");
+        let is_resumed = last_event.is_some();
         let (team, saw_key) = (header("tenant"), req.headers().contains_key("api-key"));
         if expected.as_deref() != Some(&*server_name(server)) {
             return Ok(response(421, &id, false, Bytes::new()));
@@ -239,10 +240,17 @@
         }
         if let Some((before, events)) = path.rsplit_once("/events/") {
             let count: usize = events.parse().expect("no number of events in the path");
-            let pause = if before.ends_with("/paced") { WORK_TIME } else { Duration::ZERO };
-            let events = stream::iter(1..=count).then(move |n| async move {
-                tokio::time::sleep(pause).await;
-                Ok(Frame::data(Bytes::from(format!("id: {n}\ndata: out{n}\n\n"))))
+            let pause = if before.contains("/paced") { WORK_TIME } else { Duration::ZERO };
+            // On this path the data names the request, so that the events of two runs differ.
+            let suffix =
+                if before.contains("/signed") { format!(" of {id}") } else { String::new() };
+            let sent: usize = last_event.map_or(0, |id| id.parse().expect("no number of an event"));
+            let events = stream::iter(sent + 1..=count).then(move |n| {
+                let event = format!("id: {n}\ndata: out{n}{suffix}\n\n");
+                async move {
+                    tokio::time::sleep(pause).await;
+                    Ok(Frame::data(Bytes::from(event)))
+                }
             });
             let mut streamed = response(200, &id, true, Bytes::new())
                 .map(|_| BoxBody::new(StreamBody::new(events)));
