relay: a turn can be continued although the turn before it has expired while it ran

Callers whose turn began late in the life of the turn before it, and lasted more than some 10 s, got it whole; their next turn was answered 404, which ends a program.

Cause: a kept turn is stored as a link to the turn before it, whose life is extended when the link is made, at the end. Until then nothing holds that turn. If it has expired meanwhile, `TurnState` made a link to nothing and the turn was acknowledged all the same.

`long_turns::predecessor_expires` failed before: 404 where 200 is asked.

The result of the command now names the turns whose predecessor has expired, and the front, which has the whole history in memory, sends such a turn once more with the history as its input. The caller sees the end of the stream after that. Any lapse is covered: a long turn, a history from the front's cache, a changed time limit, a clock that was set. The second commit is only made in this case.

While the leader of a group still runs the build before, such a turn is lost as it was.

Weighed and not taken: to hold the turn before from the beginning of a turn, which costs every turn a commit or the stores a guess of how long it lasts; to always keep turns for their time limit longer, which fails when a publication raises the limit.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -876,8 +876,13 @@
     #[prost(uint64, tag = "4")]
     pub retain_ms: u64,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct TurnsEnded {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnsEnded {
+    /// Turns whose preceding turn has expired. They are kept only if they are sent again with the
+    /// whole history as their input.
+    #[prost(string, repeated, tag = "1")]
+    pub incomplete: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// Records which software versions began streams of one group.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StreamStarts {
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -186,11 +186,15 @@
     #[prost(uint64, tag = "5")]
     pub expires_ms: u64,
 }
-/// Result of a `TurnCommand`, with one entry for each of its reservations.
+/// Result of a `TurnCommand`.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TurnResult {
+    /// One entry for each reservation.
     #[prost(message, repeated, tag = "1")]
     pub reserved: ::prost::alloc::vec::Vec<Reserved>,
+    /// Turns whose preceding turn has expired, so that they cannot be continued.
+    #[prost(string, repeated, tag = "2")]
+    pub incomplete: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reserved {
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -351,36 +351,52 @@
     ///
     /// Fails if the stores do not answer in time. The turn may have been kept nevertheless.
     pub(crate) async fn keep(&mut self, kept: KeptTurn, deadline: Instant) -> Result<(), Refusal> {
-        let name = self.name.clone();
+        let mut is_kept = Some(false);
+        if !self.continues_other_group {
+            let previous = kept.previous.as_ref().map(|p| p.to_string());
+            is_kept = self.store(&kept, previous, kept.input.clone(), deadline).await;
+        }
+        // The group does not have the previous turns, or they have expired while this turn ran. Their
+        // history becomes part of this turn's input.
+        if is_kept == Some(false) {
+            let input = concat(&[&kept.history, &kept.input]);
+            is_kept = self.store(&kept, None, input, deadline).await;
+        }
+        if is_kept != Some(true) {
+            let message = "the turn could not be kept in time";
+            return Err(Refusal::new(StatusCode::BAD_GATEWAY, "not_kept", message));
+        }
+        let combined = concat(&[&kept.history, &kept.input, &kept.output]);
+        let (name, programs) = (&self.name, &self.programs);
+        let now = programs.clock.now();
+        programs.history_cache().put(self.group, &name.team, &name.turn, combined, now);
+        Ok(())
+    }
+
+    /// Stores the turn and settles its reservation. Returns whether the turn can be continued, or
+    /// `None` if the stores do not answer in time.
+    async fn store(
+        &mut self,
+        kept: &KeptTurn,
+        previous: Option<String>,
+        input: Bytes,
+        deadline: Instant,
+    ) -> Option<bool> {
         let (group, mut end) = (self.group, self.end());
-        // The group does not have the previous turns, so their history becomes part of this turn's
-        // input.
-        let (previous, input) = if self.continues_other_group {
-            (None, concat(&[&kept.history, &kept.input]))
-        } else {
-            (kept.previous.map(|p| p.to_string()), kept.input.clone())
-        };
         end.kept = Some(peer::KeptTurn {
-            turn: name.turn.to_string(),
+            turn: self.name.turn.to_string(),
             previous,
             input,
             output: kept.output.clone(),
             retain_ms: kept.retain.as_millis() as u64,
         });
         let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()], group });
-        match self.programs.call(group, body, deadline).await {
-            Some(response::Body::TurnsEnded(_)) => {
-                self.is_reserved = false;
-                let combined = concat(&[&kept.history, &kept.input, &kept.output]);
-                let now = self.programs.clock.now();
-                self.programs.history_cache().put(group, &name.team, &name.turn, combined, now);
-                Ok(())
-            }
-            _ => {
-                let message = "the turn could not be kept in time";
-                Err(Refusal::new(StatusCode::BAD_GATEWAY, "not_kept", message))
-            }
-        }
+        let response::Body::TurnsEnded(ended) = self.programs.call(group, body, deadline).await?
+        else {
+            return None;
+        };
+        self.is_reserved = false;
+        Some(ended.incomplete.is_empty())
     }
 }
 
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -103,8 +103,9 @@
             pb::Settle { team, program, name, used, kept }
         };
         let settle = ends.ends.into_iter().map(settle).collect();
-        commit(&replica, pb::TurnCommand { settle, ..Default::default() }).await?;
-        Ok(peer::TurnsEnded {})
+        let command = pb::TurnCommand { settle, ..Default::default() };
+        let pb::TurnResult { incomplete, .. } = commit(&replica, command).await?;
+        Ok(peer::TurnsEnded { incomplete })
     }
 
     async fn record_streams(
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -138,7 +138,8 @@
         }
     }
 
-    fn settle(&mut self, settle: pb::Settle) {
+    /// Returns the name of the turn to keep if it cannot be continued.
+    fn settle(&mut self, settle: pb::Settle) -> Option<String> {
         let pb::Settle { team, program, name, used, kept } = settle;
         if let Ok(at) = find(&self.accounts, &team, &program) {
             let account = &mut self.accounts[at].1;
@@ -149,14 +150,17 @@
                 account.used += used;
             }
         }
-        if let Some(turn) = kept {
-            self.keep(turn);
-        }
+        let turn = kept?;
+        let name = turn.turn.clone();
+        (!self.keep(turn)).then_some(name)
     }
 
-    fn keep(&mut self, turn: pb::Turn) {
+    /// Returns whether the turn can be continued: the turn before it has not expired. Turns expire
+    /// no earlier than those that continue them, so the others before it have not either.
+    fn keep(&mut self, turn: pb::Turn) -> bool {
         let pb::Turn { team, turn, previous, input, output, expires_ms } = turn;
         let (team, turn) = (Name::from(team), Name::from(turn));
+        let is_complete = previous.as_ref().is_none_or(|p| find(&self.turns, &team, p).is_ok());
         let mut next = previous.clone();
         while let Some(previous) = next {
             let Ok(at) = find(&self.turns, &team, &previous) else { break };
@@ -173,6 +177,7 @@
             Ok(at) => self.turns[at].1 = kept,
             Err(at) => self.turns.insert(at, ((team, turn), kept)),
         }
+        is_complete
     }
 
     fn record_stream(&mut self, origin: pb::StreamOrigin) {
@@ -197,15 +202,13 @@
 
     fn execute(&mut self, command: pb::TurnCommand) -> pb::TurnResult {
         self.now_ms = self.now_ms.max(command.now_ms);
-        for settle in command.settle {
-            self.settle(settle);
-        }
+        let incomplete = command.settle.into_iter().filter_map(|s| self.settle(s)).collect();
         for origin in command.streams {
             self.record_stream(origin);
         }
         let reserved = command.reserve.into_iter().map(|r| self.reserve(r)).collect();
         self.sweep();
-        pb::TurnResult { reserved }
+        pb::TurnResult { reserved, incomplete }
     }
 }
 
--- a/crates/relay/tests/kept_turns.rs
+++ b/crates/relay/tests/kept_turns.rs
@@ -7,9 +7,9 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use prost::Message;
 
-fn run(turns: &mut TurnState, command: pb::TurnCommand) -> Vec<pb::Reserved> {
+fn run(turns: &mut TurnState, command: pb::TurnCommand) -> pb::TurnResult {
     let result = turns.apply(1, &command.encode_to_vec());
-    pb::TurnResult::decode(result).expect("a result").reserved
+    pb::TurnResult::decode(result).expect("a result")
 }
 
 fn reserve(turns: &mut TurnState, name: &str, most: u64, budget: u64) -> u64 {
@@ -21,7 +21,7 @@
         budget,
         least: most,
     };
-    run(turns, pb::TurnCommand { reserve: vec![reserve], ..Default::default() })[0].amount
+    run(turns, pb::TurnCommand { reserve: vec![reserve], ..Default::default() }).reserved[0].amount
 }
 
 fn settle(turns: &mut TurnState, name: &str, used: u64) {
@@ -30,7 +30,14 @@
     run(turns, pb::TurnCommand { settle: vec![settle], ..Default::default() });
 }
 
-fn keep(turns: &mut TurnState, now_ms: u64, turn: &str, previous: Option<&str>, retain_ms: u64) {
+/// Returns the turns that cannot be continued.
+fn keep(
+    turns: &mut TurnState,
+    now_ms: u64,
+    turn: &str,
+    previous: Option<&str>,
+    retain_ms: u64,
+) -> Vec<String> {
     let kept = pb::Turn {
         team: "red".to_owned(),
         turn: turn.to_owned(),
@@ -40,7 +47,7 @@
         expires_ms: now_ms + retain_ms,
     };
     let settle = vec![pb::Settle { kept: Some(kept), ..Default::default() }];
-    run(turns, pb::TurnCommand { now_ms, settle, ..Default::default() });
+    run(turns, pb::TurnCommand { now_ms, settle, ..Default::default() }).incomplete
 }
 
 /// Repeating a reservation or its settlement does not count tokens twice.
@@ -84,6 +91,20 @@
     assert_eq!(turns.len(), 1);
 }
 
+/// Guards against turns that are acknowledged and cannot be continued: a turn that continues an
+/// expired one is reported, and can be kept without it.
+#[test]
+fn expired_predecessor() {
+    let mut turns = TurnState::default();
+    assert!(keep(&mut turns, 0, "a", None, 60_000).is_empty());
+    assert!(keep(&mut turns, 60_000, "b", Some("a"), 60_000).is_empty());
+    keep(&mut turns, 131_000, "other", None, 60_000);
+    assert_eq!(keep(&mut turns, 131_100, "c", Some("b"), 60_000), ["c"]);
+    assert!(turns.history("red", "c").is_none());
+    assert!(keep(&mut turns, 131_200, "c", None, 60_000).is_empty());
+    assert!(turns.history("red", "c").is_some());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(20_261_204),
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -442,8 +442,10 @@
             .post(url)
             .header("host", HOST)
             .header("request-id", id)
-            .header("deadline-ms", "20000")
             .body(call.body.to_owned());
+        if call.headers.iter().all(|(name, _)| *name != "deadline-ms") {
+            req = req.header("deadline-ms", "20000");
+        }
         if let Some(key) = call.key {
             req = req.header("api-key", key);
         }
