relay: a conversation can be continued however many turns it has

Callers whose conversation had come to 4,097 turns were answered 404, which ends a program, although each of these turns had been answered whole and acknowledged.

Cause: `TurnState::chain` took a conversation of more than 4,096 turns for one that does not exist. The bound was only checked when the history was read; `keep` took turns of any depth.

`kept_turns::long_conversation` failed before: no history after 5,000 turns.

The bound guarded against histories without end, which exist only where a caller gives two turns the same name, so that they continue one another. A conversation cannot have more turns than are kept, and that ends the search now (`circular_conversation`, which passed before as well). What limits a conversation is the size of its history.

--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -20,8 +20,6 @@
 const RETAIN_MARGIN_MS: u64 = 10_000;
 /// Time between two sweeps for expired entries, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 5_000;
-/// Maximum number of turns in a chain; a longer one cannot be continued.
-const MAX_CHAIN_TURNS: usize = 4096;
 
 /// Team and name of a program, turn or stream.
 type Key = (Name, Name);
@@ -105,17 +103,18 @@
         self.turns.is_empty()
     }
 
-    /// Returns a turn and the turns before it, newest first.
+    /// Returns a turn and the turns before it, newest first. Returns `None` if one of them is not
+    /// kept, or if they form a circle because a caller has given two turns the same name.
     fn chain(&self, team: &str, turn: &str) -> Option<Vec<&KeptTurn>> {
         let mut chain = Vec::new();
         let mut next = Some(turn);
         while let Some(turn) = next {
             let kept = &self.turns[find(&self.turns, team, turn).ok()?].1;
-            chain.push(kept);
-            next = kept.previous.as_deref();
-            if chain.len() > MAX_CHAIN_TURNS {
+            if chain.len() == self.turns.len() {
                 return None;
             }
+            chain.push(kept);
+            next = kept.previous.as_deref();
         }
         Some(chain)
     }
--- a/crates/relay/tests/kept_turns.rs
+++ b/crates/relay/tests/kept_turns.rs
@@ -91,6 +91,39 @@
     assert_eq!(turns.len(), 1);
 }
 
+/// Guards against conversations that cannot be continued after some number of turns, although the
+/// last one was acknowledged.
+#[test]
+fn long_conversation() {
+    const TURNS: usize = 5_000;
+    let mut turns = TurnState::default();
+    let mut previous: Option<String> = None;
+    let mut expected = String::new();
+    for n in 0..TURNS {
+        let turn = n.to_string();
+        assert!(keep(&mut turns, 0, &turn, previous.as_deref(), 60_000).is_empty());
+        expected.push_str(&format!("in-{n} out-{n}\n"));
+        previous = Some(turn);
+    }
+    let last = previous.expect("no turn was kept");
+    let history = turns.history("red", &last).expect("the last turn is unknown");
+    assert!(history == expected, "the history is incomplete");
+}
+
+/// A caller that gives a turn the name of an earlier one of its conversation gets no history,
+/// instead of one without end.
+#[test]
+fn circular_conversation() {
+    let mut turns = TurnState::default();
+    keep(&mut turns, 0, "a", None, 60_000);
+    keep(&mut turns, 0, "b", Some("a"), 60_000);
+    keep(&mut turns, 1, "a", Some("b"), 60_000);
+    keep(&mut turns, 2, "c", Some("c"), 60_000);
+    for turn in ["a", "b", "c"] {
+        assert!(turns.history("red", turn).is_none(), "{turn}");
+    }
+}
+
 /// Guards against turns that are acknowledged and cannot be continued: a turn that continues an
 /// expired one is reported, and can be kept without it.
 #[test]
