relay: endless streams do not fill the memory of the stores

Evidence: `endless_bytes::recorded_events` failed with the bounds of this commit taken out: after 48 such streams a sound turn is not served. With them it passes.

An attempt records no more events than its caller has allowed tokens, 64 where it has not said, and 1 MiB. A stream that goes on beyond that is passed on as before; a resume is refused then.

--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -366,6 +366,7 @@
             stream: stream.unwrap_or(&head.id).clone(),
             id: head.id.clone(),
             until: Instant::now() + head.time_left.unwrap_or_default().max(route.timeout),
+            max_tokens: head.max_output_tokens,
         };
         let Some(last_event) = &head.last_event else {
             let record = OutputRecord::begin(&self.programs, attempt, deadline).await?;
--- a/crates/relay/src/front/programs/outputs.rs
+++ b/crates/relay/src/front/programs/outputs.rs
@@ -31,6 +31,12 @@
 /// Maximum size of the events in one call, in bytes. A single event may be larger.
 const MAX_BATCH_BYTES: usize = 1 << 20;
 const MAX_BATCH: usize = 256;
+/// Number of events that are recorded of a stream whose caller has not said how many tokens it may
+/// have.
+const MIN_EVENTS: usize = 64;
+/// Maximum size of the recorded events of an attempt, in bytes. A stream that is longer goes on, but
+/// cannot be resumed.
+const MAX_RECORD_BYTES: usize = 1 << 20;
 
 /// An attempt of a caller to receive a stream.
 pub(crate) struct StreamAttempt {
@@ -41,6 +47,8 @@
     pub(crate) id: Name,
     /// When the caller no longer resumes the stream.
     pub(crate) until: Instant,
+    /// Maximum number of tokens in the stream; 0 if the caller has not said.
+    pub(crate) max_tokens: u32,
 }
 
 /// Makes the events of one attempt durable.
@@ -56,6 +64,10 @@
     /// Events that are not known to be durable, oldest first.
     pending: VecDeque<StoredEvent>,
     pending_bytes: usize,
+    /// Number and size of the events that may still be recorded. Without a limit, a faulty endpoint
+    /// that streams without end would fill the memory of the stores.
+    events_left: usize,
+    bytes_left: usize,
 }
 
 struct StoredEvent {
@@ -75,6 +87,9 @@
         Ok(Self {
             programs: programs.clone(),
             group: group_of(&attempt.team, &attempt.stream, groups),
+            // An event has at least one token.
+            events_left: MIN_EVENTS.max(attempt.max_tokens as usize),
+            bytes_left: MAX_RECORD_BYTES,
             attempt,
             last: None,
             unnamed: BytesMut::new(),
@@ -119,6 +134,14 @@
 
     /// Adds an event that is about to be passed on.
     pub(crate) fn push(&mut self, event: &Event) {
+        let Some(bytes_left) = self.bytes_left.checked_sub(event.raw.len()) else {
+            self.events_left = 0;
+            return;
+        };
+        if self.events_left == 0 {
+            return;
+        }
+        self.bytes_left = bytes_left;
         event.write_data(&mut self.unnamed);
         let Some(id) = event.id.as_ref().and_then(|id| std::str::from_utf8(id).ok()) else {
             return;
@@ -129,6 +152,7 @@
             let data = self.unnamed.split().freeze();
             self.pending_bytes += data.len();
             let previous = self.last.replace(key.clone());
+            self.events_left -= 1;
             self.pending.push_back(StoredEvent { key, previous, data });
         }
     }
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -13,6 +13,8 @@
 
 /// Memory of the smallest machine that runs a front, in MiB.
 const MAX_FRONT_MIB: u64 = 88;
+/// Memory of the smallest machine that runs a store, in MiB.
+const MAX_STORE_MIB: u64 = 120;
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after its timeout within which a call must have its final response.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
@@ -38,7 +40,9 @@
     let call = async |n: usize| {
         let since = Instant::now();
         let id = format!("{path}-{n}");
-        let answer = fleet.call(0, path, &id, Call::default()).await;
+        let headers = [("program-id", "p")];
+        let call = Call { headers: &headers, ..Call::default() };
+        let answer = fleet.call(0, path, &id, call).await;
         assert!(!is_complete_success(&answer), "{path} was reported as a complete success");
         assert!(since.elapsed() < TIMEOUT + ANSWER_GRACE, "{path} took {:?}", since.elapsed());
     };
@@ -75,6 +79,37 @@
     }
 }
 
+/// Events that are recorded at the stores, because their callers may resume the streams, must not
+/// exhaust the memory of the stores, nor keep them from recording other streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn recorded_events() {
+    let mut config = with_timeout();
+    config["routes"][3]["canResume"] = true.into();
+    let fleet = RelayFleet::start(&config).await;
+    let watch_memory = async {
+        loop {
+            for store in &fleet.stores {
+                let mib = store.memory_mib();
+                assert!(mib < MAX_STORE_MIB, "{mib} MiB");
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let faults = async {
+        for path in ["/kept/faulty/events", "/kept/faulty/numbered-events"] {
+            check_fault(&fleet, path).await;
+        }
+    };
+    tokio::select! {
+        () = faults => {}
+        () = watch_memory => {}
+    }
+    let headers = [("program-id", "p"), ("token-count", "5,100")];
+    let call = Call { headers: &headers, ..Call::default() };
+    let answer = fleet.call(0, "/kept/events/5", "after", call).await;
+    assert!(is_complete_success(&answer), "a sound turn is not served afterwards");
+}
+
 /// A refusal whose body never arrives must not delay the call until its timeout.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_without_body() {
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -67,6 +67,10 @@
         "trailer" => (format!("{sealed}{chunked}0\r\nx-a: "), text),
         "event" => (format!("{sealed}{streamed}"), chunk(&text)),
         "events" => (format!("{sealed}{streamed}"), chunk(&event)),
+        "numbered-events" => {
+            let event = |n: usize| format!("id: {n}\ndata: a\n\n");
+            (format!("{sealed}{streamed}"), chunk(&(1..1_000).map(event).collect::<String>()))
+        }
         // Ends within an event; neither a length nor chunks mark the end.
         "cut" => {
             let cut = "content-type: text/event-stream\r\n\r\ndata: a\n\ndata: b";
