tests: streams of a version that joined while a front was out of step go on there

`mixed_streams::version_joined_while_front_was_frozen` passed from the start. With the restriction to the version that began a stream taken out, it failed: "began-12 goes on as resumed-12 at another version".

--- a/tests/mixed_streams.rs
+++ b/tests/mixed_streams.rs
@@ -5,8 +5,12 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use nix::sys::signal::Signal;
-use platform::{Call, CallResponse, HOST, KEY, RelayFleet, config, eventually, servers::SERVERS};
+use platform::{
+    Call, CallResponse, HOST, KEY, RelayFleet, config, eventually,
+    servers::{self, SERVERS},
+};
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -155,6 +159,39 @@
     resume_all(&fleet).await;
 }
 
+/// A front stands still while the only server of a new version joins. Streams that began there
+/// through the other front are resumed at the moment it goes on, and once it knows the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_joined_while_front_was_frozen() {
+    let fleet = start_mixed().await;
+    fleet.servers.set_software(2, None);
+    sleep(LIST_DELAY).await;
+    fleet.fronts[1].signal(Signal::SIGSTOP);
+    fleet.servers.set_software(2, Some("new"));
+    sleep(LIST_DELAY).await;
+    for n in 0..2 * STREAMS {
+        begin(&fleet, 0, &format!("began-{n}")).await;
+    }
+    let runs = fleet.servers.runs();
+    let is_new = |run: &&servers::Run| run.id.starts_with("began-") && run.server == 2;
+    assert!(runs.iter().any(|run| is_new(&run)), "no stream began at the new version");
+    fleet.fronts[1].signal(Signal::SIGCONT);
+    let at_once = (0..STREAMS).map(async |n| {
+        let (began, resumed) = (format!("began-{n}"), format!("resumed-{n}"));
+        let answer = resume(&fleet, 1, &resumed, &[("resumes", &began)]).await;
+        check_resumed(&fleet, &began, &resumed, &answer);
+    });
+    join_all(at_once).await;
+    sleep(LIST_DELAY).await;
+    let mut went_on = 0;
+    for n in STREAMS..2 * STREAMS {
+        let (began, resumed) = (format!("began-{n}"), format!("resumed-{n}"));
+        let answer = resume(&fleet, 1, &resumed, &[("resumes", &began)]).await;
+        went_on += usize::from(check_resumed(&fleet, &began, &resumed, &answer));
+    }
+    assert_most_went_on(went_on);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream() {
     let fleet = start_mixed().await;
