--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -359,6 +359,8 @@
         // The group does not have the previous turns, or they have expired while this turn ran. Their
         // history becomes part of this turn's input.
         if is_kept == Some(false) {
+            let (turn, bytes) = (&*self.name.turn, kept.history.len());
+            log::info!(turn, bytes; "turn is kept with the history before it");
             let input = concat(&[&kept.history, &kept.input]);
             is_kept = self.store(&kept, None, input, deadline).await;
         }
--- a/crates/relay/src/front/programs/outputs.rs
+++ b/crates/relay/src/front/programs/outputs.rs
@@ -169,8 +169,10 @@
         while !self.pending.is_empty() {
             let count = self.batch_len();
             if !self.store(self.pending.range(..count), until).await {
+                let (id, count) = (&*self.attempt.id, self.pending.len());
+                log::warn!(id, count; "events are not recorded; they cannot be resumed after");
                 metrics::counter!("poplarspan_relay_unrecorded_events_total")
-                    .increment(self.pending.len() as u64);
+                    .increment(count as u64);
                 return;
             }
             let stored: usize = self.pending.drain(..count).map(|event| event.data.len()).sum();
