relay: beginning a turn in a module of its own

`begin_turn` and what it calls move to `front/turn.rs`; a constant is renamed and two comments are shorter. No behaviour changes.

--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) mod schedule;
 mod shared_parts;
 mod stream;
+mod turn;
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/relay/src/front/programs/outputs.rs
+++ b/crates/relay/src/front/programs/outputs.rs
@@ -25,17 +25,17 @@
     groups::group_of,
 };
 
-/// How long events wait to become durable. Later they are passed on without, so that streams do not
-/// stall while the stores elect a leader; a stream that breaks off meanwhile cannot be resumed.
+/// How long events wait to become durable. Then they are passed on all the same, so that streams do
+/// not stall while the stores elect a leader; one that breaks off meanwhile cannot be resumed.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum size of the events in one call, in bytes. A single event may be larger.
 const MAX_BATCH_BYTES: usize = 1 << 20;
 const MAX_BATCH: usize = 256;
-/// Number of events that are recorded of a stream whose caller has not said how many tokens it may
-/// have.
-const MIN_EVENTS: usize = 64;
-/// Maximum size of the recorded events of an attempt, in bytes. A stream that is longer goes on, but
-/// cannot be resumed.
+/// Maximum number of recorded events of an attempt whose caller allows fewer tokens, or has not said
+/// how many.
+const MIN_EVENT_LIMIT: usize = 64;
+/// Maximum size of the recorded events of an attempt, in bytes. A longer stream goes on, but cannot
+/// be resumed.
 const MAX_RECORD_BYTES: usize = 1 << 20;
 
 /// An attempt of a caller to receive a stream.
@@ -88,7 +88,7 @@
             programs: programs.clone(),
             group: group_of(&attempt.team, &attempt.stream, groups),
             // An event has at least one token.
-            events_left: MIN_EVENTS.max(attempt.max_tokens as usize),
+            events_left: MIN_EVENT_LIMIT.max(attempt.max_tokens as usize),
             bytes_left: MAX_RECORD_BYTES,
             attempt,
             last: None,
