tests: streams that may be resumed go on while the stores stand still

`frozen_stores` stops all stores in the middle of such a stream: its events are passed on, are recorded once the stores go on, and the turn can be continued and resumed.

--- a/tests/resumed_turns.rs
+++ b/tests/resumed_turns.rs
@@ -4,16 +4,23 @@
 #[path = "support/platform.rs"]
 mod platform;
 
+use std::time::Duration;
+
 use futures::future::join_all;
+use nix::sys::signal::Signal;
 use platform::{Call, CallResponse, HOST, KEY, RelayFleet, config, eventually};
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time::timeout,
 };
 
 const PROGRAMS: usize = 8;
 const EVENTS: usize = 20;
+/// Longest wait for the events of a stream while no store answers. Callers leave after two seconds
+/// without an event, and each wait here covers several.
+const STALL_LIMIT: Duration = Duration::from_secs(4);
 /// Each server event names the request that produced it.
 const PATH: &str = "/kept/paced/signed/events/20";
 
@@ -63,6 +70,16 @@
         }
         true
     }
+
+    /// Reads the end of a complete response.
+    async fn read_end(&mut self) {
+        let mut buf = [0; 4096];
+        while !self.received.ends_with("\r\n0\r\n\r\n") {
+            let len = self.stream.read(&mut buf).await.expect("stream broke off");
+            assert!(len > 0, "stream broke off");
+            self.received.push_str(&String::from_utf8_lossy(&buf[..len]));
+        }
+    }
 }
 
 /// A turn of a program and the events that its caller has received.
@@ -180,6 +197,29 @@
     }
 }
 
+/// The stores stand still for a while: the events are passed on all the same, and are recorded
+/// later, so that the turn can still be resumed and continued.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_stores() {
+    let fleet = start_fleet().await;
+    let (mut turn, mut open) = Turn::begin(&fleet, 0, 0).await;
+    assert!(open.read(3).await, "the stream broke off");
+    for store in &fleet.stores {
+        store.signal(Signal::SIGSTOP);
+    }
+    let passed_on = timeout(STALL_LIMIT, open.read(EVENTS - 5)).await;
+    for store in &fleet.stores {
+        store.signal(Signal::SIGCONT);
+    }
+    assert!(passed_on.expect("the stream stalls"), "the stream broke off");
+    assert!(open.read(EVENTS).await, "the stream broke off");
+    turn.received = complete_events(&open.received);
+    open.read_end().await;
+    turn.check_next(&fleet, 1, "turn-0").await;
+    assert_eq!(turn.resume(&fleet, 1, "again").await.status, 200);
+    turn.check_next(&fleet, 0, "again").await;
+}
+
 /// A stream is not resumed after an event that nobody has recorded.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_event() {
