--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -581,6 +581,112 @@
     /// The instance has lost its links to all endpoints.
     #[prost(bool, tag = "15")]
     pub links_cut: bool,
+    /// One entry for each rollout that the instance knows to be running.
+    #[prost(message, repeated, tag = "16")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutReport>,
+    /// Results of calls since the last heartbeat at endpoints whose pace is limited.
+    #[prost(message, repeated, tag = "17")]
+    pub paced: ::prost::alloc::vec::Vec<PacedResults>,
+    /// Load of the instance by programs. Only present where programs are admitted by measured delay.
+    #[prost(message, optional, tag = "18")]
+    pub programs: ::core::option::Option<ProgramLoad>,
+}
+/// What an instance has seen of a rollout. All counts run from the start of the rollout, so that
+/// neither a lost heartbeat nor a new leader loses evidence.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutReport {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Share of the calls that the instance sends to the target version, in millionths.
+    #[prost(uint32, tag = "2")]
+    pub share_ppm: u32,
+    /// Open calls of the instance at endpoints of other versions.
+    #[prost(uint32, tag = "3")]
+    pub old_in_flight: u32,
+    /// Calls sent to endpoints of the service, and those of them sent to the target version.
+    #[prost(uint64, tag = "4")]
+    pub sent: u64,
+    #[prost(uint64, tag = "5")]
+    pub sent_target: u64,
+    #[prost(message, repeated, tag = "6")]
+    pub evidence: ::prost::alloc::vec::Vec<RolloutEvidence>,
+}
+/// Results of the calls of one route, at one endpoint of the target version or at all endpoints of
+/// other versions.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutEvidence {
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    /// Empty for all endpoints of other versions.
+    #[prost(string, tag = "2")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Calls with a complete answer that is no failure, and the sum of their durations.
+    #[prost(uint64, tag = "3")]
+    pub answered: u64,
+    #[prost(uint64, tag = "4")]
+    pub duration_ms: u64,
+    /// Calls that failed: the answer was a server error, or broke off.
+    #[prost(uint64, tag = "5")]
+    pub failed: u64,
+}
+/// Results of calls at an endpoint.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PacedResults {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub answered: u32,
+    /// Calls that failed, were refused, or took several times as long as usual.
+    #[prost(uint32, tag = "3")]
+    pub failed: u32,
+}
+/// Programs of an instance, and how their turns fare, since the last heartbeat.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProgramLoad {
+    /// Programs under way.
+    #[prost(uint32, tag = "1")]
+    pub active: u32,
+    /// First turns that arrived, and those of them that were refused.
+    #[prost(uint32, tag = "2")]
+    pub begun: u32,
+    #[prost(uint32, tag = "3")]
+    pub refused: u32,
+    /// Turns that ended, the sum of their durations, and the sum of the durations that they would
+    /// have had on an idle fleet.
+    #[prost(uint32, tag = "4")]
+    pub turns: u32,
+    #[prost(uint64, tag = "5")]
+    pub duration_ms: u64,
+    #[prost(uint64, tag = "6")]
+    pub idle_ms: u64,
+}
+/// Share of an instance in the programs that may begin.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ProgramAllowance {
+    /// First turns per second that the instance may admit; absent if there is no limit.
+    #[prost(float, optional, tag = "1")]
+    pub per_second: ::core::option::Option<f32>,
+    /// When a refused program may come back.
+    #[prost(uint32, tag = "2")]
+    pub retry_after_ms: u32,
+}
+/// What instances must know of a rollout. Holds as long as the lease of the instance.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutAllowance {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(enumeration = "RolloutStage", tag = "4")]
+    pub stage: i32,
+    /// Share of the calls that may go to the target version, in millionths.
+    #[prost(uint32, tag = "5")]
+    pub share_ppm: u32,
+    /// Once completed: software versions that get no further calls.
+    #[prost(string, repeated, tag = "6")]
+    pub retired: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Calls per second that an endpoint takes from all instances together.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -685,6 +791,14 @@
     /// Peer addresses of fronts that reach endpoints. Only for an instance whose links are cut.
     #[prost(string, repeated, tag = "16")]
     pub detours: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(message, repeated, tag = "17")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutAllowance>,
+    /// Endpoints whose pace is limited, and the calls per second of all instances together, sorted.
+    #[prost(message, repeated, tag = "18")]
+    pub paces: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Absent where programs are not admitted by measured delay.
+    #[prost(message, optional, tag = "19")]
+    pub programs: ::core::option::Option<ProgramAllowance>,
 }
 /// Digests of the requests that run on trial only or are refused, because endpoints terminated
 /// during them.
@@ -822,6 +936,9 @@
     pub previous: ::core::option::Option<::prost::alloc::string::String>,
     #[prost(uint32, tag = "8")]
     pub group: u32,
+    /// Whether the turn is to be kept when it ends.
+    #[prost(bool, tag = "9")]
+    pub keeps: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnBegun {
@@ -1035,6 +1152,39 @@
         }
     }
 }
+/// Stage of a rollout, as in the log of the control group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RolloutStage {
+    Unspecified = 0,
+    Running = 1,
+    Completed = 2,
+    Reverted = 3,
+}
+impl RolloutStage {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "ROLLOUT_STAGE_UNSPECIFIED",
+            Self::Running => "ROLLOUT_STAGE_RUNNING",
+            Self::Completed => "ROLLOUT_STAGE_COMPLETED",
+            Self::Reverted => "ROLLOUT_STAGE_REVERTED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ROLLOUT_STAGE_UNSPECIFIED" => Some(Self::Unspecified),
+            "ROLLOUT_STAGE_RUNNING" => Some(Self::Running),
+            "ROLLOUT_STAGE_COMPLETED" => Some(Self::Completed),
+            "ROLLOUT_STAGE_REVERTED" => Some(Self::Reverted),
+            _ => None,
+        }
+    }
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum TurnVerdict {
@@ -1044,6 +1194,8 @@
     Spent = 2,
     /// The team has no turn named `previous`.
     UnknownTurn = 3,
+    /// The store has no room for another kept turn.
+    NoRoom = 4,
 }
 impl TurnVerdict {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -1056,6 +1208,7 @@
             Self::Granted => "TURN_VERDICT_GRANTED",
             Self::Spent => "TURN_VERDICT_SPENT",
             Self::UnknownTurn => "TURN_VERDICT_UNKNOWN_TURN",
+            Self::NoRoom => "TURN_VERDICT_NO_ROOM",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -1065,6 +1218,7 @@
             "TURN_VERDICT_GRANTED" => Some(Self::Granted),
             "TURN_VERDICT_SPENT" => Some(Self::Spent),
             "TURN_VERDICT_UNKNOWN_TURN" => Some(Self::UnknownTurn),
+            "TURN_VERDICT_NO_ROOM" => Some(Self::NoRoom),
             _ => None,
         }
     }
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -2,7 +2,7 @@
 /// A command of the control group of a relay fleet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BoardCommand {
-    #[prost(oneof = "board_command::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "board_command::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: ::core::option::Option<board_command::Body>,
 }
 /// Nested message and enum types in `BoardCommand`.
@@ -21,6 +21,10 @@
         Condemn(super::Condemn),
         #[prost(message, tag = "6")]
         Acquit(super::Acquit),
+        #[prost(message, tag = "7")]
+        StartRollout(super::StartRollout),
+        #[prost(message, tag = "8")]
+        AdvanceRollout(super::AdvanceRollout),
     }
 }
 /// Replaces the publication if its version is higher than the version in force.
@@ -75,12 +79,64 @@
     #[prost(bytes = "bytes", tag = "1")]
     pub request: ::prost::bytes::Bytes,
 }
+/// Starts to move the calls of a service to endpoints of another software version. Ignored while a
+/// rollout of the service is running, and if it repeats the newest order for the service within
+/// `repeat_ms` of it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StartRollout {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+    /// Time in which the rollout is to end.
+    #[prost(uint64, tag = "3")]
+    pub over_ms: u64,
+    /// Wall-clock time of the proposer, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "4")]
+    pub started_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub repeat_ms: u64,
+}
+/// Ends a running rollout. Ignored if no rollout with this id is running.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AdvanceRollout {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Completed or reverted.
+    #[prost(enumeration = "RolloutStage", tag = "2")]
+    pub stage: i32,
+    /// Software versions that get no further calls once the rollout is completed.
+    #[prost(string, repeated, tag = "3")]
+    pub retired: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// A rollout. The newest one of a service comes last.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Rollout {
+    /// Index of the log entry that started it.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub over_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub started_ms: u64,
+    #[prost(enumeration = "RolloutStage", tag = "6")]
+    pub stage: i32,
+    #[prost(string, repeated, tag = "7")]
+    pub retired: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// Result of a `BoardCommand`.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BoardResult {
     /// Version of the publication in force after the command.
     #[prost(uint64, tag = "1")]
     pub version: u64,
+    /// Whether a `StartRollout` was refused, because another rollout of the service is running.
+    #[prost(bool, tag = "2")]
+    pub rollout_conflict: bool,
 }
 /// Complete state of the control group.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -100,6 +156,9 @@
     /// Sorted by request.
     #[prost(message, repeated, tag = "6")]
     pub condemned: ::prost::alloc::vec::Vec<Condemn>,
+    /// Sorted by id.
+    #[prost(message, repeated, tag = "7")]
+    pub rollouts: ::prost::alloc::vec::Vec<Rollout>,
 }
 /// A command of a group that stores the budgets and turns of programs. Settlements are applied
 /// before reservations.
@@ -240,3 +299,39 @@
     #[prost(uint64, tag = "2")]
     pub amount: u64,
 }
+/// Stage of a rollout. A rollout only ever moves to a later stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RolloutStage {
+    Unspecified = 0,
+    /// Calls are divided between the versions.
+    Running = 1,
+    /// All calls go to the target version.
+    Completed = 2,
+    /// No call goes to the target version.
+    Reverted = 3,
+}
+impl RolloutStage {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "ROLLOUT_STAGE_UNSPECIFIED",
+            Self::Running => "ROLLOUT_STAGE_RUNNING",
+            Self::Completed => "ROLLOUT_STAGE_COMPLETED",
+            Self::Reverted => "ROLLOUT_STAGE_REVERTED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ROLLOUT_STAGE_UNSPECIFIED" => Some(Self::Unspecified),
+            "ROLLOUT_STAGE_RUNNING" => Some(Self::Running),
+            "ROLLOUT_STAGE_COMPLETED" => Some(Self::Completed),
+            "ROLLOUT_STAGE_REVERTED" => Some(Self::Reverted),
+            _ => None,
+        }
+    }
+}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -150,6 +150,9 @@
                 true => leader.detours(&beat.instance),
                 false => Vec::new(),
             },
+            rollouts: Vec::new(),
+            paces: Vec::new(),
+            programs: None,
         })
     }
 
--- a/crates/relay/src/control_state.rs
+++ b/crates/relay/src/control_state.rs
@@ -1,5 +1,5 @@
 //! State machine of the control group: the publication, zones taken out of service, the layout of
-//! the store groups, and blocked requests.
+//! the store groups, blocked requests, and rollouts.
 //!
 //! The state lives in the replicated log of the control replicas. The publication with the highest
 //! version is in force, whatever the order of arrival; a version that is not higher changes
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use poplarspan_agreement::StateMachine;
 use poplarspan_policy::{Name, containment::Fingerprint};
-use poplarspan_proto::relay::{self as pb, board_command::Body};
+use poplarspan_proto::relay::{self as pb, RolloutStage, board_command::Body};
 use prost::Message;
 
 /// How long a request is blocked the first, the second and every further time, in milliseconds. A
@@ -24,6 +24,10 @@
 /// ago is dropped and may run again.
 const MAX_BLOCKED_REQUESTS: usize = 4_096;
 
+/// Maximum number of rollouts that are kept for each service: the newest one, and earlier ones whose
+/// reverted versions still get no calls.
+const MAX_ROLLOUTS_PER_SERVICE: usize = 8;
+
 /// A request that endpoints terminated under. It is refused for a while and then runs on trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BlockedRequest {
@@ -55,6 +59,8 @@
     retiring: Vec<Name>,
     // Sorted by request.
     blocked: Arc<Vec<BlockedRequest>>,
+    // Sorted by id; of each service, the newest one comes last.
+    rollouts: Vec<pb::Rollout>,
 }
 
 impl ControlState {
@@ -95,6 +101,16 @@
         &self.blocked
     }
 
+    /// Rollouts, sorted by id. The newest one of a service comes last.
+    pub fn rollouts(&self) -> &[pb::Rollout] {
+        &self.rollouts
+    }
+
+    /// The newest rollout of a service.
+    pub fn rollout(&self, service: &str) -> Option<&pb::Rollout> {
+        self.rollouts.iter().rfind(|r| r.service == service)
+    }
+
     /// Record of a request that was blocked.
     pub fn blocked_request(&self, request: Fingerprint) -> Option<BlockedRequest> {
         let at = self.blocked.binary_search_by_key(&request, |c| c.request).ok()?;
@@ -126,7 +142,8 @@
         }
     }
 
-    fn apply_command(&mut self, body: Body) {
+    /// Executes a command. Returns whether it was refused, because it conflicts with a rollout.
+    fn apply_command(&mut self, index: u64, body: Body) -> bool {
         match body {
             Body::Publish(publish) if publish.version > self.version => {
                 self.version = publish.version;
@@ -147,6 +164,46 @@
                 Some(request) => self.unblock(request),
                 None => log::error!("ignored a command with a malformed request digest"),
             },
+            Body::StartRollout(start) => return !self.start_rollout(index, start),
+            Body::AdvanceRollout(advance) => self.advance_rollout(advance),
+        }
+        false
+    }
+
+    /// Starts a rollout. Returns false if another one of the service is running.
+    fn start_rollout(&mut self, index: u64, start: pb::StartRollout) -> bool {
+        let pb::StartRollout { service, target, over_ms, started_ms, repeat_ms } = start;
+        if let Some(newest) = self.rollout(&service) {
+            let is_same = newest.target == target;
+            if newest.stage() == RolloutStage::Running {
+                return is_same;
+            }
+            // An order may be sent again after its acknowledgement was lost.
+            if is_same && started_ms < newest.started_ms.saturating_add(repeat_ms) {
+                return true;
+            }
+        }
+        // A version that is to be served again is no longer excluded.
+        self.rollouts.retain(|r| r.service != service || r.target != target);
+        let of_service = self.rollouts.iter().filter(|r| r.service == service).count();
+        if of_service >= MAX_ROLLOUTS_PER_SERVICE
+            && let Some(oldest) = self.rollouts.iter().position(|r| r.service == service)
+        {
+            self.rollouts.remove(oldest);
+        }
+        let stage = RolloutStage::Running.into();
+        let retired = Vec::new();
+        let rollout =
+            pb::Rollout { id: index, service, target, over_ms, started_ms, stage, retired };
+        self.rollouts.push(rollout);
+        true
+    }
+
+    fn advance_rollout(&mut self, advance: pb::AdvanceRollout) {
+        let Some(rollout) = self.rollouts.iter_mut().find(|r| r.id == advance.id) else { return };
+        let is_end = matches!(advance.stage(), RolloutStage::Completed | RolloutStage::Reverted);
+        if rollout.stage() == RolloutStage::Running && is_end {
+            (rollout.stage, rollout.retired) = (advance.stage, advance.retired);
         }
     }
 }
@@ -178,15 +235,18 @@
 
 impl StateMachine for ControlState {
     fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
+        let mut rollout_conflict = false;
         match pb::BoardCommand::decode(data) {
-            Ok(pb::BoardCommand { body: Some(body) }) => self.apply_command(body),
+            Ok(pb::BoardCommand { body: Some(body) }) => {
+                rollout_conflict = self.apply_command(index, body);
+            }
             Ok(_) => log::error!(index; "ignored a command of unknown type"),
             Err(e) => {
                 let error = e.to_string();
                 log::error!(index, error = error.as_str(); "ignored a malformed command");
             }
         }
-        pb::BoardResult { version: self.version }.encode_to_vec().into()
+        pb::BoardResult { version: self.version, rollout_conflict }.encode_to_vec().into()
     }
 
     fn snapshot(&self) -> Bytes {
@@ -198,14 +258,16 @@
             stores: Some(self.stores.clone()),
             retiring: names(&self.retiring),
             condemned: self.blocked.iter().map(write_blocked).collect(),
+            rollouts: self.rollouts.clone(),
         }
         .encode_to_vec()
         .into()
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
-        let pb::BoardSnapshot { version, body, zones_out, stores, retiring, condemned } =
-            pb::BoardSnapshot::decode(snapshot)?;
+        let snapshot = pb::BoardSnapshot::decode(snapshot)?;
+        let pb::BoardSnapshot { version, body, zones_out, stores, retiring, condemned, rollouts } =
+            snapshot;
         let names = |list: Vec<String>| list.into_iter().map(Name::from).collect();
         let (zones_out, retiring) = (names(zones_out), names(retiring));
         let read = |c: &pb::Condemn| {
@@ -215,7 +277,7 @@
         };
         let blocked = condemned.iter().map(read).collect::<anyhow::Result<Vec<_>>>()?.into();
         let stores = stores.unwrap_or_default();
-        *self = Self { version, body, zones_out, stores, retiring, blocked };
+        *self = Self { version, body, zones_out, stores, retiring, blocked, rollouts };
         Ok(())
     }
 }
--- a/crates/relay/src/fleet_client/heartbeat.rs
+++ b/crates/relay/src/fleet_client/heartbeat.rs
@@ -135,6 +135,9 @@
             failures: Vec::new(),
             limits: Vec::new(),
             links_cut: false,
+            rollouts: Vec::new(),
+            paced: Vec::new(),
+            programs: None,
         };
         report.fill(&mut beat).await;
         beat
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -152,6 +152,7 @@
             budget: needs.budget,
             previous: unread.map(|p| p.to_string()),
             least: needs.most,
+            keeps: false,
         };
         let mut begun = self.begin_at(&begin, needs.deadline).await?;
         if let Some(previous) = unread.filter(|_| begun.verdict() == TurnVerdict::UnknownTurn) {
@@ -175,7 +176,7 @@
                 let message = format!("{} tokens of the budget are left", begun.remaining);
                 Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget_spent", message))
             }
-            TurnVerdict::UnknownTurn | TurnVerdict::Unspecified => {
+            TurnVerdict::UnknownTurn | TurnVerdict::NoRoom | TurnVerdict::Unspecified => {
                 Err(stores_unavailable("the stores gave no verdict"))
             }
         }
