policy: change the groups of a fleet by one endpoint at a time

At 999 endpoints fronts served a third of the calls, and at 3,003 none (docs/CAPACITY.md): each change of the endpoint list sorted all groups again for each endpoint in it, and looked endpoints up by a scan, which is quadratic. Groups and names are now kept sorted and changed in place.

--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -83,6 +83,7 @@
 #[derive(Debug)]
 struct Group {
     name: Name,
+    /// Sorted by the name of the endpoint.
     members: Vec<EndpointId>,
 }
 
@@ -91,6 +92,9 @@
 pub struct Fleet {
     endpoints: Vec<Endpoint>,
     states: Vec<RoutingState>,
+    /// Present endpoints, sorted by name.
+    names: Vec<(Name, EndpointId)>,
+    // Sorted by name.
     groups: Vec<Group>,
     zones: Vec<(Name, bool)>,
 }
@@ -107,6 +111,10 @@
         let zone = self.zone_index(&spec.zone);
         let id = known.unwrap_or_else(|| self.add_endpoint(&spec));
         let at = id.0 as usize;
+        let keeps_groups = known.is_some() && self.endpoints[at].spec.groups == spec.groups;
+        if known.is_some() && !keeps_groups {
+            self.leave_groups(id);
+        }
         let endpoint = &mut self.endpoints[at];
         let state = &mut self.states[at];
         state.prefill_s = (1.0 / spec.prefill_per_second.max(1e-9)) as f32;
@@ -116,16 +124,22 @@
         let capacity_limit = endpoint.capacity_limit;
         self.set_capacity_limit(id, capacity_limit);
         self.refresh_availability(id);
-        self.rebuild_groups();
+        if !keeps_groups {
+            self.join_groups(id);
+        }
+        if let (None, Err(at)) = (known, self.find(&self.endpoints[at].spec.name)) {
+            self.names.insert(at, (self.endpoints[id.0 as usize].spec.name.clone(), id));
+        }
         id
     }
 
     /// Removes an endpoint. Calls in flight there are still counted when they end.
     pub fn remove(&mut self, name: &str) -> Option<EndpointId> {
-        let id = self.id(name)?;
+        let at = self.find(name).ok()?;
+        let (_, id) = self.names.remove(at);
+        self.leave_groups(id);
         self.endpoints[id.0 as usize].present = false;
         self.refresh_availability(id);
-        self.rebuild_groups();
         Some(id)
     }
 
@@ -285,8 +299,11 @@
 
     /// Returns the id of the endpoint `name`.
     pub fn id(&self, name: &str) -> Option<EndpointId> {
-        let at = self.endpoints.iter().position(|e| e.present && *e.spec.name == *name)?;
-        Some(EndpointId(at as u32))
+        self.find(name).ok().map(|at| self.names[at].1)
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.names.binary_search_by(|(n, _)| (**n).cmp(name))
     }
 
     /// Returns the endpoints that serve `group`, ordered by name.
@@ -413,20 +430,32 @@
         EndpointId(self.endpoints.len() as u32 - 1)
     }
 
-    fn rebuild_groups(&mut self) {
-        let mut pairs: Vec<(Name, Name, EndpointId)> = Vec::new();
-        for (at, endpoint) in self.endpoints.iter().enumerate().filter(|(_, e)| e.present) {
-            for group in &endpoint.spec.groups {
-                pairs.push((group.clone(), endpoint.spec.name.clone(), EndpointId(at as u32)));
+    /// Adds an endpoint to the groups of its specification. Groups change by one endpoint at a
+    /// time, because rebuilding all of them for each endpoint of a long list is quadratic.
+    fn join_groups(&mut self, id: EndpointId) {
+        let Self { endpoints, groups, .. } = self;
+        let spec = &endpoints[id.0 as usize].spec;
+        for name in &spec.groups {
+            let at = groups.binary_search_by(|g| g.name.cmp(name)).unwrap_or_else(|at| {
+                groups.insert(at, Group { name: name.clone(), members: Vec::new() });
+                at
+            });
+            let members = &mut groups[at].members;
+            let name_of = |id: &EndpointId| &endpoints[id.0 as usize].spec.name;
+            if let Err(at) = members.binary_search_by(|m| name_of(m).cmp(&spec.name)) {
+                members.insert(at, id);
             }
         }
-        pairs.sort();
-        pairs.dedup();
-        self.groups.clear();
-        for (name, _, id) in pairs {
-            match self.groups.last_mut() {
-                Some(group) if group.name == name => group.members.push(id),
-                _ => self.groups.push(Group { name, members: vec![id] }),
+    }
+
+    /// Removes an endpoint from the groups of its specification, and groups without members.
+    fn leave_groups(&mut self, id: EndpointId) {
+        let Self { endpoints, groups, .. } = self;
+        for name in &endpoints[id.0 as usize].spec.groups {
+            let Ok(at) = groups.binary_search_by(|g| g.name.cmp(name)) else { continue };
+            groups[at].members.retain(|member| *member != id);
+            if groups[at].members.is_empty() {
+                groups.remove(at);
             }
         }
     }
