relay: fronts divide calls between two software versions

A new software version got as many calls as its share of the endpoints as soon as these were listed. Fronts now follow the leader's allowances: each program goes to one side, which depends on a hash of the program and the target, and moves at most once while the share grows. The division is checked again right before a call is sent. Each side is a group of endpoints of its own for the chooser, so that a full or idle version neither holds up nor admits calls of the other one.

Fronts report what they sent, open calls at other versions, and results by route and endpoint, in at most 32 rows. A report of share 1 without open calls is binding: the front sends nothing to other versions any more, also no resumed stream.

An endpoint that was assigned to a waiting call whose caller left at that moment stayed occupied for ever; it is given back now, since it would also have kept a rollout from ending.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`departures`]: endpoints that have announced that they are about to stop.
 //! * [`probation`]: endpoints that fail calls, avoided by all instances.
 //! * [`links`]: whether an instance has lost its own links to all endpoints.
+//! * [`version_split`]: division of calls between two software versions during a rollout.
 //! * [`placement`]: assignment of models to endpoints.
 //!
 //! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
@@ -88,6 +89,7 @@
 pub mod rate;
 pub mod retry;
 pub mod route;
+pub mod version_split;
 
 use std::sync::Arc;
 
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -21,7 +21,12 @@
 use futures::future::BoxFuture;
 use poplarspan_agreement::{Clock, ReplicaId};
 use poplarspan_node::PeerClient;
-use poplarspan_policy::{Name, cold_start::InstanceRank, containment::Fingerprint};
+use poplarspan_policy::{
+    Name,
+    cold_start::InstanceRank,
+    containment::Fingerprint,
+    version_split::{Rule, Stage},
+};
 use poplarspan_proto::peer;
 use tokio::{
     sync::{Notify, watch},
@@ -63,6 +68,8 @@
     pub(crate) probation: Vec<Name>,
     /// Endpoints that name a limit, sorted, and the limits in calls per second.
     pub(crate) limits: Arc<[(Name, f64)]>,
+    /// What the leader has decided about rollouts; sorted by id. Holds as long as the lease.
+    pub(crate) rollouts: Arc<[Rule]>,
     /// Peer addresses of fronts that reach endpoints. Only known while the instance's own links are
     /// cut.
     pub(crate) detours: Vec<SocketAddr>,
@@ -173,6 +180,7 @@
             quarantine_list: Arc::default(),
             probation: Vec::new(),
             limits: Arc::default(),
+            rollouts: Arc::default(),
             detours: Vec::new(),
         };
         let search =
@@ -324,6 +332,7 @@
             ),
             probation: names(answer.probation),
             limits: read_limits(answer.limits),
+            rollouts: read_rollouts(answer.rollouts, &old.rollouts),
             detours: addresses(answer.detours),
         };
         if view.zones_out != old.zones_out {
@@ -371,6 +380,25 @@
     limits.into_iter().filter_map(limit).collect()
 }
 
+/// Returns `old` itself if nothing has changed.
+fn read_rollouts(rollouts: Vec<peer::RolloutAllowance>, old: &Arc<[Rule]>) -> Arc<[Rule]> {
+    let read = |r: peer::RolloutAllowance| {
+        let stage = match r.stage() {
+            peer::RolloutStage::Running => Stage::Running { share_ppm: r.share_ppm },
+            peer::RolloutStage::Completed => {
+                Stage::Completed { retired: r.retired.into_iter().map(Name::from).collect() }
+            }
+            peer::RolloutStage::Reverted => Stage::Reverted,
+            // A stage of a newer build. A target that may get no calls is the safe reading.
+            peer::RolloutStage::Unspecified => Stage::Running { share_ppm: 0 },
+        };
+        Rule { id: r.id, service: r.service.into(), target: r.target.into(), stage }
+    };
+    let mut rules: Vec<_> = rollouts.into_iter().map(read).collect();
+    rules.sort_by_key(|r| r.id);
+    if rules == **old { old.clone() } else { rules.into() }
+}
+
 fn read_directory(directory: peer::Directory, at: Duration) -> Directory {
     let endpoint = |e: peer::DirectoryEntry| {
         Some(ListedEndpoint {
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -20,6 +20,7 @@
     placement::EndpointFilter,
     quarantine::{Admission, ProbationRun},
     refusal::Refusal,
+    rollouts::OpenCall,
     schedule::{PlacementError, Slot},
 };
 use crate::{Forward, ResponseHead};
@@ -54,6 +55,8 @@
     pub(crate) last: Option<ChosenEndpoint>,
     /// Set while the call runs on probation.
     probation: Option<ProbationRun>,
+    /// Set once the attempts are restricted to one software version.
+    held: Option<OpenCall>,
 }
 
 /// Why an attempt yielded no response.
@@ -77,6 +80,7 @@
             waited: Duration::ZERO,
             last: None,
             probation: None,
+            held: None,
         }
     }
 
@@ -121,6 +125,7 @@
                 Err(AttemptError::Refused(refusal)) => return Err(refusal),
                 Err(AttemptError::Unknown) => {
                     self.ran += 1;
+                    self.filter.has_failed = true;
                     if !self.may_retry() {
                         return Err(self.unknown_outcome());
                     }
@@ -143,6 +148,9 @@
 
     /// Restricts further attempts to endpoints of one software version.
     pub(crate) fn restrict_to(&mut self, software: Name) {
+        let service = &self.call.placement.service;
+        // Between two endpoints of its version, the stream still needs that version.
+        self.held = Some(self.front.schedule.hold_version(service, &software));
         self.filter.software = Some(software);
     }
 
@@ -150,13 +158,14 @@
     pub(crate) fn failed(&mut self, slot: Slot, cause: &str) {
         self.note_incomplete(&slot.endpoint, cause);
         self.ran += 1;
+        self.filter.has_failed = true;
         self.filter.tried.push(slot.endpoint.name.clone());
         slot.finish(Outcome::Failed);
     }
 
     async fn send(
         &mut self,
-        slot: Slot,
+        mut slot: Slot,
         last_event: Option<&Name>,
     ) -> Result<StartedResponse, AttemptError> {
         let call = self.call.clone();
@@ -171,7 +180,7 @@
             Admission::OnProbation(probation) => self.probation = Some(probation),
             Admission::EndpointTaken => return Err(AttemptError::NotRun),
             Admission::EndpointUnreachable => {
-                slot.finish(Outcome::Failed);
+                slot.finish(Outcome::Unreached);
                 return Err(AttemptError::NotRun);
             }
             Admission::Refused => return Err(AttemptError::Refused(self.crashes_endpoints())),
@@ -181,8 +190,8 @@
             }
         }
         let request = self.request(&endpoint.name, last_event);
-        let (front, chosen) = (self.front.clone(), endpoint.clone());
-        let may_send: SendPermission = Arc::new(move || front.may_send(&chosen));
+        let (front, claim) = (self.front.clone(), slot.claim(&self.filter));
+        let may_send: SendPermission = Arc::new(move || front.may_send(&claim));
         let (address, deadline) = (endpoint.address, call.deadline);
         let pool = &self.front.pool;
         let sending = pool.send_if_permitted(address, request, false, deadline, deadline, may_send);
@@ -216,7 +225,10 @@
             self.log_no_answer(&slot, "endpoint did not run the call", parts.status.as_u16());
             self.probation = None;
             tokio::spawn(drain(body, reuse));
-            slot.finish(if head.is_other_endpoint { Outcome::Failed } else { Outcome::Refused });
+            slot.finish(match head.is_other_endpoint {
+                true => Outcome::Unreached,
+                false => Outcome::Refused,
+            });
             return Err(AttemptError::NotRun);
         }
         if !is_genuine(parts.status, &head) {
@@ -230,6 +242,7 @@
             slot.finish(Outcome::Failed);
             return Err(AttemptError::Unknown);
         }
+        slot.set_server_error(parts.status.is_server_error());
         Ok(StartedResponse { parts, body, reuse, slot })
     }
 
@@ -270,12 +283,11 @@
                 AttemptError::NotRun
             }
             SendError::NotSent(_) => {
-                slot.finish(Outcome::Failed);
+                slot.finish(Outcome::Unreached);
                 AttemptError::NotRun
             }
             SendError::Timeout if self.call.time_left().is_zero() => {
-                // Running into the call's own deadline is not evidence against the endpoint.
-                slot.finish(Outcome::Abandoned);
+                slot.finish(Outcome::Late);
                 AttemptError::Unknown
             }
             _ => {
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -7,6 +7,7 @@
 //! responses.
 
 mod limits;
+mod versions;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -21,6 +22,7 @@
         Choice, Chooser, CostChooser, CostConfig, EndpointId, EndpointSpec, Fleet, LoadReport,
         NoRoute, PrefixIndex, RouteRequest,
     },
+    version_split::{Rule, Side, Sides, VersionSplits},
 };
 use rand::seq::IteratorRandom;
 
@@ -73,6 +75,8 @@
     address: SocketAddr,
     started_ms: Option<u64>,
     software: Option<Name>,
+    /// Side of a rollout. `None` if it gets no calls.
+    side: Option<Side>,
     /// When the cold start phase ends.
     cold_until: Duration,
     gate: StartLimiter,
@@ -104,6 +108,10 @@
     Refused,
     /// The caller disconnected, or the call was not sent.
     Abandoned,
+    /// The call ran into its own deadline, which is not a failure of the endpoint.
+    Late,
+    /// The call has not reached the endpoint.
+    Unreached,
     /// The connection failed, or the response did not come from the endpoint.
     Failed,
 }
@@ -138,6 +146,9 @@
     unreported_ends: Vec<Name>,
     /// The limits that the leader has last distributed.
     limits: Arc<[(Name, f64)]>,
+    /// What the leader has last decided about rollouts.
+    rollouts: Arc<[Rule]>,
+    splits: VersionSplits,
 }
 
 impl Endpoints {
@@ -159,6 +170,8 @@
             unreported_failures: Vec::new(),
             unreported_ends: Vec::new(),
             limits: Arc::default(),
+            rollouts: Arc::default(),
+            splits: VersionSplits::default(),
         }
     }
 
@@ -167,7 +180,8 @@
         self.rank = view.rank;
         let version = view.publication.as_ref().map_or(0, |p| p.version);
         let is_new_list = view.directory.number != self.directory;
-        if is_new_list || version != self.version {
+        let mut are_endpoints_changed = is_new_list || version != self.version;
+        if are_endpoints_changed {
             self.directory = view.directory.number;
             self.version = version;
             self.apply_list(view, now);
@@ -177,7 +191,9 @@
                 self.fleet.set_zone_out(zone, view.zones_out.contains(zone));
             }
             self.zones_out.clone_from(&view.zones_out);
+            are_endpoints_changed = true;
         }
+        self.observe_rollouts(view, are_endpoints_changed);
         if view.probation != self.probation {
             self.probation.clone_from(&view.probation);
         }
@@ -245,6 +261,7 @@
                     address: endpoint.address,
                     started_ms: endpoint.started_ms,
                     software: endpoint.software.clone(),
+                    side: Some(Side::Others),
                     cold_until,
                     gate: StartLimiter::default(),
                     limiter: StartLimiter::new(LIMIT_WINDOW),
@@ -282,17 +299,31 @@
         filter: &EndpointFilter,
         publication: Option<&Publication>,
         now: Duration,
+    ) -> Result<ChosenEndpoint, NoRoute> {
+        let sides = self.sides(placement, filter);
+        self.place_at(placement, filter, sides, publication, now)
+    }
+
+    /// Chooses an endpoint of these sides.
+    fn place_at(
+        &mut self,
+        placement: &PlacementRequest,
+        filter: &EndpointFilter,
+        sides: Sides,
+        publication: Option<&Publication>,
+        now: Duration,
     ) -> Result<ChosenEndpoint, NoRoute> {
         let cold_rate = publication
             .and_then(|p| p.service(&placement.service))
             .map_or(0.0, |s| s.cold_per_second);
         let excluded = self.excluded(placement, filter, cold_rate, now);
-        let avoided = self.avoided(placement, now);
+        let avoided = self.avoided(placement, sides, now);
         let excluded_or_avoided: Vec<_> = excluded.iter().chain(&avoided).copied().collect();
         self.note_connections(&placement.service);
         let (blocks, prompt_tokens) = self.own_blocks(placement);
+        let groups = self.groups(&placement.service, sides);
         let request = RouteRequest {
-            group: &placement.service,
+            group: "",
             blocks,
             block_tokens: BLOCK_TOKENS,
             prompt_tokens,
@@ -305,15 +336,24 @@
         };
         let mut rng = rand::rng();
         let Self { chooser, fleet, prefixes, .. } = self;
-        let mut choose = |excluded: &[EndpointId]| {
-            chooser.choose(fleet, prefixes, &RouteRequest { excluded, ..request }, &mut rng)
+        let mut choose = |group: &str, excluded: &[EndpointId]| {
+            let request = RouteRequest { group, excluded, ..request };
+            chooser.choose(fleet, prefixes, &request, &mut rng)
         };
-        let choice = match choose(&excluded_or_avoided) {
+        let mut choose_in = |group: &str| match choose(group, &excluded_or_avoided) {
             // An endpoint on probation is better than none.
-            Err(_) if !avoided.is_empty() => choose(&excluded)?,
-            choice => choice?,
+            Err(_) if !avoided.is_empty() => choose(group, &excluded),
+            choice => choice,
         };
-        Ok(self.record_dispatch(placement, &choice, now))
+        let mut error = NoRoute::NoneAvailable;
+        for group in groups {
+            match choose_in(&group) {
+                Ok(choice) => return Ok(self.record_dispatch(placement, &choice, now)),
+                Err(NoRoute::Full) => error = NoRoute::Full,
+                Err(NoRoute::NoneAvailable) => {}
+            }
+        }
+        Err(error)
     }
 
     fn note_connections(&mut self, service: &Name) {
@@ -364,14 +404,19 @@
 
     /// Endpoints that are likely to lose the call, if it must not be repeated and enough others are
     /// available.
-    fn avoided(&self, placement: &PlacementRequest, now: Duration) -> Vec<EndpointId> {
+    fn avoided(
+        &self,
+        placement: &PlacementRequest,
+        sides: Sides,
+        now: Duration,
+    ) -> Vec<EndpointId> {
         let mut avoided = Vec::new();
         if placement.may_repeat {
             return avoided;
         }
         let mut available = 0;
         for state in self.endpoints.iter().filter(|k| k.service == placement.service) {
-            if !self.fleet.is_available(state.id) {
+            if !self.fleet.is_available(state.id) || !sides.contains(state.side) {
                 continue;
             }
             available += 1;
@@ -428,6 +473,7 @@
             state.gate.record_start(now);
         }
         state.limiter.record_start(now);
+        self.splits.call_opened(&state.service, state.software.as_ref());
         ChosenEndpoint { name, address: state.address, software: state.software.clone() }
     }
 
@@ -450,7 +496,7 @@
                     self.fleet.set_cap(id, None);
                 }
             }
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Unreached => {
                 let pause = (MIN_PAUSE * 2u32.pow(state.failures.min(8))).min(MAX_PAUSE);
                 state.failures += 1;
                 if state.paused_until.is_none() {
@@ -463,10 +509,20 @@
                 self.fleet.set_healthy(id, false);
                 self.note_failure(name);
             }
-            Outcome::Abandoned => {}
+            Outcome::Abandoned | Outcome::Late => {}
         }
     }
 
+    /// Whether an endpoint was cold at a time.
+    pub(crate) fn was_cold(&self, name: &str, at: Duration) -> bool {
+        self.position(name).is_ok_and(|k| at < self.endpoints[k].cold_until)
+    }
+
+    /// Rollouts, and the counts of calls for them.
+    pub(crate) fn splits(&mut self) -> &mut VersionSplits {
+        &mut self.splits
+    }
+
     /// Records a load report from a response.
     pub(crate) fn report(&mut self, name: &Name, load: Load, now: Duration) {
         if let Ok(at) = self.position(name) {
@@ -486,43 +542,9 @@
         }
         self.departures.record(name, state.started_ms);
         self.fleet.set_leaving(state.id);
-    }
-
-    /// Whether the call may still be sent to the chosen endpoint.
-    pub(crate) fn may_receive(&self, chosen: &ChosenEndpoint) -> bool {
-        self.position(&chosen.name).is_ok_and(|at| {
-            let state = &self.endpoints[at];
-            state.address == chosen.address && self.fleet.accepts_calls(state.id)
-        })
-    }
-
-    /// Whether an endpoint of the service has the filter's software version and stays, even if it
-    /// takes no calls at the moment.
-    pub(crate) fn has_software(&self, service: &str, filter: &EndpointFilter) -> bool {
-        self.fitting(service, filter).any(|k| !self.fleet.spec(k.id).leaving)
-    }
-
-    /// Whether the filter allows an endpoint of the service that stays, even if it takes no calls at
-    /// the moment.
-    pub(crate) fn has_candidate(&self, service: &str, filter: &EndpointFilter) -> bool {
-        let mut untried = self.fitting(service, filter).filter(|k| !filter.tried.contains(&k.name));
-        untried.any(|k| !self.fleet.spec(k.id).leaving)
-    }
-
-    /// Whether the filter allows an endpoint of the service that takes calls.
-    pub(crate) fn has_available(&self, service: &str, filter: &EndpointFilter) -> bool {
-        let mut untried = self.fitting(service, filter).filter(|k| !filter.tried.contains(&k.name));
-        untried.any(|k| self.fleet.is_available(k.id))
-    }
-
-    /// The endpoints of a service that have the filter's software version.
-    fn fitting<'a>(
-        &'a self,
-        service: &'a str,
-        filter: &'a EndpointFilter,
-    ) -> impl Iterator<Item = &'a EndpointState> {
-        let fits = |k: &&EndpointState| *k.service == *service && filter.fits(k.software.as_ref());
-        self.endpoints.iter().filter(fits)
+        if self.is_divided(&self.endpoints[at].service) {
+            self.refresh_sides();
+        }
     }
 
     /// Forgets the failures of endpoints, which the loss of the front's own links has caused.
@@ -552,13 +574,6 @@
         states.into_iter().map(|k| k.address).collect()
     }
 
-    /// Number of concurrent calls that the available endpoints of a service can run.
-    pub(crate) fn capacity(&self, service: &str) -> u32 {
-        let members = self.fleet.members(service).unwrap_or(&[]);
-        let open = members.iter().filter(|id| self.fleet.is_available(**id));
-        open.map(|id| self.fleet.spec(*id).capacity).sum()
-    }
-
     fn position(&self, name: &str) -> Result<usize, usize> {
         self.endpoints.binary_search_by(|k| (*k.name).cmp(name))
     }
--- a/crates/relay/src/front/endpoints/limits.rs
+++ b/crates/relay/src/front/endpoints/limits.rs
@@ -11,6 +11,7 @@
 };
 
 use super::{Endpoints, offset};
+use crate::front::placement::{EndpointFilter, PlacementRequest};
 
 /// Limit that an endpoint has named to this front or to another one.
 #[derive(Clone, Copy, Debug)]
@@ -86,19 +87,21 @@
         limits
     }
 
-    /// How long a call has to wait behind `ahead` others until the limits of a service's endpoints
-    /// allow it. `None` if an available endpoint has no limit, or there is none.
+    /// How long a call has to wait behind `ahead` others until the limits of its endpoints allow it.
+    /// `None` if an available endpoint has no limit, or there is none.
     pub(crate) fn wait_for_limits(
         &mut self,
-        service: &str,
+        placement: &PlacementRequest,
+        filter: &EndpointFilter,
         ahead: usize,
         now: Duration,
     ) -> Option<Duration> {
+        let sides = self.sides(placement, filter);
         let Self { endpoints, fleet, rank, .. } = self;
         let mut starts = Vec::new();
         let mut is_limited = false;
-        for state in endpoints.iter_mut().filter(|k| *k.service == *service) {
-            if fleet.is_available(state.id) {
+        for state in endpoints.iter_mut().filter(|k| k.service == placement.service) {
+            if fleet.is_available(state.id) && sides.contains(state.side) {
                 is_limited = true;
                 let rate = state.limit?.per_second;
                 let offset = offset(&state.name);
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -318,10 +318,14 @@
         let priority = team.and_then(|t| t.priority).unwrap_or(route.priority);
         let urgency = FIRST_URGENCY.saturating_add(priority.saturating_mul(URGENCY_STEP));
         let left = deadline.saturating_duration_since(Instant::now());
+        let program_id = head.program.as_ref().map(|p| &p.id);
+        let split_key = program_id.or(conversation.as_ref()).unwrap_or(&head.id).clone();
         let placement = PlacementRequest {
             service,
+            route: route.name.clone(),
+            split_key,
             team: team.map_or_else(|| "".into(), |t| t.name.clone()),
-            program: head.program.as_ref().map(|p| p.id.clone()),
+            program: program_id.cloned(),
             conversation,
             affinity,
             parts: head.prompt.as_slice().into(),
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -21,6 +21,7 @@
 pub(crate) mod rates;
 mod recording;
 mod refusal;
+mod rollouts;
 pub(crate) mod schedule;
 mod shared_parts;
 mod stream;
@@ -41,13 +42,12 @@
     Protocol,
     fleet_client::{FleetClient, HeartbeatReport},
 };
-use endpoints::ChosenEndpoint;
 use links::Links;
 use memory::BodyMemory;
 use programs::{Programs, origins::Origins};
 use quarantine::Quarantine;
 use rates::Rates;
-use schedule::Schedule;
+use schedule::{Claim, Schedule};
 
 /// Connection attempts to endpoints are aborted after this time; a round trip takes a few
 /// milliseconds.
@@ -87,8 +87,8 @@
 
     /// Whether a call may still be sent to its chosen endpoint. Checked right before the first byte
     /// is sent.
-    pub(crate) fn may_send(&self, chosen: &ChosenEndpoint) -> bool {
-        self.fleet.lease_left().is_some() && self.schedule.may_receive(chosen)
+    pub(crate) fn may_send(&self, claim: &Claim) -> bool {
+        self.fleet.lease_left().is_some() && self.schedule.may_receive(claim)
     }
 
     /// Closes idle connections and updates gauges until the task is cancelled.
@@ -128,6 +128,7 @@
         beat.demand = self.rates.demand();
         beat.failures = self.schedule.take_failures();
         beat.limits = self.schedule.take_limits();
+        beat.rollouts = self.schedule.rollout_reports();
         beat.links_cut = self.links.is_cut();
         Box::pin(std::future::ready(()))
     }
--- a/crates/relay/src/front/placement.rs
+++ b/crates/relay/src/front/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use poplarspan_policy::Name;
+use poplarspan_policy::{Name, version_split::SplitCall};
 
 use crate::PromptPart;
 
@@ -10,6 +10,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PlacementRequest {
     pub(crate) service: Name,
+    pub(crate) route: Name,
+    /// Program, else conversation, else request. Decides which software version runs the call
+    /// during a rollout.
+    pub(crate) split_key: Name,
     /// Empty on open routes.
     pub(crate) team: Name,
     pub(crate) program: Option<Name>,
@@ -37,6 +41,20 @@
     pub(crate) tried: Vec<Name>,
     /// The only software version that may run the call, if it resumes a stream.
     pub(crate) software: Option<Name>,
+    /// Whether an endpoint that may have run the call has not answered it.
+    pub(crate) has_failed: bool,
+}
+
+impl PlacementRequest {
+    /// What decides which software versions may run the call.
+    pub(crate) fn split_call<'a>(&'a self, filter: &'a EndpointFilter) -> SplitCall<'a> {
+        SplitCall {
+            service: &self.service,
+            key: &self.split_key,
+            software: filter.software.as_ref(),
+            has_failed: filter.has_failed,
+        }
+    }
 }
 
 impl EndpointFilter {
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -7,9 +7,11 @@
 //! Each front has its own queues. They are lost with it, as are the connections of the waiting
 //! callers.
 
+mod slot;
+
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, Weak},
+    sync::{Arc, Mutex, MutexGuard, Weak, atomic::Ordering},
     time::Duration,
 };
 
@@ -19,6 +21,7 @@
     Name,
     fair::{Call, FairQueue, InFlightLimit, LasDeadline, QueueConfig, QueueId},
     route::NoRoute,
+    version_split::VersionSplits,
 };
 use poplarspan_proto::peer;
 use tokio::{
@@ -29,8 +32,10 @@
 use super::{
     endpoints::{ChosenEndpoint, Endpoints, Outcome},
     placement::{EndpointFilter, PlacementRequest},
+    rollouts::{self, OpenCall},
 };
-use crate::{Load, fleet_client::FleetClient};
+use crate::fleet_client::FleetClient;
+pub(crate) use slot::{Claim, Slot};
 
 const TICK: Duration = Duration::from_millis(100);
 /// Maximum number of waiting calls per service.
@@ -44,6 +49,10 @@
 /// How long a call waits for an endpoint to become available before it is refused.
 const OUTAGE_WAIT: Duration = Duration::from_millis(500);
 
+/// Number of calls without a slot after which no further ones are tried, if calls are divided
+/// between software versions. Bounds the work per free slot while one version is full.
+const MAX_SKIPPED: usize = 64;
+
 /// Why a call gets no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PlacementError {
@@ -85,48 +94,6 @@
     this: Weak<Self>,
 }
 
-/// A slot at an endpoint; released when dropped.
-pub(crate) struct Slot {
-    pub(crate) endpoint: ChosenEndpoint,
-    placement: Arc<PlacementRequest>,
-    schedule: Arc<Schedule>,
-    since: Duration,
-    outcome: Outcome,
-}
-
-impl Slot {
-    /// Releases the slot and records the outcome of the call.
-    pub(crate) fn finish(mut self, outcome: Outcome) {
-        self.outcome = outcome;
-    }
-
-    /// Records the load that the endpoint reports.
-    pub(crate) fn report(&self, load: Load) {
-        let schedule = &self.schedule;
-        let now = schedule.clock.now();
-        schedule.lock().endpoints.report(&self.endpoint.name, load, now);
-    }
-
-    /// Records the limit that the endpoint names in an answer, or that it names none.
-    pub(crate) fn note_limit(&self, per_second: Option<f64>) {
-        let schedule = &self.schedule;
-        let now = schedule.clock.now();
-        let name = &self.endpoint.name;
-        schedule.lock().endpoints.note_limit(name, per_second, self.since, now);
-    }
-
-    /// Records that the endpoint announced its stop.
-    pub(crate) fn note_leaving(&self) {
-        self.schedule.lock().endpoints.note_leaving(&self.endpoint.name);
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.schedule.clone().release(self);
-    }
-}
-
 /// Concurrency limit that always has room. The endpoints enforce their own limits when a call is
 /// placed.
 struct AlwaysRoom;
@@ -191,46 +158,61 @@
             let mut state = self.lock();
             state.endpoints.observe(&view, now);
             let service = &placement.service;
-            if filter.software.is_some() && !state.endpoints.has_software(service, filter) {
+            if filter.software.is_some() && !state.endpoints.has_software(placement, filter) {
                 return Err(PlacementError::SoftwareGone);
             }
             let at = state.queue(service);
-            if state.queues[at].queue.is_empty() {
-                let publication = view.publication.as_deref();
-                match state.endpoints.place(placement, filter, publication, now) {
-                    Ok(endpoint) => {
-                        state.queues[at].in_flight += 1;
-                        drop(state);
-                        return Ok(self.slot(endpoint, placement));
-                    }
-                    Err(NoRoute::Full) => {}
-                    Err(NoRoute::NoneAvailable) if filter.tried.is_empty() => {}
-                    // A stream that breaks off is lost work, so it waits for an endpoint that is
-                    // paused after a failure.
-                    Err(NoRoute::NoneAvailable)
-                        if filter.software.is_some()
-                            && state.endpoints.has_candidate(service, filter) => {}
-                    Err(NoRoute::NoneAvailable) => {
-                        return Err(PlacementError::NoEndpoint { retry_after: RETRY_AFTER });
-                    }
+            let publication = view.publication.as_deref();
+            let is_first = state.queues[at].queue.is_empty();
+            let placed = match is_first {
+                true => state.endpoints.place(placement, filter, publication, now),
+                false => state.endpoints.place_at_target(placement, filter, publication, now),
+            };
+            match placed {
+                Ok(endpoint) => {
+                    state.queues[at].in_flight += 1;
+                    drop(state);
+                    return Ok(self.slot(endpoint, placement, filter));
+                }
+                Err(NoRoute::Full) => {}
+                Err(NoRoute::NoneAvailable) if !is_first || filter.tried.is_empty() => {}
+                // A stream that breaks off is lost work, so it waits for an endpoint that is
+                // paused after a failure.
+                Err(NoRoute::NoneAvailable)
+                    if filter.software.is_some()
+                        && state.endpoints.has_candidate(placement, filter) => {}
+                Err(NoRoute::NoneAvailable) => {
+                    return Err(PlacementError::NoEndpoint { retry_after: RETRY_AFTER });
                 }
             }
             state.push(at, placement, filter, now)?
         };
-        let mut guard = DequeueOnDrop { schedule: self, service: &placement.service, id: Some(id) };
-        let result = rx.await;
-        guard.id = None;
+        let mut queued = QueuedCall { schedule: self, placement, filter, id: Some(id), rx };
+        let result = (&mut queued.rx).await;
+        queued.id = None;
         match result {
-            Ok(Ok(endpoint)) => Ok(self.slot(endpoint, placement)),
+            Ok(Ok(endpoint)) => Ok(self.slot(endpoint, placement, filter)),
             Ok(Err(e)) => Err(e),
             // The queue is only dropped at the end of the process.
             Err(_) => Err(PlacementError::NoEndpoint { retry_after: RETRY_AFTER }),
         }
     }
 
-    fn slot(self: &Arc<Self>, endpoint: ChosenEndpoint, placement: &Arc<PlacementRequest>) -> Slot {
-        let (placement, schedule) = (placement.clone(), self.clone());
-        Slot { endpoint, placement, since: self.clock.now(), schedule, outcome: Outcome::Abandoned }
+    fn slot(
+        self: &Arc<Self>,
+        endpoint: ChosenEndpoint,
+        placement: &Arc<PlacementRequest>,
+        filter: &EndpointFilter,
+    ) -> Slot {
+        Slot {
+            endpoint,
+            placement: placement.clone(),
+            since: self.clock.now(),
+            schedule: self.clone(),
+            is_resumed: filter.software.is_some(),
+            is_server_error: false,
+            outcome: Outcome::Abandoned,
+        }
     }
 
     fn release(&self, slot: &Slot) {
@@ -238,6 +220,7 @@
         let occupied = now.saturating_sub(slot.since);
         let placed = {
             let mut state = self.lock();
+            state.note_evidence(slot, occupied);
             state.endpoints.end(&slot.endpoint.name, slot.outcome, occupied, now);
             let at = state.queue(&slot.placement.service);
             let queue = &mut state.queues[at];
@@ -254,21 +237,40 @@
     /// caller is gone is released, which takes the lock.
     fn notify_placed(&self, placed: Vec<(WaitingCall, ChosenEndpoint)>) {
         for (waiting, endpoint) in placed {
-            let WaitingCall { placement, tx, .. } = waiting;
+            let WaitingCall { placement, filter, tx, .. } = waiting;
             if let Err(Ok(endpoint)) = tx.send(Ok(endpoint))
                 && let Some(this) = self.this.upgrade()
             {
-                drop(this.slot(endpoint, &placement));
+                drop(this.slot(endpoint, &placement, &filter));
             }
         }
     }
 
-    /// Whether a call may still be sent to its chosen endpoint.
-    pub(crate) fn may_receive(&self, chosen: &ChosenEndpoint) -> bool {
+    /// Whether a call may still be sent to its chosen endpoint. If so, it counts as sent.
+    pub(crate) fn may_receive(&self, claim: &Claim) -> bool {
+        let Claim { endpoint, placement, filter, is_counted } = claim;
+        let view = self.fleet.view();
+        let mut state = self.lock();
+        state.endpoints.observe(&view, self.clock.now());
+        let may_receive = state.endpoints.may_receive(endpoint, placement, filter);
+        if may_receive && !is_counted.swap(true, Ordering::Relaxed) {
+            let splits = state.endpoints.splits();
+            rollouts::note_sent(splits.call_sent(&placement.service, endpoint.software.as_ref()));
+        }
+        may_receive
+    }
+
+    /// Counts a call that needs a software version, until the result is dropped.
+    pub(crate) fn hold_version(self: &Arc<Self>, service: &Name, software: &Name) -> OpenCall {
+        OpenCall::new(self.clone(), service.clone(), software.clone())
+    }
+
+    /// Accesses the rollouts, brought up to date with the view.
+    pub(super) fn with_splits<T>(&self, f: impl FnOnce(&mut VersionSplits) -> T) -> T {
         let view = self.fleet.view();
         let mut state = self.lock();
         state.endpoints.observe(&view, self.clock.now());
-        state.endpoints.may_receive(chosen)
+        f(state.endpoints.splits())
     }
 
     /// Takes the failures of endpoints that have not been reported yet. They are lost if the
@@ -333,6 +335,18 @@
         })
     }
 
+    /// Records the end of a slot's call for the rollouts.
+    fn note_evidence(&mut self, slot: &Slot, took: Duration) {
+        let Slot { endpoint, placement, .. } = slot;
+        let is_cold = self.endpoints.was_cold(&endpoint.name, slot.since);
+        let (service, software) = (&placement.service, endpoint.software.as_ref());
+        let splits = self.endpoints.splits();
+        splits.call_closed(service, software);
+        if let Some(result) = slot.evidence(took, is_cold) {
+            splits.call_ended(service, &placement.route, &endpoint.name, software, result);
+        }
+    }
+
     /// Queues a call, unless it cannot be served in time.
     fn push(
         &mut self,
@@ -344,7 +358,7 @@
     {
         let queue = &mut self.queues[at];
         let wait_for_limits =
-            self.endpoints.wait_for_limits(&queue.service, queue.queue.len(), now);
+            self.endpoints.wait_for_limits(placement, filter, queue.queue.len(), now);
         let wait = queue.expected_wait().max(wait_for_limits.unwrap_or_default());
         let needed = Duration::from_secs_f64(queue.hold_time_s / 2.0);
         if now + wait + needed > placement.deadline {
@@ -378,7 +392,7 @@
         now: Duration,
     ) -> Vec<(WaitingCall, ChosenEndpoint)> {
         let Self { endpoints, queues } = self;
-        let ServiceQueue { queue, in_flight, .. } = &mut queues[at];
+        let ServiceQueue { service, queue, in_flight, .. } = &mut queues[at];
         let mut placed = Vec::new();
         if queue.is_empty() {
             return placed;
@@ -386,6 +400,7 @@
         let view = fleet.view();
         let publication = view.publication.as_deref();
         let mut skipped = Vec::new();
+        let is_divided = endpoints.is_divided(service);
         while let Some(entry) = queue.pop(&mut AlwaysRoom, now) {
             let waiting = &entry.call.payload;
             if waiting.tx.is_closed() {
@@ -401,7 +416,8 @@
                     let filter = &waiting.filter;
                     let is_unrestricted = filter.tried.is_empty() && filter.software.is_none();
                     skipped.push(entry);
-                    if is_unrestricted {
+                    let is_any_left = is_divided && skipped.len() < MAX_SKIPPED;
+                    if is_unrestricted && !is_any_left {
                         break;
                     }
                 }
@@ -425,21 +441,17 @@
     fn refuse_expired(&mut self, now: Duration) {
         let Self { endpoints, queues } = self;
         for queue in queues {
-            let service = &queue.service;
-            let is_open = |filter: &EndpointFilter| match filter.software {
-                Some(_) => endpoints.has_available(service, filter),
-                None => endpoints.capacity(service) > 0,
-            };
+            let is_open = |w: &WaitingCall| endpoints.has_available(&w.placement, &w.filter);
             let needed = Duration::from_secs_f64(queue.hold_time_s / 4.0);
             let expired = queue.queue.expire(now);
             let too_late = queue.queue.remove_where(|call| {
                 let w = &call.payload;
                 let is_late = now + needed > w.placement.deadline;
-                is_late || (!is_open(&w.filter) && now > w.since + OUTAGE_WAIT)
+                is_late || (!is_open(w) && now > w.since + OUTAGE_WAIT)
             });
             for entry in expired.into_iter().chain(too_late) {
                 let retry_after = RETRY_AFTER;
-                let error = if is_open(&entry.call.payload.filter) {
+                let error = if is_open(&entry.call.payload) {
                     PlacementError::TooLate { retry_after }
                 } else {
                     PlacementError::NoEndpoint { retry_after }
@@ -461,19 +473,27 @@
     }
 }
 
-/// Removes a call from the queue if its caller disconnects.
-struct DequeueOnDrop<'a> {
-    schedule: &'a Schedule,
-    service: &'a Name,
+/// A call that waits. If its caller disconnects, it leaves the queue, or gives back its slot.
+struct QueuedCall<'a> {
+    schedule: &'a Arc<Schedule>,
+    placement: &'a Arc<PlacementRequest>,
+    filter: &'a EndpointFilter,
     id: Option<QueueId>,
+    rx: oneshot::Receiver<Result<ChosenEndpoint, PlacementError>>,
 }
 
-impl Drop for DequeueOnDrop<'_> {
+impl Drop for QueuedCall<'_> {
     fn drop(&mut self) {
-        if let Some(id) = self.id {
+        let Some(id) = self.id else { return };
+        {
             let mut state = self.schedule.lock();
-            let at = state.queue(self.service);
+            let at = state.queue(&self.placement.service);
             state.queues[at].queue.remove(id);
         }
+        self.rx.close();
+        // A slot that was assigned but not yet received would stay occupied for ever.
+        if let Ok(Ok(endpoint)) = self.rx.try_recv() {
+            drop(self.schedule.slot(endpoint, self.placement, self.filter));
+        }
     }
 }
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -94,6 +94,10 @@
                 }
                 ReadOutcome::Late => {
                     self.is_done = true;
+                    if let Some(response) = self.response.take() {
+                        drop((response.body, response.reuse));
+                        response.slot.finish(Outcome::Late);
+                    }
                     self.record.finish("late");
                     return Some(Err(TruncatedBody("deadline exceeded")));
                 }
