relay: operators start rollouts and read their state

Operators could not order a rollout: the log of the control group had the commands, but no request led to them. The settings name the limits of rollouts under bounds (exposureShare, exposureSlack, rollbackMs, ackMs); where one of the first three is missing, the requests are answered 404 as before.

A rollout back to a version that an earlier one had retired would have left its endpoints without calls: an order now removes its target from the retired versions of the earlier rollouts of the service.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -170,4 +170,33 @@
         /// Name of the instance.
         instance: Name,
     },
+    /// Start to move the calls of a service to another software version. The body says which.
+    StartRollout,
+    /// Return the state of the newest rollout of a service.
+    RolloutStatus {
+        /// Name of the service.
+        service: Name,
+    },
+}
+
+/// An order to move the calls of a service to endpoints of another software version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Name of the service.
+    pub service: Name,
+    /// Software version that is to get all calls.
+    pub target: Name,
+    /// Time in which the rollout is to end.
+    pub over: Duration,
+}
+
+/// State of a rollout, as operators see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutState {
+    /// Calls are divided between the versions.
+    Running,
+    /// All calls go to the target version, and nothing runs at the others.
+    Completed,
+    /// No call goes to the target version.
+    Reverted,
 }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -211,10 +211,10 @@
         Ok(peer::SuspectRulings { rulings })
     }
 
-    /// Commits a command and returns the version of the publication in force.
-    async fn commit(&self, body: board_command::Body) -> Result<u64, ProposeError> {
+    /// Commits a command and returns its result.
+    async fn commit(&self, body: board_command::Body) -> Result<pb::BoardResult, ProposeError> {
         let result = self.replica.propose(control_state::encode_command(body)).await?;
-        Ok(pb::BoardResult::decode(result).map_or(0, |r| r.version))
+        Ok(pb::BoardResult::decode(result).expect("the control state encodes a result"))
     }
 
     /// Forms the store groups once the stores are known.
--- a/crates/relay/src/control/operator_api.rs
+++ b/crates/relay/src/control/operator_api.rs
@@ -1,4 +1,5 @@
-//! HTTP server for operators: publishes objects, takes zones out of service and drains stores.
+//! HTTP server for operators: publishes objects, takes zones out of service, drains stores and
+//! starts rollouts.
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -12,7 +13,7 @@
 use poplarspan_policy::Name;
 use poplarspan_proto::{
     peer::Duty as PbDuty,
-    relay::{self as pb, board_command::Body},
+    relay::{self as pb, RolloutStage, board_command::Body},
 };
 use tokio::{
     net::TcpListener,
@@ -24,7 +25,10 @@
     Control,
     forwarding::{FORWARDED, Forwarder, ReceivedRequest, SuspensionWatch},
 };
-use crate::{ControlState, OperatorRequest, Publication, replica::membership::MIN_VOTERS};
+use crate::{
+    ControlState, OperatorRequest, Publication, RolloutState, now_ms,
+    replica::membership::MIN_VOTERS,
+};
 
 /// Maximum size of a publication, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -34,6 +38,9 @@
 /// Time in which a command must commit; afterwards its outcome is unknown.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_CONNECTIONS: usize = 256;
+/// How many times the time limit of an acknowledgement an order may be resent after. Twice, because
+/// the first copy may have been acknowledged late.
+const REPEAT_FACTOR: u32 = 2;
 
 /// Total time for forwarding a request. Operators turn to another replica after a second.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(850);
@@ -89,7 +96,8 @@
 
     async fn answer(&self, req: Request<Incoming>) -> Result<JsonResponse, Infallible> {
         let (method, path) = (req.method().clone(), req.uri().path().to_owned());
-        let answer = match self.control.protocol.parse_operator_request(&method, &path) {
+        let request = self.control.protocol.parse_operator_request(&method, &path);
+        let answer = match request.filter(|r| self.is_offered(r)) {
             Some(request) => match self.receive(req).await {
                 Ok(received) => self.execute(&request, &received).await,
                 Err(refusal) => refusal,
@@ -106,6 +114,15 @@
         Ok(answer)
     }
 
+    /// Whether the settings offer this kind of request.
+    fn is_offered(&self, request: &OperatorRequest) -> bool {
+        let is_rollout = matches!(
+            request,
+            OperatorRequest::StartRollout | OperatorRequest::RolloutStatus { .. }
+        );
+        !is_rollout || self.control.settings.rollouts.is_some()
+    }
+
     async fn receive(&self, req: Request<Incoming>) -> Result<ReceivedRequest, JsonResponse> {
         let (parts, body) = req.into_parts();
         let body = match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
@@ -185,6 +202,8 @@
             }
             OperatorRequest::Retire { instance } => self.retire(instance).await,
             OperatorRequest::RetireStatus { instance } => self.retire_status(instance).await,
+            OperatorRequest::StartRollout => self.start_rollout(&body).await,
+            OperatorRequest::RolloutStatus { service } => self.rollout_status(service).await,
         }
     }
 
@@ -254,12 +273,63 @@
         Ok(json_response(StatusCode::OK, self.control.protocol.retire_status_body(is_done)))
     }
 
+    async fn start_rollout(&self, body: &[u8]) -> Result<JsonResponse, NotLeading> {
+        let order = match self.control.protocol.parse_rollout_order(body) {
+            Ok(order) => order,
+            Err(e) => return Ok(self.refuse(StatusCode::BAD_REQUEST, &e.0)),
+        };
+        let Some(limits) = self.control.settings.rollouts else {
+            return Ok(self.refuse(StatusCode::NOT_FOUND, "there is no such order"));
+        };
+        let control_state = self.control_state().await?;
+        let publication = {
+            let mut state = self.control.leader_state().ok_or(NotLeading)?;
+            self.control.publication(&mut state, &control_state)
+        };
+        let Some(publication) = publication else {
+            let message = "nothing has been published yet";
+            return Ok(self.refuse(StatusCode::SERVICE_UNAVAILABLE, message));
+        };
+        if publication.service(&order.service).is_none() {
+            let message = format!("service: there is no service {:?}", order.service);
+            return Ok(self.refuse(StatusCode::BAD_REQUEST, &message));
+        }
+        let repeat = limits.acknowledgement * REPEAT_FACTOR;
+        let start = pb::StartRollout {
+            service: order.service.to_string(),
+            target: order.target.to_string(),
+            // A time limit below one millisecond is not rounded to none.
+            over_ms: u64::try_from(order.over.as_millis()).unwrap_or(u64::MAX).max(1),
+            started_ms: now_ms(),
+            repeat_ms: u64::try_from(repeat.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.commit(Body::StartRollout(start)).await
+    }
+
+    async fn rollout_status(&self, service: &Name) -> Result<JsonResponse, NotLeading> {
+        let control_state = self.control_state().await?;
+        let Some(rollout) = control_state.rollout(service) else {
+            return Ok(self.refuse(StatusCode::NOT_FOUND, "this service has no rollout"));
+        };
+        let state = match rollout.stage() {
+            RolloutStage::Completed => RolloutState::Completed,
+            RolloutStage::Reverted => RolloutState::Reverted,
+            RolloutStage::Running | RolloutStage::Unspecified => RolloutState::Running,
+        };
+        let body = self.control.protocol.rollout_status_body(state, &rollout.target);
+        Ok(json_response(StatusCode::OK, body))
+    }
+
     async fn control_state(&self) -> Result<ControlState, NotLeading> {
         self.control.control_state().await.map_err(|_| NotLeading)
     }
 
     async fn commit(&self, body: Body) -> Result<JsonResponse, NotLeading> {
         match timeout(COMMIT_TIMEOUT, self.control.commit(body)).await {
+            Ok(Ok(result)) if result.rollout_conflict => {
+                let message = "another rollout of the service is running";
+                Ok(self.refuse(StatusCode::CONFLICT, message))
+            }
             Ok(Ok(_)) => Ok(json_response(StatusCode::OK, Bytes::from_static(b"{}"))),
             Ok(Err(ProposeError::NotLeader { .. })) => Err(NotLeading),
             Ok(Err(e)) => Ok(self.refuse(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string())),
--- a/crates/relay/src/control_state.rs
+++ b/crates/relay/src/control_state.rs
@@ -183,8 +183,12 @@
                 return true;
             }
         }
-        // A version that is to be served again is no longer excluded.
+        // A version that is to be served again is no longer excluded, neither as a reverted target
+        // nor as a retired version.
         self.rollouts.retain(|r| r.service != service || r.target != target);
+        for earlier in self.rollouts.iter_mut().filter(|r| r.service == service) {
+            earlier.retired.retain(|version| *version != target);
+        }
         let of_service = self.rollouts.iter().filter(|r| r.service == service).count();
         if of_service >= MAX_ROLLOUTS_PER_SERVICE
             && let Some(oldest) = self.rollouts.iter().position(|r| r.service == service)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,7 +42,7 @@
 
 pub use call::{
     CallHead, Forward, ListPage, ListedEndpoint, Load, OperatorRequest, ProgramHead, PromptPart,
-    ResponseHead, Secret,
+    ResponseHead, RolloutOrder, RolloutState, Secret,
 };
 pub use control_state::{BlockedRequest, ControlState};
 pub use front::events::{Event, EventReader};
@@ -57,7 +57,7 @@
     replica_id,
 };
 pub use run::{Relay, RunningInstance};
-pub use settings::{InstanceRole, Settings, TimeLimits};
+pub use settings::{InstanceRole, RolloutLimits, Settings, TimeLimits};
 pub use turns::TurnState;
 
 /// Wall clock time in milliseconds since the Unix epoch. It is only used for expiry, with a margin
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use crate::{
-    CallHead, Forward, ListPage, Objects, OperatorRequest, ResponseHead, ValidationErrors,
+    CallHead, Forward, ListPage, Objects, OperatorRequest, ResponseHead, RolloutOrder,
+    RolloutState, ValidationErrors,
 };
 
 /// A request or list page that cannot be decoded.
@@ -53,6 +54,16 @@
     /// Response body that reports whether an instance is drained.
     fn retire_status_body(&self, done: bool) -> Bytes;
 
+    /// Parses the body of [`OperatorRequest::StartRollout`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when a field is missing, malformed or out of range. The message names the field.
+    fn parse_rollout_order(&self, body: &[u8]) -> Result<RolloutOrder, DecodeError>;
+
+    /// Response body that reports the state of a rollout.
+    fn rollout_status_body(&self, state: RolloutState, target: &str) -> Bytes;
+
     /// Response body for a refused request.
     fn error_body(&self, message: &str) -> Bytes;
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -68,6 +68,8 @@
     pub tolerated_losses: usize,
     /// Time limits set by the platform.
     pub time_limits: TimeLimits,
+    /// Limits of rollouts. `None` if the platform does not offer rollouts.
+    pub rollouts: Option<RolloutLimits>,
     /// Port that serves metrics.
     pub metrics_port: u16,
 }
@@ -84,6 +86,19 @@
     pub shutdown_grace: Duration,
 }
 
+/// Limits of rollouts, set by the platform.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutLimits {
+    /// Fraction of a service's calls that a bad version may get, from 0 to 1.
+    pub exposure_share: f64,
+    /// Number of calls that a bad version may get beyond `exposure_share`.
+    pub exposure_slack: u32,
+    /// Time after its 50th bad response in which a version must stop receiving calls.
+    pub rollback: Duration,
+    /// Time within which an order must be acknowledged. An operator may resend it meanwhile.
+    pub acknowledgement: Duration,
+}
+
 impl Settings {
     /// Peer address of this instance.
     pub fn peer_address(&self) -> SocketAddr {
