--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`probation`]: endpoints that fail calls, avoided by all instances.
 //! * [`links`]: whether an instance has lost its own links to all endpoints.
 //! * [`placement`]: assignment of models to endpoints.
+//! * [`rollout`]: moving the calls of a service to another software version.
 //!
 //! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
 //! of them alone; `examples/compare.rs` simulates them together against baselines.
@@ -87,6 +88,7 @@
 pub mod ramp;
 pub mod rate;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 
 use std::sync::Arc;
