relay: the control leader decides about rollouts

An ordered rollout stayed in the log: no front was told of it and nothing ended it. The leader now feeds the reports of fronts to the rollout policy, puts the allowances of all kept rollouts into each answer to a front's heartbeat, and records the ends.

A rollout is only recorded as completed when all live fronts have acted on the completed stage, because the platform then stops the other endpoints at once. Reports that other reports have overtaken are dropped: their lower counts would be taken for those of a restarted front.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -581,7 +581,8 @@
     /// The instance has lost its links to all endpoints.
     #[prost(bool, tag = "15")]
     pub links_cut: bool,
-    /// One entry for each rollout that the instance knows to be running.
+    /// One entry for each rollout that the instance knows to be running, or to be completed while it
+    /// has calls open at endpoints of retired versions.
     #[prost(message, repeated, tag = "16")]
     pub rollouts: ::prost::alloc::vec::Vec<RolloutReport>,
     /// Results of calls since the last heartbeat at endpoints whose pace is limited.
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -14,10 +14,16 @@
     quota::{Allocator, Share, TeamLoad},
     rate::Limit,
 };
-use poplarspan_proto::peer::{self, Duty as PbDuty};
+use poplarspan_proto::{
+    peer::{self, Duty as PbDuty},
+    relay as pb,
+};
 
-use super::suspects::Suspects;
-use crate::{ListedEndpoint, Publication};
+use super::{
+    rollouts::{DirectoryView, Rollouts},
+    suspects::{Suspects, Timestamps},
+};
+use crate::{ListedEndpoint, Publication, RolloutLimits};
 
 /// Maximum drift between the clocks of two machines during a lease.
 const DRIFT_MARGIN: Duration = Duration::from_millis(100);
@@ -77,15 +83,21 @@
     pub(crate) suspects: Suspects,
     probation: Probation,
     limits: NamedLimits,
+    pub(crate) rollouts: Rollouts,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
 
 impl LeaderState {
-    pub(crate) fn new(term: u64, lease: Duration, now: Duration) -> Self {
+    pub(crate) fn new(
+        term: u64,
+        lease: Duration,
+        rollouts: Option<RolloutLimits>,
+        now: Timestamps,
+    ) -> Self {
         Self {
             term,
-            since: now,
+            since: now.monotonic,
             lease,
             members: Vec::new(),
             directory: Directory::default(),
@@ -94,6 +106,7 @@
             suspects: Suspects::new(term),
             probation: Probation::default(),
             limits: NamedLimits::default(),
+            rollouts: Rollouts::new(rollouts, lease + DRIFT_MARGIN, now),
             changes: VecDeque::new(),
         }
     }
@@ -103,6 +116,25 @@
         now >= self.since + DISCOVERY_TIME
     }
 
+    /// Whether every instance has reported to this leader or lost the lease of the former one.
+    pub(crate) fn is_view_full(&self, now: Duration) -> bool {
+        now >= self.since + self.lease + DRIFT_MARGIN
+    }
+
+    /// Decides about the running rollouts. Returns the commands that end some.
+    pub(crate) fn decide_rollouts(&mut self, now: Duration) -> Vec<pb::AdvanceRollout> {
+        self.expire(now);
+        let is_view_full = self.is_view_full(now);
+        let Self { rollouts, members, directory, .. } = self;
+        let is_read = directory.number != 0;
+        let directory = DirectoryView {
+            endpoints: is_read.then_some(&*directory.endpoints),
+            age: now.saturating_sub(directory.read_at),
+        };
+        let is_live = |name: &str| members.binary_search_by(|m| (*m.name).cmp(name)).is_ok();
+        rollouts.decide(directory, is_view_full, is_live, now)
+    }
+
     /// Records the sender of a heartbeat. Returns `None` if its address is malformed.
     pub(crate) fn note_heartbeat(&mut self, beat: &peer::Beat, now: Duration) -> Option<()> {
         let address = beat.peer_address.parse().ok()?;
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod forwarding;
 mod leader_state;
 mod operator_api;
+mod rollouts;
 mod suspects;
 
 use std::{
@@ -66,7 +67,8 @@
         protocol: Arc<dyn Protocol>,
         clock: Arc<dyn Clock>,
     ) -> Arc<Self> {
-        let leader = LeaderState::new(0, lease_length(&settings), clock.now());
+        let now = Timestamps { monotonic: clock.now(), epoch_ms: now_ms() };
+        let leader = LeaderState::new(0, lease_length(&settings), settings.rollouts, now);
         let state = Mutex::new(State { leader, publication: None });
         Arc::new(Self { settings, replica, protocol, clock, state })
     }
@@ -78,7 +80,8 @@
         if state.leader.term != term {
             log::info!(term; "this replica leads the control group");
             metrics::counter!("poplarspan_relay_terms_led_total").increment(1);
-            state.leader = LeaderState::new(term, lease_length(&self.settings), self.clock.now());
+            let (lease, rollouts) = (lease_length(&self.settings), self.settings.rollouts);
+            state.leader = LeaderState::new(term, lease, rollouts, self.timestamps());
         }
         Some(state)
     }
@@ -121,6 +124,14 @@
         let timestamps = self.timestamps();
         leader.suspects.observe(&control_state, &beat, timestamps);
         let quarantine = leader.suspects.list_for(beat.quarantine, timestamps);
+        let rollouts = match beat.duty() {
+            peer::Duty::Front => {
+                leader.rollouts.sync(&control_state);
+                leader.rollouts.record(&beat, now);
+                leader.rollouts.allowances(&control_state, &beat.instance)
+            }
+            _ => Vec::new(),
+        };
         let rank = leader.instance_rank(&beat.instance);
         let shares = publication.map_or_else(Vec::new, |publication| {
             leader.allocate_shares(&Name::from(&*beat.instance), &beat.demand, &publication, now)
@@ -150,7 +161,7 @@
                 true => leader.detours(&beat.instance),
                 false => Vec::new(),
             },
-            rollouts: Vec::new(),
+            rollouts,
             paces: Vec::new(),
             programs: None,
         })
@@ -217,6 +228,48 @@
         Ok(pb::BoardResult::decode(result).expect("the control state encodes a result"))
     }
 
+    /// Decides about the running rollouts until the task is cancelled.
+    pub(crate) async fn run_rollouts(self: Arc<Self>) -> anyhow::Result<()> {
+        /// Fronts report every 250 ms each; a decision waits for this part of that at most.
+        const INTERVAL: Duration = Duration::from_millis(100);
+        /// Time in which a command must commit; it is sent again afterwards.
+        const COMMIT_TIMEOUT: Duration = Duration::from_millis(500);
+        loop {
+            tokio::time::sleep(INTERVAL).await;
+            for command in self.decide_rollouts().await {
+                let id = command.id;
+                let stage = match command.stage() {
+                    pb::RolloutStage::Completed => "completed",
+                    _ => "reverted",
+                };
+                let commit = self.commit(board_command::Body::AdvanceRollout(command));
+                let error = match tokio::time::timeout(COMMIT_TIMEOUT, commit).await {
+                    Ok(Ok(_)) => {
+                        log::info!(id, stage; "rollout has ended");
+                        metrics::counter!("poplarspan_relay_rollouts_ended_total", "stage" => stage)
+                            .increment(1);
+                        continue;
+                    }
+                    Ok(Err(e)) => e.to_string(),
+                    Err(_) => "timed out".to_owned(),
+                };
+                log::warn!(id, stage, error = error.as_str(); "cannot record the end of a rollout");
+            }
+        }
+    }
+
+    /// Decides about the running rollouts if this replica leads. Returns commands to be committed.
+    async fn decide_rollouts(&self) -> Vec<pb::AdvanceRollout> {
+        if self.settings.rollouts.is_none() || self.replica.leads().is_none() {
+            return Vec::new();
+        }
+        // Without the read barrier, a former leader could decide by an old state.
+        let Ok(control_state) = self.control_state().await else { return Vec::new() };
+        let Some(mut state) = self.leader_state() else { return Vec::new() };
+        state.leader.rollouts.sync(&control_state);
+        state.leader.decide_rollouts(self.clock.now())
+    }
+
     /// Forms the store groups once the stores are known.
     pub(crate) async fn run_group_formation(self: Arc<Self>) -> anyhow::Result<()> {
         const INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -172,6 +172,8 @@
         });
         let forming = control.clone();
         self.supervisor.start("forming the stores", move || forming.clone().run_group_formation());
+        let deciding = control.clone();
+        self.supervisor.start("rollouts", move || deciding.clone().run_rollouts());
         let reader = control.clone();
         self.supervisor
             .start("list of endpoints", move || EndpointListReader::new(reader.clone()).run());
