--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -23,6 +23,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use poplarspan_node::TlsFiles;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
@@ -54,6 +55,10 @@
 /// Number of fleets of one process that have distinct addresses.
 const MAX_FLEETS: u8 = 60;
 
+/// Settings with which rollouts are offered.
+const ROLLOUT_BOUNDS: &str =
+    "exposureShare = 0.1\nexposureSlack = 50\nrollbackMs = 5000\nackMs = 5000\n";
+
 pub const HOST: &str = "calls.example";
 pub const KEY: &str = "key-of-red";
 
@@ -201,6 +206,8 @@
     /// Links to the two fronts and then to the servers; empty if connections are direct.
     pub links: Vec<Arc<Link>>,
     logs: Option<PathBuf>,
+    /// Additional lines for the table `bounds` of the settings.
+    bounds: &'static str,
     pub client: reqwest::Client,
     _dir: tempfile::TempDir,
 }
@@ -223,21 +230,32 @@
 
     /// Starts all processes, publishes `config` and waits until the fronts are ready.
     pub async fn start(config: &Value) -> Self {
-        Self::start_with(config, 3, false, None).await
+        Self::start_with(config, 3, false, None, "").await
     }
 
     /// Like [`RelayFleet::start`], with a given number of stores.
     pub async fn start_stores(config: &Value, stores: u8) -> Self {
-        Self::start_with(config, stores, false, None).await
+        Self::start_with(config, stores, false, None, "").await
     }
 
     /// Like [`RelayFleet::start`], with links that can inject faults, two groups of stores, and the
     /// output of the processes in `logs`.
     pub async fn start_linked(config: &Value, logs: &Path) -> Self {
-        Self::start_with(config, 4, true, Some(logs.to_owned())).await
+        Self::start_with(config, 4, true, Some(logs.to_owned()), "").await
+    }
+
+    /// Like [`RelayFleet::start_linked`], with settings that offer rollouts.
+    pub async fn start_rollouts(config: &Value, logs: &Path) -> Self {
+        Self::start_with(config, 4, true, Some(logs.to_owned()), ROLLOUT_BOUNDS).await
     }
 
-    async fn start_with(config: &Value, stores: u8, linked: bool, logs: Option<PathBuf>) -> Self {
+    async fn start_with(
+        config: &Value,
+        stores: u8,
+        linked: bool,
+        logs: Option<PathBuf>,
+        bounds: &'static str,
+    ) -> Self {
         let dir = tempfile::tempdir().expect("failed to create a temporary folder");
         let tls = dir.path().join("tls");
         let made = Command::new(PROGRAM).args(["certs", "--out"]).arg(&tls).output();
@@ -250,6 +268,7 @@
             subnet: unique_subnet(),
             links: Vec::new(),
             logs,
+            bounds,
             client: reqwest::Client::builder()
                 .pool_max_idle_per_host(0)
                 .build()
@@ -310,6 +329,26 @@
         SocketAddr::from((self.ip(10 + replica), CONTROL_PORT))
     }
 
+    /// Address at which instances reach a control replica.
+    pub fn peer_address(&self, replica: u8) -> SocketAddr {
+        SocketAddr::from((self.ip(10 + replica), PEER_PORT))
+    }
+
+    /// Address of a machine that runs nothing, with a free port.
+    pub fn spare_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip(60), 0))
+    }
+
+    /// TLS files of the instances.
+    pub fn tls_files(&self) -> TlsFiles {
+        let tls = self._dir.path().join("tls");
+        TlsFiles {
+            authority: tls.join("authority.pem"),
+            certificate: tls.join("instance.pem"),
+            key: tls.join("instance.key"),
+        }
+    }
+
     fn machine(&self, root: &Path, tls: &Path, class: &str, number: u8) -> Machine {
         let name = format!("{class}-{number}");
         let ip = self.ip(number);
@@ -332,9 +371,10 @@
              portRange = [{PEER_PORT}, {last}]\nseeds = [{seeds}]\nbootstrap = true\n{data_line}\
              [zones]\nz1 = \"r\"\nz2 = \"r\"\n[listen]\n{listen}\n\
              [faultTolerance]\nmachines = 1\n\
-             [bounds]\nrevokeMs = 5000\ngraceS = 8\nconfigApplyMs = 2500\n\
+             [bounds]\nrevokeMs = 5000\ngraceS = 8\nconfigApplyMs = 2500\n{bounds}\
              [cloud]\naddress = \"{list}\"\n",
             last = PEER_PORT + 15,
+            bounds = self.bounds,
             seeds = seeds.join(", "),
             list = SocketAddr::from((self.ip(1), SERVER_PORT)),
         );
