--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`links`]: whether an instance has lost its own links to all endpoints.
 //! * [`version_split`]: division of calls between two software versions during a rollout.
 //! * [`placement`]: assignment of models to endpoints.
+//! * [`rollout`]: moving the calls of a service to another software version.
 //!
 //! `examples/rate_shares.rs`, `examples/fair_queue.rs` and `examples/route_calls.rs` each use one
 //! of them alone; `examples/compare.rs` simulates them together against baselines.
@@ -88,6 +89,7 @@
 pub mod ramp;
 pub mod rate;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod version_split;
 
