--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -58,7 +58,7 @@
     commit: u64,
     applied: u64,
     durability: Durability,
-    /// Snapshot at the log's snapshot position. `None` after a restart until the driver takes one.
+    /// Snapshot at the log's snapshot position, while the driver hands it over.
     snapshot: Option<Snapshot>,
     partial_snapshot: Option<PartialSnapshot>,
     /// Proposals of this replica whose index is not yet committed, with their request ids.
--- a/crates/agreement/src/core/api.rs
+++ b/crates/agreement/src/core/api.rs
@@ -34,6 +34,8 @@
     pub snapshot_chunk_bytes: usize,
     /// Number of entries before the last snapshot that stay in memory for slow followers.
     pub trailing_entries: u64,
+    /// Maximum bytes of the entries before the last snapshot that stay in memory.
+    pub trailing_bytes: usize,
     /// Maximum number of entries by which a learner may trail the commit index when it is promoted.
     pub promote_lag: u64,
 }
@@ -52,6 +54,7 @@
             max_inflight_appends: 16,
             snapshot_chunk_bytes: 256 * 1024,
             trailing_entries: 1024,
+            trailing_bytes: 64 << 20,
             promote_lag: 64,
         }
     }
--- a/crates/agreement/src/core/memory_log.rs
+++ b/crates/agreement/src/core/memory_log.rs
@@ -105,15 +105,28 @@
         }
     }
 
-    /// Records a snapshot at a position of this log and drops the entries before it, except the
-    /// last `trailing` ones.
-    pub(super) fn compact(&mut self, position: LogPosition, trailing: u64) {
+    /// Returns the lowest index such that the entries after it, up to `index`, are in memory, are at
+    /// most `max_entries` and have at most `max_bytes` in total.
+    pub(super) fn tail_start(&self, index: u64, max_entries: u64, max_bytes: usize) -> u64 {
+        let lowest = index.saturating_sub(max_entries).max(self.base.index);
+        let covered = index.saturating_sub(self.base.index) as usize;
+        let mut bytes = 0;
+        for e in self.entries.range(..covered.min(self.entries.len())).rev() {
+            bytes += ENTRY_OVERHEAD_BYTES + payload_bytes(&e.payload);
+            if e.position.index <= lowest || bytes > max_bytes {
+                return e.position.index;
+            }
+        }
+        lowest
+    }
+
+    /// Records a snapshot at a position of this log and drops the entries up to `keep_after`.
+    pub(super) fn compact(&mut self, position: LogPosition, keep_after: u64) {
         self.snapshot = position;
         while self.memberships.get(1).is_some_and(|m| m.0 <= position.index) {
             self.memberships.remove(0);
         }
-        let keep_from = position.index.saturating_sub(trailing);
-        while self.base.index < keep_from {
+        while self.base.index < keep_after {
             let Some(e) = self.entries.pop_front() else { break };
             self.base = e.position;
         }
--- a/crates/agreement/src/core/snapshot.rs
+++ b/crates/agreement/src/core/snapshot.rs
@@ -10,6 +10,10 @@
 use super::memory_log::MemoryLog;
 use super::progress::{ProgressState, SnapshotTransfer};
 
+/// While a snapshot is being sent, so many times `trailing_bytes` of older entries stay in memory:
+/// a peer that takes several seconds for a snapshot can then continue with the log.
+const TRANSFER_TRAILING_FACTOR: usize = 8;
+
 /// The received part of a snapshot from the current leader.
 #[derive(Debug)]
 pub(super) struct PartialSnapshot {
@@ -29,15 +33,31 @@
         snapshot.last.term = term;
         snapshot.membership = self.log.membership_at(index).clone();
         if index > current.index {
-            self.log.compact(snapshot.last, self.cfg.trailing_entries);
+            self.log.compact(snapshot.last, self.keep_after(index));
             self.durability.snapshot_taken(snapshot.clone());
-        } else if self.snapshot.is_some() {
-            return;
         }
         self.snapshot = Some(snapshot);
         if self.role == Role::Leader {
             self.replicate();
         }
+        // The transfers that need the snapshot hold it. Another copy of the whole state is not kept
+        // for later ones, which ask the driver for a new snapshot.
+        self.snapshot = None;
+    }
+
+    /// Returns the index up to which the log may be dropped after a snapshot at `index`. A peer that
+    /// receives an earlier snapshot needs the entries after that one next; without them it would
+    /// have to receive another snapshot, possibly without end.
+    fn keep_after(&self, index: u64) -> u64 {
+        let bytes = self.cfg.trailing_bytes;
+        let trailing = self.log.tail_start(index, self.cfg.trailing_entries, bytes);
+        let sending = self.leader_state.peers.iter().filter_map(|p| match &p.state {
+            ProgressState::Snapshot(t) => Some(t.snapshot.last.index),
+            _ => None,
+        });
+        let Some(sending) = sending.min() else { return trailing };
+        let bytes = bytes.saturating_mul(TRANSFER_TRAILING_FACTOR);
+        trailing.min(sending.max(self.log.tail_start(index, u64::MAX, bytes)))
     }
 
     /// Starts to send the snapshot to the peer at index `i`, or asks the driver for one.
@@ -156,7 +176,6 @@
         });
         self.commit = snapshot.last.index;
         self.applied = snapshot.last.index;
-        self.snapshot = Some(snapshot.clone());
         self.out.install = Some(snapshot);
     }
 }
--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -37,6 +37,12 @@
     /// Applies the command at a log index and returns its result.
     fn apply(&mut self, index: u64, data: &[u8]) -> Bytes;
 
+    /// Like [`apply`](Self::apply), with the buffer of the log entry, of which the state may keep
+    /// slices without copying them.
+    fn apply_shared(&mut self, index: u64, data: &Bytes) -> Bytes {
+        self.apply(index, data)
+    }
+
     /// Encodes the complete state.
     fn snapshot(&self) -> Bytes;
 
@@ -46,6 +52,16 @@
     ///
     /// Fails if the state cannot be decoded. The node then stops.
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()>;
+
+    /// Like [`restore`](Self::restore), with the buffer of the snapshot, of which the state may
+    /// keep slices without copying them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`restore`](Self::restore).
+    fn restore_shared(&mut self, snapshot: &Bytes) -> anyhow::Result<()> {
+        self.restore(snapshot)
+    }
 }
 
 /// The clock that measures leases and election timeouts.
@@ -94,6 +110,8 @@
     pub snapshot_bytes: u64,
     /// Number of entries before the last snapshot that stay in memory for slow followers.
     pub trailing_entries: u64,
+    /// Maximum bytes of the entries before the last snapshot that stay in memory.
+    pub trailing_bytes: usize,
     /// Maximum number of pending proposals per group; further ones are refused.
     pub max_proposals: usize,
     /// Maximum bytes of pending proposals per group, in units of 1 KiB. A larger proposal is
@@ -118,6 +136,7 @@
             snapshot_entries: 10_000,
             snapshot_bytes: 64 << 20,
             trailing_entries: 1024,
+            trailing_bytes: 64 << 20,
             max_proposals: 4096,
             max_proposal_bytes: 64 << 20,
             queue_capacity: 4096,
--- a/crates/agreement/src/driver/group.rs
+++ b/crates/agreement/src/driver/group.rs
@@ -21,6 +21,8 @@
 pub(crate) struct StorageWork {
     pub(crate) persists: Vec<(GroupId, PersistRequest)>,
     pub(crate) snapshots: Vec<(GroupId, Snapshot)>,
+    /// Whether a snapshot of any group is waiting to be saved or being saved.
+    pub(crate) is_saving: bool,
 }
 
 /// A proposal that has been appended to this leader's log and is not yet decided.
@@ -271,7 +273,7 @@
         snapshot: Snapshot,
         work: &mut StorageWork,
     ) -> Result<(), NodeError> {
-        self.since_snapshot.saving = false;
+        (self.since_snapshot.saving, work.is_saving) = (false, false);
         if snapshot.last.index > self.saved.index {
             self.saved = snapshot.last;
         }
@@ -338,7 +340,7 @@
             Payload::Empty => Bytes::new(),
             Payload::Command(data) => {
                 self.since_snapshot.bytes += data.len() as u64;
-                self.machine.apply(index, data)
+                self.machine.apply_shared(index, data)
             }
             Payload::Membership(membership) => {
                 self.membership = membership.clone();
@@ -416,7 +418,8 @@
         let s = &self.since_snapshot;
         let due = (s.entries >= self.cfg.snapshot_entries || s.bytes >= self.cfg.snapshot_bytes)
             && s.bytes >= s.last_bytes;
-        if s.saving || !(due || wanted) {
+        // Each encoded snapshot is a copy of its group's state, so only one is in memory at a time.
+        if s.saving || work.is_saving || !(due || wanted) {
             return Ok(());
         }
         let data = self.machine.snapshot();
@@ -427,6 +430,7 @@
         if self.applied == self.saved {
             return self.snapshot_saved(now, snapshot, work);
         }
+        work.is_saving = true;
         work.snapshots.push((self.id, snapshot));
         Ok(())
     }
@@ -449,7 +453,7 @@
     if snapshot.last.index == 0 {
         return Ok(());
     }
-    let restored = machine.restore(&snapshot.data);
+    let restored = machine.restore_shared(&snapshot.data);
     restored.map_err(|source| NodeError::Restore { group, source: Arc::new(source) })
 }
 
@@ -467,6 +471,7 @@
         election_timeout_max: cfg.election_timeout_max,
         drift_margin: cfg.drift_margin,
         trailing_entries: cfg.trailing_entries,
+        trailing_bytes: cfg.trailing_bytes,
         ..CoreConfig::new(replica, seed)
     }
 }
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -52,6 +52,13 @@
 /// small.
 const PREALLOCATE_BYTES: usize = 256 * 1024;
 const SEGMENT_BYTES: u64 = 8 << 20;
+/// Bytes of commands after which a group takes a snapshot. The log in memory holds the entries since
+/// the last one, and a store of 140 MB has up to four groups. A state that is larger than this is
+/// written again only after as many bytes of log, so snapshots at most double the bytes written.
+const SNAPSHOT_BYTES: u64 = 4 << 20;
+/// Bytes of entries before the last snapshot that stay in memory for slow followers: more than half
+/// a second of log at 1.4 MB/s in a group, the highest rate observed.
+const TRAILING_BYTES: usize = 1 << 20;
 
 /// Timing of the replicated log. Each heartbeat costs a message to every other replica, and the
 /// election timeout bounds the outage after the loss of a leader. Both are short compared with the
@@ -64,6 +71,8 @@
         election_timeout_min: Duration::from_millis(350),
         election_timeout_max: Duration::from_millis(600),
         drift_margin: Duration::from_millis(75),
+        snapshot_bytes: SNAPSHOT_BYTES,
+        trailing_bytes: TRAILING_BYTES,
         ..NodeConfig::default()
     }
 }
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -228,7 +228,11 @@
 
 impl StateMachine for TurnState {
     fn apply(&mut self, index: u64, data: &[u8]) -> Bytes {
-        let result = match pb::TurnCommand::decode(Bytes::copy_from_slice(data)) {
+        self.apply_shared(index, &Bytes::copy_from_slice(data))
+    }
+
+    fn apply_shared(&mut self, index: u64, data: &Bytes) -> Bytes {
+        let result = match pb::TurnCommand::decode(data.clone()) {
             Ok(command) => self.execute(command),
             Err(e) => {
                 let error = e.to_string();
@@ -277,7 +281,11 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
-        let snapshot = pb::TurnSnapshot::decode(Bytes::copy_from_slice(snapshot))?;
+        self.restore_shared(&Bytes::copy_from_slice(snapshot))
+    }
+
+    fn restore_shared(&mut self, snapshot: &Bytes) -> anyhow::Result<()> {
+        let snapshot = pb::TurnSnapshot::decode(snapshot.clone())?;
         let account = |a: pb::Account| {
             let reservations = a.open.into_iter().map(|r| (r.name.into(), r.amount)).collect();
             let account = Account { used: a.used, reservations, touched_ms: a.touched_ms };
