--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -57,9 +57,15 @@
 /// is reverted. The versions are compared some 150 times within a rollout (5 routes, 3 windows,
 /// 10 independent looks), so at most some hundredth of the good versions is reverted.
 const REVERT_BELOW: f64 = 1e-4;
-/// Probability below which the share is held, and below which the rollout is reverted if the
-/// target has had as many calls as a bad version may have.
-const HOLD_BELOW: f64 = 2e-3;
+/// The same if the target has had as many calls as a bad version may have.
+const EXHAUSTED_REVERT_BELOW: f64 = 2e-3;
+/// Probability below which the share does not grow. More evidence at the same share clears a good
+/// version within a second or two.
+const HOLD_BELOW: f64 = 0.02;
+
+/// How long a step waits for calls that take longer than those of the other versions, so that they
+/// can end and count. The wait is bounded because refused calls never end either.
+const LAG_WAIT: Duration = Duration::from_secs(1);
 
 /// Limits of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -218,9 +224,9 @@
                 share
             }
         };
-        let finding = self.history.judge(&self.totals, self.started, now);
+        let finding = self.history.judge(&self.totals, self.sent_target, self.started, now);
         let is_suspected = finding.as_ref().is_some_and(|f| f.probability < HOLD_BELOW);
-        let revert_below = if self.is_exhausted() { HOLD_BELOW } else { REVERT_BELOW };
+        let revert_below = if self.is_exhausted() { EXHAUSTED_REVERT_BELOW } else { REVERT_BELOW };
         match finding {
             Some(finding) if finding.probability < revert_below => {
                 self.end(Decision::Revert(finding.verdict))
@@ -267,10 +273,12 @@
     fn next_share(&self, share: f64, is_suspected: bool, fleet: &FleetState, now: Duration) -> f64 {
         let canary = CANARY_FRACTION * self.cfg.exposure_share;
         let is_shifting = share > canary + SHARE_TOLERANCE;
-        let may_grow = !is_suspected
+        let may_grow = share > 0.0
+            && !is_suspected
             && has_slots(fleet)
             && self.is_held(share, now)
-            && (is_shifting || self.may_start_shift(share, now));
+            && (is_shifting || now >= self.shift_start())
+            && (now >= self.lag_limit() || !self.is_lagging(share));
         if may_grow {
             let next = SHIFT_STEPS.into_iter().find(|s| *s > share + SHARE_TOLERANCE);
             return next.unwrap_or(1.0);
@@ -285,10 +293,25 @@
         if fleet.target_slots > 0 && has_room { canary } else { 0.0 }
     }
 
-    fn may_start_shift(&self, share: f64, now: Duration) -> bool {
+    fn shift_start(&self) -> Duration {
         let needed = SHIFT_MIN.max(self.cfg.over.mul_f64(SHIFT_FRACTION));
         let start = (self.started + self.cfg.over).saturating_sub(needed);
-        share > 0.0 && now >= start && now >= self.share_since + CANARY_MIN
+        start.max(self.share_since + CANARY_MIN)
+    }
+
+    /// When a step no longer waits for slow calls.
+    fn lag_limit(&self) -> Duration {
+        self.shift_start() + LAG_WAIT
+    }
+
+    /// Whether more calls of the target are open than its share explains. A slow version shows by
+    /// its open calls before it shows by its answers.
+    fn is_lagging(&self, share: f64) -> bool {
+        let (ended_target, ended_others) = self.totals.ended();
+        let open = self.sent_target.saturating_sub(ended_target);
+        let open_others = (self.sent - self.sent_target).saturating_sub(ended_others);
+        let usual = open_others as f64 * share / (1.0 - share).max(f64::EPSILON);
+        verdict::is_more_than_usual(open, usual, HOLD_BELOW)
     }
 
     /// Whether the reports of all live instances were made under the share.
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -1,25 +1,25 @@
 //! Comparison of the target version with the other versions.
 //!
-//! Both tests ask how probable the results of the target are if the versions do not differ. They
-//! exclude the worst endpoint of the target if several were used, because one endpoint may fail or
-//! be slow for a reason of its own.
+//! Both tests ask how probable the results of the target are if the versions do not differ. One
+//! endpoint may fail or be slow for a reason of its own, so the worst endpoint of the target counts
+//! as if it were as bad as the second worst. Leaving it out would lose a third of the little
+//! evidence that a canary with three endpoints gives.
 
 use std::time::Duration;
 
 use super::evidence::{Counts, Row};
 use crate::Name;
 
-/// Minimum number of failures at the target, outside its worst endpoint.
+/// Minimum number of failures at the target.
 const MIN_FAILURES: u64 = 2;
-/// Minimum number of answers of each side for a comparison of durations, and of ended calls if the
-/// target has a single endpoint, which cannot be told from the version.
-const MIN_CALLS: u64 = 8;
+/// Minimum number of answers of each side for a comparison of durations.
+const MIN_TIMED: u64 = 6;
 /// A mean duration this many times that of the other versions is no evidence: prompts are not
 /// cached at new endpoints yet.
 const TOLERATED_SLOWDOWN: f64 = 1.5;
-/// Durations are taken as exponentially distributed. They vary more, as if there were only this
-/// part of the calls.
-const INDEPENDENT_FRACTION: f64 = 0.5;
+/// Durations are taken as exponentially distributed. Those of a program's calls resemble each other,
+/// as if there were only this part of the calls.
+const INDEPENDENT_FRACTION: f64 = 0.75;
 /// Number of failures above which the tail is estimated by its Chernoff bound instead of a sum.
 const MAX_SUMMED: u64 = 1_000;
 
@@ -39,7 +39,7 @@
     pub route: Name,
     /// What is wrong with the target version.
     pub cause: Cause,
-    /// Calls to the target version, without its worst endpoint if several were used.
+    /// Calls to the target version, where its worst endpoint counts as the second worst.
     pub target: Counts,
     /// Calls to other versions.
     pub others: Counts,
@@ -64,21 +64,15 @@
 }
 
 /// Returns the strongest evidence against the target version in `rows`, which are sorted by route.
-pub(super) fn judge(rows: &[Row], window: Duration) -> Option<Finding> {
+/// `is_single` tells whether the target has had calls at one endpoint only, also before the window.
+pub(super) fn judge(rows: &[Row], is_single: bool, window: Duration) -> Option<Finding> {
     let mut endpoints: Vec<&Name> = rows.iter().filter_map(|r| r.endpoint.as_ref()).collect();
     endpoints.sort_unstable();
     endpoints.dedup();
     let findings = [(Cause::Failures, failures as Test), (Cause::Slowness, slowness as Test)];
     let findings = findings.into_iter().filter_map(|(cause, test)| {
-        let worst = match endpoints.len() {
-            0 | 1 => None,
-            _ => worst_endpoint(rows, &endpoints, cause),
-        };
-        let pairs = pairs(rows, worst);
-        let is_single = endpoints.len() == 1;
-        if is_single && pairs.iter().map(|p| p.target.ended()).sum::<u64>() < MIN_CALLS {
-            return None;
-        }
+        let outlier = if is_single { None } else { outlier(rows, &endpoints, cause) };
+        let pairs = pairs(rows, outlier.as_ref(), cause);
         strongest(&pairs, cause, test, window)
     });
     findings.min_by(|a, b| a.probability.total_cmp(&b.probability))
@@ -108,25 +102,39 @@
     Some(Finding { probability, verdict })
 }
 
-/// Returns the endpoint with the most failures, or with the most time above the mean of the other
+/// The worst endpoint of the target.
+#[derive(Debug)]
+struct Outlier<'a> {
+    endpoint: &'a Name,
+    /// Part of its failures, or of its time above the usual, that counts: as much as those of the
+    /// second worst endpoint.
+    counted: f64,
+}
+
+/// Returns the endpoint with the most failures or the most time above the mean of the other
 /// versions.
-fn worst_endpoint<'a>(rows: &[Row], endpoints: &[&'a Name], cause: Cause) -> Option<&'a Name> {
+fn outlier<'a>(rows: &[Row], endpoints: &[&'a Name], cause: Cause) -> Option<Outlier<'a>> {
     let badness = |row: &Row| match cause {
         Cause::Failures => row.counts.failed as f64,
-        Cause::Slowness => {
-            let others = rows.iter().find(|r| r.route == row.route && r.endpoint.is_none());
-            let usual = others.map_or(0.0, |r| mean_duration(&r.counts));
-            row.counts.duration.as_secs_f64() - usual * row.counts.answered as f64
-        }
+        Cause::Slowness => row.counts.duration.as_secs_f64() - usual_duration(rows, row),
     };
     let sum = |endpoint: &Name| -> f64 {
         rows.iter().filter(|r| r.endpoint.as_ref() == Some(endpoint)).map(badness).sum()
     };
-    let sums = endpoints.iter().map(|e| (sum(e), *e));
-    sums.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, endpoint)| endpoint)
+    let mut sums: Vec<_> = endpoints.iter().map(|e| (sum(e).max(0.0), *e)).collect();
+    sums.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let (worst, endpoint) = *sums.first()?;
+    let second = sums.get(1).map_or(0.0, |(second, _)| *second);
+    (worst > 0.0).then(|| Outlier { endpoint, counted: second / worst })
 }
 
-fn pairs(rows: &[Row], worst: Option<&Name>) -> Vec<Pair> {
+/// Time in seconds that the timed calls of the row would have taken at other versions.
+fn usual_duration(rows: &[Row], row: &Row) -> f64 {
+    let others = rows.iter().find(|r| r.route == row.route && r.endpoint.is_none());
+    others.map_or(0.0, |r| mean_duration(&r.counts)) * row.counts.timed as f64
+}
+
+fn pairs(rows: &[Row], outlier: Option<&Outlier<'_>>, cause: Cause) -> Vec<Pair> {
     let mut pairs: Vec<Pair> = Vec::new();
     for row in rows {
         if pairs.last().is_none_or(|p| p.route != row.route) {
@@ -134,17 +142,30 @@
             pairs.push(Pair { route: row.route.clone(), target, others });
         }
         let Some(pair) = pairs.last_mut() else { continue };
-        match &row.endpoint {
-            None => pair.others += row.counts,
-            Some(endpoint) if Some(endpoint) == worst => {}
-            Some(_) => pair.target += row.counts,
+        let Some(endpoint) = &row.endpoint else {
+            pair.others += row.counts;
+            continue;
+        };
+        let mut counts = row.counts;
+        if let Some(outlier) = outlier.filter(|o| o.endpoint == endpoint) {
+            match cause {
+                Cause::Failures => {
+                    counts.failed = (counts.failed as f64 * outlier.counted).floor() as u64;
+                }
+                Cause::Slowness => {
+                    let (usual, took) = (usual_duration(rows, row), counts.duration.as_secs_f64());
+                    let counted = usual + (took - usual).max(0.0) * outlier.counted;
+                    counts.duration = Duration::from_secs_f64(counted.min(took));
+                }
+            }
         }
+        pair.target += counts;
     }
     pairs
 }
 
 fn mean_duration(counts: &Counts) -> f64 {
-    counts.duration.as_secs_f64() / counts.answered.max(1) as f64
+    counts.duration.as_secs_f64() / counts.timed.max(1) as f64
 }
 
 /// Returns the probability that so many of all failures are the target's.
@@ -175,19 +196,31 @@
 fn slowness(pairs: &[Pair]) -> f64 {
     let (mut calls, mut duration, mut usual) = (0, 0.0, 0.0);
     for Pair { target, others, .. } in pairs {
-        if others.answered >= MIN_CALLS && !others.duration.is_zero() {
-            calls += target.answered;
+        if others.timed >= MIN_TIMED {
+            calls += target.timed;
             duration += target.duration.as_secs_f64();
-            usual += target.answered as f64 * mean_duration(others);
+            usual += target.timed as f64 * mean_duration(others);
         }
     }
     let slowdown = duration / (TOLERATED_SLOWDOWN * usual);
-    if calls < MIN_CALLS || slowdown <= 1.0 {
+    if calls < MIN_TIMED || slowdown <= 1.0 {
         return 1.0;
     }
     (-INDEPENDENT_FRACTION * calls as f64 * (slowdown - 1.0 - slowdown.ln())).exp()
 }
 
+/// Whether `count` events are improbable where `usual` are, also if each takes as much longer as is
+/// tolerated.
+pub(super) fn is_more_than_usual(count: u64, usual: f64, probability: f64) -> bool {
+    let mean = TOLERATED_SLOWDOWN * usual.max(1.0);
+    let (mut term, mut below) = ((-mean).exp(), 0.0);
+    for n in 0..count.min(MAX_SUMMED) {
+        below += term;
+        term *= mean / (n + 1) as f64;
+    }
+    count as f64 > mean && 1.0 - below < probability
+}
+
 /// Returns the probability of at least `least` successes in `trials` with probability `p` each.
 fn binomial_tail(trials: u64, p: f64, least: u64) -> f64 {
     if p >= 1.0 {
