--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -146,7 +146,7 @@
     }
 
     /// What a front must know of all kept rollouts, in answer to its heartbeat. Each entry has at
-    /// most 30 bytes beyond its names; at most 8 rollouts of a service are kept.
+    /// most 40 bytes beyond its names; at most 8 rollouts of a service are kept.
     pub(crate) fn allowances(
         &mut self,
         control_state: &ControlState,
--- a/tests/rollout_orders.rs
+++ b/tests/rollout_orders.rs
@@ -276,6 +276,26 @@
     assert_eq!(front.allowance.retired, ["v1"]);
 }
 
+/// Guards against a rollout that never ends, because a front does not stop reporting it: after one
+/// lease, every front that serves has been told to send nothing to the old endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn completed_after_lease() {
+    let (mut fleet, _logs) = start().await;
+    fleet.servers.set_software(1, Some("v2"));
+    fleet.servers.set_software(2, Some("v2"));
+    let mut front = SimulatedFront::replace_fronts(&mut fleet).await;
+    assert_eq!(post(&fleet, 0, &order("v2", 6.0)).await, Some(200));
+    front.follow(|a| a.stage() == RolloutStage::Completed).await;
+    let since = Instant::now();
+    while state(&fleet).await.0 == "running" {
+        assert!(since.elapsed() < 3 * VIEW_TIME, "the rollout does not end");
+        let report = front.report(0);
+        front.beat(Some(report)).await;
+    }
+    assert!(since.elapsed() > VIEW_TIME / 2, "ended after {:?}", since.elapsed());
+    assert_state(&fleet, "completed", "v2").await;
+}
+
 /// Guards against a new leader that starts the rollout over while its view is incomplete, or that
 /// moves the programs of the fronts back to the other version.
 #[tokio::test(flavor = "multi_thread")]
