--- a/crates/policy/tests/rollout_changes.rs
+++ b/crates/policy/tests/rollout_changes.rs
@@ -73,6 +73,7 @@
     rollout.report(&"a".into(), report(0.4, 100, 10), ms(9_000));
     let partial = FleetState { is_view_full: false, ..FLEET };
     for now in [9_000, 10_000, 11_000] {
+        rollout.report(&"a".into(), report(0.4, 100, 10), ms(now));
         assert_eq!(rollout.decide(&partial, ms(now)), Decision::Share(0.4));
     }
     rollout.report(&"b".into(), report(0.15, 100, 10), ms(11_100));
