settings: state whether the limits of endpoints are measured

A deployment whose platform states no bounds for cold endpoints needs limits that are found by measurement.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -68,6 +68,9 @@
     pub tolerated_losses: usize,
     /// Time limits set by the platform.
     pub time_limits: TimeLimits,
+    /// Whether the limits of endpoints are found by measurement, because the platform states none:
+    /// programs are admitted by measured delay, and endpoints that start are paced.
+    pub measures_limits: bool,
     /// Port that serves metrics.
     pub metrics_port: u16,
 }
