relay, policy: programs are admitted by measured delay

The control leader now limits the open turns of all fronts by the slowdown of turns, and gives each front a rate of first turns and the fraction of each class (team and route) that may begin. Fronts refuse the others at once with 503 and Retry-After, before the body is read. Turns of programs under way are always admitted. Turns of programs whose time is over get the least urgent engine priority. Only where Settings::measures_limits holds.

peer.proto: ProgramClass, ProgramLoad.arrivals and ProgramAllowance.fractions are new, since no front sees enough first turns of a team to divide what may begin.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,5 +1,6 @@
 //! Scheduling decisions as pure functions and small state machines.
 //!
+//! * [`admission`]: programs that may begin, limited by how long turns take.
 //! * [`rate`]: rate limits of teams, enforced over all instances.
 //! * [`quota`]: rate limits of teams, divided by one allocator among the instances that lease from
 //!   it.
@@ -73,6 +74,7 @@
 //! assert_eq!(served, [1, 3], "one call of each team");
 //! ```
 
+pub mod admission;
 pub mod call_limit;
 pub mod cold_start;
 pub mod containment;
--- /dev/null
+++ b/crates/policy/tests/program_admission.rs
@@ -0,0 +1,143 @@
+//! Guards against an overloaded fleet that begins more programs than it can complete in time.
+//!
+//! Each check replays the same load with today's policy, which admits all programs.
+
+mod overload;
+
+use overload::{Load, Program, Rate, TEAMS, replay};
+
+const FRONTS: [usize; 3] = [8, 57, 300];
+/// Seconds of ordinary load in which the fronts learn the usual times.
+const WARM: f64 = 20.0;
+/// Burst of the checks, in seconds since the start.
+const BURST: std::ops::Range<f64> = WARM..WARM + 6.0;
+/// Load of an ordinary day, relative to the capacity.
+const ORDINARY: f64 = 0.8;
+
+fn load(fronts: usize, seconds: f64, rate: Rate) -> Load {
+    Load { fronts, seconds, rate, is_limited: true, returns: true, seed: 7 }
+}
+
+/// Results with the policy and without it.
+fn compare(fronts: usize, seconds: f64, rate: Rate) -> [Vec<Program>; 2] {
+    let limited = load(fronts, seconds, rate);
+    let all = Load { is_limited: false, ..limited.clone() };
+    [replay(&limited), replay(&all)]
+}
+
+/// Programs that arrived within a time and satisfy a condition.
+fn arrived(
+    programs: &[Program],
+    within: std::ops::Range<f64>,
+    is: impl Fn(&Program) -> bool,
+) -> Vec<&Program> {
+    programs.iter().filter(|p| within.contains(&p.arrived) && is(p)).collect()
+}
+
+/// Fraction of programs in time.
+fn in_time(programs: &[&Program]) -> f64 {
+    let good = programs.iter().filter(|p| p.in_time).count();
+    good as f64 / programs.len().max(1) as f64
+}
+
+fn ordinary_until_burst(now: f64, burst: f64) -> f64 {
+    if now < BURST.start { ORDINARY } else { burst }
+}
+
+fn burst_of_kind(now: f64, _team: usize, kind: usize) -> f64 {
+    if BURST.contains(&now) && kind == 0 { 3.0 * ORDINARY } else { ORDINARY }
+}
+
+fn hot_team(now: f64, team: usize, _kind: usize) -> f64 {
+    if BURST.contains(&now) && team == 3 { 6.0 * ORDINARY } else { ORDINARY }
+}
+
+/// Goodput of a lasting load must not fall as the load grows, and must not be lower than today's
+/// while the fleet has room. Measured noise of the replay is some 5 %.
+#[test]
+fn lasting_load() {
+    const NOISE: f64 = 0.05;
+    let rates: [Rate; 4] = [
+        |now, _, _| ordinary_until_burst(now, 0.8),
+        |now, _, _| ordinary_until_burst(now, 1.0),
+        |now, _, _| ordinary_until_burst(now, 1.3),
+        |now, _, _| ordinary_until_burst(now, 2.0),
+    ];
+    for fronts in FRONTS {
+        let goodput = |programs: &[Program]| {
+            let judged = arrived(programs, WARM + 5.0..50.0, |_| true);
+            in_time(&judged) * judged.len() as f64 / (50.0 - WARM - 5.0)
+        };
+        let results = rates.map(|rate| compare(fronts, 60.0, rate));
+        let [limited, all] = [0, 1].map(|n| results.each_ref().map(|r| goodput(&r[n])));
+        println!("{fronts} fronts: in time per second {limited:.1?}; all admitted {all:.1?}");
+        assert!(limited[0] >= (1.0 - NOISE) * all[0], "fewer in time at an ordinary load");
+        for pair in limited.windows(2) {
+            assert!(pair[1] >= (1.0 - NOISE) * pair[0], "{fronts} fronts: {limited:?}");
+        }
+    }
+}
+
+/// After a burst of one kind, new programs must be in time again within 2 s.
+#[test]
+fn burst_recovery() {
+    for fronts in FRONTS {
+        let results = compare(fronts, 50.0, burst_of_kind);
+        let after = |programs: &[Program]| {
+            in_time(&arrived(programs, BURST.end + 2.0..BURST.end + 5.0, |_| true))
+        };
+        let during = |programs: &[Program]| in_time(&arrived(programs, BURST, |_| true));
+        let [limited, all] = results.each_ref().map(|r| (during(r), after(r)));
+        println!("{fronts} fronts: in time (during, after) {limited:.2?}; all admitted {all:.2?}");
+        assert!(limited.1 >= 0.95, "{fronts} fronts: {limited:?} of the programs in time");
+        assert!(limited.0 >= 2.0 * all.0, "{fronts} fronts: {limited:?} with, {all:?} without");
+    }
+}
+
+/// No kind may fall below a quarter of the fraction that the others have in time, in a burst of one
+/// kind.
+#[test]
+fn worst_kind() {
+    for fronts in FRONTS {
+        let results = compare(fronts, 50.0, burst_of_kind);
+        let kinds = |programs: &[Program]| {
+            [0, 1].map(|kind| in_time(&arrived(programs, BURST, |p| p.kind == kind)))
+        };
+        let [limited, all] = results.each_ref().map(|r| kinds(r));
+        println!("{fronts} fronts: short and long kind {limited:.2?}; all admitted {all:.2?}");
+        assert!(limited[0] >= 0.25 * limited[1] && limited[1] >= 0.25 * limited[0], "{limited:?}");
+    }
+}
+
+/// A team that sends several times as much as usual must bear the refusals itself.
+#[test]
+fn hot_team_surplus() {
+    for fronts in FRONTS {
+        let results = compare(fronts, 50.0, hot_team);
+        let teams = |programs: &[Program]| {
+            [0, 1, 2, 3, 4, 5].map(|team| in_time(&arrived(programs, BURST, |p| p.team == team)))
+        };
+        let [limited, all] = results.each_ref().map(|r| teams(r));
+        println!("{fronts} fronts: teams {limited:.2?}; all admitted {all:.2?}");
+        for team in (0..TEAMS.len()).filter(|team| *team != 3) {
+            assert!(limited[team] > limited[3], "{fronts} fronts, team {team}: {limited:?}");
+            assert!(limited[team] >= 0.75, "{fronts} fronts, team {team}: {limited:?}");
+        }
+    }
+}
+
+/// Programs that would have been in time must hardly ever be refused at an ordinary load.
+#[test]
+fn needless_refusals() {
+    for fronts in FRONTS {
+        let [limited, all] = compare(fronts, 60.0, |_, _, _| ORDINARY);
+        let of = |programs: &[Program]| {
+            let judged = arrived(programs, 5.0..50.0, |_| true);
+            let refused = judged.iter().filter(|p| p.is_refused).count();
+            (in_time(&judged), refused as f64 / judged.len() as f64)
+        };
+        let (limited, all) = (of(&limited), of(&all));
+        println!("{fronts} fronts: (in time, refused) {limited:.3?}; all admitted {all:.3?}");
+        assert!(limited.1 <= 0.02, "{fronts} fronts: {limited:?}");
+    }
+}
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -641,7 +641,7 @@
     pub failed: u32,
 }
 /// Programs of an instance, and how their turns fare, since the last heartbeat.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgramLoad {
     /// Programs under way.
     #[prost(uint32, tag = "1")]
@@ -659,9 +659,24 @@
     pub duration_ms: u64,
     #[prost(uint64, tag = "6")]
     pub idle_ms: u64,
+    /// First turns that arrived, by class; at most 64 classes.
+    #[prost(message, repeated, tag = "7")]
+    pub arrivals: ::prost::alloc::vec::Vec<ProgramClass>,
+}
+/// First turns of one team on one route.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProgramClass {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub route: ::prost::alloc::string::String,
+    /// In a heartbeat: how many arrived since the last one. In an answer: the fraction of them that
+    /// may begin, in millionths.
+    #[prost(uint32, tag = "3")]
+    pub amount: u32,
 }
 /// Share of an instance in the programs that may begin.
-#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgramAllowance {
     /// First turns per second that the instance may admit; absent if there is no limit.
     #[prost(float, optional, tag = "1")]
@@ -669,6 +684,9 @@
     /// When a refused program may come back.
     #[prost(uint32, tag = "2")]
     pub retry_after_ms: u32,
+    /// Classes of which only a fraction may begin, sorted by team and route; at most 64.
+    #[prost(message, repeated, tag = "3")]
+    pub fractions: ::prost::alloc::vec::Vec<ProgramClass>,
 }
 /// What instances must know of a rollout. Holds as long as the lease of the instance.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -16,7 +16,7 @@
 };
 use poplarspan_proto::peer::{self, Duty as PbDuty};
 
-use super::suspects::Suspects;
+use super::{programs::ProgramLimits, suspects::Suspects};
 use crate::{ListedEndpoint, Publication};
 
 /// Maximum drift between the clocks of two machines during a lease.
@@ -77,6 +77,7 @@
     pub(crate) suspects: Suspects,
     probation: Probation,
     limits: NamedLimits,
+    programs: ProgramLimits,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -94,6 +95,7 @@
             suspects: Suspects::new(term),
             probation: Probation::default(),
             limits: NamedLimits::default(),
+            programs: ProgramLimits::new(now + DISCOVERY_TIME, now),
             changes: VecDeque::new(),
         }
     }
@@ -355,6 +357,17 @@
         shares
     }
 
+    /// Processes the load by programs that a front reports; returns what it may admit.
+    pub(crate) fn limit_programs(
+        &mut self,
+        instance: &Name,
+        load: &peer::ProgramLoad,
+        publication: &Publication,
+        now: Duration,
+    ) -> Option<peer::ProgramAllowance> {
+        self.programs.report(instance, load, publication, &self.directory.endpoints, now)
+    }
+
     /// Takes a token from a team's reserve, returns one, or admits a new program of the team. On
     /// failure returns the time after which to retry, if it is known.
     pub(crate) fn borrow(
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod forwarding;
 mod leader_state;
 mod operator_api;
+mod programs;
 mod suspects;
 
 use std::{
@@ -122,9 +123,13 @@
         leader.suspects.observe(&control_state, &beat, timestamps);
         let quarantine = leader.suspects.list_for(beat.quarantine, timestamps);
         let rank = leader.instance_rank(&beat.instance);
-        let shares = publication.map_or_else(Vec::new, |publication| {
-            leader.allocate_shares(&Name::from(&*beat.instance), &beat.demand, &publication, now)
+        let name = Name::from(&*beat.instance);
+        let shares = publication.as_ref().map_or_else(Vec::new, |publication| {
+            leader.allocate_shares(&name, &beat.demand, publication, now)
         });
+        let programs = beat.programs.as_ref().zip(publication.as_ref());
+        let programs = programs
+            .and_then(|(load, publication)| leader.limit_programs(&name, load, publication, now));
         let published = (control_state.version() > beat.version).then(|| peer::Published {
             version: control_state.version(),
             body: control_state.body().clone(),
@@ -152,7 +157,7 @@
             },
             rollouts: Vec::new(),
             paces: Vec::new(),
-            programs: None,
+            programs,
         })
     }
 
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -110,6 +110,9 @@
 
     /// Applies the rate shares in an answer.
     fn apply_shares(&self, shares: &[peer::TeamShare]);
+
+    /// Applies the allowance of programs in an answer. Only fronts have one.
+    fn apply_programs(&self, _allowance: Option<&peer::ProgramAllowance>) {}
 }
 
 /// An instance's client of the control group.
--- a/crates/relay/src/fleet_client/heartbeat.rs
+++ b/crates/relay/src/fleet_client/heartbeat.rs
@@ -186,6 +186,7 @@
                 if is_newest {
                     report.apply_shares(&answer.shares);
                 }
+                report.apply_programs(answer.programs.as_ref());
                 self.leader_found(address);
                 self.apply(answer, asked_at);
                 true
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -324,9 +324,14 @@
         }
     }
 
+    /// Number of parts of a prompt after its leading shared ones.
+    pub(super) fn own_parts(&self, parts: &[PromptPart]) -> usize {
+        parts.len() - self.shared.leading(parts)
+    }
+
     /// Blocks and tokens of a prompt without its leading shared parts.
     fn own_blocks<'a>(&self, placement: &'a PlacementRequest) -> (&'a [u64], u32) {
-        let leading = &placement.parts[..self.shared.leading(placement)];
+        let leading = &placement.parts[..self.shared.leading(&placement.parts)];
         let tokens: u32 = leading.iter().map(|p| p.tokens).sum();
         let blocks: usize = leading.iter().map(|p| (p.tokens / BLOCK_TOKENS) as usize).sum();
         (&placement.blocks[blocks..], placement.prompt_tokens - tokens)
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Front,
+    admission::TurnTimer,
     attempt::{Attempts, StartedResponse},
     body::{self, ResponseBody},
     call::Call,
@@ -237,6 +238,8 @@
             let message = "the instance ends before the call could";
             return Err(Refusal::retry_later("shutting_down", message, RETRY_ELSEWHERE_AFTER));
         }
+        let own_parts = || self.schedule.own_parts(&head.prompt);
+        let timer = self.admission.admit(&route, &head, team.as_ref(), own_parts)?;
         let (body, reservation) =
             self.read_body(body, publication.limits.max_body, deadline).await?;
         let origin = self.origin(&route, &head, team.as_ref(), deadline).await?;
@@ -260,7 +263,7 @@
         let (team, service) = (team.as_ref(), origin.as_ref().map(|o| &o.service));
         let call = self.call(parts, head, body, route, team, service, deadline, &publication);
         let software = origin.map(|o| o.software);
-        Ok(AdmittedCall { call: Arc::new(call), turn, recording, software })
+        Ok(AdmittedCall { call: Arc::new(call), turn, recording, software, timer })
     }
 
     /// Where the stream began that the call resumes; `None` if it resumes none.
@@ -317,6 +320,13 @@
         let is_engine = publication.service(&service).is_some_and(|s| s.engine.is_some());
         let priority = team.and_then(|t| t.priority).unwrap_or(route.priority);
         let urgency = FIRST_URGENCY.saturating_add(priority.saturating_mul(URGENCY_STEP));
+        let is_late = head.program.as_ref().is_some_and(|p| p.time_left == Some(Duration::ZERO));
+        let urgency = match self.admission.is_enabled() {
+            true if is_late => LEAST_URGENCY,
+            // Late programs go after all that can still be in time.
+            true => urgency.min(LEAST_URGENCY - 1),
+            false => urgency.min(LEAST_URGENCY),
+        };
         let left = deadline.saturating_duration_since(Instant::now());
         let placement = PlacementRequest {
             service,
@@ -339,7 +349,7 @@
             route,
             team: team.map(|t| t.name.clone()),
             placement: Arc::new(placement),
-            urgency: is_engine.then_some(urgency.min(LEAST_URGENCY)),
+            urgency: is_engine.then_some(urgency),
             deadline,
             head,
             _memory: reservation,
@@ -440,7 +450,7 @@
         started: StartedResponse,
         record: CallRecord,
     ) -> Response<ResponseBody> {
-        let AdmittedCall { call, turn, recording, .. } = admitted;
+        let AdmittedCall { call, turn, recording, timer, .. } = admitted;
         if call.head.last_event.is_some() {
             let endpoint = &started.slot.endpoint;
             log::info!(
@@ -466,6 +476,7 @@
             tokens_per_event: tokens_per_event(self, &call.placement.service),
             turn,
             recording,
+            timer,
             record,
             is_done: false,
             reservation: self.memory.reserve(),
@@ -481,6 +492,8 @@
     recording: Option<TurnRecording>,
     /// The software version that began the stream which the call resumes.
     software: Option<Name>,
+    /// Measures the turn, if the call is one.
+    timer: Option<TurnTimer>,
 }
 
 /// Returns the headers of a response without the hop-by-hop ones.
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! budget), assigned to an endpoint by [`schedule`] and sent by [`attempt`]. Its response is
 //! returned complete by [`handler`] or relayed by [`stream`].
 
+pub(crate) mod admission;
 mod answered;
 mod attempt;
 mod body;
@@ -41,6 +42,7 @@
     Protocol,
     fleet_client::{FleetClient, HeartbeatReport},
 };
+use admission::ProgramAdmission;
 use endpoints::ChosenEndpoint;
 use links::Links;
 use memory::BodyMemory;
@@ -65,6 +67,7 @@
     pub(crate) fleet: Arc<FleetClient>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) schedule: Arc<Schedule>,
+    pub(crate) admission: Arc<ProgramAdmission>,
     pub(crate) rates: Arc<Rates>,
     pub(crate) programs: Arc<Programs>,
     pub(crate) origins: Arc<Origins>,
@@ -129,10 +132,15 @@
         beat.failures = self.schedule.take_failures();
         beat.limits = self.schedule.take_limits();
         beat.links_cut = self.links.is_cut();
+        beat.programs = self.admission.take_load();
         Box::pin(std::future::ready(()))
     }
 
     fn apply_shares(&self, shares: &[peer::TeamShare]) {
         self.rates.set_shares(shares);
     }
+
+    fn apply_programs(&self, allowance: Option<&peer::ProgramAllowance>) {
+        self.admission.apply(allowance);
+    }
 }
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -30,7 +30,7 @@
     endpoints::{ChosenEndpoint, Endpoints, Outcome},
     placement::{EndpointFilter, PlacementRequest},
 };
-use crate::{Load, fleet_client::FleetClient};
+use crate::{Load, PromptPart, fleet_client::FleetClient};
 
 const TICK: Duration = Duration::from_millis(100);
 /// Maximum number of waiting calls per service.
@@ -303,6 +303,11 @@
         self.notify_placed(placed);
     }
 
+    /// Number of parts of a prompt after the leading ones that many conversations share.
+    pub(crate) fn own_parts(&self, parts: &[PromptPart]) -> usize {
+        self.lock().endpoints.own_parts(parts)
+    }
+
     /// Addresses of up to `count` endpoints at random, those that take calls first.
     pub(crate) fn sample_endpoints(&self, count: usize) -> Vec<SocketAddr> {
         self.lock().endpoints.sample(count)
--- a/crates/relay/src/front/shared_parts.rs
+++ b/crates/relay/src/front/shared_parts.rs
@@ -61,12 +61,12 @@
     }
 
     /// Number of leading parts that are shared.
-    pub(super) fn leading(&self, placement: &PlacementRequest) -> usize {
+    pub(super) fn leading(&self, parts: &[PromptPart]) -> usize {
         let is_shared = |part: &&PromptPart| {
             let found = self.parts.binary_search_by_key(&part.id, |p| p.id);
             found.is_ok_and(|at| self.parts[at].conversations >= MIN_SHARING_CONVERSATIONS)
         };
-        placement.parts.iter().take_while(is_shared).count()
+        parts.iter().take_while(is_shared).count()
     }
 
     fn make_room(&mut self) {
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Front,
+    admission::TurnTimer,
     attempt::{Attempts, StartedResponse},
     body::{ResponseBody, TruncatedBody, streamed},
     endpoints::{ChosenEndpoint, Outcome},
@@ -36,6 +37,7 @@
     pub(crate) tokens_per_event: u64,
     pub(crate) turn: Option<OpenTurn>,
     pub(crate) recording: Option<TurnRecording>,
+    pub(crate) timer: Option<TurnTimer>,
     pub(crate) record: CallRecord,
     pub(crate) is_done: bool,
     /// Memory reserved for the incomplete event and the recorded output.
@@ -204,6 +206,9 @@
             response.slot.finish(Outcome::Answered);
         }
         self.attempts.answered();
+        if let Some(mut timer) = self.timer.take() {
+            timer.complete();
+        }
         let rest = self.reader.take_rest();
         if let (Some(recording), Some(turn)) = (self.recording.take(), &mut self.turn) {
             let call = &self.attempts.call;
--- a/crates/relay/src/publication.rs
+++ b/crates/relay/src/publication.rs
@@ -194,6 +194,11 @@
         of_host.into_iter().find(|r| path.starts_with(&*r.prefix))
     }
 
+    /// Priority of the route with this name.
+    pub(crate) fn route_priority(&self, name: &str) -> Option<u8> {
+        self.routes.iter().find(|r| *r.name == *name).map(|r| r.priority)
+    }
+
     /// Finds the team that a key belongs to.
     pub fn team_of(&self, key: &Secret) -> Option<&Team> {
         let digest = *blake3::hash(&key.0).as_bytes();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -23,6 +23,7 @@
     fleet_client::{FleetClient, HeartbeatReport},
     front::{
         Front,
+        admission::ProgramAdmission,
         detours::{DetourDial, TunnelService},
         links::Links,
         listener::Listener,
@@ -235,6 +236,7 @@
             fleet: fleet.clone(),
             clock: clock.clone(),
             schedule: schedule.clone(),
+            admission: ProgramAdmission::new(settings.measures_limits, clock.clone()),
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
             origins,
