--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -20,6 +20,7 @@
 };
 
 use super::{
+    programs::ProgramLimits,
     rollouts::{DirectoryView, Rollouts},
     suspects::{Suspects, Timestamps},
 };
@@ -84,6 +85,7 @@
     probation: Probation,
     limits: NamedLimits,
     pub(crate) rollouts: Rollouts,
+    programs: ProgramLimits,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -107,6 +109,7 @@
             probation: Probation::default(),
             limits: NamedLimits::default(),
             rollouts: Rollouts::new(rollouts, lease + DRIFT_MARGIN, now),
+            programs: ProgramLimits::new(now.monotonic + DISCOVERY_TIME, now.monotonic),
             changes: VecDeque::new(),
         }
     }
@@ -387,6 +390,17 @@
         shares
     }
 
+    /// Processes the load by programs that a front reports; returns what it may admit.
+    pub(crate) fn limit_programs(
+        &mut self,
+        instance: &Name,
+        load: &peer::ProgramLoad,
+        publication: &Publication,
+        now: Duration,
+    ) -> Option<peer::ProgramAllowance> {
+        self.programs.report(instance, load, publication, &self.directory.endpoints, now)
+    }
+
     /// Takes a token from a team's reserve, returns one, or admits a new program of the team. On
     /// failure returns the time after which to retry, if it is known.
     pub(crate) fn borrow(
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod forwarding;
 mod leader_state;
 mod operator_api;
+mod programs;
 mod rollouts;
 mod suspects;
 
@@ -133,9 +134,13 @@
             _ => Vec::new(),
         };
         let rank = leader.instance_rank(&beat.instance);
-        let shares = publication.map_or_else(Vec::new, |publication| {
-            leader.allocate_shares(&Name::from(&*beat.instance), &beat.demand, &publication, now)
+        let name = Name::from(&*beat.instance);
+        let shares = publication.as_ref().map_or_else(Vec::new, |publication| {
+            leader.allocate_shares(&name, &beat.demand, publication, now)
         });
+        let programs = beat.programs.as_ref().zip(publication.as_ref());
+        let programs = programs
+            .and_then(|(load, publication)| leader.limit_programs(&name, load, publication, now));
         let published = (control_state.version() > beat.version).then(|| peer::Published {
             version: control_state.version(),
             body: control_state.body().clone(),
@@ -163,7 +168,7 @@
             },
             rollouts,
             paces: Vec::new(),
-            programs: None,
+            programs,
         })
     }
 
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -34,7 +34,7 @@
     placement::{EndpointFilter, PlacementRequest},
     rollouts::{self, OpenCall},
 };
-use crate::fleet_client::FleetClient;
+use crate::{PromptPart, fleet_client::FleetClient};
 pub(crate) use slot::{Claim, Slot};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -305,6 +305,11 @@
         self.notify_placed(placed);
     }
 
+    /// Number of parts of a prompt after the leading ones that many conversations share.
+    pub(crate) fn own_parts(&self, parts: &[PromptPart]) -> usize {
+        self.lock().endpoints.own_parts(parts)
+    }
+
     /// Addresses of up to `count` endpoints at random, those that take calls first.
     pub(crate) fn sample_endpoints(&self, count: usize) -> Vec<SocketAddr> {
         self.lock().endpoints.sample(count)
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -70,6 +70,9 @@
     pub time_limits: TimeLimits,
     /// Limits of rollouts. `None` if the platform does not offer rollouts.
     pub rollouts: Option<RolloutLimits>,
+    /// Whether the limits of endpoints are found by measurement, because the platform states none:
+    /// programs are admitted by measured delay, and endpoints that start are paced.
+    pub measures_limits: bool,
     /// Port that serves metrics.
     pub metrics_port: u16,
 }
