--- a/crates/relay/src/front/rollouts.rs
+++ b/crates/relay/src/front/rollouts.rs
@@ -65,26 +65,26 @@
 /// Logs the rollouts that the leader has started, advanced or dropped.
 pub(super) fn log_changes(old: &[Rule], new: &[Rule]) {
     for rule in new.iter().filter(|rule| !old.contains(rule)) {
-        let (service, target) = (&*rule.service, &*rule.target);
+        let (service, version) = (&*rule.service, &*rule.target);
         match &rule.stage {
             Stage::Running { share_ppm } => {
-                log::info!(rollout = rule.id, service, target, share_ppm; "share of a rollout");
+                log::info!(rollout = rule.id, service, version, share_ppm; "share of a rollout");
             }
             Stage::Completed { retired } => {
                 let retired = retired.join(",");
                 log::info!(
-                    rollout = rule.id, service, target, retired = retired.as_str();
+                    rollout = rule.id, service, version, retired = retired.as_str();
                     "rollout completed"
                 );
             }
             Stage::Reverted => {
-                log::warn!(rollout = rule.id, service, target; "rollout reverted");
+                log::warn!(rollout = rule.id, service, version; "rollout reverted");
             }
         }
     }
     for rule in old.iter().filter(|rule| new.iter().all(|r| r.id != rule.id)) {
-        let (service, target) = (&*rule.service, &*rule.target);
-        log::info!(rollout = rule.id, service, target; "rollout is no longer kept");
+        let (service, version) = (&*rule.service, &*rule.target);
+        log::info!(rollout = rule.id, service, version; "rollout is no longer kept");
     }
 }
 
