relay: rollout reports with lower counts of ended calls are overtaken

With a heartbeat that overtook another, and as many calls sent in both, the leader counted the difference of the evidence twice, and could take a good version for a bad one. Such reports are dropped now.

--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -34,6 +34,8 @@
     /// Share that it reported last, in millionths.
     share_ppm: u32,
     sent: u64,
+    /// Calls in its evidence.
+    ended: u64,
     /// Open calls at endpoints of other versions, as it reported last.
     old_in_flight: u32,
     /// Whether it was told to send nothing to other versions.
@@ -50,6 +52,7 @@
             incarnation,
             share_ppm: 0,
             sent: 0,
+            ended: 0,
             old_in_flight: 0,
             is_told: false,
             has_left_old: false,
@@ -58,6 +61,22 @@
     }
 }
 
+impl Front {
+    /// Whether a report is older than the last one. Heartbeats may overtake each other, and lower
+    /// counts would be taken for those of a restarted front, or counted again with the next report.
+    fn has_overtaken(&self, report: &peer::RolloutReport) -> bool {
+        // A full report leaves rows out, so that the sum of its rows may fall.
+        let is_whole = report.evidence.len() < MAX_EVIDENCE_ROWS;
+        report.sent < self.sent || (is_whole && ended(report) < self.ended)
+    }
+}
+
+/// Number of calls in the evidence of a report.
+fn ended(report: &peer::RolloutReport) -> u64 {
+    let rows = report.evidence.iter().take(MAX_EVIDENCE_ROWS);
+    rows.fold(0, |sum, e| sum.saturating_add(e.answered).saturating_add(e.failed))
+}
+
 /// How a rollout ends, before the end is recorded.
 #[derive(Debug)]
 enum End {
@@ -217,9 +236,9 @@
         let front = &mut self.fronts[at];
         front.is_live = true;
         front.has_left_old = front.is_told && report.is_none();
-        // Heartbeats may overtake each other. Counts from before would be taken for a restart.
-        let Some(report) = report.filter(|r| r.sent >= front.sent) else { return };
+        let Some(report) = report.filter(|r| !front.has_overtaken(r)) else { return };
         (front.share_ppm, front.sent) = (report.share_ppm, report.sent);
+        front.ended = ended(report);
         front.old_in_flight = report.old_in_flight;
         self.policy.report(&name, read_report(report), now);
     }
