policy: paces of endpoints that have just started or recovered

Each front probes a returning endpoint for itself and sends it everything after the first answer, so it is overloaded before it is warm. Adds a state machine that finds the rate for all fronts together from the results.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`departures`]: endpoints that have announced that they are about to stop.
 //! * [`probation`]: endpoints that fail calls, avoided by all instances.
 //! * [`links`]: whether an instance has lost its own links to all endpoints.
+//! * [`pace`]: slow start of endpoints that have just started or recovered.
 //! * [`placement`]: assignment of models to endpoints.
 //! * [`rollout`]: moving the calls of a service to another software version.
 //!
@@ -81,6 +82,7 @@
 pub mod fair;
 mod invariants;
 pub mod links;
+pub mod pace;
 pub mod placement;
 pub mod probation;
 pub mod quarantine;
