--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`probation`]: endpoints that fail calls, avoided by all instances.
 //! * [`links`]: whether an instance has lost its own links to all endpoints.
 //! * [`version_split`]: division of calls between two software versions during a rollout.
+//! * [`pace`]: slow start of endpoints that have just started or recovered.
 //! * [`placement`]: assignment of models to endpoints.
 //! * [`rollout`]: moving the calls of a service to another software version.
 //!
@@ -84,6 +85,7 @@
 pub mod fair;
 mod invariants;
 pub mod links;
+pub mod pace;
 pub mod placement;
 pub mod probation;
 pub mod quarantine;
