--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -201,6 +201,7 @@
     /// Links to the two fronts and then to the servers; empty if connections are direct.
     pub links: Vec<Arc<Link>>,
     logs: Option<PathBuf>,
+    bounds: &'static str,
     pub client: reqwest::Client,
     _dir: tempfile::TempDir,
 }
@@ -226,6 +227,11 @@
         Self::start_with(config, 3, false, None).await
     }
 
+    /// Like [`RelayFleet::start`], on a platform that states the limits of cold servers.
+    pub async fn start_stated(config: &Value) -> Self {
+        Self::start_bounded(config, 3, false, None, "coldExcess = 20\n").await
+    }
+
     /// Like [`RelayFleet::start`], with a given number of stores.
     pub async fn start_stores(config: &Value, stores: u8) -> Self {
         Self::start_with(config, stores, false, None).await
@@ -238,6 +244,17 @@
     }
 
     async fn start_with(config: &Value, stores: u8, linked: bool, logs: Option<PathBuf>) -> Self {
+        Self::start_bounded(config, stores, linked, logs, "").await
+    }
+
+    /// Starts a fleet; `bounds` are further lines of that section of the settings.
+    async fn start_bounded(
+        config: &Value,
+        stores: u8,
+        linked: bool,
+        logs: Option<PathBuf>,
+        bounds: &'static str,
+    ) -> Self {
         let dir = tempfile::tempdir().expect("failed to create a temporary folder");
         let tls = dir.path().join("tls");
         let made = Command::new(PROGRAM).args(["certs", "--out"]).arg(&tls).output();
@@ -250,6 +267,7 @@
             subnet: unique_subnet(),
             links: Vec::new(),
             logs,
+            bounds,
             client: reqwest::Client::builder()
                 .pool_max_idle_per_host(0)
                 .build()
@@ -332,8 +350,9 @@
              portRange = [{PEER_PORT}, {last}]\nseeds = [{seeds}]\nbootstrap = true\n{data_line}\
              [zones]\nz1 = \"r\"\nz2 = \"r\"\n[listen]\n{listen}\n\
              [faultTolerance]\nmachines = 1\n\
-             [bounds]\nrevokeMs = 5000\ngraceS = 8\nconfigApplyMs = 2500\n\
+             [bounds]\nrevokeMs = 5000\ngraceS = 8\nconfigApplyMs = 2500\n{bounds}\
              [cloud]\naddress = \"{list}\"\n",
+            bounds = self.bounds,
             last = PEER_PORT + 15,
             seeds = seeds.join(", "),
             list = SocketAddr::from((self.ip(1), SERVER_PORT)),
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -31,6 +31,10 @@
 
 /// Processing time of requests on paths that end in `/slow`.
 const SLOW_WORK_TIME: Duration = Duration::from_millis(500);
+/// Processing time of requests on paths that contain `/crowded` while no more than
+/// [`CROWD`] of them run at all servers together. With more, they slow each other down.
+const CROWDED_WORK_TIME: Duration = Duration::from_millis(40);
+const CROWD: u32 = 8;
 /// Time from a crash until the server listens again.
 pub const RESTART_DELAY: Duration = Duration::from_secs(2);
 pub const SERVERS: usize = 3;
@@ -58,6 +62,8 @@
     /// Requests per second that each server names as its limit; 0 for none.
     pub limits: Arc<[AtomicU32; SERVERS]>,
     software: Arc<Mutex<[Option<&'static str>; SERVERS]>>,
+    /// Running requests on paths that contain `/crowded`.
+    crowd: Arc<AtomicU32>,
 }
 
 impl Default for Servers {
@@ -68,6 +74,7 @@
             is_fixed: Arc::default(),
             limits: Arc::default(),
             software: Arc::new(Mutex::new([Some("v1"); SERVERS])),
+            crowd: Arc::default(),
         }
     }
 }
@@ -207,6 +214,11 @@
         if path.ends_with("/slow") {
             tokio::time::sleep(SLOW_WORK_TIME).await;
         }
+        if path.contains("/crowded") {
+            let running = self.crowd.fetch_add(1, Ordering::Relaxed) + 1;
+            tokio::time::sleep(CROWDED_WORK_TIME * running.max(CROWD) / CROWD).await;
+            self.crowd.fetch_sub(1, Ordering::Relaxed);
+        }
         if path.ends_with("/silent") {
             return std::future::pending().await;
         }
