--- a/crates/policy/tests/overload/mod.rs
+++ b/crates/policy/tests/overload/mod.rs
@@ -86,7 +86,7 @@
     Duration::from_secs_f64(seconds)
 }
 
-fn class(team: usize, kind: usize) -> ProgramClass {
+pub fn class(team: usize, kind: usize) -> ProgramClass {
     ProgramClass { team: format!("team{team}").into(), route: KINDS[kind].0.into() }
 }
 
--- a/crates/policy/tests/program_admission.rs
+++ b/crates/policy/tests/program_admission.rs
@@ -4,6 +4,13 @@
 
 mod overload;
 
+use std::time::Duration;
+
+use poplarspan_policy::{
+    Name,
+    admission::{Allowance, FirstTurn, LoadReport, ProgramGate, ProgramLimiter},
+};
+
 use overload::{Load, Program, Rate, TEAMS, replay};
 
 const FRONTS: [usize; 3] = [8, 57, 300];
@@ -141,3 +148,46 @@
         assert!(limited.1 <= 0.02, "{fronts} fronts: {limited:?}");
     }
 }
+
+/// A front without answers of the leader must lower its rate, but never to zero, and must take the
+/// next answer.
+#[test]
+fn silent_leader() {
+    let class = overload::class(0, 0);
+    let allowed = Allowance { per_second: Some(40.0), ..Allowance::default() };
+    let mut gate = ProgramGate::new(Duration::ZERO);
+    gate.set_allowance(allowed.clone(), Duration::ZERO);
+    let mut admitted = [0; 4];
+    for n in 0u32..400 {
+        let now = Duration::from_millis(10) * n;
+        let program: Name = format!("program{n}").into();
+        let turn = FirstTurn { program: &program, class: &class, time_left: None };
+        admitted[n as usize / 100] += u32::from(gate.admit(turn, 0.5, now).is_ok());
+        if n % 25 == 0 {
+            gate.take_load(now);
+        }
+    }
+    println!("admitted in each second: {admitted:?}");
+    assert!(admitted[0] >= 40 && admitted[1] < admitted[0] && admitted[3] <= 10, "{admitted:?}");
+    assert!(admitted[3] > 0, "{admitted:?}");
+    let now = Duration::from_secs(4);
+    gate.set_allowance(allowed, now);
+    assert_eq!(gate.per_second(now), Some(40.0));
+}
+
+/// A new leader must not lift the limit of its predecessor during an overload: it answers nothing
+/// until all fronts have reported, and then begins with the open turns as its limit.
+#[test]
+fn new_leader() {
+    let recovered_at = Duration::from_secs(1);
+    let mut limiter = ProgramLimiter::new(recovered_at, Duration::ZERO);
+    let report = LoadReport { active: 30, begun: 10, refused: 5, ..LoadReport::default() };
+    for n in 0..8u32 {
+        let now = Duration::from_millis(125) * n;
+        let front: Name = format!("front{}", n % 2).into();
+        assert_eq!(limiter.report(&front, &report, now), None);
+    }
+    let allowed = limiter.report(&"front0".into(), &report, recovered_at).expect("an allowance");
+    assert!(allowed.per_second.is_some(), "the limit is lifted");
+    assert_eq!(limiter.state().limit, Some(60.0));
+}
--- a/tests/program_admission.rs
+++ b/tests/program_admission.rs
@@ -141,3 +141,24 @@
     })
     .await;
 }
+
+/// Turns of programs whose time is over must not delay those that can still be in time, but only
+/// where programs are admitted by measured delay.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_programs() {
+    let config = config(3, &[KEY]);
+    let measuring = RelayFleet::start(&config).await;
+    let stated = RelayFleet::start_stated(&config).await;
+    let priority = async |fleet: &RelayFleet, left: &str| {
+        let id = format!("left-{left}");
+        let headers = [("program-id", &*id), ("program-deadline-ms", left)];
+        let call = Call { headers: &headers, ..Call::default() };
+        assert_eq!(fleet.call(0, "/stream/events/1", &id, call).await.status, 200);
+        let priority = fleet.servers.runs_of(&id)[0].priority.clone();
+        priority.expect("no priority").parse::<u8>().expect("not a number")
+    };
+    for late in ["0", "-350"] {
+        assert!(priority(&measuring, late).await > priority(&measuring, "5000").await, "{late}");
+        assert_eq!(priority(&stated, late).await, priority(&stated, "5000").await, "{late}");
+    }
+}
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -49,6 +49,8 @@
     pub body: Bytes,
     pub team: Option<String>,
     pub saw_key: bool,
+    /// Engine priority; 0 is the most urgent.
+    pub priority: Option<String>,
 }
 
 /// Executions of all servers, and the controls of their faults.
@@ -171,6 +173,7 @@
         let expected = header("expect-instance");
         let last_event = header("last-event-id");
         let is_resumed = last_event.is_some();
+        let priority = header("request-priority");
         let (team, saw_key) = (header("tenant"), req.headers().contains_key("api-key"));
         if expected.as_deref() != Some(&*server_name(server)) {
             return Ok(response(421, &id, false, Bytes::new()));
@@ -190,6 +193,7 @@
             body: body.clone(),
             team,
             saw_key,
+            priority,
         };
         self.runs.lock().expect("lock is poisoned").push(run);
         if path.ends_with("/crash") && self.is_fixed.load(Ordering::Relaxed) {
