--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -55,9 +55,11 @@
 /// Number of fleets of one process that have distinct addresses.
 const MAX_FLEETS: u8 = 60;
 
+/// Settings of a platform that states the limits of cold servers.
+const STATED_BOUNDS: &str = "coldExcess = 1.5\n";
 /// Settings with which rollouts are offered.
 const ROLLOUT_BOUNDS: &str =
-    "exposureShare = 0.1\nexposureSlack = 50\nrollbackMs = 5000\nackMs = 5000\n";
+    "coldExcess = 1.5\nexposureShare = 0.1\nexposureSlack = 50\nrollbackMs = 5000\nackMs = 5000\n";
 
 pub const HOST: &str = "calls.example";
 pub const KEY: &str = "key-of-red";
@@ -230,18 +232,24 @@
 
     /// Starts all processes, publishes `config` and waits until the fronts are ready.
     pub async fn start(config: &Value) -> Self {
+        Self::start_with(config, 3, false, None, STATED_BOUNDS).await
+    }
+
+    /// Like [`RelayFleet::start`], on a platform that states no limits of cold servers, so that the
+    /// limits of servers are measured.
+    pub async fn start_measured(config: &Value) -> Self {
         Self::start_with(config, 3, false, None, "").await
     }
 
     /// Like [`RelayFleet::start`], with a given number of stores.
     pub async fn start_stores(config: &Value, stores: u8) -> Self {
-        Self::start_with(config, stores, false, None, "").await
+        Self::start_with(config, stores, false, None, STATED_BOUNDS).await
     }
 
     /// Like [`RelayFleet::start`], with links that can inject faults, two groups of stores, and the
     /// output of the processes in `logs`.
     pub async fn start_linked(config: &Value, logs: &Path) -> Self {
-        Self::start_with(config, 4, true, Some(logs.to_owned()), "").await
+        Self::start_with(config, 4, true, Some(logs.to_owned()), STATED_BOUNDS).await
     }
 
     /// Like [`RelayFleet::start_linked`], with settings that offer rollouts.
@@ -373,6 +381,7 @@
              [faultTolerance]\nmachines = 1\n\
              [bounds]\nrevokeMs = 5000\ngraceS = 8\nconfigApplyMs = 2500\n{bounds}\
              [cloud]\naddress = \"{list}\"\n",
+            bounds = self.bounds,
             last = PEER_PORT + 15,
             bounds = self.bounds,
             seeds = seeds.join(", "),
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -31,6 +31,10 @@
 
 /// Processing time of requests on paths that end in `/slow`.
 const SLOW_WORK_TIME: Duration = Duration::from_millis(500);
+/// Processing time of requests on paths that contain `/crowded` while no more than
+/// [`CROWD`] of them run at all servers together. With more, they slow each other down.
+const CROWDED_WORK_TIME: Duration = Duration::from_millis(40);
+const CROWD: u32 = 8;
 /// Time from a crash until the server listens again.
 pub const RESTART_DELAY: Duration = Duration::from_secs(2);
 pub const SERVERS: usize = 3;
@@ -45,6 +49,8 @@
     pub body: Bytes,
     pub team: Option<String>,
     pub saw_key: bool,
+    /// Engine priority; 0 is the most urgent.
+    pub priority: Option<String>,
 }
 
 /// Executions of all servers, and the controls of their faults.
@@ -58,6 +64,8 @@
     /// Requests per second that each server names as its limit; 0 for none.
     pub limits: Arc<[AtomicU32; SERVERS]>,
     software: Arc<Mutex<[Option<&'static str>; SERVERS]>>,
+    /// Running requests on paths that contain `/crowded`.
+    crowd: Arc<AtomicU32>,
     defects: Arc<Mutex<[Option<Defect>; SERVERS]>>,
 }
 
@@ -79,6 +87,7 @@
             limits: Arc::default(),
             software: Arc::new(Mutex::new([Some("v1"); SERVERS])),
             defects: Arc::default(),
+            crowd: Arc::default(),
         }
     }
 }
@@ -179,6 +188,7 @@
         let expected = header("expect-instance");
         let last_event = header("last-event-id");
         let is_resumed = last_event.is_some();
+        let priority = header("request-priority");
         let (team, saw_key) = (header("tenant"), req.headers().contains_key("api-key"));
         if expected.as_deref() != Some(&*server_name(server)) {
             return Ok(response(421, &id, false, Bytes::new()));
@@ -198,6 +208,7 @@
             body: body.clone(),
             team,
             saw_key,
+            priority,
         };
         let number = {
             let mut runs = self.runs.lock().expect("lock is poisoned");
@@ -230,6 +241,11 @@
         if path.ends_with("/slow") {
             tokio::time::sleep(SLOW_WORK_TIME).await;
         }
+        if path.contains("/crowded") {
+            let running = self.crowd.fetch_add(1, Ordering::Relaxed) + 1;
+            tokio::time::sleep(CROWDED_WORK_TIME * running.max(CROWD) / CROWD).await;
+            self.crowd.fetch_sub(1, Ordering::Relaxed);
+        }
         if path.ends_with("/silent") {
             return std::future::pending().await;
         }
