relay: fronts keep to the pace of endpoints that have just started or recovered

A server that appeared in the list got its whole part of the load at once: 56 calls in its first 900 ms at some 400 calls a second from two fronts. Each front decided for itself. Only where the platform states no bounds for cold endpoints (`Settings::measures_limits`).

--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -16,7 +16,7 @@
 };
 use poplarspan_proto::peer::{self, Duty as PbDuty};
 
-use super::suspects::Suspects;
+use super::{paces::EndpointPaces, suspects::Suspects};
 use crate::{ListedEndpoint, Publication};
 
 /// Maximum drift between the clocks of two machines during a lease.
@@ -77,6 +77,7 @@
     pub(crate) suspects: Suspects,
     probation: Probation,
     limits: NamedLimits,
+    paces: EndpointPaces,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -94,6 +95,7 @@
             suspects: Suspects::new(term),
             probation: Probation::default(),
             limits: NamedLimits::default(),
+            paces: EndpointPaces::default(),
             changes: VecDeque::new(),
         }
     }
@@ -167,6 +169,20 @@
         self.probation.endpoints(now).map(|name| name.to_string()).collect()
     }
 
+    /// Changes the paces of endpoints by the list, probation and the results that a heartbeat
+    /// reports, and returns them sorted.
+    pub(crate) fn update_paces(
+        &mut self,
+        beat: &peer::Beat,
+        now: Duration,
+    ) -> Vec<peer::EndpointLimit> {
+        let Directory { number, endpoints, .. } = &self.directory;
+        self.paces.observe_list(*number, endpoints, now);
+        self.paces.observe_probation(self.probation.endpoints(now), now);
+        self.paces.note_results(beat, now);
+        self.paces.list()
+    }
+
     /// Removes instances whose lease has expired.
     fn expire(&mut self, now: Duration) {
         let Self { members, changes, .. } = self;
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod forwarding;
 mod leader_state;
 mod operator_api;
+mod paces;
 mod suspects;
 
 use std::{
@@ -118,6 +119,10 @@
         }
         leader.note_failures(&beat, now);
         leader.note_limits(&beat, now);
+        let paces = match self.settings.measures_limits {
+            true => leader.update_paces(&beat, now),
+            false => Vec::new(),
+        };
         let timestamps = self.timestamps();
         leader.suspects.observe(&control_state, &beat, timestamps);
         let quarantine = leader.suspects.list_for(beat.quarantine, timestamps);
@@ -151,7 +156,7 @@
                 false => Vec::new(),
             },
             rollouts: Vec::new(),
-            paces: Vec::new(),
+            paces,
             programs: None,
         })
     }
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -63,6 +63,9 @@
     pub(crate) probation: Vec<Name>,
     /// Endpoints that name a limit, sorted, and the limits in calls per second.
     pub(crate) limits: Arc<[(Name, f64)]>,
+    /// Endpoints that have just started or recovered, sorted, and the calls per second that all
+    /// fronts together may send them.
+    pub(crate) paces: Arc<[(Name, f64)]>,
     /// Peer addresses of fronts that reach endpoints. Only known while the instance's own links are
     /// cut.
     pub(crate) detours: Vec<SocketAddr>,
@@ -173,6 +176,7 @@
             quarantine_list: Arc::default(),
             probation: Vec::new(),
             limits: Arc::default(),
+            paces: Arc::default(),
             detours: Vec::new(),
         };
         let search =
@@ -324,6 +328,7 @@
             ),
             probation: names(answer.probation),
             limits: read_limits(answer.limits),
+            paces: read_limits(answer.paces),
             detours: addresses(answer.detours),
         };
         if view.zones_out != old.zones_out {
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -7,6 +7,7 @@
 //! responses.
 
 mod limits;
+mod paces;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -30,6 +31,7 @@
 };
 use crate::{ListedEndpoint, Load, PromptPart, Publication, fleet_client::View};
 use limits::CallLimit;
+use paces::PaceState;
 
 /// Block size of the index of cached prompts, in tokens.
 const BLOCK_TOKENS: u32 = 256;
@@ -79,6 +81,7 @@
     /// Counts calls also while there is no limit, so that a new one takes effect at once.
     limiter: StartLimiter,
     limit: Option<CallLimit>,
+    pace: PaceState,
     failures: u32,
     /// No calls are sent until then; afterwards `PROBE_CALLS` at a time until one is answered.
     paused_until: Option<Duration>,
@@ -138,6 +141,8 @@
     unreported_ends: Vec<Name>,
     /// The limits that the leader has last distributed.
     limits: Arc<[(Name, f64)]>,
+    /// The paces that the leader has last distributed.
+    paces: Arc<[(Name, f64)]>,
 }
 
 impl Endpoints {
@@ -159,6 +164,7 @@
             unreported_failures: Vec::new(),
             unreported_ends: Vec::new(),
             limits: Arc::default(),
+            paces: Arc::default(),
         }
     }
 
@@ -185,6 +191,10 @@
             self.limits = view.limits.clone();
             self.apply_limits(now);
         }
+        if is_new_list || view.paces != self.paces {
+            self.paces = view.paces.clone();
+            self.apply_paces(&view.paces);
+        }
     }
 
     fn apply_list(&mut self, view: &View, now: Duration) {
@@ -249,6 +259,7 @@
                     gate: StartLimiter::default(),
                     limiter: StartLimiter::new(LIMIT_WINDOW),
                     limit: None,
+                    pace: PaceState::default(),
                     failures: 0,
                     paused_until: None,
                     avoided_until: Duration::ZERO,
@@ -333,7 +344,7 @@
     }
 
     /// Endpoints that must not get the call: those that the filter excludes, and those that are cold
-    /// or name a limit and have had as many calls as this front may send them.
+    /// or have a limit or a pace and have had as many calls as this front may send them.
     fn excluded(
         &mut self,
         placement: &PlacementRequest,
@@ -349,8 +360,8 @@
             let is_other_software = !filter.fits(state.software.as_ref());
             let offset = offset(&state.name);
             let is_used_up = state
-                .limit
-                .is_some_and(|limit| !state.limiter.allows(limit.per_second, rank, offset, now));
+                .allowed_rate()
+                .is_some_and(|limit| !state.limiter.allows(limit, rank, offset, now));
             if is_tried
                 || is_other_software
                 || is_used_up
@@ -439,6 +450,7 @@
     /// Records the end of a call at an endpoint.
     pub(crate) fn end(&mut self, name: &Name, outcome: Outcome, took: Duration, now: Duration) {
         let Ok(at) = self.position(name) else { return };
+        self.note_pace_result(at, outcome, took);
         let state = &mut self.endpoints[at];
         let id = state.id;
         self.fleet.call_ended(id, (outcome == Outcome::Answered).then_some(took), now);
--- a/crates/relay/src/front/endpoints/limits.rs
+++ b/crates/relay/src/front/endpoints/limits.rs
@@ -100,7 +100,7 @@
         for state in endpoints.iter_mut().filter(|k| *k.service == *service) {
             if fleet.is_available(state.id) {
                 is_limited = true;
-                let rate = state.limit?.per_second;
+                let rate = state.allowed_rate()?;
                 let offset = offset(&state.name);
                 starts.extend(state.limiter.next_starts(rate, *rank, offset, now));
             }
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -128,6 +128,7 @@
         beat.demand = self.rates.demand();
         beat.failures = self.schedule.take_failures();
         beat.limits = self.schedule.take_limits();
+        beat.paced = self.schedule.take_paced();
         beat.links_cut = self.links.is_cut();
         Box::pin(std::future::ready(()))
     }
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -292,6 +292,12 @@
         limits.into_iter().map(report).collect()
     }
 
+    /// Takes the results of calls at endpoints whose service has an endpoint with a pace. They are
+    /// lost if the heartbeat that reports them is not answered.
+    pub(crate) fn take_paced(&self) -> Vec<peer::PacedResults> {
+        self.lock().endpoints.take_paced()
+    }
+
     /// Forgets the failures of endpoints, which the loss of the front's own links has caused.
     pub(crate) fn forget_failures(&self) {
         let now = self.clock.now();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -66,6 +66,9 @@
     pub endpoint_list_address: SocketAddr,
     /// Number of machines with a disk that may be lost at the same time.
     pub tolerated_losses: usize,
+    /// Whether the limits of endpoints are found by measurement, as the platform states none for cold
+    /// endpoints.
+    pub measures_limits: bool,
     /// Time limits set by the platform.
     pub time_limits: TimeLimits,
     /// Port that serves metrics.
