--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -20,6 +20,7 @@
 };
 
 use super::{
+    paces::EndpointPaces,
     programs::ProgramLimits,
     rollouts::{DirectoryView, Rollouts},
     suspects::{Suspects, Timestamps},
@@ -86,6 +87,7 @@
     limits: NamedLimits,
     pub(crate) rollouts: Rollouts,
     programs: ProgramLimits,
+    paces: EndpointPaces,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -110,6 +112,7 @@
             limits: NamedLimits::default(),
             rollouts: Rollouts::new(rollouts, lease + DRIFT_MARGIN, now),
             programs: ProgramLimits::new(now.monotonic + DISCOVERY_TIME, now.monotonic),
+            paces: EndpointPaces::default(),
             changes: VecDeque::new(),
         }
     }
@@ -202,6 +205,20 @@
         self.probation.endpoints(now).map(|name| name.to_string()).collect()
     }
 
+    /// Changes the paces of endpoints by the list, probation and the results that a heartbeat
+    /// reports, and returns them sorted.
+    pub(crate) fn update_paces(
+        &mut self,
+        beat: &peer::Beat,
+        now: Duration,
+    ) -> Vec<peer::EndpointLimit> {
+        let Directory { number, endpoints, .. } = &self.directory;
+        self.paces.observe_list(*number, endpoints, now);
+        self.paces.observe_probation(self.probation.endpoints(now), now);
+        self.paces.note_results(beat, now);
+        self.paces.list()
+    }
+
     /// Removes instances whose lease has expired.
     fn expire(&mut self, now: Duration) {
         let Self { members, changes, .. } = self;
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -70,6 +70,9 @@
     pub(crate) limits: Arc<[(Name, f64)]>,
     /// What the leader has decided about rollouts; sorted by id. Holds as long as the lease.
     pub(crate) rollouts: Arc<[Rule]>,
+    /// Endpoints that have just started or recovered, sorted, and the calls per second that all
+    /// fronts together may send them.
+    pub(crate) paces: Arc<[(Name, f64)]>,
     /// Peer addresses of fronts that reach endpoints. Only known while the instance's own links are
     /// cut.
     pub(crate) detours: Vec<SocketAddr>,
@@ -184,6 +187,7 @@
             probation: Vec::new(),
             limits: Arc::default(),
             rollouts: Arc::default(),
+            paces: Arc::default(),
             detours: Vec::new(),
         };
         let search =
@@ -336,6 +340,7 @@
             probation: names(answer.probation),
             limits: read_limits(answer.limits),
             rollouts: read_rollouts(answer.rollouts, &old.rollouts),
+            paces: read_limits(answer.paces),
             detours: addresses(answer.detours),
         };
         if view.zones_out != old.zones_out {
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -132,6 +132,7 @@
         beat.failures = self.schedule.take_failures();
         beat.limits = self.schedule.take_limits();
         beat.rollouts = self.schedule.rollout_reports();
+        beat.paced = self.schedule.take_paced();
         beat.links_cut = self.links.is_cut();
         beat.programs = self.admission.take_load();
         Box::pin(std::future::ready(()))
