relay: stores refuse turns that would be kept while they are nearly full

A store that had no memory or disk left for another kept turn found out when the turn ended: the call had run, and the store was terminated or its writes waited.

A store now counts the memory of its state and the bytes of its segments, and compares them with limits.memoryMb and limits.diskMb of its settings (optional; without them nothing is refused).

The name of the folder of segments is synced when it is created: after a power loss the segments would have been lost with it.

--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -75,6 +75,12 @@
         Ok(SavedState { source: Arc::new(data.clone()), data, sync: None })
     }
 
+    /// Returns whether a snapshot now would free space, so that it should not wait for the log to
+    /// grow.
+    fn wants_snapshot(&self) -> bool {
+        false
+    }
+
     /// Called when the snapshot taken at a log index is durable: files to which only earlier ones
     /// refer may be removed.
     fn saved(&mut self, _index: u64) {}
--- a/crates/agreement/src/driver/group.rs
+++ b/crates/agreement/src/driver/group.rs
@@ -456,6 +456,7 @@
         let s = &self.since_snapshot;
         let due = (s.entries >= self.cfg.snapshot_entries || s.bytes >= self.cfg.snapshot_bytes)
             && s.bytes >= s.last_bytes;
+        let due = due || (s.entries > 0 && self.machine.wants_snapshot());
         // Each encoded snapshot is a copy of its group's state, so only one is in memory at a time.
         if s.saving || work.is_saving || now < s.retry_at || !(due || wanted) {
             return Ok(());
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -13,6 +13,7 @@
 mod history_cache;
 pub(crate) mod origins;
 pub(crate) mod outputs;
+mod room;
 
 use std::{
     net::SocketAddr,
@@ -36,6 +37,7 @@
 use crate::{fleet_client::FleetClient, groups::group_of};
 use batches::GroupBatches;
 use history_cache::HistoryCache;
+use room::{RoomCache, no_room};
 
 /// Timeout of a call to one store, after which another is asked.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
@@ -65,6 +67,8 @@
     pub(crate) budget: Option<u64>,
     /// The kept turn that this one continues.
     pub(crate) previous: Option<&'a Name>,
+    /// Whether the turn is to be kept when it ends.
+    pub(crate) keeps: bool,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
 }
@@ -77,6 +81,7 @@
     /// For each group, the store that last answered as the leader.
     leaders: Mutex<Vec<Option<SocketAddr>>>,
     history_cache: Mutex<HistoryCache>,
+    room: RoomCache,
     /// Ends of turns for the groups of their programs.
     ends: mpsc::Sender<(u32, peer::TurnEnd)>,
 }
@@ -114,6 +119,7 @@
             clock,
             leaders: Mutex::default(),
             history_cache: Mutex::default(),
+            room: RoomCache::default(),
             ends,
         });
         let batches = GroupBatches::new(rx, MAX_UNSETTLED, BATCH_INTERVAL, MAX_BATCH);
@@ -140,6 +146,13 @@
         let known =
             needs.previous.and_then(|p| self.history_cache().get(open.group, &name.team, p));
         let unread = needs.previous.filter(|_| known.is_none());
+        let has_room = !needs.keeps || self.has_room(open.group).await;
+        if !has_room && needs.previous.is_none() {
+            open.is_reserved = false;
+            return Err(no_room());
+        }
+        // Without room for new conversations, the store decides about each turn that continues one.
+        let unread = if has_room { unread } else { needs.previous };
         if needs.budget.is_none() && unread.is_none() {
             return Ok((open, known.unwrap_or_default()));
         }
@@ -152,10 +165,14 @@
             budget: needs.budget,
             previous: unread.map(|p| p.to_string()),
             least: needs.most,
-            keeps: false,
+            keeps: needs.keeps,
         };
         let mut begun = self.begin_at(&begin, needs.deadline).await?;
-        if let Some(previous) = unread.filter(|_| begun.verdict() == TurnVerdict::UnknownTurn) {
+        let is_unknown = begun.verdict() == TurnVerdict::UnknownTurn;
+        if is_unknown && known.is_some() {
+            begin.previous = None;
+            begun = self.begin_at(&begin, needs.deadline).await?;
+        } else if let Some(previous) = unread.filter(|_| is_unknown) {
             let (group, deadline) = (open.group, needs.deadline);
             let found =
                 self.find_in_other_groups(group, groups, &name.team, previous, deadline).await?;
@@ -176,7 +193,11 @@
                 let message = format!("{} tokens of the budget are left", begun.remaining);
                 Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget_spent", message))
             }
-            TurnVerdict::UnknownTurn | TurnVerdict::NoRoom | TurnVerdict::Unspecified => {
+            TurnVerdict::NoRoom => {
+                open.is_reserved = false;
+                Err(no_room())
+            }
+            TurnVerdict::UnknownTurn | TurnVerdict::Unspecified => {
                 Err(stores_unavailable("the stores gave no verdict"))
             }
         }
--- a/crates/relay/src/front/turn.rs
+++ b/crates/relay/src/front/turn.rs
@@ -42,6 +42,7 @@
             most: u64::from(head.max_output_tokens),
             budget: program.token_budget,
             previous,
+            keeps: route.retain.is_some(),
             deadline,
         };
         let (turn, history) = self.programs.begin(&name, needs).await?;
--- a/crates/relay/src/groups.rs
+++ b/crates/relay/src/groups.rs
@@ -20,6 +20,12 @@
     (stores / STORES_PER_GROUP).clamp(1, MAX_GROUPS) as u32
 }
 
+/// Number of groups of which a store has a replica, on average and rounded up.
+pub(crate) fn per_store(groups: usize, stores: usize) -> u64 {
+    let voters = TARGET_VOTERS.min(stores.max(1));
+    (groups * voters).div_ceil(stores.max(1)) as u64
+}
+
 /// The group that a program belongs to. `groups` must be at least 1.
 pub fn group_of(team: &str, program: &str, groups: u32) -> u32 {
     let mut hasher = blake3::Hasher::new();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -57,8 +57,8 @@
     replica_id,
 };
 pub use run::{Relay, RunningInstance};
-pub use settings::{InstanceRole, Settings, TimeLimits};
-pub use turns::{History, LostSegment, SegmentUsage, TurnState};
+pub use settings::{InstanceRole, MachineLimits, Settings, TimeLimits};
+pub use turns::{History, LostSegment, TurnState, TurnUsage};
 
 /// Wall clock time in milliseconds since the Unix epoch. It is only used for expiry, with a margin
 /// for clock differences between machines.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    ControlState, InstanceRole, Protocol, SegmentUsage, Settings, TurnState,
+    ControlState, InstanceRole, Protocol, Settings, TurnState, TurnUsage,
     control::{Control, EndpointListReader, OperatorServer},
     fleet_client::{FleetClient, HeartbeatReport},
     front::{
@@ -194,7 +194,11 @@
         let folder = self.folder(false).await?;
         let id = folder.replica();
         let fleet = self.fleet(peer::Duty::Store);
-        let store = Store::new();
+        let view = fleet.clone();
+        let store = Store::new(self.settings.machine_limits, move || {
+            let view = view.view();
+            groups::per_store(view.group_leaders.len(), view.stores.len())
+        });
         self.serve_peers(store.clone(), Some(Arc::new(StoreSink(store.clone()))));
         let report: Arc<dyn HeartbeatReport> = Arc::new(StoreReport { store: store.clone(), id });
         let heartbeats = fleet.clone();
@@ -382,23 +386,27 @@
     /// Initial state of the groups. A new folder waits until the control group has chosen the
     /// initial voters.
     async fn groups(&self, folder: &ReplicaFolder) -> Result<Vec<GroupStart>> {
-        let usage = Arc::new(SegmentUsage::default());
-        let start = |group, initial_voters| {
-            let state = TurnState::with_segments(&folder.bodies_folder(), group, usage.clone());
-            let state = state.context("cannot open the segments of kept turns")?;
-            Ok(GroupStart { initial_voters, state: Box::new(state) })
+        let start = |initial_voters: Vec<Vec<ReplicaId>>| {
+            let usages: Vec<_> =
+                initial_voters.iter().map(|_| Arc::<TurnUsage>::default()).collect();
+            self.store.set_usage(usages.clone());
+            let group = |((group, initial_voters), usage)| {
+                let state = TurnState::with_segments(&folder.bodies_folder(), group, usage);
+                let state = state.context("cannot open the segments of kept turns")?;
+                Ok(GroupStart { initial_voters, state: Box::new(state) })
+            };
+            (0..).zip(initial_voters).zip(usages).map(group).collect()
         };
         if let Some(groups) = folder.groups()? {
-            return (0..groups).map(|g| start(g, Vec::new())).collect();
+            return start(vec![Vec::new(); groups as usize]);
         }
         let mut changes = self.fleet.subscribe();
         loop {
             let view = self.fleet.view();
             if !view.group_leaders.is_empty() {
                 let groups = 0..view.group_leaders.len() as u32;
-                return groups
-                    .map(|g| start(g, groups::initial_voters(&view.store_ring, g)))
-                    .collect();
+                let voters = groups.map(|g| groups::initial_voters(&view.store_ring, g));
+                return start(voters.collect());
             }
             changes.changed().await?;
         }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -68,10 +68,22 @@
     pub tolerated_losses: usize,
     /// Time limits set by the platform.
     pub time_limits: TimeLimits,
+    /// Limits of the machine.
+    pub machine_limits: MachineLimits,
     /// Port that serves metrics.
     pub metrics_port: u16,
 }
 
+/// Limits of a machine; a process above the limit for memory is terminated. Without a limit, the
+/// instance uses what it needs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MachineLimits {
+    /// Memory in bytes.
+    pub memory_bytes: Option<u64>,
+    /// Disk in bytes.
+    pub disk_bytes: Option<u64>,
+}
+
 /// Time limits set by the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct TimeLimits {
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -1,6 +1,8 @@
 //! A store: replicates token budgets, kept turns and the origins of streams. For the groups that it
 //! leads, it begins and ends turns, and records and looks up origins, on behalf of the fronts.
 
+pub(crate) mod budget;
+
 use std::{
     io,
     sync::{Arc, Mutex},
@@ -17,7 +19,11 @@
 use prost::Message;
 use tokio::{sync::Semaphore, time::timeout};
 
-use crate::{History, TurnState, control::invalid, now_ms, replica::Replica};
+use budget::Budget;
+
+use crate::{
+    History, MachineLimits, TurnState, TurnUsage, control::invalid, now_ms, replica::Replica,
+};
 
 /// Time in which a command must commit; afterwards its outcome is unknown.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,12 +36,27 @@
     /// Indexed by group number; empty until the groups are formed.
     replicas: Mutex<Vec<Arc<Replica>>>,
     calls: Semaphore,
+    budget: Budget,
+    /// Number of groups that a store of the fleet has on average, rounded up.
+    groups_per_store: Box<dyn Fn() -> u64 + Send + Sync>,
 }
 
 impl Store {
-    pub(crate) fn new() -> Arc<Self> {
-        let calls = Semaphore::new(MAX_CONCURRENT_CALLS);
-        Arc::new(Self { replicas: Mutex::default(), calls })
+    pub(crate) fn new(
+        limits: MachineLimits,
+        groups_per_store: impl Fn() -> u64 + Send + Sync + 'static,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            replicas: Mutex::default(),
+            calls: Semaphore::new(MAX_CONCURRENT_CALLS),
+            budget: Budget::new(limits),
+            groups_per_store: Box::new(groups_per_store),
+        })
+    }
+
+    /// Sets what counts the bytes of each group.
+    pub(crate) fn set_usage(&self, groups: Vec<Arc<TurnUsage>>) {
+        self.budget.set_groups(groups);
     }
 
     /// Sets the replicas, after which the store can serve calls.
@@ -64,6 +85,16 @@
             remaining,
             amount: 0,
         };
+        if begin.keeps {
+            if replica.leads().is_none() {
+                return Err(replica.not_leader());
+            }
+            let (continues, parts) = (begin.previous.is_some(), (self.groups_per_store)());
+            if !self.budget.has_room(begin.group, continues, parts) {
+                self.expire(&replica);
+                return Ok(verdict(TurnVerdict::NoRoom, 0));
+            }
+        }
         let mut begun = verdict(TurnVerdict::Granted, 0);
         if let Some(previous) = begin.previous.clone() {
             let team = begin.team.clone();
@@ -88,6 +119,20 @@
         Ok(begun)
     }
 
+    /// Lets expired turns be removed while no turn is accepted, because the time of the group
+    /// advances only with its commands.
+    fn expire(&self, replica: &Arc<Replica>) {
+        if self.budget.may_expire(replica.group()) {
+            let replica = replica.clone();
+            tokio::spawn(async move {
+                if let Err(failure) = commit(&replica, pb::TurnCommand::default()).await {
+                    let (group, error) = (replica.group(), failure.message);
+                    log::warn!(group, error = error.as_str(); "expired turns are not removed yet");
+                }
+            });
+        }
+    }
+
     async fn end(&self, ends: peer::TurnEnds) -> Result<peer::TurnsEnded, peer::Failure> {
         let replica = self.replica(ends.group)?;
         let now_ms = now_ms();
@@ -141,6 +186,7 @@
 
     /// Returns the state that heartbeats report to the control leader.
     pub(crate) async fn state(&self, id: u64) -> peer::StoreState {
+        self.budget.report();
         let mut leads = Vec::new();
         for replica in self.replicas() {
             if replica.leads().is_some() {
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -18,7 +18,7 @@
 use poplarspan_proto::relay as pb;
 use prost::Message;
 
-pub use bodies::{History, SegmentUsage};
+pub use bodies::{History, TurnUsage};
 pub use saved::LostSegment;
 
 use bodies::{Bodies, Body};
@@ -33,6 +33,10 @@
 /// Time between two sweeps for expired entries, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 5_000;
 
+/// Estimated bytes in memory of a turn, account or recorded stream: its entry, its names of some 40
+/// bytes each in buffers of their own, and the space that sorted vectors have in reserve.
+const ENTRY_MEMORY_BYTES: u64 = 512;
+
 /// Team and name of a program, turn or stream.
 type Key = (Name, Name);
 
@@ -88,7 +92,7 @@
     /// # Errors
     ///
     /// Fails if the folder cannot be created or read.
-    pub fn with_segments(folder: &Path, group: u32, usage: Arc<SegmentUsage>) -> io::Result<Self> {
+    pub fn with_segments(folder: &Path, group: u32, usage: Arc<TurnUsage>) -> io::Result<Self> {
         let files = Files::new(Bodies::open(folder, group, usage)?);
         Ok(Self { files, ..Self::default() })
     }
@@ -212,10 +216,17 @@
         let now_ms = self.now_ms;
         self.swept_ms = now_ms;
         self.turns.retain(|(_, kept)| now_ms < kept.expires_ms + RETAIN_MARGIN_MS);
+        self.files.swept();
         self.streams.retain(|(_, origin)| now_ms < origin.expires_ms + RETAIN_MARGIN_MS);
         self.accounts.retain(|(_, account)| now_ms < account.touched_ms + ACCOUNT_TTL_MS);
     }
 
+    /// Updates the bytes in memory for the store's budget.
+    fn report_memory(&self) {
+        let entries = self.turns.len() + self.accounts.len() + self.streams.len();
+        self.files.set_memory(entries as u64 * ENTRY_MEMORY_BYTES);
+    }
+
     fn execute(&mut self, command: pb::TurnCommand) -> pb::TurnResult {
         self.now_ms = self.now_ms.max(command.now_ms);
         let incomplete = command.settle.into_iter().filter_map(|s| self.settle(s)).collect();
@@ -257,6 +268,7 @@
                 pb::TurnResult::default()
             }
         };
+        self.report_memory();
         result.encode_to_vec().into()
     }
 
@@ -292,6 +304,10 @@
         Ok(SavedState { data, source: Arc::new(self.encode()), sync })
     }
 
+    fn wants_snapshot(&self) -> bool {
+        self.files.wants_snapshot()
+    }
+
     fn saved(&mut self, index: u64) {
         self.files.saved(index);
     }
--- a/crates/relay/src/turns/bodies.rs
+++ b/crates/relay/src/turns/bodies.rs
@@ -25,14 +25,22 @@
 /// Bytes that are read at a time to verify a body.
 const VERIFY_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Bytes in the segment files of all groups of a store.
+/// Bytes that a group's state takes at this store.
 #[derive(Debug, Default)]
-pub struct SegmentUsage(AtomicU64);
+pub struct TurnUsage {
+    disk: AtomicU64,
+    memory: AtomicU64,
+}
+
+impl TurnUsage {
+    /// Returns the bytes in segment files.
+    pub fn disk(&self) -> u64 {
+        self.disk.load(Ordering::Relaxed)
+    }
 
-impl SegmentUsage {
-    /// Returns the bytes in the files.
-    pub fn bytes(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    /// Returns the estimated bytes of the state in memory, without the segments.
+    pub fn memory(&self) -> u64 {
+        self.memory.load(Ordering::Relaxed)
     }
 }
 
@@ -174,7 +182,7 @@
 pub(super) struct Bodies {
     folder: PathBuf,
     group: u32,
-    usage: Arc<SegmentUsage>,
+    usage: Arc<TurnUsage>,
     /// Segments that are in use with their lengths, oldest first. The last one is written to if it
     /// was created since the start.
     segments: Vec<(Arc<Segment>, u64)>,
@@ -189,12 +197,19 @@
     snapshots: Vec<(u64, Vec<Arc<Segment>>)>,
     /// Files from before the start that are not attached.
     leftovers: Vec<u64>,
+    /// Whether the last body could not be stored.
+    is_failing: bool,
 }
 
 impl Bodies {
     /// Opens the files of a group in a folder, which is created if it is missing.
-    pub(super) fn open(folder: &Path, group: u32, usage: Arc<SegmentUsage>) -> io::Result<Self> {
-        fs::create_dir_all(folder)?;
+    pub(super) fn open(folder: &Path, group: u32, usage: Arc<TurnUsage>) -> io::Result<Self> {
+        if !folder.exists() {
+            fs::create_dir(folder)?;
+            // Segments in a folder whose name is not durable would be lost with it.
+            let parent = folder.parent().filter(|p| !p.as_os_str().is_empty());
+            File::open(parent.unwrap_or(Path::new(".")))?.sync_all()?;
+        }
         let mut leftovers = Vec::new();
         for item in fs::read_dir(folder)? {
             let name = item?.file_name();
@@ -212,9 +227,15 @@
             unsynced: Vec::new(),
             snapshots: Vec::new(),
             leftovers,
+            is_failing: false,
         })
     }
 
+    /// Sets the bytes in memory of the state to which the bodies belong.
+    pub(super) fn set_memory(&self, bytes: u64) {
+        self.usage.memory.store(bytes, Ordering::Relaxed);
+    }
+
     fn path(&self, number: u64) -> PathBuf {
         self.folder.join(format!("{}{number:016x}", prefix(self.group)))
     }
@@ -229,7 +250,7 @@
         let segment = Arc::new(Segment { number, file });
         let i = self.segments.partition_point(|(s, _)| s.number < number);
         self.segments.insert(i, (segment.clone(), len));
-        self.usage.0.fetch_add(len, Ordering::Relaxed);
+        self.usage.disk.fetch_add(len, Ordering::Relaxed);
         self.leftovers.retain(|n| *n != number);
         Ok(segment)
     }
@@ -250,10 +271,15 @@
     /// until the next snapshot.
     pub(super) fn store(&mut self, input: Bytes, output: Bytes) -> Body {
         match self.append(&input, &output) {
-            Ok(stored) => Body::Stored(stored),
+            Ok(stored) => {
+                self.is_failing = false;
+                Body::Stored(stored)
+            }
             Err(e) => {
-                let error = e.to_string();
-                log::warn!(error = error.as_str(); "the body of a turn stays in memory");
+                if !std::mem::replace(&mut self.is_failing, true) {
+                    let (group, error) = (self.group, e.to_string());
+                    log::warn!(group, error = error.as_str(); "bodies of turns stay in memory");
+                }
                 Body::Memory { input, output }
             }
         }
@@ -278,7 +304,7 @@
         let (segment, offset) = (segment.clone(), *len);
         let written = (input.len() + output.len()) as u64;
         *len += written;
-        self.usage.0.fetch_add(written, Ordering::Relaxed);
+        self.usage.disk.fetch_add(written, Ordering::Relaxed);
         self.unsynced.retain(|(other, _)| other.number != segment.number);
         self.unsynced.push((segment.clone(), None));
         Ok(StoredBody { segment, offset, input: input_len, output: output_len, crc })
@@ -312,6 +338,19 @@
         })
     }
 
+    /// Returns whether only saved snapshots refer to a segment, so that another snapshot frees it.
+    pub(super) fn has_expired_segment(&self) -> bool {
+        let open = self.segments.last().filter(|_| self.is_open).map(|(s, _)| s.number);
+        self.segments.iter().any(|(segment, _)| {
+            let is_same = |other: &Arc<Segment>| Arc::ptr_eq(other, segment);
+            let snapshots = self.snapshots.iter().flat_map(|(_, segments)| segments);
+            let own = 1
+                + snapshots.filter(|s| is_same(s)).count()
+                + self.unsynced.iter().filter(|(s, _)| is_same(s)).count();
+            Some(segment.number) != open && Arc::strong_count(segment) == own
+        })
+    }
+
     /// Records that the snapshot at a log index is in the store, and removes the files that nothing
     /// refers to.
     pub(super) fn saved(&mut self, index: u64) {
@@ -327,7 +366,7 @@
             is_used
         });
         for (number, len) in removed {
-            self.usage.0.fetch_sub(len, Ordering::Relaxed);
+            self.usage.disk.fetch_sub(len, Ordering::Relaxed);
             remove(&folder.join(format!("{}{number:016x}", prefix(group))));
         }
     }
--- a/crates/relay/src/turns/saved.rs
+++ b/crates/relay/src/turns/saved.rs
@@ -37,6 +37,10 @@
 #[derive(Debug)]
 struct OpenFiles {
     bodies: Bodies,
+    /// Bytes of bodies that are in memory since the last snapshot, because they could not be stored.
+    unstored: u64,
+    /// Whether a snapshot would free a segment, as of the last sweep.
+    has_expired_segment: bool,
     incoming: Option<Incoming>,
 }
 
@@ -63,16 +67,46 @@
 
 impl Files {
     pub(super) fn new(bodies: Bodies) -> Self {
-        Self(Some(Box::new(OpenFiles { bodies, incoming: None })))
+        Self(Some(Box::new(OpenFiles {
+            bodies,
+            unstored: 0,
+            has_expired_segment: false,
+            incoming: None,
+        })))
     }
 
     pub(super) fn is_none(&self) -> bool {
         self.0.is_none()
     }
 
+    /// Notes that expired turns have been removed.
+    pub(super) fn swept(&mut self) {
+        if let Some(files) = &mut self.0 {
+            files.has_expired_segment = files.bodies.has_expired_segment();
+        }
+    }
+
+    /// Returns whether a snapshot would free a segment. Without it, a store that is full and accepts
+    /// nothing would stay full, because its log does not grow.
+    pub(super) fn wants_snapshot(&self) -> bool {
+        self.0.as_ref().is_some_and(|files| files.has_expired_segment)
+    }
+
+    pub(super) fn set_memory(&self, entries: u64) {
+        if let Some(files) = &self.0 {
+            files.bodies.set_memory(entries + files.unstored);
+        }
+    }
+
     pub(super) fn store(&mut self, input: Bytes, output: Bytes) -> Body {
         match &mut self.0 {
-            Some(files) => files.bodies.store(input, output),
+            Some(files) => {
+                let body = files.bodies.store(input, output);
+                if let Body::Memory { .. } = body {
+                    files.unstored += body.len() as u64;
+                }
+                body
+            }
             None => Body::Memory { input, output },
         }
     }
@@ -93,6 +127,7 @@
                 kept.body = Body::Stored(stored.context("cannot store the body of a turn")?);
             }
         }
+        files.unstored = 0;
         Ok(())
     }
 
@@ -107,6 +142,7 @@
                 }
             }
         }
+        files.has_expired_segment = false;
         Some(files.bodies.snapshot(index, segments))
     }
 
@@ -165,6 +201,7 @@
     pub(super) fn replace(&mut self, state: Self) {
         let files = std::mem::take(&mut self.files);
         *self = Self { files, ..state };
+        self.report_memory();
     }
 
     /// Converts a snapshot without turns.
@@ -244,6 +281,7 @@
             let kept = KeptTurn { previous, body, expires_ms: turn.expires_ms };
             self.turns.push(((turn.team.into(), turn.turn.into()), kept));
         }
+        self.report_memory();
         // Nothing is unsynced, so there is nothing to do for this snapshot.
         let _ = self.files.snapshot(index, &self.turns);
         Ok(())
--- a/crates/relay/tests/segment_transfer.rs
+++ b/crates/relay/tests/segment_transfer.rs
@@ -14,7 +14,7 @@
     Role, Storage, StoreOptions, Transport, init_voters,
 };
 use poplarspan_proto::relay as pb;
-use poplarspan_relay::{SegmentUsage, TurnState};
+use poplarspan_relay::{TurnState, TurnUsage};
 use prost::Message;
 use tempfile::TempDir;
 use tokio::time::{sleep, timeout};
@@ -52,7 +52,7 @@
 
 struct Replica {
     node: Arc<Node>,
-    usage: Arc<SegmentUsage>,
+    usage: Arc<TurnUsage>,
 }
 
 impl Replica {
@@ -106,7 +106,7 @@
     async fn start(&self, id: u64, has_segments: bool) -> Replica {
         let replica = ReplicaId(id);
         let dir = DataDir::open(&self.path(id)).expect("data folder");
-        let usage = Arc::<SegmentUsage>::default();
+        let usage = Arc::<TurnUsage>::default();
         let bodies = dir.log_folder().with_file_name("bodies");
         let state = if has_segments {
             TurnState::with_segments(&bodies, GROUP.0, usage.clone()).expect("segments")
@@ -143,7 +143,7 @@
             turn: format!("t{turn}"),
             input: Bytes::copy_from_slice(&body[..BODY_BYTES / 2]),
             output: Bytes::copy_from_slice(&body[BODY_BYTES / 2..]),
-            expires_ms: 1_000_000,
+            expires_ms: 1_000_000 + 10 * turn as u64,
             ..Default::default()
         };
         let settle = vec![pb::Settle { kept: Some(kept), ..Default::default() }];
@@ -175,7 +175,7 @@
     second.lead().await;
     second.check().await;
     if second_has_segments {
-        assert!(second.usage.bytes() >= (TURNS * BODY_BYTES) as u64);
+        assert!(second.usage.disk() >= (TURNS * BODY_BYTES) as u64);
     }
     second.handle().remove_member(ReplicaId(1)).await.expect("removed");
     first.node.abort().await;
@@ -215,7 +215,7 @@
     let since = status.applied - status.core.snapshot.index;
     assert!(since < 200, "{since} entries since the last snapshot");
     only.node.abort().await;
-    let log = only.usage.bytes();
+    let log = only.usage.disk();
     assert!(log < (TURNS * BODY_BYTES) as u64 + (1 << 20), "{log} bytes in segments");
     drop(only);
     let only = group.start(1, true).await;
@@ -223,3 +223,26 @@
     only.check().await;
     only.node.abort().await;
 }
+
+/// Expired turns free their segments although no further turn is kept: a full store would stay full.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn freed_while_idle() {
+    let group = Group::new();
+    group.init(1, &[ReplicaId(1)]).await;
+    let only = group.start(1, true).await;
+    only.lead().await;
+    fill(&only.handle()).await;
+    // The last turns have less than a segment.
+    for now_ms in [1_018_500, 1_025_000] {
+        let command = pb::TurnCommand { now_ms, ..Default::default() };
+        only.handle().propose(command.encode_to_vec().into()).await.expect("committed");
+        sleep(Duration::from_millis(200)).await;
+    }
+    let freed = async {
+        while only.usage.disk() > 1 << 20 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(WAIT, freed).await.expect("the segments are removed in time");
+    only.node.abort().await;
+}
--- a/crates/relay/tests/turn_segments.rs
+++ b/crates/relay/tests/turn_segments.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use poplarspan_agreement::{SavedState, StateMachine};
 use poplarspan_proto::relay as pb;
-use poplarspan_relay::{LostSegment, SegmentUsage, TurnState};
+use poplarspan_relay::{LostSegment, TurnState, TurnUsage};
 use prost::Message;
 use tempfile::TempDir;
 
@@ -51,7 +51,7 @@
 
 struct Store {
     folder: TempDir,
-    usage: Arc<SegmentUsage>,
+    usage: Arc<TurnUsage>,
 }
 
 impl Store {
@@ -105,7 +105,7 @@
     check(&turns, 600);
     let saved = save(&mut turns, 600);
     assert!(saved.data.len() < 600 * 128, "{} bytes", saved.data.len());
-    assert!(store.usage.bytes() >= 600 * BODY_BYTES as u64);
+    assert!(store.usage.disk() >= 600 * BODY_BYTES as u64);
 }
 
 /// A replica without segments, as of an earlier build, gets the same bytes as from its own kind.
@@ -216,7 +216,7 @@
     drop((restarted, saved, next));
     turns.saved(1_001);
     assert_eq!(store.files().len(), 1);
-    assert!(store.usage.bytes() <= (4 << 20) + 2 * BODY_BYTES as u64);
+    assert!(store.usage.disk() <= (4 << 20) + 2 * BODY_BYTES as u64);
 }
 
 /// A snapshot that an earlier build has saved is loaded, and its bodies move to segments.
@@ -228,5 +228,5 @@
     let mut turns = store.open();
     turns.load(50, &memory.snapshot()).expect("valid");
     check(&turns, 50);
-    assert!(store.usage.bytes() >= 50 * BODY_BYTES as u64);
+    assert!(store.usage.disk() >= 50 * BODY_BYTES as u64);
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -172,6 +172,14 @@
         self.start();
     }
 
+    /// Appends to the settings file, for the next start.
+    pub fn add_settings(&self, text: &str) {
+        let mut settings =
+            std::fs::read_to_string(&self.settings).expect("cannot access the settings file");
+        settings.push_str(text);
+        std::fs::write(&self.settings, settings).expect("cannot access the settings file");
+    }
+
     /// Empties the data folder, as after the loss of a disk.
     pub fn wipe(&mut self) {
         let data = self.data.as_ref().expect("machine has no data folder");
