--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -66,9 +66,6 @@
     pub endpoint_list_address: SocketAddr,
     /// Number of machines with a disk that may be lost at the same time.
     pub tolerated_losses: usize,
-    /// Whether the limits of endpoints are found by measurement, as the platform states none for cold
-    /// endpoints.
-    pub measures_limits: bool,
     /// Time limits set by the platform.
     pub time_limits: TimeLimits,
     /// Limits of rollouts. `None` if the platform does not offer rollouts.
@@ -76,10 +73,22 @@
     /// Whether the limits of endpoints are found by measurement, because the platform states none:
     /// programs are admitted by measured delay, and endpoints that start are paced.
     pub measures_limits: bool,
+    /// Limits of the machine.
+    pub machine_limits: MachineLimits,
     /// Port that serves metrics.
     pub metrics_port: u16,
 }
 
+/// Limits of a machine; a process above the limit for memory is terminated. Without a limit, the
+/// instance uses what it needs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MachineLimits {
+    /// Memory in bytes.
+    pub memory_bytes: Option<u64>,
+    /// Disk in bytes.
+    pub disk_bytes: Option<u64>,
+}
+
 /// Time limits set by the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct TimeLimits {
