--- a/crates/relay/src/front/endpoints/paces.rs
+++ b/crates/relay/src/front/endpoints/paces.rs
@@ -74,8 +74,8 @@
                 let usual = self.usual_s(&state.service);
                 usual.is_some_and(|usual| took > SLOW_FACTOR * usual)
             }
-            Outcome::Refused | Outcome::Failed => true,
-            Outcome::Abandoned => return,
+            Outcome::Refused | Outcome::Unreached | Outcome::Failed => true,
+            Outcome::Abandoned | Outcome::Late => return,
         };
         let pace = &mut self.endpoints[at].pace;
         if pace.is_reported {
