policy: programs that come back with little time left are refused sooner

At 8 fronts, goodput at twice the capacity was 7 % lower than at the capacity: programs that came back after a refusal were admitted with too little time left, and ended late.

--- a/crates/policy/src/admission/gate.rs
+++ b/crates/policy/src/admission/gate.rs
@@ -20,9 +20,9 @@
 /// endpoint do not outweigh all others.
 const MAX_SLOWDOWN: f64 = 8.0;
 /// A program that has less than this part of the shortest usual time until its deadline left, after
-/// a refusal, would be late while turns are slow. Deadlines are some 1.7 times the idle time, and
-/// turns are slowed some 1.4 times.
-const MIN_TIME_LEFT: f64 = 0.85;
+/// a refusal, would be late while turns are slow: the slowdown at the limit leaves little of the
+/// slack. With 0.85, goodput at twice the capacity was 7 % lower than at the capacity at 8 fronts.
+const MIN_TIME_LEFT: f64 = 0.95;
 /// Factor on the fraction of a class for programs that return after a refusal.
 const RETURN_FACTOR: f64 = 2.0;
 /// First turns that a front may admit at once, beyond those of half a second: arrivals at a front
