relay: log lines about rollouts name the version in a field of its own

The logger writes the module path to a field named target, so the version was lost. Test fleets state the limits of cold servers as existing deployments do; the tests of measured limits ask for settings without them.

--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -134,7 +134,7 @@
                 continue;
             };
             log::info!(
-                service = rollout.service.as_str(), target = rollout.target.as_str(),
+                service = rollout.service.as_str(), version = rollout.target.as_str(),
                 id = rollout.id, over_ms = rollout.over_ms, started_ms = rollout.started_ms;
                 "rollout is running"
             );
@@ -282,7 +282,7 @@
             Decision::Complete => {
                 let retired = directory.other_versions(&self.service, &self.target);
                 log::info!(
-                    service = &*self.service, target = &*self.target, id = self.id,
+                    service = &*self.service, version = &*self.target, id = self.id,
                     retired = retired.join(",").as_str();
                     "rollout: no front sends calls to other versions any more"
                 );
@@ -304,7 +304,7 @@
         let (sent, sent_target) = self.policy.sent();
         let share = f64::from(share_ppm) / PPM;
         log::info!(
-            service = &*self.service, target = &*self.target, id = self.id, share, sent,
+            service = &*self.service, version = &*self.target, id = self.id, share, sent,
             sent_target;
             "rollout: share of the target version changed"
         );
@@ -322,7 +322,7 @@
         let mean_ms = |duration: Duration, calls: u64| duration.as_millis() as u64 / calls.max(1);
         let (sent, sent_target) = self.policy.sent();
         log::warn!(
-            service = &*self.service, target = &*self.target, id = self.id,
+            service = &*self.service, version = &*self.target, id = self.id,
             route = if route.is_empty() { "all" } else { &**route },
             cause:? = cause,
             window_ms = window.as_millis() as u64,
--- a/tests/endpoint_paces.rs
+++ b/tests/endpoint_paces.rs
@@ -43,7 +43,7 @@
 /// A server that appears in the list gets few calls at first, and its part of the load in the end.
 #[tokio::test(flavor = "multi_thread")]
 async fn new_server() {
-    let fleet = RelayFleet::start(&config(3, &[KEY])).await;
+    let fleet = RelayFleet::start_measured(&config(3, &[KEY])).await;
     fleet.servers.set_software(0, None);
     let is_unused = async || {
         let before = runs(&fleet, 0).len();
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -391,7 +391,6 @@
              [cloud]\naddress = \"{list}\"\n",
             bounds = self.bounds,
             last = PEER_PORT + 15,
-            bounds = self.bounds,
             seeds = seeds.join(", "),
             list = SocketAddr::from((self.ip(1), SERVER_PORT)),
         );
