--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -54,11 +54,12 @@
 const PREALLOCATE_BYTES: usize = 256 * 1024;
 const SEGMENT_BYTES: u64 = 8 << 20;
 /// Bytes of commands after which a group takes a snapshot. The log in memory holds the entries since
-/// the last one, and a store of 140 MB has up to four groups. A state that is larger than this is
-/// written again only after as many bytes of log, so snapshots at most double the bytes written.
+/// the last one, for each group, and a small store has about 100 MB for all of them. A state that
+/// is larger than this is written again only after as many bytes of log, so snapshots at most
+/// double the bytes written.
 const SNAPSHOT_BYTES: u64 = 4 << 20;
-/// Bytes of entries before the last snapshot that stay in memory for slow followers: more than half
-/// a second of log at 1.4 MB/s in a group, the highest rate observed.
+/// Bytes of entries before the last snapshot that stay in memory for slow followers: the log of
+/// about half a second while many turns are kept. A follower that is further behind gets a snapshot.
 const TRAILING_BYTES: usize = 1 << 20;
 
 /// Timing of the replicated log. Each heartbeat costs a message to every other replica, and the
--- a/crates/relay/src/turns/bodies.rs
+++ b/crates/relay/src/turns/bodies.rs
@@ -20,7 +20,7 @@
 use poplarspan_agreement::SyncFiles;
 
 /// Length in bytes from which on a segment is followed by a new one. Space is freed by the segment,
-/// and a store of 260 MB should hold many of them.
+/// and a small disk should hold many of them.
 const SEGMENT_BYTES: u64 = 4 << 20;
 /// Bytes that are read at a time to verify a body.
 const VERIFY_BUFFER_BYTES: usize = 64 * 1024;
