--- a/crates/core/commands/node.rs
+++ b/crates/core/commands/node.rs
@@ -65,8 +65,10 @@
 }
 
 fn parse(text: &str, flags: &NodeFlags) -> Result<Settings> {
-    parse_settings(text, flags.metrics_port)
-        .with_context(|| format!("cannot use {}", flags.settings.display()))
+    let settings = parse_settings(text, flags.metrics_port)
+        .with_context(|| format!("cannot use {}", flags.settings.display()))?;
+    let admits_by_delay = flags.admit_by_delay && settings.measures_limits;
+    Ok(Settings { admits_by_delay, ..settings })
 }
 
 /// Applies changed settings. If the file is unreadable or invalid, the current settings stay.
--- a/crates/core/flags.rs
+++ b/crates/core/flags.rs
@@ -68,6 +68,9 @@
     /// TCP port that serves metrics, on the IP address in the settings file.
     #[arg(long, value_name = "PORT", default_value_t = 9464, env = "POPLARSPAN_METRICS_PORT")]
     pub(crate) metrics_port: u16,
+    /// Admit programs by measured delay, where the settings state no limits of cold endpoints.
+    #[arg(long, env = "POPLARSPAN_ADMIT_BY_DELAY")]
+    pub(crate) admit_by_delay: bool,
     #[command(flatten)]
     pub(crate) tls: TlsFlags,
 }
--- a/crates/relay/src/front/admission.rs
+++ b/crates/relay/src/front/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of programs while their turns are slow.
 //!
 //! Refuses first turns above the leader's allowance, before their bodies are read. Turns of programs
-//! under way are always admitted. Enabled by [`crate::Settings::measures_limits`].
+//! under way are always admitted. Enabled by [`crate::Settings::admits_by_delay`].
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -242,7 +242,7 @@
             fleet: fleet.clone(),
             clock: clock.clone(),
             schedule: schedule.clone(),
-            admission: ProgramAdmission::new(settings.measures_limits, clock.clone()),
+            admission: ProgramAdmission::new(settings.admits_by_delay, clock.clone()),
             rates: Rates::new(settings.clone(), fleet.clone(), client, clock),
             programs,
             origins,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -71,8 +71,10 @@
     /// Limits of rollouts. `None` if the platform does not offer rollouts.
     pub rollouts: Option<RolloutLimits>,
     /// Whether the limits of endpoints are found by measurement, because the platform states none:
-    /// programs are admitted by measured delay, and endpoints that start are paced.
+    /// endpoints that start or recover are paced.
     pub measures_limits: bool,
+    /// Whether programs are admitted by measured delay.
+    pub admits_by_delay: bool,
     /// Limits of the machine.
     pub machine_limits: MachineLimits,
     /// Port that serves metrics.
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -89,6 +89,8 @@
             .args(["--tls-authority", &file("authority.pem")])
             .args(["--tls-certificate", &file("instance.pem")])
             .args(["--tls-key", &file("instance.key")])
+            // Takes effect only where the settings state no limits of cold servers.
+            .arg("--admit-by-delay")
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(Stdio::inherit())
