relay: the line of a call says how long its admission and its first event took

Of late programs the log showed only that their calls took long: waiting for a rate token, for a store and for the endpoint could not be told apart.

--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -73,7 +73,11 @@
     status: u16,
     ran: u32,
     unsent: u32,
+    /// Time until the call was admitted: its body, its rate token and the stores.
+    admitted: Duration,
     waited: Duration,
+    /// Time until the first event of a stream, or the response to another call, could be passed on.
+    responded: Option<Duration>,
     started: Instant,
     outcome: &'static str,
 }
@@ -91,7 +95,9 @@
             status: 0,
             ran: 0,
             unsent: 0,
+            admitted: Duration::ZERO,
             waited: Duration::ZERO,
+            responded: None,
             started,
             outcome: "caller_gone",
         }
@@ -102,6 +108,11 @@
         self.outcome = outcome;
     }
 
+    /// Records that the first part of the response can be passed on.
+    pub(crate) fn note_response(&mut self) {
+        self.responded.get_or_insert(self.started.elapsed());
+    }
+
     fn attempts(&mut self, attempts: &Attempts) {
         self.endpoint = attempts.last.clone();
         (self.ran, self.unsent, self.waited) = (attempts.ran, attempts.unsent, attempts.waited);
@@ -122,6 +133,8 @@
         let outcome = self.outcome;
         metrics::histogram!("poplarspan_relay_call_seconds", "outcome" => outcome)
             .record(took.as_secs_f64());
+        metrics::histogram!("poplarspan_relay_admission_seconds")
+            .record(self.admitted.as_secs_f64());
         metrics::counter!("poplarspan_relay_calls_total", "outcome" => outcome).increment(1);
         if !self.is_logged() {
             return;
@@ -142,7 +155,9 @@
             status = self.status,
             ran = self.ran,
             unsent = self.unsent,
+            admitted_ms = self.admitted.as_millis() as u64,
             waited_ms = self.waited.as_millis() as u64,
+            responded_ms = self.responded.map(|d| d.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             outcome;
             "call"
@@ -180,7 +195,9 @@
         body: Incoming,
         mut record: CallRecord,
     ) -> Response<ResponseBody> {
-        let admitted = match self.admit(parts, head, body, &mut record).await {
+        let admitted = self.admit(parts, head, body, &mut record).await;
+        record.admitted = record.started.elapsed();
+        let admitted = match admitted {
             Ok(admitted) => admitted,
             Err(refusal) => {
                 record.status = refusal.status.as_u16();
@@ -385,6 +402,7 @@
             match self.collect(started, admitted.call.deadline).await {
                 Ok(answer) => {
                     attempts.answered();
+                    record.note_response();
                     record.finish("answered");
                     return answer;
                 }
--- a/crates/relay/src/front/stream.rs
+++ b/crates/relay/src/front/stream.rs
@@ -133,6 +133,7 @@
         let Some(first) = self.reader.next_event() else { return Bytes::new() };
         if self.began_at.is_none() {
             self.began_at = self.response.as_ref().map(|r| r.slot.endpoint.clone());
+            self.record.note_response();
             self.record_origin();
         }
         let mut chunk: Option<BytesMut> = None;
