relay, policy: all fronts send the turns of a program to the same engine

Cause: the turns of a program arrive at several fronts, each of which estimates other costs and chooses another engine. Of 287 logged turns of seconds 12 to 16, 174 went to another engine than the turn before, so their histories were prefilled again, which stops the engine's other calls. Ruled out: the stores and the rates (admission times above), queues at the fronts, the fronts' processors (0.032 of 0.12 cores at most).

Change: where limits are measured, a turn goes to the engine that rendezvous hashing gives for its program, unless that has more calls than its slots and than 1.4 times the mean.

--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -38,6 +38,15 @@
     pub stay_gain_fraction: f32,
     /// Additional cost of an endpoint without an idle connection, in seconds.
     pub connect_s: f32,
+    /// If set, calls with a prompt and an affinity go to the endpoint that rendezvous hashing gives
+    /// for the affinity, whatever its cost, unless it has more calls than its capacity and than this
+    /// multiple of the group's mean. Otherwise the affinity only decides between endpoints of nearly
+    /// equal cost.
+    ///
+    /// For fleets in which the calls of a program arrive at many instances that know little of the
+    /// load and of each other's calls: their estimates differ, so that each would choose another
+    /// endpoint, and every move has the whole history of the program prefilled again.
+    pub affinity_load_bound: Option<f32>,
 }
 
 impl Default for CostConfig {
@@ -53,6 +62,7 @@
             stay_gain_s: 0.02,
             stay_gain_fraction: 0.1,
             connect_s: 0.0,
+            affinity_load_bound: None,
         }
     }
 }
@@ -103,6 +113,27 @@
         near.max_by_key(|at| mix(hash ^ fleet.name_hash(members[*at])))
     }
 
+    /// Returns the endpoint of the highest weight for the call's affinity among those that take calls
+    /// and are within the load bound (consistent hashing with bounded loads; Mirrokni, Thorup and
+    /// Zadimoghaddam, 2016). `None` if calls are not bound to their affinity.
+    fn pick_bounded(
+        &self,
+        fleet: &Fleet,
+        members: &[EndpointId],
+        load_factor: f32,
+        req: &RouteRequest<'_>,
+    ) -> Option<usize> {
+        let bound = self.cfg.affinity_load_bound? * load_factor;
+        let hash = req.affinity.filter(|_| req.prompt_tokens > 0)?;
+        let states = fleet.routing_states();
+        let is_within = |at: &usize| {
+            let state = &states[members[*at].0 as usize];
+            self.costs[*at].is_finite() && state.load < state.capacity * bound.max(1.0)
+        };
+        let within = (0..members.len()).filter(is_within);
+        within.max_by_key(|at| mix(hash ^ fleet.name_hash(members[*at])))
+    }
+
     /// Returns the cheaper of two random endpoints whose cost is at most `limit`.
     fn pick_near_best(
         &self,
@@ -155,8 +186,9 @@
         let stay = best + self.cfg.stay_gain_s.max(self.cfg.stay_gain_fraction * best);
         let last = req.last_endpoint.and_then(|last| members.iter().position(|id| *id == last));
         let near = best + self.cfg.tie_s.max(self.cfg.tie_fraction * best);
-        let at = match last {
-            Some(at) if self.costs[at] <= stay => at,
+        let at = match (self.pick_bounded(fleet, members, load / capacity.max(1.0), req), last) {
+            (Some(at), _) => at,
+            (None, Some(at)) if self.costs[at] <= stay => at,
             _ => match req.affinity {
                 Some(hash) => self.pick_by_hash(fleet, members, near, hash),
                 None => self.pick_near_best(members, near, rng),
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -61,7 +61,11 @@
     stay_gain_s: 0.02,
     stay_gain_fraction: 0.1,
     connect_s: 0.012,
+    affinity_load_bound: None,
 };
+/// Load of an engine as a multiple of the mean above which the turns of a program go to another one
+/// for a while. With 8 calls at each engine on average, one in ten has 1.4 times as many by chance.
+const AFFINITY_LOAD_BOUND: f32 = 1.4;
 /// Pause after the first failure, doubled with each further one.
 const MIN_PAUSE: Duration = Duration::from_millis(250);
 const MAX_PAUSE: Duration = Duration::from_secs(2);
@@ -157,12 +161,16 @@
 }
 
 impl Endpoints {
-    pub(crate) fn new(zone: Name, pool: Arc<Pool>) -> Self {
+    /// State without endpoints. `binds_programs` tells whether all fronts send the turns of a program
+    /// to the same engine.
+    pub(crate) fn new(zone: Name, pool: Arc<Pool>, binds_programs: bool) -> Self {
+        let affinity_load_bound = binds_programs.then_some(AFFINITY_LOAD_BOUND);
+        let costs = CostConfig { affinity_load_bound, ..COSTS };
         Self {
             pool,
             fleet: Fleet::new(),
             prefixes: PrefixIndex::new(MAX_BLOCKS),
-            chooser: CostChooser::new(zone, COSTS),
+            chooser: CostChooser::new(zone, costs),
             endpoints: Vec::new(),
             last_endpoints: Vec::new(),
             shared: SharedParts::default(),
@@ -478,7 +486,12 @@
         if let Some(conversation) = &placement.conversation {
             let entry = LastEndpoint { conversation: conversation.clone(), id, at: now };
             match self.last_endpoints.binary_search_by(|l| l.conversation.cmp(conversation)) {
-                Ok(at) => self.last_endpoints[at] = entry,
+                Ok(at) => {
+                    if self.last_endpoints[at].id != id {
+                        metrics::counter!("poplarspan_relay_moved_turns_total").increment(1);
+                    }
+                    self.last_endpoints[at] = entry;
+                }
                 Err(at) => self.last_endpoints.insert(at, entry),
             }
         }
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -114,8 +114,10 @@
         fleet: Arc<FleetClient>,
         pool: Arc<Pool>,
         clock: Arc<dyn Clock>,
+        binds_programs: bool,
     ) -> Arc<Self> {
-        let state = State { endpoints: Endpoints::new(zone, pool), queues: Vec::new() };
+        let endpoints = Endpoints::new(zone, pool, binds_programs);
+        let state = State { endpoints, queues: Vec::new() };
         Arc::new_cyclic(|this| Self { fleet, clock, state: Mutex::new(state), this: this.clone() })
     }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -233,8 +233,13 @@
         let links = Links::new(fleet.clone(), clock.clone());
         let dial = DetourDial::new(links.clone(), fleet.clone(), client.clone());
         let pool = Front::pool(&*self.protocol, Arc::new(dial));
-        let schedule =
-            Schedule::new(settings.zone.clone(), fleet.clone(), pool.clone(), clock.clone());
+        let schedule = Schedule::new(
+            settings.zone.clone(),
+            fleet.clone(),
+            pool.clone(),
+            clock.clone(),
+            settings.measures_limits,
+        );
         let quarantine =
             Quarantine::new(fleet.clone(), client.clone(), pool.clone(), links.clone());
         let front = Arc::new(Front {
