policy: slow endpoints get programs in proportion to their speed

Programs at endpoints that are 1.3 times slower were late: rendezvous hashing gave these endpoints as many programs as the others. No front could tell, as it calls each endpoint only every few seconds.

Equal weights choose as before.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod cold_start;
 pub mod containment;
 pub mod departures;
+pub mod endpoint_load;
 pub mod fair;
 mod invariants;
 pub mod links;
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -46,6 +46,9 @@
     /// For fleets in which the calls of a program arrive at many instances that know little of the
     /// load and of each other's calls: their estimates differ, so that each would choose another
     /// endpoint, and every move has the whole history of the program prefilled again.
+    ///
+    /// An endpoint gets affinities in proportion to the inverse of its slowness
+    /// ([`Fleet::set_slowness`]), which therefore must be equal at all instances.
     pub affinity_load_bound: Option<f32>,
 }
 
@@ -113,7 +116,7 @@
         near.max_by_key(|at| mix(hash ^ fleet.name_hash(members[*at])))
     }
 
-    /// Returns the endpoint of the highest weight for the call's affinity among those that take calls
+    /// Returns the endpoint of the highest score for the call's affinity among those that take calls
     /// and are within the load bound (consistent hashing with bounded loads; Mirrokni, Thorup and
     /// Zadimoghaddam, 2016). `None` if calls are not bound to their affinity.
     fn pick_bounded(
@@ -131,7 +134,14 @@
             self.costs[*at].is_finite() && state.load < state.capacity * bound.max(1.0)
         };
         let within = (0..members.len()).filter(is_within);
-        within.max_by_key(|at| mix(hash ^ fleet.name_hash(members[*at])))
+        let score = |at: &usize| {
+            let id = members[*at];
+            let n = mix(hash ^ fleet.name_hash(id));
+            (weigh(n, states[id.0 as usize].slowness), n)
+        };
+        let scored = within.map(|at| (score(&at), at));
+        let best = scored.max_by(|((a, m), _), ((b, n), _)| a.total_cmp(b).then(m.cmp(n)));
+        best.map(|(_, at)| at)
     }
 
     /// Returns the cheaper of two random endpoints whose cost is at most `limit`.
@@ -201,6 +211,15 @@
     }
 }
 
+/// Returns the score of an endpoint with this slowness for the hash `n` (weighted rendezvous hashing;
+/// Schindelhauer and Schomaker, 2005): the endpoint has the highest one for a part of all hashes that
+/// is proportional to 1 / `slowness`. Grows with `n`, so equal endpoints are ordered by it.
+fn weigh(n: u64, slowness: f32) -> f64 {
+    // In (0, 1): 53 bits, which is what a double holds, and half a unit.
+    let uniform = ((n >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    uniform.ln() * f64::from(slowness)
+}
+
 /// Spreads the bits of `n` (the finalizer of MurmurHash3).
 fn mix(n: u64) -> u64 {
     let n = (n ^ (n >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
--- a/crates/policy/src/route/fleet.rs
+++ b/crates/policy/src/route/fleet.rs
@@ -54,6 +54,8 @@
     pub(super) inverse_capacity: f32,
     pub(super) service_s: f32,
     pub(super) prefill_s: f32,
+    /// Duration of a call relative to that at the median endpoint; 1 if it is not known.
+    pub(super) slowness: f32,
     pub(super) own_in_flight: u32,
     pub(super) own_cap: u32,
     pub(super) zone: u16,
@@ -186,6 +188,17 @@
         self.states[id.0 as usize].own_cap = cap.unwrap_or(u32::MAX);
     }
 
+    /// Sets how long a call takes at an endpoint relative to the median endpoint, equal at all
+    /// instances. Initially 1. Values that are not positive and finite count as 1.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet has never given out `id`.
+    pub fn set_slowness(&mut self, id: EndpointId, slowness: f64) {
+        let is_valid = slowness.is_finite() && slowness > 0.0;
+        self.states[id.0 as usize].slowness = if is_valid { slowness as f32 } else { 1.0 };
+    }
+
     /// Sets whether the instance has an idle connection to an endpoint. Initially every endpoint
     /// counts as connected.
     ///
@@ -401,6 +414,7 @@
             inverse_capacity: 1.0,
             service_s: spec.service_s as f32,
             prefill_s: 0.0,
+            slowness: 1.0,
             own_in_flight: 0,
             own_cap: u32::MAX,
             zone: 0,
