relay: fronts report how long endpoints take, and weigh them by the leader's means

Slow engines got as many programs as the others, because no front learned what all of them together see of an endpoint. Where limits are measured, heartbeats carry at most 64 rows with the calls that ended at an endpoint and the sum of their durations over the expected ones (the mean of the route per unit of work). The leader answers with the endpoints that differ from the median of their service, at most 64, in eighths. A new leader is silent for 2 s; without an answer fronts let the values fade to 1 over 5 s. Resumed streams, server errors and cold endpoints are not counted.

--- a/crates/policy/src/endpoint_load.rs
+++ b/crates/policy/src/endpoint_load.rs
@@ -10,7 +10,7 @@
 //!
 //! The state belongs to the leader. A new leader knows nothing and learns from the next reports.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use crate::Name;
 
@@ -32,6 +32,12 @@
 const MAX_SLOWNESS: f64 = 8.0;
 /// Maximum ratio of one call, so that a call that hung does not outweigh all others.
 const MAX_CALL_RATIO: f64 = 20.0;
+/// Time in which a slowness that the leader no longer confirms fades.
+const FADE_TIME: Duration = Duration::from_secs(5);
+/// Weight of a call in the mean of its route.
+const ROUTE_GAIN: f64 = 0.05;
+/// Maximum number of routes with a mean; endpoints are not judged by calls of further ones.
+const MAX_ROUTES: usize = 1_024;
 /// Maximum number of endpoints with a mean; further ones count as the median.
 const MAX_ENDPOINTS: usize = 4_096;
 
@@ -55,6 +61,67 @@
     }
 }
 
+/// What one instance has seen of the speed of endpoints since its last report.
+#[derive(Debug, Default)]
+pub struct ObservedCalls {
+    /// Mean duration of a unit of work of each route, in seconds; sorted by route.
+    routes: Vec<(Name, f64)>,
+    /// Sorted by endpoint.
+    ended: Vec<(Name, EndedCalls)>,
+}
+
+impl ObservedCalls {
+    /// Records a call of `route` at `endpoint`. The expected duration is the mean duration per unit of
+    /// work of the calls of the route before it, multiplied by `work`; the first call of a route says
+    /// nothing about its endpoint.
+    pub fn record(&mut self, route: &Name, endpoint: &Name, work: f64, took: Duration) {
+        let per_unit = took.as_secs_f64() / work;
+        if !(per_unit.is_finite() && per_unit > 0.0) {
+            return;
+        }
+        match self.routes.binary_search_by(|(known, _)| known.cmp(route)) {
+            Ok(at) => {
+                let usual = &mut self.routes[at].1;
+                let expected = Duration::from_secs_f64(*usual * work);
+                *usual += ROUTE_GAIN * (per_unit.min(MAX_CALL_RATIO * *usual) - *usual);
+                let at = self.ended.binary_search_by(|(known, _)| known.cmp(endpoint));
+                let at = at.unwrap_or_else(|at| {
+                    self.ended.insert(at, (endpoint.clone(), EndedCalls::default()));
+                    at
+                });
+                self.ended[at].1.add(took, expected);
+            }
+            Err(at) if self.routes.len() < MAX_ROUTES => {
+                self.routes.insert(at, (route.clone(), per_unit));
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Takes up to `limit` endpoints with the most calls. The others remain for the next report.
+    pub fn take(&mut self, limit: usize) -> Vec<(Name, EndedCalls)> {
+        let mut ended = std::mem::take(&mut self.ended);
+        if ended.len() > limit {
+            ended.sort_by_key(|(_, calls)| Reverse(calls.count));
+            self.ended = ended.split_off(limit);
+            self.ended.sort_by(|a, b| a.0.cmp(&b.0));
+        }
+        ended
+    }
+
+    /// Drops endpoints that have left the list.
+    pub fn retain(&mut self, mut is_listed: impl FnMut(&Name) -> bool) {
+        self.ended.retain(|(endpoint, _)| is_listed(endpoint));
+    }
+}
+
+/// Returns the slowness that an instance uses if it heard of `slowness` this long ago. It reaches 1 after
+/// five seconds, in the same steps.
+pub fn faded(slowness: f64, age: Duration) -> f64 {
+    let left = 1.0 - age.as_secs_f64() / FADE_TIME.as_secs_f64();
+    1.0 + ((slowness - 1.0) * left.clamp(0.0, 1.0) * STEPS).round() / STEPS
+}
+
 /// A change of an endpoint's rounded slowness.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlownessChange {
@@ -136,7 +203,8 @@
         self.means.retain(|mean| is_listed(&mean.endpoint));
     }
 
-    /// Updates the rounded values, at most once per second, and returns those that changed.
+    /// Updates the rounded values, at most once per second, and returns those that changed. Those of a
+    /// service stay while it has too few calls to tell: idle endpoints are as fast as before.
     pub fn advance(&mut self, now: Duration) -> Vec<SlownessChange> {
         if self.updated.is_some_and(|at| now < at + UPDATE_INTERVAL) {
             return Vec::new();
--- a/crates/policy/tests/endpoint_slowness.rs
+++ b/crates/policy/tests/endpoint_slowness.rs
@@ -70,9 +70,7 @@
 struct Instance {
     fleet: Fleet,
     chooser: CostChooser,
-    /// Mean duration of a turn per unit of work, as the instance has seen it.
-    usual_s: f64,
-    ended: Vec<EndedCalls>,
+    observed: ObservedCalls,
 }
 
 struct Program {
@@ -108,12 +106,8 @@
 
 fn play(instances: usize, is_weighted: bool, seed: u64) -> Outcome {
     let mut rng = StdRng::seed_from_u64(seed);
-    let new = |_| Instance {
-        fleet: fleet(),
-        chooser: chooser(),
-        usual_s: TURN.as_secs_f64(),
-        ended: vec![EndedCalls::default(); ENDPOINTS],
-    };
+    let new =
+        |_| Instance { fleet: fleet(), chooser: chooser(), observed: ObservedCalls::default() };
     let mut instances: Vec<_> = (0..instances).map(new).collect();
     let prefixes = PrefixIndex::new(1 << 10);
     let (mut loads, service) = (EndpointLoads::default(), Name::from("m"));
@@ -128,10 +122,8 @@
             }
             // The heartbeats of the instances are spread over the interval.
             if is_weighted && now_ms % BEAT_MS == at as u64 * STEP_MS % BEAT_MS {
-                for (n, ended) in instance.ended.iter_mut().enumerate() {
-                    if ended.count > 0 {
-                        loads.record(&name(n), &service, std::mem::take(ended), now);
-                    }
+                for (endpoint, ended) in instance.observed.take(64) {
+                    loads.record(&endpoint, &service, ended, now);
                 }
                 let is_judged = now_ms >= SETTLED_MS;
                 outcome.changes += loads.advance(now).len() * usize::from(is_judged);
@@ -169,8 +161,7 @@
                 let report = LoadReport { running: running[n], queued: 0, measured_at: now };
                 instance.fleet.report(id, &report);
                 instance.fleet.call_ended(id, Some(took), now);
-                instance.ended[n].add(took, Duration::from_secs_f64(instance.usual_s * work));
-                instance.usual_s += 0.05 * (took.as_secs_f64() / work - instance.usual_s);
+                instance.observed.record(&service, &name(n), work, took);
                 program.next = now + PAUSE;
                 if program.turn == TURNS && program.begun >= ms(SETTLED_MS) {
                     let deadline = program.idle.mul_f64(1.6) + ms(250);
@@ -300,8 +291,56 @@
     assert_eq!(weights, [(name(3), 1.25), (name(4), 6.125)]);
     assert_eq!(loads.weights(1), [(name(4), 6.125)], "the farthest from 1 comes first");
     let changes = loads.advance(ms(80_000));
+    assert!(changes.is_empty(), "an idle service says nothing of its endpoints: {changes:?}");
+    loads.record(&name(0), &service, ended(5, 3.0), ms(81_000));
+    let changes = loads.advance(ms(81_000));
     assert_eq!(changes.len(), 2, "{changes:?}");
     assert!(loads.weights(64).is_empty(), "endpoints without calls keep their slowness");
+    loads.record(&name(3), &service, ended(50, 6.0), ms(82_000));
+    assert_eq!(loads.advance(ms(82_000)).len(), 1);
     loads.retain(|endpoint| **endpoint != *"e03");
-    assert!(loads.advance(ms(90_000)).is_empty());
+    assert!(loads.weights(64).is_empty(), "an endpoint that left keeps its slowness");
+}
+
+/// Reports must stay within their bound, lose no calls by it, and judge endpoints by the work of each
+/// call and not by its duration.
+#[test]
+fn bounded_report() {
+    let mut observed = ObservedCalls::default();
+    let route = Name::from("r");
+    observed.record(&route, &name(0), 10.0, ms(100));
+    assert!(observed.take(64).is_empty(), "the first call of a route has no expected duration");
+    for n in 0..100 {
+        for _ in 0..=n {
+            observed.record(&route, &name(n), n as f64 + 1.0, ms(10 * (n as u64 + 1)));
+        }
+    }
+    let first = observed.take(64);
+    assert_eq!(first.len(), 64);
+    assert!(first.iter().all(|(_, ended)| ended.count > 36), "endpoints with few calls came first");
+    observed.record(&route, &name(3), 1.0, ms(20));
+    let rest = observed.take(64);
+    assert_eq!(rest.len(), 36);
+    for (endpoint, EndedCalls { count, ratio }) in first.iter().chain(&rest) {
+        let extra = if **endpoint == *"e03" { 1.0 } else { 0.0 };
+        assert!((ratio - f64::from(*count) - extra).abs() < 1e-6, "{endpoint}: {count}, {ratio}");
+    }
+    assert!(observed.take(64).is_empty());
+    observed.record(&route, &name(3), 0.0, ms(20));
+    observed.record(&route, &name(3), 1.0, ms(20));
+    observed.retain(|endpoint| **endpoint != *"e03");
+    assert!(observed.take(64).is_empty(), "a call without work or of an endpoint that left");
+}
+
+/// Without a leader, weights must return to 1 and not stay for ever.
+#[test]
+fn lost_leader() {
+    let at = |s: f64, age: u64| faded(s, ms(age));
+    assert_eq!(
+        [at(1.25, 0), at(1.25, 250), at(1.25, 6_000), at(0.5, 6_000)],
+        [1.25, 1.25, 1.0, 1.0]
+    );
+    let values: Vec<_> = (0..60).map(|n| at(2.0, n * 100)).collect();
+    assert!(values.is_sorted_by(|a, b| a >= b), "{values:?}");
+    assert!(values.iter().all(|s| (s * 8.0).fract() == 0.0), "{values:?}");
 }
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -591,6 +591,10 @@
     /// Load of the instance by programs. Only present where programs are admitted by measured delay.
     #[prost(message, optional, tag = "18")]
     pub programs: ::core::option::Option<ProgramLoad>,
+    /// Calls that ended since the last report, by endpoint, for the leader to compare the speed of
+    /// endpoints; at most 64. Only present where limits are measured.
+    #[prost(message, repeated, tag = "19")]
+    pub work: ::prost::alloc::vec::Vec<EndpointWork>,
 }
 /// What an instance has seen of a rollout. All counts run from the start of the rollout, so that
 /// neither a lost heartbeat nor a new leader loses evidence.
@@ -641,6 +645,32 @@
     #[prost(uint32, tag = "3")]
     pub failed: u32,
 }
+/// Calls that ended at an endpoint.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointWork {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub ended: u32,
+    /// Sum of the duration of each call divided by the one that the instance expected.
+    #[prost(float, tag = "3")]
+    pub ratio: f32,
+}
+/// Speed of endpoints, as all instances together have seen it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointConditions {
+    /// Endpoints that differ from the median of their service, sorted; at most 64.
+    #[prost(message, repeated, tag = "1")]
+    pub endpoints: ::prost::alloc::vec::Vec<EndpointCondition>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointCondition {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Duration of a call relative to that at the median endpoint, in eighths.
+    #[prost(uint32, tag = "2")]
+    pub slowness: u32,
+}
 /// Programs of an instance, and how their turns fare, since the last heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgramLoad {
@@ -818,6 +848,10 @@
     /// Absent where programs are not admitted by measured delay.
     #[prost(message, optional, tag = "19")]
     pub programs: ::core::option::Option<ProgramAllowance>,
+    /// Absent while the leader does not know, and where limits are not measured: instances keep what
+    /// they have for some seconds.
+    #[prost(message, optional, tag = "20")]
+    pub conditions: ::core::option::Option<EndpointConditions>,
 }
 /// Digests of the requests that run on trial only or are refused, because endpoints terminated
 /// during them.
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -20,6 +20,7 @@
 };
 
 use super::{
+    loads::MeasuredLoads,
     paces::EndpointPaces,
     programs::ProgramLimits,
     rollouts::{DirectoryView, Rollouts},
@@ -37,6 +38,10 @@
 /// Time until a new leader has heard from all live instances, which send several heartbeats in it.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time until a new leader tells instances the speed of endpoints: in it, a busy service ends some
+/// forty calls at each of them. Earlier, instances keep what the former leader has told them.
+const LOADS_DISCOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// Number of detours that an instance is told; it asks two of them for a connection.
 const DETOURS: usize = 4;
 
@@ -88,6 +93,7 @@
     pub(crate) rollouts: Rollouts,
     programs: ProgramLimits,
     paces: EndpointPaces,
+    loads: MeasuredLoads,
     /// Instances that joined or were lost since the last call of `take_changes`.
     changes: VecDeque<(Name, &'static str)>,
 }
@@ -113,6 +119,7 @@
             rollouts: Rollouts::new(rollouts, lease + DRIFT_MARGIN, now),
             programs: ProgramLimits::new(now.monotonic + DISCOVERY_TIME, now.monotonic),
             paces: EndpointPaces::default(),
+            loads: MeasuredLoads::default(),
             changes: VecDeque::new(),
         }
     }
@@ -219,6 +226,19 @@
         self.paces.list()
     }
 
+    /// Records the calls that a heartbeat reports, and returns the speed of endpoints once enough
+    /// calls have been reported to this leader.
+    pub(crate) fn update_loads(
+        &mut self,
+        beat: &peer::Beat,
+        now: Duration,
+    ) -> Option<peer::EndpointConditions> {
+        let Directory { number, endpoints, .. } = &self.directory;
+        self.loads.observe_list(*number, endpoints);
+        self.loads.note_work(&beat.work, now);
+        (now >= self.since + LOADS_DISCOVERY_TIME).then(|| self.loads.conditions())
+    }
+
     /// Removes instances whose lease has expired.
     fn expire(&mut self, now: Duration) {
         let Self { members, changes, .. } = self;
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_list;
 mod forwarding;
 mod leader_state;
+mod loads;
 mod operator_api;
 mod paces;
 mod programs;
@@ -127,6 +128,8 @@
             true => leader.update_paces(&beat, now),
             false => Vec::new(),
         };
+        let conditions =
+            self.settings.measures_limits.then(|| leader.update_loads(&beat, now)).flatten();
         let timestamps = self.timestamps();
         leader.suspects.observe(&control_state, &beat, timestamps);
         let quarantine = leader.suspects.list_for(beat.quarantine, timestamps);
@@ -174,6 +177,7 @@
             rollouts,
             paces,
             programs,
+            conditions,
         })
     }
 
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -73,11 +73,24 @@
     /// Endpoints that have just started or recovered, sorted, and the calls per second that all
     /// fronts together may send them.
     pub(crate) paces: Arc<[(Name, f64)]>,
+    pub(crate) slowness: Slowness,
     /// Peer addresses of fronts that reach endpoints. Only known while the instance's own links are
     /// cut.
     pub(crate) detours: Vec<SocketAddr>,
 }
 
+/// Steps per unit of the slowness in [`peer::EndpointCondition`].
+pub(crate) const SLOWNESS_STEPS: f64 = 8.0;
+
+/// Speed of endpoints relative to the median of their service, as the leader has last told it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Slowness {
+    /// Endpoints that differ from the median; sorted.
+    pub(crate) endpoints: Arc<[(Name, f64)]>,
+    /// When the leader was asked.
+    pub(crate) at: Duration,
+}
+
 /// Requests that are quarantined because endpoints terminated while running them.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineList {
@@ -188,6 +201,7 @@
             limits: Arc::default(),
             rollouts: Arc::default(),
             paces: Arc::default(),
+            slowness: Slowness::default(),
             detours: Vec::new(),
         };
         let search =
@@ -341,6 +355,10 @@
             limits: read_limits(answer.limits),
             rollouts: read_rollouts(answer.rollouts, &old.rollouts),
             paces: read_limits(answer.paces),
+            slowness: match answer.conditions {
+                Some(conditions) => read_conditions(conditions, asked_at),
+                None => old.slowness.clone(),
+            },
             detours: addresses(answer.detours),
         };
         if view.zones_out != old.zones_out {
@@ -388,6 +406,13 @@
     limits.into_iter().filter_map(limit).collect()
 }
 
+fn read_conditions(conditions: peer::EndpointConditions, at: Duration) -> Slowness {
+    let slowness = |c: peer::EndpointCondition| {
+        (Name::from(c.endpoint), f64::from(c.slowness) / SLOWNESS_STEPS)
+    };
+    Slowness { endpoints: conditions.endpoints.into_iter().map(slowness).collect(), at }
+}
+
 /// Returns `old` itself if nothing has changed.
 fn read_rollouts(rollouts: Vec<peer::RolloutAllowance>, old: &Arc<[Rule]>) -> Arc<[Rule]> {
     let read = |r: peer::RolloutAllowance| {
--- a/crates/relay/src/fleet_client/heartbeat.rs
+++ b/crates/relay/src/fleet_client/heartbeat.rs
@@ -138,6 +138,7 @@
             rollouts: Vec::new(),
             paced: Vec::new(),
             programs: None,
+            work: Vec::new(),
         };
         report.fill(&mut beat).await;
         beat
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -7,6 +7,7 @@
 //! responses.
 
 mod limits;
+mod loads;
 mod paces;
 mod versions;
 
@@ -33,6 +34,8 @@
 };
 use crate::{ListedEndpoint, Load, PromptPart, Publication, fleet_client::View};
 use limits::CallLimit;
+pub(crate) use loads::AnsweredCall;
+use loads::SpeedState;
 use paces::PaceState;
 
 /// Block size of the index of cached prompts, in tokens.
@@ -158,6 +161,7 @@
     splits: VersionSplits,
     /// The paces that the leader has last distributed.
     paces: Arc<[(Name, f64)]>,
+    speed: SpeedState,
 }
 
 impl Endpoints {
@@ -186,6 +190,7 @@
             rollouts: Arc::default(),
             splits: VersionSplits::default(),
             paces: Arc::default(),
+            speed: SpeedState::default(),
         }
     }
 
@@ -219,6 +224,7 @@
             self.paces = view.paces.clone();
             self.apply_paces(&view.paces);
         }
+        self.observe_slowness(&view.slowness, is_new_list, now);
     }
 
     fn apply_list(&mut self, view: &View, now: Duration) {
@@ -297,6 +303,7 @@
     /// Decays reported loads, and ends the pauses of endpoints that have failed.
     pub(crate) fn tick(&mut self, now: Duration) {
         self.fleet.decay_reports(LOAD_HALF_LIFE, now);
+        self.apply_slowness(now);
         for state in &mut self.endpoints {
             state.limit.take_if(|limit| now >= limit.until);
             if state.paused_until.is_some_and(|until| now >= until) {
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -30,7 +30,7 @@
 };
 
 use super::{
-    endpoints::{ChosenEndpoint, Endpoints, Outcome},
+    endpoints::{AnsweredCall, ChosenEndpoint, Endpoints, Outcome},
     placement::{EndpointFilter, PlacementRequest},
     rollouts::{self, OpenCall},
 };
@@ -90,6 +90,9 @@
 pub(crate) struct Schedule {
     fleet: Arc<FleetClient>,
     clock: Arc<dyn Clock>,
+    /// Whether the speed of endpoints is reported, and all fronts send the turns of a program to the
+    /// same engine.
+    measures_speed: bool,
     state: Mutex<State>,
     this: Weak<Self>,
 }
@@ -114,11 +117,17 @@
         fleet: Arc<FleetClient>,
         pool: Arc<Pool>,
         clock: Arc<dyn Clock>,
-        binds_programs: bool,
+        measures_speed: bool,
     ) -> Arc<Self> {
-        let endpoints = Endpoints::new(zone, pool, binds_programs);
+        let endpoints = Endpoints::new(zone, pool, measures_speed);
         let state = State { endpoints, queues: Vec::new() };
-        Arc::new_cyclic(|this| Self { fleet, clock, state: Mutex::new(state), this: this.clone() })
+        Arc::new_cyclic(|this| Self {
+            fleet,
+            clock,
+            measures_speed,
+            state: Mutex::new(state),
+            this: this.clone(),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -223,6 +232,9 @@
         let placed = {
             let mut state = self.lock();
             state.note_evidence(slot, occupied);
+            if self.measures_speed {
+                state.note_speed(slot, occupied);
+            }
             state.endpoints.end(&slot.endpoint.name, slot.outcome, occupied, now);
             let at = state.queue(&slot.placement.service);
             let queue = &mut state.queues[at];
@@ -302,6 +314,12 @@
         self.lock().endpoints.take_paced()
     }
 
+    /// Takes the calls that ended since the last report. They are lost if the heartbeat that reports
+    /// them is not answered.
+    pub(crate) fn take_work(&self) -> Vec<peer::EndpointWork> {
+        self.lock().endpoints.take_work()
+    }
+
     /// Forgets the failures of endpoints, which the loss of the front's own links has caused.
     pub(crate) fn forget_failures(&self) {
         let now = self.clock.now();
@@ -360,6 +378,22 @@
         }
     }
 
+    /// Records the duration of a slot's call, unless it says nothing about the endpoint: a resumed
+    /// stream is only a part of its call, and a cold endpoint is slow for a while only.
+    fn note_speed(&mut self, slot: &Slot, took: Duration) {
+        let Slot { endpoint, placement, .. } = slot;
+        let is_whole = slot.outcome == Outcome::Answered && !slot.is_resumed;
+        let is_cold = self.endpoints.was_cold(&endpoint.name, slot.since);
+        if is_whole && !slot.is_server_error && !is_cold {
+            self.endpoints.note_speed(&AnsweredCall {
+                route: &placement.route,
+                endpoint: &endpoint.name,
+                cost: placement.cost,
+                took,
+            });
+        }
+    }
+
     /// Queues a call, unless it cannot be served in time.
     fn push(
         &mut self,
