--- a/crates/policy/tests/endpoint_slowness.rs
+++ b/crates/policy/tests/endpoint_slowness.rs
@@ -180,7 +180,7 @@
             fleet.call_started(id, now);
             let n = id.0 as usize;
             let work = rng.random_range(0.4..1.6);
-            let speed = if n % 3 == 0 { SLOW } else { 1.0 };
+            let speed = if n.is_multiple_of(3) { SLOW } else { 1.0 };
             let batch = 1.0 + BATCH_SLOWDOWN * f64::from(running[n]);
             let is_moved = program.last.is_some_and(|last| last != n);
             // The history is prefilled again.
