--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -76,6 +76,8 @@
     FailsThird,
     /// Requests on paths that ask for processing time take five times as long.
     Slow,
+    /// The pauses between events take five times as long.
+    SlowStreams,
 }
 
 impl Default for Servers {
@@ -280,7 +282,8 @@
         }
         if let Some((before, events)) = path.rsplit_once("/events/") {
             let count: usize = events.parse().expect("no number of events in the path");
-            let pause = if before.contains("/paced") { WORK_TIME } else { Duration::ZERO };
+            let factor = if defect == Some(Defect::SlowStreams) { 5 } else { 1 };
+            let pause = if before.contains("/paced") { WORK_TIME * factor } else { Duration::ZERO };
             // On this path the data names the request, so that the events of two runs differ.
             let suffix =
                 if before.contains("/signed") { format!(" of {id}") } else { String::new() };
