relay: endpoints are paced although no team has a rate

Cause: the leader starts a pace only while calls are served, and took that from the demand that fronts report by team. A team without a rate has no bucket and reports no demand, so the leader logged `endpoint list changed` and began no pace at all. Fronts now report whether they have sent calls to endpoints (`Beat.sends_calls`, 3 bytes). Demand still counts, for fronts of older builds and for calls that arrive while there is no endpoint.

The test counted wrongly as well: it took the server for gone after 20 calls in sequence, which stay at servers with an idle connection, and so counted the calls until the list had changed as the first ones. It now sends calls in parallel, asks that each is answered, and asserts that the server gets none before it appears. The bounds are unchanged.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -591,6 +591,9 @@
     /// Load of the instance by programs. Only present where programs are admitted by measured delay.
     #[prost(message, optional, tag = "18")]
     pub programs: ::core::option::Option<ProgramLoad>,
+    /// The instance has sent calls to endpoints since its last heartbeat, of whichever team.
+    #[prost(bool, tag = "19")]
+    pub sends_calls: bool,
 }
 /// What an instance has seen of a rollout. All counts run from the start of the rollout, so that
 /// neither a lost heartbeat nor a new leader loses evidence.
--- a/crates/relay/src/control/paces.rs
+++ b/crates/relay/src/control/paces.rs
@@ -15,8 +15,8 @@
 
 /// Time over which the calls that an endpoint answers are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
-/// Calls are served if a front has reported demand within this time.
-const DEMAND_TTL: Duration = Duration::from_secs(2);
+/// Calls are served if a front has reported calls within this time.
+const CALLS_TTL: Duration = Duration::from_secs(2);
 
 struct KnownEndpoint {
     name: Name,
@@ -38,7 +38,8 @@
     /// Endpoints that were on probation; sorted.
     on_probation: Vec<Name>,
     window_since: Duration,
-    demand_at: Option<Duration>,
+    /// When a front last reported calls.
+    calls_at: Option<Duration>,
 }
 
 impl EndpointPaces {
@@ -48,7 +49,7 @@
             return;
         }
         let is_first = self.directory == 0;
-        let is_serving = self.demand_at.is_some_and(|at| now < at + DEMAND_TTL);
+        let is_serving = self.calls_at.is_some_and(|at| now < at + CALLS_TTL);
         let mut started = Vec::new();
         let mut known = Vec::with_capacity(listed.len());
         for endpoint in listed {
@@ -91,8 +92,10 @@
 
     /// Records the results that an instance reports, and changes the paces by them.
     pub(crate) fn note_results(&mut self, beat: &peer::Beat, now: Duration) {
-        if beat.demand.iter().any(|d| d.per_second > 0.0) {
-            self.demand_at = Some(now);
+        // Only teams with a rate report demand. It counts as well, because calls also arrive while
+        // there is no endpoint to send them to, and fronts of older builds report nothing else.
+        if beat.sends_calls || beat.demand.iter().any(|d| d.per_second > 0.0) {
+            self.calls_at = Some(now);
         }
         for results in &beat.paced {
             self.paces.record(&results.endpoint, results.answered, results.failed, now);
--- a/crates/relay/src/fleet_client/heartbeat.rs
+++ b/crates/relay/src/fleet_client/heartbeat.rs
@@ -138,6 +138,7 @@
             rollouts: Vec::new(),
             paced: Vec::new(),
             programs: None,
+            sends_calls: false,
         };
         report.fill(&mut beat).await;
         beat
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -158,6 +158,8 @@
     splits: VersionSplits,
     /// The paces that the leader has last distributed.
     paces: Arc<[(Name, f64)]>,
+    /// Whether a call has been sent to an endpoint since the last report.
+    sends_calls: bool,
 }
 
 impl Endpoints {
@@ -186,6 +188,7 @@
             rollouts: Arc::default(),
             splits: VersionSplits::default(),
             paces: Arc::default(),
+            sends_calls: false,
         }
     }
 
@@ -475,6 +478,7 @@
     ) -> ChosenEndpoint {
         let id = choice.endpoint;
         self.fleet.call_started(id, now);
+        self.sends_calls = true;
         let (blocks, prompt_tokens) = self.own_blocks(placement);
         self.prefixes.record_dispatch(id, blocks, now);
         self.shared.note(placement, now);
--- a/crates/relay/src/front/endpoints/paces.rs
+++ b/crates/relay/src/front/endpoints/paces.rs
@@ -96,6 +96,11 @@
         (count > 0).then(|| sum / f64::from(count))
     }
 
+    /// Takes whether a call has been sent to an endpoint since the last call of this function.
+    pub(crate) fn take_sends_calls(&mut self) -> bool {
+        std::mem::take(&mut self.sends_calls)
+    }
+
     /// Takes the results since the last call of endpoints whose service has a pace. Endpoints with
     /// a pace come first.
     pub(crate) fn take_paced(&mut self) -> Vec<peer::PacedResults> {
--- a/crates/relay/src/front/mod.rs
+++ b/crates/relay/src/front/mod.rs
@@ -133,6 +133,7 @@
         beat.limits = self.schedule.take_limits();
         beat.rollouts = self.schedule.rollout_reports();
         beat.paced = self.schedule.take_paced();
+        beat.sends_calls = self.schedule.take_sends_calls();
         beat.links_cut = self.links.is_cut();
         beat.programs = self.admission.take_load();
         Box::pin(std::future::ready(()))
--- a/crates/relay/src/front/schedule.rs
+++ b/crates/relay/src/front/schedule.rs
@@ -302,6 +302,11 @@
         self.lock().endpoints.take_paced()
     }
 
+    /// Takes whether calls have been sent to endpoints since the last heartbeat.
+    pub(crate) fn take_sends_calls(&self) -> bool {
+        self.lock().endpoints.take_sends_calls()
+    }
+
     /// Forgets the failures of endpoints, which the loss of the front's own links has caused.
     pub(crate) fn forget_failures(&self) {
         let now = self.clock.now();
--- a/tests/endpoint_paces.rs
+++ b/tests/endpoint_paces.rs
@@ -45,19 +45,22 @@
 async fn new_server() {
     let fleet = RelayFleet::start_measured(&config(3, &[KEY])).await;
     fleet.servers.set_software(0, None);
+    // Calls in parallel, because single ones stay at the servers with an idle connection.
     let is_unused = async || {
         let before = runs(&fleet, 0).len();
-        for call in 0..20 {
-            let id = format!("unused-{before}-{call}-{:?}", Instant::now());
+        let call = async |n: usize| {
+            let id = format!("unused-{before}-{n}-{:?}", Instant::now());
             let id: String = id.chars().filter(char::is_ascii_alphanumeric).collect();
-            fleet.call(call % 2, "/safe/x", &id, Call::default()).await;
-        }
-        runs(&fleet, 0).len() == before
+            fleet.call((n % 2) as u8, "/safe/x", &id, Call::default()).await
+        };
+        let answers = join_all((0..CALLERS).map(call)).await;
+        answers.iter().all(|a| a.status == 200) && runs(&fleet, 0).len() == before
     };
     eventually("the server has left the list", is_unused).await;
     let before = runs(&fleet, 0).len();
     let appears = async {
         sleep(Duration::from_secs(2)).await;
+        assert_eq!(runs(&fleet, 0).len(), before, "the server is used before it appears");
         fleet.servers.set_software(0, Some("v1"));
     };
     join(load(&fleet), appears).await;
