policy: the first pace of an endpoint holds for a second from its first results

The first step ran from the moment when the leader began the pace. Fronts learn of the endpoint and its pace with their next heartbeats, so on late first calls the pace doubled, or grew as idle, while they had just begun: with first results at 500 ms it was 16 calls a second at 1,000 ms.

The step now runs from the first results, and a pace does not grow as idle while a good step is under way.

--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -64,6 +64,9 @@
     per_second: f64,
     /// When the pace was last changed.
     since: Duration,
+    /// When the first results were recorded. The first step runs from then, as instances learn of
+    /// the endpoint and of its pace later than the leader.
+    first_results_at: Option<Duration>,
     answered: u32,
     failed: u32,
     /// Results until then do not count.
@@ -85,6 +88,7 @@
             endpoint: endpoint.clone(),
             per_second: START_PER_SECOND,
             since: now,
+            first_results_at: None,
             answered: 0,
             failed: 0,
             settles_at: now,
@@ -108,6 +112,9 @@
     pub fn record(&mut self, endpoint: &str, answered: u32, failed: u32, now: Duration) {
         let Ok(at) = self.position(endpoint) else { return };
         let pace = &mut self.paces[at];
+        if answered > 0 || failed > 0 {
+            pace.first_results_at.get_or_insert(now);
+        }
         if now >= pace.settles_at {
             pace.answered = pace.answered.saturating_add(answered);
             pace.failed = pace.failed.saturating_add(failed);
@@ -167,9 +174,9 @@
             // At the lowest pace failures only restart the step.
             return (lower < self.per_second || now >= self.since + STEP).then_some(lower);
         }
-        let is_good = self.answered >= MIN_ANSWERED && now >= self.since + STEP;
-        if is_good {
-            return Some(self.per_second * GROWTH);
+        if self.answered >= MIN_ANSWERED {
+            let step_from = self.first_results_at.map_or(self.since, |at| at.max(self.since));
+            return (now >= step_from + STEP).then_some(self.per_second * GROWTH);
         }
         (now >= self.since + IDLE_STEP).then_some(self.per_second * IDLE_GROWTH)
     }
--- a/crates/policy/tests/pace_steps.rs
+++ b/crates/policy/tests/pace_steps.rs
@@ -203,3 +203,21 @@
     paces.retain(|name| name == "b");
     assert_eq!(paces.paces().map(|(name, _)| &**name).collect::<Vec<_>>(), ["b"]);
 }
+
+/// Guards against a first pace that doubles soon after the first call, because instances learned of
+/// the endpoint late: it holds for a second from the first results on.
+#[test]
+fn late_first_call() {
+    for first_ms in [500, 1_100, 1_900] {
+        let mut paces = Paces::default();
+        paces.start(&"e".into(), ms(0));
+        let start = pace_of(&paces).expect("a pace has started");
+        paces.record("e", 2, 0, ms(first_ms));
+        for now in (first_ms..first_ms + 1_000).step_by(50) {
+            paces.advance(|_| None, ms(now));
+            assert_eq!(pace_of(&paces), Some(start), "{now} ms, first results at {first_ms} ms");
+        }
+        paces.advance(|_| None, ms(first_ms + 1_000));
+        assert_eq!(pace_of(&paces), Some(2.0 * start), "first results at {first_ms} ms");
+    }
+}
