--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -595,6 +595,9 @@
     /// endpoints; at most 64. Only present where limits are measured.
     #[prost(message, repeated, tag = "19")]
     pub work: ::prost::alloc::vec::Vec<EndpointWork>,
+    /// The instance has sent calls to endpoints since its last heartbeat, of whichever team.
+    #[prost(bool, tag = "20")]
+    pub sends_calls: bool,
 }
 /// What an instance has seen of a rollout. All counts run from the start of the rollout, so that
 /// neither a lost heartbeat nor a new leader loses evidence.
--- a/crates/relay/src/fleet_client/heartbeat.rs
+++ b/crates/relay/src/fleet_client/heartbeat.rs
@@ -139,6 +139,7 @@
             paced: Vec::new(),
             programs: None,
             work: Vec::new(),
+            sends_calls: false,
         };
         report.fill(&mut beat).await;
         beat
--- a/crates/relay/src/front/endpoints.rs
+++ b/crates/relay/src/front/endpoints.rs
@@ -162,6 +162,8 @@
     /// The paces that the leader has last distributed.
     paces: Arc<[(Name, f64)]>,
     speed: SpeedState,
+    /// Whether a call has been sent to an endpoint since the last report.
+    sends_calls: bool,
 }
 
 impl Endpoints {
@@ -191,6 +193,7 @@
             splits: VersionSplits::default(),
             paces: Arc::default(),
             speed: SpeedState::default(),
+            sends_calls: false,
         }
     }
 
@@ -482,6 +485,7 @@
     ) -> ChosenEndpoint {
         let id = choice.endpoint;
         self.fleet.call_started(id, now);
+        self.sends_calls = true;
         let (blocks, prompt_tokens) = self.own_blocks(placement);
         self.prefixes.record_dispatch(id, blocks, now);
         self.shared.note(placement, now);
