policy: the limit on programs is lifted once the load is over

The log of the leader shows a limit of 4.8 open turns, its floor, that bound at 4 open turns and a slowdown of 1.0.

Causes: the limit was never lifted. The rate follows the programs that end, so after a pause it is near zero, while callers with short turns begin more programs per second than turns are open. In the pause the limit also shrank to its floor, because the slowdown of the last turns stays known for about a second after they ended.

The limiter now lifts the limit if at most half of it is used, with no slow turn and no refusal, for a second, and shrinks it only while turns end. A lifted limit is not taken from the average of refusals again; that applies only to the first limit of a new leader.

--- a/crates/policy/src/admission/limiter.rs
+++ b/crates/policy/src/admission/limiter.rs
@@ -28,6 +28,12 @@
 const GROWTH_PER_SECOND: f64 = 0.25;
 /// The limit grows only while this fraction of it is used.
 const GROWTH_USE: f64 = 0.8;
+/// The limit is lifted once at most this fraction of it has been used, with no slow turn and no
+/// refusal, for [`RELEASE_TIME`]. Below [`GROWTH_USE`], so that a load near the capacity keeps it.
+const RELEASE_USE: f64 = 0.5;
+/// Four heartbeats: a load that is only paused, or unevenly spread, is reported within this time.
+/// Callers need programs to be admitted 2 s after a burst.
+const RELEASE_TIME: Duration = Duration::from_secs(1);
 /// Maximum ratio by which one measurement lowers the limit below the open turns.
 const MIN_GRADIENT: f64 = 0.5;
 /// The limit is at least this fraction of the endpoints' slots. Turns that are slow for another
@@ -91,6 +97,8 @@
     fronts: Vec<FrontState>,
     slots: u32,
     limit: Option<f64>,
+    /// Whether this limiter has had a limit since it was created.
+    has_had_limit: bool,
     /// Sums of the durations and idle durations of turns, and their number, decaying.
     duration: f64,
     idle: f64,
@@ -110,6 +118,8 @@
     allowed: Allowance,
     is_binding: bool,
     adjusted_at: Duration,
+    /// When the limit was last needed.
+    needed_at: Duration,
     /// Before this time there may be live fronts that have not reported.
     recovered_at: Duration,
 }
@@ -121,6 +131,7 @@
             fronts: Vec::new(),
             slots: 0,
             limit: None,
+            has_had_limit: false,
             duration: 0.0,
             idle: 0.0,
             turns: 0.0,
@@ -137,6 +148,7 @@
             allowed: Allowance::default(),
             is_binding: false,
             adjusted_at: now,
+            needed_at: now,
             recovered_at,
         }
     }
@@ -222,13 +234,15 @@
         self.turn_rate.update(turns, elapsed);
         self.long_turn_rate.update(turns, elapsed);
         self.long_program_rate.update(programs, elapsed);
-        self.refused_rate.update(std::mem::take(&mut self.new_refused), elapsed);
+        let refused = std::mem::take(&mut self.new_refused);
+        self.refused_rate.update(refused, elapsed);
         self.classes.advance(elapsed);
         self.classes.prune();
         let weight = 1.0 - (-elapsed / SLOWDOWN_SECONDS).exp();
         self.mean_active += weight * (self.active() - self.mean_active);
         self.adjust_normal(elapsed);
-        self.adjust_limit(elapsed, now);
+        self.adjust_limit(elapsed, turns > 0.0, now);
+        self.release(turns > 0.0, refused > 0.0, now);
         self.allowed = self.allow();
         let decay = (-elapsed / SLOWDOWN_SECONDS).exp();
         self.duration *= decay;
@@ -250,24 +264,31 @@
         self.normal = self.normal.clamp(1.0, MAX_NORMAL_SLOWDOWN);
     }
 
-    fn adjust_limit(&mut self, elapsed: f64, now: Duration) {
+    fn adjust_limit(&mut self, elapsed: f64, has_turns: bool, now: Duration) {
         let active = self.active();
         if now < self.recovered_at {
             return;
         }
         // Fronts that refuse programs before this limiter has a limit hold one of a former leader.
-        if self.limit.is_none() && self.refused_rate.per_second > 0.0 {
+        // After a limit of its own was lifted, the average still has refusals of that one.
+        if !self.has_had_limit && self.refused_rate.per_second > 0.0 {
             self.limit = Some(active);
         }
+        self.has_had_limit |= self.limit.is_some();
         let Some(slowdown) = self.slowdown() else { return };
         let least = MIN_LIMIT.max(MIN_LIMIT_PER_SLOT * f64::from(self.slots));
         if slowdown > TARGET_SLOWDOWN {
+            // Without new turns, the slowdown is that of a load that is over.
+            if !has_turns {
+                return;
+            }
             let gradient = (TARGET_SLOWDOWN / slowdown).max(MIN_GRADIENT);
             let limit = self.limit.unwrap_or(active);
             // Turns that were opened above a smaller limit do not shrink it further.
             let goal = limit.min(self.mean_active * gradient);
             let step = (elapsed / SHRINK_SECONDS).min(1.0) * (goal - limit);
             self.limit = Some((limit + step).max(least));
+            self.has_had_limit = true;
         } else if let Some(limit) = &mut self.limit
             && active >= GROWTH_USE * *limit
         {
@@ -276,6 +297,18 @@
         }
     }
 
+    /// Lifts the limit once the load is over. The rate follows the programs that end, so without a
+    /// load it is far below what the fleet can begin, and would refuse the next programs.
+    fn release(&mut self, has_turns: bool, has_refused: bool, now: Duration) {
+        let Some(limit) = self.limit else { return };
+        let is_slow = self.slowdown().is_some_and(|slowdown| slowdown > TARGET_SLOWDOWN);
+        if has_refused || (has_turns && is_slow) || self.active() > RELEASE_USE * limit {
+            self.needed_at = now;
+        } else if now >= self.needed_at + RELEASE_TIME {
+            self.limit = None;
+        }
+    }
+
     /// Programs per second that end, by the turns that end and the turns of a program.
     fn ending(&self) -> f64 {
         let (turns, programs) = (self.long_turn_rate.per_second, self.long_program_rate.per_second);
--- a/crates/policy/tests/overload/mod.rs
+++ b/crates/policy/tests/overload/mod.rs
@@ -1,7 +1,10 @@
 //! Replays programs at many fronts whose turns slow each other down.
 
+mod callers;
+
 use std::time::Duration;
 
+pub use callers::{Phase, replay_callers};
 use poplarspan_policy::{
     Name,
     admission::{Allowance, FirstTurn, LoadReport, ProgramClass, ProgramGate, ProgramLimiter},
--- a/crates/policy/tests/program_limits.rs
+++ b/crates/policy/tests/program_limits.rs
@@ -11,7 +11,7 @@
     admission::{Allowance, FirstTurn, LoadReport, ProgramGate, ProgramLimiter},
 };
 
-use overload::{Load, Program, Rate, TEAMS, replay};
+use overload::{Load, Phase, Program, Rate, TEAMS, replay, replay_callers};
 
 const FRONTS: [usize; 3] = [8, 57, 300];
 /// Seconds of ordinary load in which the fronts learn the usual times.
@@ -101,6 +101,26 @@
     }
 }
 
+/// Two seconds after a burst, no program may be refused of a few callers whose turns are shorter than
+/// a heartbeat: more of their programs end in a second than turns are open.
+#[test]
+fn short_turns_recovery() {
+    let phases = [(4, 4_000), (80, 5_000), (0, 2_000), (4, 2_000)];
+    let phases = phases.map(|(callers, time)| Phase { callers, time });
+    for fronts in [2, 8] {
+        for seed in 0..20 {
+            let results = replay_callers(fronts, &phases, seed);
+            println!("{fronts} fronts, seed {seed}: (completed, refused) {results:?}");
+            assert_eq!(results[0].1, 0, "{fronts} fronts, seed {seed}: refused without load");
+            assert!(
+                results[1].1 > 20,
+                "{fronts} fronts, seed {seed}: nothing refused in the burst"
+            );
+            assert_eq!(results[3].1, 0, "{fronts} fronts, seed {seed}: refused after the burst");
+        }
+    }
+}
+
 /// No kind may fall below a quarter of the fraction that the others have in time, in a burst of one
 /// kind.
 #[test]
