policy: slow turns of a past load do not bring the limit back

The slow turns of the burst stayed in the decaying sums, so the first new turns counted as 1.31 times slower and set the floor as a new limit.

Lifting the limit now clears these sums, after 0.75 s instead of 1 s.

--- a/crates/policy/src/admission/limiter.rs
+++ b/crates/policy/src/admission/limiter.rs
@@ -31,9 +31,10 @@
 /// The limit is lifted once at most this fraction of it has been used, with no slow turn and no
 /// refusal, for [`RELEASE_TIME`]. Below [`GROWTH_USE`], so that a load near the capacity keeps it.
 const RELEASE_USE: f64 = 0.5;
-/// Four heartbeats: a load that is only paused, or unevenly spread, is reported within this time.
-/// Callers need programs to be admitted 2 s after a burst.
-const RELEASE_TIME: Duration = Duration::from_secs(1);
+/// Three heartbeats: a load that is unevenly spread is reported within this time. Callers need
+/// programs to be admitted 2 s after a burst; with 1 s, the last turns of a burst and the heartbeats
+/// before and after took longer at 8 fronts.
+const RELEASE_TIME: Duration = Duration::from_millis(750);
 /// Maximum ratio by which one measurement lowers the limit below the open turns.
 const MIN_GRADIENT: f64 = 0.5;
 /// The limit is at least this fraction of the endpoints' slots. Turns that are slow for another
@@ -306,6 +307,8 @@
             self.needed_at = now;
         } else if now >= self.needed_at + RELEASE_TIME {
             self.limit = None;
+            // Otherwise the slow turns of the past load make the next few turns look slow.
+            (self.duration, self.idle, self.turns) = (0.0, 0.0, 0.0);
         }
     }
 
