policy: an older row of evidence no longer lowers what is known of an instance

A report whose row had lower counts than an earlier one was taken as the newest, so the next report added the difference once more: one failure reported five times in turn with none counted as five, and a good version was reverted.

The highest counts of each row are kept; those of a restarted instance are still told by its calls. older_rows failed before with 10 failures instead of 2.

--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -166,11 +166,17 @@
     a.route == b.route && a.endpoint == b.endpoint
 }
 
-/// Returns the newest known results of an instance: a report leaves rows out if there are many.
+/// Returns the newest known results of an instance: a report leaves rows out if there are many. Rows
+/// are cumulative, so lower counts are those of an older report.
 pub(super) fn merge(mut before: Vec<Evidence>, now: &[Evidence]) -> Vec<Evidence> {
     for e in now {
         match before.iter().position(|b| is_same_row(b, e)) {
-            Some(at) => before[at] = e.clone(),
+            Some(at) => {
+                let known = &mut before[at];
+                known.answered = known.answered.max(e.answered);
+                known.duration = known.duration.max(e.duration);
+                known.failed = known.failed.max(e.failed);
+            }
             None if before.len() < MAX_ROWS => before.push(e.clone()),
             None => {}
         }
--- a/crates/policy/tests/rollout_changes.rs
+++ b/crates/policy/tests/rollout_changes.rs
@@ -96,6 +96,26 @@
     assert_eq!(rollout.decide(&FLEET, ms(12_000)), Decision::Complete);
 }
 
+/// Guards against results counted twice: a report that leaves a row out, or a row that arrives with
+/// lower counts than before, does not lower what is known of it.
+#[test]
+fn older_rows() {
+    let (mut rollout, a) = (rollout(), "a".into());
+    for failed in [1, 0, 1, 0, 1, 0, 1, 0, 1] {
+        let row = |endpoint: Option<&str>, answered, failed| Evidence {
+            route: "a".into(),
+            endpoint: endpoint.map(Into::into),
+            answered,
+            duration: ms(100 * answered),
+            failed,
+        };
+        let evidence =
+            vec![row(None, 190, 0), row(Some("x"), 4, failed), row(Some("y"), 4, failed)];
+        rollout.report(&a, FrontReport { evidence, ..report(0.05, 200, 10) }, ms(2_000));
+    }
+    assert_eq!(rollout.decide(&FLEET, ms(2_000)), Decision::Share(0.05));
+}
+
 /// Guards against evidence lost or counted twice when a front restarts, or returns after its lease
 /// has expired.
 #[test]
