policy: a rollout waits for calls at old endpoints that have left the list

Once no endpoint of another version was listed, a rollout was completed while streams were still open there, and the platform stopped these endpoints.

The fronts' open calls now count whatever the list says. open_calls_at_unlisted_endpoints failed before with Complete.

--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -231,7 +231,7 @@
             Some(finding) if finding.probability < revert_below => {
                 self.end(Decision::Revert(finding.verdict))
             }
-            _ if !is_suspected && share >= 1.0 && self.has_left_old(fleet) => {
+            _ if !is_suspected && share >= 1.0 && self.has_left_old() => {
                 self.end(Decision::Complete)
             }
             _ => {
@@ -323,11 +323,8 @@
     }
 
     /// Whether no instance sends calls to other versions, and none is open there.
-    fn has_left_old(&self, fleet: &FleetState) -> bool {
-        self.live_fronts().all(|f| {
-            is_same_share(f.last.share, 1.0)
-                && (f.last.old_in_flight == 0 || !fleet.old_versions_left)
-        })
+    fn has_left_old(&self) -> bool {
+        self.live_fronts().all(|f| is_same_share(f.last.share, 1.0) && f.last.old_in_flight == 0)
     }
 }
 
--- a/crates/policy/tests/rollout_changes.rs
+++ b/crates/policy/tests/rollout_changes.rs
@@ -96,6 +96,19 @@
     assert_eq!(rollout.decide(&FLEET, ms(12_000)), Decision::Complete);
 }
 
+/// Guards against a completion that cuts off streams: calls may still be open at old endpoints that
+/// have left the list.
+#[test]
+fn open_calls_at_unlisted_endpoints() {
+    let mut rollout = rollout();
+    let unlisted = FleetState { old_versions_left: false, old_slots: 0, ..FLEET };
+    let open = FrontReport { old_in_flight: 1, ..report(1.0, 100, 10) };
+    rollout.report(&"a".into(), open, ms(9_000));
+    assert_eq!(rollout.decide(&unlisted, ms(9_000)), Decision::Share(1.0));
+    rollout.report(&"a".into(), report(1.0, 100, 10), ms(9_500));
+    assert_eq!(rollout.decide(&unlisted, ms(9_500)), Decision::Complete);
+}
+
 /// Guards against results counted twice: a report that leaves a row out, or a row that arrives with
 /// lower counts than before, does not lower what is known of it.
 #[test]
