policy: an order for the version that already runs everywhere completes

Such a rollout stayed a canary: its share moved a twentieth of the calls, and the others had no endpoint to go to but those of the target.

If no endpoint of another version was ever listed and no call was sent to one, the share is 1 at once, and the rollout completes when all instances report it. version_runs_everywhere failed before with a share of 0.05; others_leave_list guards against the same for endpoints that leave the list during a canary.

--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -146,6 +146,8 @@
     /// None until the view was full for the first time.
     share: Option<f64>,
     share_since: Duration,
+    /// Whether endpoints of other versions were listed.
+    has_seen_old: bool,
     end: Option<Decision>,
 }
 
@@ -162,6 +164,7 @@
             history: History::default(),
             share: None,
             share_since: started,
+            has_seen_old: false,
             end: None,
         }
     }
@@ -215,6 +218,7 @@
         if !fleet.is_view_full {
             return Decision::Share(self.share.unwrap_or(self.reported_share()));
         }
+        self.has_seen_old |= fleet.old_versions_left;
         self.history.record(&self.totals, now);
         let share = match self.share {
             Some(share) => share,
@@ -271,6 +275,9 @@
     }
 
     fn next_share(&self, share: f64, is_suspected: bool, fleet: &FleetState, now: Duration) -> f64 {
+        if self.is_everywhere(fleet) {
+            return 1.0;
+        }
         let canary = CANARY_FRACTION * self.cfg.exposure_share;
         let is_shifting = share > canary + SHARE_TOLERANCE;
         let may_grow = share > 0.0
@@ -286,6 +293,14 @@
         if is_shifting { share } else { self.canary_share(share, canary, fleet) }
     }
 
+    /// Whether the target was the only version from the start, so that there is nothing to compare it
+    /// with. Other endpoints that left the list later do not count: the target would get all calls
+    /// before it was judged.
+    fn is_everywhere(&self, fleet: &FleetState) -> bool {
+        let has_others = self.has_seen_old || self.sent > self.sent_target;
+        fleet.target_slots > 0 && !has_others
+    }
+
     fn canary_share(&self, share: f64, canary: f64, fleet: &FleetState) -> f64 {
         let margin = if share > 0.0 { 0.0 } else { RESUME_MARGIN };
         let used = self.sent_target as f64 + margin;
--- a/crates/policy/tests/rollout_changes.rs
+++ b/crates/policy/tests/rollout_changes.rs
@@ -109,6 +109,29 @@
     assert_eq!(rollout.decide(&unlisted, ms(9_500)), Decision::Complete);
 }
 
+/// Guards against an order for the version that already runs everywhere that is never completed:
+/// without other endpoints there is nothing to compare with.
+#[test]
+fn version_runs_everywhere() {
+    let (mut rollout, a) = (rollout(), "a".into());
+    let everywhere = FleetState { old_versions_left: false, old_slots: 0, ..FLEET };
+    rollout.report(&a, report(0.0, 0, 0), ms(500));
+    assert_eq!(rollout.decide(&everywhere, ms(500)), Decision::Share(1.0));
+    rollout.report(&a, report(1.0, 500, 500), ms(1_000));
+    assert_eq!(rollout.decide(&everywhere, ms(1_000)), Decision::Complete);
+}
+
+/// Guards against a canary that gets all calls because the other endpoints have left the list.
+#[test]
+fn others_leave_list() {
+    let (mut rollout, a) = (rollout(), "a".into());
+    let unlisted = FleetState { old_versions_left: false, old_slots: 0, ..FLEET };
+    rollout.report(&a, report(0.0, 0, 0), ms(500));
+    assert_eq!(rollout.decide(&FLEET, ms(500)), Decision::Share(0.05));
+    rollout.report(&a, report(0.05, 0, 0), ms(1_000));
+    assert_eq!(rollout.decide(&unlisted, ms(1_000)), Decision::Share(0.05));
+}
+
 /// Guards against results counted twice: a report that leaves a row out, or a row that arrives with
 /// lower counts than before, does not lower what is known of it.
 #[test]
