relay: endpoints that leave probation are not paced

Cause: plain endpoints that lost some answers were on probation, where they went on answering calls that may be repeated. When they left it, they were paced as if they had been down: four of six were cut from some 150 calls a second to 8 for three seconds or more (the leader's log), and the other two got their calls.

Change: only endpoints that appear or start again are paced. A pace for recovery must begin from what the endpoint answers, which the leader does not know; that is left open.

There is no test of its own: the mechanism is gone.

--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -12,7 +12,7 @@
 //! known against the endpoint.
 //!
 //! The state belongs to the leader of the control group. A new leader knows no paces; an endpoint
-//! that starts or is on probation under it starts over.
+//! that starts under it gets a new one.
 
 use std::time::Duration;
 
--- a/crates/relay/src/control/leader_state.rs
+++ b/crates/relay/src/control/leader_state.rs
@@ -212,8 +212,8 @@
         self.probation.endpoints(now).map(|name| name.to_string()).collect()
     }
 
-    /// Changes the paces of endpoints by the list, probation and the results that a heartbeat
-    /// reports, and returns them sorted.
+    /// Changes the paces of endpoints by the list and the results that a heartbeat reports, and
+    /// returns them sorted.
     pub(crate) fn update_paces(
         &mut self,
         beat: &peer::Beat,
@@ -221,7 +221,6 @@
     ) -> Vec<peer::EndpointLimit> {
         let Directory { number, endpoints, .. } = &self.directory;
         self.paces.observe_list(*number, endpoints, now);
-        self.paces.observe_probation(self.probation.endpoints(now), now);
         self.paces.note_results(beat, now);
         self.paces.list()
     }
--- a/crates/relay/src/control/paces.rs
+++ b/crates/relay/src/control/paces.rs
@@ -1,7 +1,9 @@
-//! Paces of endpoints that have just started or recovered, as the control leader sets them.
+//! Paces of endpoints that have just started, as the control leader sets them.
 //!
 //! An endpoint gets a pace when it appears in the list or has a new start time there while calls are
-//! served, and when it leaves probation. A new leader takes the first list as it is.
+//! served. A new leader takes the first list as it is. One that leaves probation gets none: it has
+//! gone on answering calls that may be repeated, and the lowest pace would take most of its load
+//! away from it.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -35,8 +37,6 @@
     directory: u64,
     /// Sorted by name.
     known: Vec<KnownEndpoint>,
-    /// Endpoints that were on probation; sorted.
-    on_probation: Vec<Name>,
     window_since: Duration,
     /// When a front last reported calls.
     calls_at: Option<Duration>,
@@ -69,27 +69,12 @@
         known.sort_by(|a, b| a.name.cmp(&b.name));
         (self.directory, self.known) = (number, known);
         for name in started {
-            self.start(&name, "started", now);
+            self.start(&name, now);
         }
         let known = &self.known;
         self.paces.retain(|name| known.binary_search_by(|k| (*k.name).cmp(name)).is_ok());
     }
 
-    /// Starts the paces of endpoints that have left probation. `on_probation` is sorted.
-    pub(crate) fn observe_probation<'a>(
-        &mut self,
-        on_probation: impl Iterator<Item = &'a Name>,
-        now: Duration,
-    ) {
-        let on_probation: Vec<Name> = on_probation.cloned().collect();
-        for name in std::mem::replace(&mut self.on_probation, on_probation) {
-            let is_left = self.on_probation.binary_search(&name).is_err();
-            if is_left && self.position(&name).is_some() {
-                self.start(&name, "recovered", now);
-            }
-        }
-    }
-
     /// Records the results that an instance reports, and changes the paces by them.
     pub(crate) fn note_results(&mut self, beat: &peer::Beat, now: Duration) {
         // Only teams with a rate report demand. It counts as well, because calls also arrive while
@@ -122,10 +107,10 @@
         self.paces.paces().map(limit).collect()
     }
 
-    fn start(&mut self, name: &Name, reason: &str, now: Duration) {
+    fn start(&mut self, name: &Name, now: Duration) {
         let Some(change) = self.paces.start(name, now) else { return };
         let per_second = change.per_second;
-        log::info!(endpoint = &**name, reason, per_second; "pace of an endpoint begins");
+        log::info!(endpoint = &**name, per_second; "pace of an endpoint begins");
         metrics::counter!("poplarspan_relay_pace_changes_total", "change" => "begins").increment(1);
         self.window_since = now;
         for known in &mut self.known {
--- a/crates/relay/src/fleet_client.rs
+++ b/crates/relay/src/fleet_client.rs
@@ -70,7 +70,7 @@
     pub(crate) limits: Arc<[(Name, f64)]>,
     /// What the leader has decided about rollouts; sorted by id. Holds as long as the lease.
     pub(crate) rollouts: Arc<[Rule]>,
-    /// Endpoints that have just started or recovered, sorted, and the calls per second that all
+    /// Endpoints that have just started, sorted, and the calls per second that all
     /// fronts together may send them.
     pub(crate) paces: Arc<[(Name, f64)]>,
     pub(crate) slowness: Slowness,
--- a/crates/relay/src/front/endpoints/paces.rs
+++ b/crates/relay/src/front/endpoints/paces.rs
@@ -1,4 +1,4 @@
-//! Paces that the control leader sets for endpoints that have just started or recovered, as a front
+//! Paces that the control leader sets for endpoints that have just started, as a front
 //! keeps them.
 //!
 //! A pace is enforced like a limit that the endpoint names. While an endpoint of a service has one,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -71,7 +71,7 @@
     /// Limits of rollouts. `None` if the platform does not offer rollouts.
     pub rollouts: Option<RolloutLimits>,
     /// Whether the limits of endpoints are found by measurement, because the platform states none:
-    /// endpoints that start or recover are paced, and all fronts send the turns of a program to the
+    /// endpoints that start are paced, and all fronts send the turns of a program to the
     /// same engine.
     pub measures_limits: bool,
     /// Whether programs are admitted by measured delay.
