--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -25,16 +25,18 @@
 
 /// A config with a safe, an unsafe and a stream route to the service `desk`.
 fn config(version: u64, cold_per_s: f64) -> String {
+    // Routes whose turns the system keeps don't let consumers resume a stream, as on the sheets.
     let route = |name: &str, kind: &str| {
+        let is_kept = name == "kept";
         format!(
             "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
              \"timeoutMs\":3000,\"goalMs\":500,\"priority\":2,\"service\":\"desk\",\"attempts\":1,\
-             \"retain\":false,\"retainS\":60.0,\"public\":false,\"sticky\":false,\"canResume\":{},\"gapTargetMs\":250}}",
-            kind == "stream"
+             \"retain\":{is_kept},\"retainS\":60.0,\"public\":false,\"sticky\":false,\"canResume\":{},\"gapTargetMs\":250}}",
+            kind == "stream" && !is_kept
         )
     };
     format!(
-        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{{\"name\":\"desk\",\
+        "{{\"version\":{version},\"routes\":[{},{},{},{}],\"services\":[{{\"name\":\"desk\",\
          \"healthPath\":\"/healthz\",\"maxConns\":2000,\"protocol\":\"h1\",\"tls\":false,\
          \"coldStartS\":3.0,\"coldPerS\":{cold_per_s:.1}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
          \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
@@ -42,6 +44,7 @@
         route("safe", "safe"),
         route("once", "unsafe"),
         route("talk", "stream"),
+        route("kept", "stream"),
     )
 }
 
@@ -188,13 +191,15 @@
     broken
 }
 
-/// A server in need names a low limit for a while.
+/// A server in need, which has memory for a few requests only, names a low limit for a while.
 pub fn low_limit(record: &Record, trouble: bool) -> bool {
     const LIMIT: f64 = 0.4;
     const STABLE: Duration = Duration::from_secs(3);
+    /// The pages: a server crashes if the requests that it holds exceed its memory.
+    const MOST_HELD: usize = 16;
     let mut setup = Setup::new(0.0);
     let servers = vec![
-        setup.server(1, "z1", 16, millis(200), None),
+        setup.server(1, "z1", 32, millis(200), None),
         setup.server(2, "z1", 32, millis(100), None),
         setup.server(3, "z2", 32, millis(100), None),
     ];
@@ -210,6 +215,14 @@
     });
     sleep(3 * SECOND);
     if trouble {
+        servers[0].set_hook(Arc::new(|server, _channel, head, _body, _is_first| {
+            if server.running.load(Ordering::SeqCst) > MOST_HELD {
+                server.crash(3 * SECOND);
+                return Reply::Written(false);
+            }
+            sleep(server.work);
+            Reply::Whole(format!("done {}", head.get("request-id").unwrap_or("")).into_bytes())
+        }));
         servers[0].state.lock().unwrap().limit = Some(format!("{LIMIT}"));
         record.line(&format!("i-1 names Server-Limit: {LIMIT}"));
     }
@@ -234,9 +247,10 @@
     let at: Vec<_> = counted.map(|a| a.at).collect();
     let (most, from) = most_in_window(&at, 4 * SECOND);
     let text = format!(
-        "check LIMIT: i-1 got {} requests from {:?} after it first named its limit on, at most {most} in 4 s; allowed {allowed}",
+        "check LIMIT: i-1 got {} requests from {:?} after it first named its limit on, at most {most} in 4 s; allowed {allowed}{}",
         at.len(),
-        STABLE
+        STABLE,
+        if servers[0].has_crashed() { "; it crashed" } else { "" }
     );
     record.line_at(from.unwrap_or_else(Instant::now), &text);
     println!("{text}");
@@ -450,7 +464,7 @@
     const EVENTS: u64 = 12;
     let mut setup = Setup::new(0.0);
     let servers: Vec<_> =
-        [(1, "z1"), (2, "z2"), (3, "z2")].map(|(n, zone)| setup.server(n, zone, 32, millis(100), None)).into();
+        [(1, "z1"), (2, "z2"), (3, "z2")].map(|(n, zone)| setup.server(n, zone, 64, millis(100), None)).into();
     for server in &servers {
         server.set_hook(Arc::new(|server, channel, head, _body, _is_first| {
             let id = head.get("request-id").unwrap_or("").to_owned();
@@ -474,14 +488,14 @@
             Reply::Written(channel.write(b"0\r\n\r\n"))
         }));
     }
-    setup.start(record, 4);
+    setup.start(record, 8);
     let (stop, streams) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
     let fronts = setup.fronts();
     std::thread::scope(|scope| {
-        for n in 0..48usize {
+        for n in 0..40usize {
             let (stop, streams, fronts) = (stop.clone(), streams.clone(), &fronts);
             scope.spawn(move || {
-                sleep(millis(30 * n as u64));
+                sleep(millis(35 * n as u64));
                 for call in 0u32.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
@@ -493,12 +507,14 @@
             });
         }
         sleep(4 * SECOND);
-        for server in &servers {
-            if trouble {
-                server.crash_and_update(SECOND, "v2");
-                record.line(&format!("{} crashes; it is back in 1 s with software v2", server.id));
+        for version in ["v2", "v3"] {
+            for server in &servers {
+                if trouble {
+                    server.crash_and_update(SECOND, version);
+                    record.line(&format!("{} crashes; it is back in 1 s with software {version}", server.id));
+                }
+                sleep(6 * SECOND);
             }
-            sleep(6 * SECOND);
         }
         stop.store(true, Ordering::SeqCst);
     });
@@ -519,3 +535,90 @@
     setup.fleet.end();
     mixed.len() > 2
 }
+
+/// A program whose turns bring long inputs goes on and on.
+pub fn long_history(record: &Record, trouble: bool) -> bool {
+    const TURNS: usize = 18;
+    const TRIES: usize = 6;
+    let mut setup = Setup::new(0.0);
+    let server = setup.server(1, "z1", 16, millis(5), None);
+    let got: Arc<Mutex<Vec<(String, usize)>>> = Arc::default();
+    let bodies = got.clone();
+    server.set_hook(Arc::new(move |server, channel, head, body, _is_first| {
+        let id = head.get("request-id").unwrap_or("").to_owned();
+        bodies.lock().unwrap().push((id.clone(), body.len()));
+        let event = "id: 1\ndata: fine\n\n";
+        let text = format!(
+            "HTTP/1.1 200 OK\r\n{}Server-Seal: {}.{id}\r\nContent-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{event}",
+            server.common(&id),
+            server.id,
+            event.len()
+        );
+        Reply::Written(channel.write(text.as_bytes()))
+    }));
+    setup.start(record, 2);
+    let fronts = setup.fronts();
+    // Text of 1 MiB a turn, or of 16 KiB.
+    let input = vec![b'x'; if trouble { 1 << 20 } else { 16 << 10 }];
+    let turn = |front: usize, program: &str, id: &str, previous: Option<&str>, tokens: usize, body: &[u8]| {
+        let tokens = format!("{tokens},24");
+        let mut headers = vec![
+            ("Request-Id", id),
+            ("Deadline-Ms", "3000"),
+            ("Api-Key", KEY),
+            ("Model", "m"),
+            ("Token-Count", &*tokens),
+            ("Program-Id", program),
+            ("Session-Id", program),
+            ("Program-Deadline-Ms", "60000"),
+        ];
+        headers.extend(previous.map(|p| ("Previous-Turn", p)));
+        let answer = http::send(fronts[front], "POST", "/kept/4b", HOST, &headers, body, millis(3500));
+        let status = answer.map_or(0, |a| a.status);
+        let reached = got.lock().unwrap().iter().find(|(i, _)| i == id).map(|(_, len)| *len);
+        let after = previous.unwrap_or("none");
+        record.line(&format!(
+            "turn {id} after {after} with {} bytes to front {front}: {status}, reached a server: {reached:?}",
+            body.len()
+        ));
+        (status, reached)
+    };
+    let mut previous: Option<String> = None;
+    let mut broken = false;
+    for n in 0..TURNS {
+        // 16 bytes a token: all prompts stay below the memory of a server.
+        let tokens = (n + 1) * input.len() / 16;
+        let (mut misses, mut is_whole) = (0, false);
+        for attempt in 0..TRIES {
+            let id = format!("t{n:02}x{attempt}");
+            let (status, reached) = turn((n + attempt) % 2, "p1", &id, previous.as_deref(), tokens, &input);
+            if status == 200 {
+                previous = Some(id);
+                is_whole = true;
+                break;
+            }
+            misses += usize::from(reached.is_none());
+            sleep(millis(300));
+        }
+        if !is_whole {
+            let first_turns = (0..10).filter(|k| {
+                let id = format!("f{k}");
+                turn(k % 2, &format!("other{k}"), &id, None, 1000, b"hello").1.is_some()
+            });
+            let first_turns = first_turns.count();
+            let text = format!(
+                "check LOST: turn {n} goes on from a turn that was answered whole and reached no server in {misses} of {TRIES} tries; \
+                 {first_turns} of 10 first turns reached one"
+            );
+            record.line(&text);
+            println!("{text}");
+            broken = misses >= 5 && first_turns >= 9;
+            break;
+        }
+    }
+    let text = format!("check LOST: last turn that was answered whole: {previous:?}");
+    record.line(&text);
+    println!("{text}");
+    setup.fleet.end();
+    broken
+}
--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -36,6 +36,7 @@
         "low-limit" => cases::low_limit(&record, trouble),
         "bad-record" => cases::bad_record(&record, trouble),
         "new-software" => cases::new_software(&record, trouble),
+        "long-history" => cases::long_history(&record, trouble),
         "late-bytes" => cases::late_bytes(&record, trouble),
         _ => cannot_run("unknown case"),
     };
