Log why no store answers, and responses that do not fit in a frame

Neither process said why: the store dropped a response that it could not write, and the front counted a timeout.

Hypotheses: (a) the store's response is larger than a frame, (b) the store is too slow to read the history in 600 ms, (c) the group has no leader.

Change: the peer server logs and counts a response that does not fit in a frame; the front logs the number of calls and the last cause when it gives up. No logic is changed.

(b) would show a timeout, (c) `does not lead the group` alone.

--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -8,7 +8,8 @@
 use poplarspan_proto::peer::{self, AgreementBatch, FailureCode, request, response};
 
 use super::{
-    frame, tls,
+    frame::{self, FrameError},
+    tls,
     tunnel::{self, OpenTunnel},
 };
 
@@ -134,6 +135,11 @@
         Err(e) => failure(FailureCode::Invalid, &e.to_string()),
     };
     let sent = frame::write(&mut tx, &peer::Response { body: Some(body) }).await;
+    if let Err(e @ FrameError::TooLarge(_)) = &sent {
+        metrics::counter!("poplarspan_peer_oversized_total").increment(1);
+        let error = e.to_string();
+        log::error!(error = error.as_str(); "cannot send the response to a peer");
+    }
     if sent.is_ok() {
         // Fails only if the stream is already stopped, and then the peer no longer waits for the
         // response.
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -289,12 +289,13 @@
         body: impl Fn() -> request::Body,
         deadline: Instant,
     ) -> Option<response::Body> {
-        let mut attempt = 0;
+        let (mut attempt, mut calls, mut cause) = (0, 0_u32, String::new());
         while Instant::now() < deadline {
             let Some(address) = self.candidate(group, attempt) else {
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
+            calls += 1;
             let call = self.client.call(address, body(), CALL_TIMEOUT);
             match timeout_at(deadline, call).await {
                 Ok(Ok(answer)) => {
@@ -302,11 +303,13 @@
                     return Some(answer);
                 }
                 Ok(Err(CallError::Failed(failure))) => {
+                    cause.clone_from(&failure.message);
                     attempt += usize::from(self.note_failure(group, address, &failure));
                     let is_busy = failure.code() == FailureCode::Unavailable;
                     sleep(if is_busy { OVERLOAD_PAUSE } else { RETRY_PAUSE }).await;
                 }
-                Ok(Err(_)) => {
+                Ok(Err(e)) => {
+                    cause = e.to_string();
                     self.set_leader(group, None);
                     attempt += 1;
                     sleep(RETRY_PAUSE).await;
@@ -315,6 +318,7 @@
             }
         }
         metrics::counter!("poplarspan_relay_store_timeouts_total").increment(1);
+        log::warn!(group, calls, cause = cause.as_str(); "no store has answered in time");
         None
     }
 
