Read long histories from the stores in parts

What callers saw: a turn whose history has more than 16 MiB was answered 503 after its time limit, in every try and through every front. The turn before it had been answered whole, so what was acknowledged as kept was out of reach.

Cause: a store answered the beginning of a turn with the whole history in one frame, and a frame has 16 MiB at most. The bound is met by what many turns add up to, long after each of them was acknowledged.

Change: a store answers with the first 256 KiB of a longer history, its length and its CRC-32C, and the front reads the rest in parts while it sends the request to the endpoint. A front holds a part of a history, not all of it, and never two copies. At most four parts are under way at a front, so that each arrives within the timeout of a call and small calls pass between them. The checksum is combined from those of the bodies without reading them; the last part is sent only if the whole matches, so an endpoint never runs a turn with another history. The turn is held: a committed entry that continues it keeps its chain from expiring until the deadline of the call. Histories count against the memory of the front for bodies. Longer histories than a part are not cached.

`kept_turns history_in_parts` and `turn_segments` check the parts.

Two builds: a store of an earlier build ignores the new fields and answers as before; a new store answers an earlier front as before.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,10 +11,12 @@
 pub mod peer;
 pub mod pool;
 pub mod probes;
+mod request_body;
 pub mod supervisor;
 
 pub use clock::BootClock;
 pub use gate::SendPermission;
 pub use peer::{CallError, Credentials, PeerClient, TlsFiles};
 pub use probes::Readiness;
+pub use request_body::RequestBody;
 pub use supervisor::Supervisor;
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -10,14 +10,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response};
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{task::AbortHandle, time::Instant};
 
 use crate::{
+    RequestBody,
     dial::{Dial, Dialed, DirectDial},
     gate::{Gate, GatedStream, SendPermission},
 };
@@ -66,7 +65,7 @@
 /// A connection to an endpoint. Dropping it closes the connection immediately, which cancels its
 /// open call.
 struct Connection {
-    http: http1::SendRequest<Full<Bytes>>,
+    http: http1::SendRequest<RequestBody>,
     task: AbortHandle,
     gate: Gate,
     /// Idle timeout of the endpoint, if it announced one in a `Keep-Alive` header.
@@ -206,7 +205,7 @@
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<RequestBody>>,
         new_connection: bool,
         deadline: Instant,
     ) -> Result<Exchange, SendError> {
@@ -228,14 +227,14 @@
     pub async fn send_if_permitted(
         self: &Arc<Self>,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<RequestBody>>,
         new_connection: bool,
         deadline: Instant,
         reused_deadline: Instant,
         may_send: SendPermission,
     ) -> Result<Exchange, SendError> {
         let id = request.headers().get(&self.cfg.id_header).cloned();
-        let mut request = request;
+        let mut request = request.map(Into::into);
         if !new_connection {
             while let Some(mut connection) = self.take_idle(address, id.as_ref()) {
                 let until = deadline.min(reused_deadline);
@@ -391,13 +390,13 @@
 enum SendOutcome {
     Response(Response<Incoming>),
     /// The connection was closed before any part of the request was written.
-    Unsent(Request<Full<Bytes>>),
+    Unsent(Request<RequestBody>),
 }
 
 trait SendUntil {
     async fn try_send_request_until(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<SendOutcome, SendError>;
 }
@@ -405,7 +404,7 @@
 impl SendUntil for Connection {
     async fn try_send_request_until(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<SendOutcome, SendError> {
         match tokio::time::timeout_at(deadline, self.http.try_send_request(request)).await {
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -5,7 +5,7 @@
 pub struct Request {
     #[prost(
         oneof = "request::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<request::Body>,
 }
@@ -53,6 +53,8 @@
         StreamLookup(super::StreamLookup),
         #[prost(message, tag = "20")]
         Tunnel(super::Tunnel),
+        #[prost(message, tag = "21")]
+        HistoryRead(super::HistoryRead),
     }
 }
 /// The response to a call, on the same stream.
@@ -60,7 +62,7 @@
 pub struct Response {
     #[prost(
         oneof = "response::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<response::Body>,
 }
@@ -108,6 +110,8 @@
         StreamLookup(super::StreamLookupResult),
         #[prost(message, tag = "20")]
         TunnelOpened(super::TunnelOpened),
+        #[prost(message, tag = "21")]
+        HistoryPart(super::HistoryPart),
     }
 }
 /// The call failed.
@@ -995,12 +999,21 @@
     /// Whether the turn is to be kept when it ends.
     #[prost(bool, tag = "9")]
     pub keeps: bool,
+    /// Maximum length of `history` in the response, in bytes; 0 for no limit. The rest of a longer
+    /// history is read with `HistoryRead`.
+    #[prost(uint32, tag = "10")]
+    pub max_history: u32,
+    /// How long `previous` must not expire, in milliseconds, so that the rest of its history can be
+    /// read.
+    #[prost(uint64, tag = "11")]
+    pub hold_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TurnBegun {
     #[prost(enumeration = "TurnVerdict", tag = "1")]
     pub verdict: i32,
-    /// Inputs and outputs of the preceding turns, oldest first.
+    /// Inputs and outputs of the preceding turns, oldest first. If `history_len` is set, only the first
+    /// part of them.
     #[prost(bytes = "bytes", tag = "2")]
     pub history: ::prost::bytes::Bytes,
     /// Tokens of the budget that remain.
@@ -1009,6 +1022,32 @@
     /// Reserved tokens.
     #[prost(uint64, tag = "4")]
     pub amount: u64,
+    /// Length of the whole history in bytes, and its CRC-32C. Only set if `history` is a part of it.
+    #[prost(uint64, tag = "5")]
+    pub history_len: u64,
+    #[prost(uint32, tag = "6")]
+    pub history_crc: u32,
+}
+/// Reads a part of the history up to and including a kept turn.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HistoryRead {
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    #[prost(string, tag = "2")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub turn: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub offset: u64,
+    /// Maximum length of the part, in bytes.
+    #[prost(uint32, tag = "5")]
+    pub max: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HistoryPart {
+    /// Absent if the team has no such turn.
+    #[prost(bytes = "bytes", optional, tag = "1")]
+    pub data: ::core::option::Option<::prost::bytes::Bytes>,
 }
 /// Ends turns of one group.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -2,12 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{Request, StatusCode, response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use poplarspan_node::{
-    SendPermission,
+    RequestBody, SendPermission,
     pool::{PooledConnection, SendError},
 };
 use poplarspan_policy::Name;
@@ -246,7 +244,7 @@
         Ok(StartedResponse { parts, body, reuse, slot })
     }
 
-    fn request(&self, endpoint: &Name, last_event: Option<&Name>) -> Request<Full<Bytes>> {
+    fn request(&self, endpoint: &Name, last_event: Option<&Name>) -> Request<RequestBody> {
         let call = &self.call;
         let forward = Forward {
             endpoint: endpoint.clone(),
@@ -255,7 +253,7 @@
             urgency: call.urgency,
             last_event: last_event.cloned(),
         };
-        let mut request = Request::new(Full::new(call.body.clone()));
+        let mut request = Request::new(call.body.to_request(call.deadline));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = self.front.protocol.forward_headers(&call.headers, &forward);
--- a/crates/relay/src/front/handler.rs
+++ b/crates/relay/src/front/handler.rs
@@ -16,7 +16,7 @@
     admission::TurnTimer,
     attempt::{Attempts, StartedResponse},
     body::{self, ResponseBody},
-    call::Call,
+    call::{Call, CallBody},
     endpoints::{ChosenEndpoint, Outcome, blocks},
     events::EventReader,
     memory::{MemoryReservation, ReadError},
@@ -257,7 +257,7 @@
         }
         let own_parts = || self.schedule.own_parts(&head.prompt);
         let timer = self.admission.admit(&route, &head, team.as_ref(), own_parts)?;
-        let (body, reservation) =
+        let (body, mut reservation) =
             self.read_body(body, publication.limits.max_body, deadline).await?;
         let origin = self.origin(&route, &head, team.as_ref(), deadline).await?;
         let token = match &team {
@@ -276,6 +276,10 @@
                 return Err(refusal);
             }
         };
+        if let Err(e) = reservation.resize(body.memory()) {
+            self.rates.give_back(token);
+            return Err(Refusal::retry_later("no_memory", e.to_string(), RETRY_AFTER));
+        }
         let body = (body, reservation);
         let (team, service) = (team.as_ref(), origin.as_ref().map(|o| &o.service));
         let call = self.call(parts, head, body, route, team, service, deadline, &publication);
@@ -320,7 +324,7 @@
         &self,
         parts: request::Parts,
         head: CallHead,
-        (body, reservation): (Bytes, MemoryReservation),
+        (body, reservation): (CallBody, MemoryReservation),
         route: Route,
         team: Option<&Team>,
         service: Option<&Name>,
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -10,6 +10,7 @@
 //! settled in the background.
 
 mod batches;
+pub(crate) mod history;
 mod history_cache;
 pub(crate) mod origins;
 pub(crate) mod outputs;
@@ -22,20 +23,21 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use futures::future::join_all;
+use futures::{StreamExt, TryStreamExt, future::join_all, stream};
 use http::StatusCode;
 use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
 use poplarspan_policy::Name;
 use poplarspan_proto::peer::{self, FailureCode, TurnVerdict, request, response};
 use tokio::{
-    sync::mpsc,
+    sync::{Semaphore, mpsc},
     time::{Instant, sleep, timeout_at},
 };
 
 use super::refusal::Refusal;
 use crate::{fleet_client::FleetClient, groups::group_of};
 use batches::GroupBatches;
+use history::{History, MAX_TRANSFERS, PART_BYTES};
 use history_cache::HistoryCache;
 use room::{RoomCache, no_room};
 
@@ -82,6 +84,8 @@
     leaders: Mutex<Vec<Option<SocketAddr>>>,
     history_cache: Mutex<HistoryCache>,
     room: RoomCache,
+    /// One permit for each part of a long history or turn that may be under way.
+    transfers: Semaphore,
     /// Ends of turns for the groups of their programs.
     ends: mpsc::Sender<(u32, peer::TurnEnd)>,
 }
@@ -120,6 +124,7 @@
             leaders: Mutex::default(),
             history_cache: Mutex::default(),
             room: RoomCache::default(),
+            transfers: Semaphore::new(MAX_TRANSFERS),
             ends,
         });
         let batches = GroupBatches::new(rx, MAX_UNSETTLED, BATCH_INTERVAL, MAX_BATCH);
@@ -131,7 +136,7 @@
         self: &Arc<Self>,
         name: &TurnName,
         needs: TurnRequirements<'_>,
-    ) -> Result<(OpenTurn, Bytes), Refusal> {
+    ) -> Result<(OpenTurn, History), Refusal> {
         let groups = self.groups(needs.deadline).await?;
         // Created before the reservation is requested, so that the reservation is settled if the
         // caller disconnects meanwhile.
@@ -154,7 +159,7 @@
         // Without room for new conversations, the store decides about each turn that continues one.
         let unread = if has_room { unread } else { needs.previous };
         if needs.budget.is_none() && unread.is_none() {
-            return Ok((open, known.unwrap_or_default()));
+            return Ok((open, known.map(History::held).unwrap_or_default()));
         }
         let mut begin = peer::TurnBegin {
             group: open.group,
@@ -166,8 +171,11 @@
             previous: unread.map(|p| p.to_string()),
             least: needs.most,
             keeps: needs.keeps,
+            max_history: PART_BYTES as u32,
+            hold_ms: millis_until(needs.deadline),
         };
         let mut begun = self.begin_at(&begin, needs.deadline).await?;
+        let mut history_group = open.group;
         let is_unknown = begun.verdict() == TurnVerdict::UnknownTurn;
         if is_unknown && known.is_some() {
             begin.previous = None;
@@ -176,7 +184,7 @@
             let (group, deadline) = (open.group, needs.deadline);
             let found =
                 self.find_in_other_groups(group, groups, &name.team, previous, deadline).await?;
-            let Some(history) = found else {
+            let Some((group, found)) = found else {
                 open.is_reserved = false;
                 let message = "the team has no such turn";
                 return Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_turn", message));
@@ -184,10 +192,21 @@
             open.continues_other_group = true;
             begin.previous = None;
             begun = self.begin_at(&begin, needs.deadline).await?;
-            begun.history = history;
+            begun.history = found.history;
+            (begun.history_len, begun.history_crc) = (found.history_len, found.history_crc);
+            history_group = group;
         }
         match begun.verdict() {
-            TurnVerdict::Granted => Ok((open, known.unwrap_or(begun.history))),
+            TurnVerdict::Granted => {
+                let history = match (known, needs.previous) {
+                    (Some(known), _) => History::held(known),
+                    (None, Some(previous)) => {
+                        History::begun(self, history_group, &name.team, previous, begun)
+                    }
+                    (None, None) => History::default(),
+                };
+                Ok((open, history))
+            }
             TurnVerdict::Spent => {
                 open.is_reserved = false;
                 let message = format!("{} tokens of the budget are left", begun.remaining);
@@ -230,26 +249,30 @@
         }
     }
 
-    /// Inputs and outputs up to and including a kept turn. `None` if the group has no such turn.
+    /// Inputs and outputs up to and including a kept turn; the first `max` bytes if they are longer
+    /// and `max` is not 0. `None` if the group has no such turn.
     async fn history(
         &self,
         group: u32,
         team: &str,
         turn: &str,
+        max: usize,
         deadline: Instant,
-    ) -> Result<Option<Bytes>, Refusal> {
+    ) -> Result<Option<peer::TurnBegun>, Refusal> {
         let read = peer::TurnBegin {
             group,
             team: team.to_owned(),
             previous: Some(turn.to_owned()),
+            max_history: max as u32,
+            hold_ms: millis_until(deadline),
             ..Default::default()
         };
         let begun = self.begin_at(&read, deadline).await?;
-        Ok((begun.verdict() == TurnVerdict::Granted).then_some(begun.history))
+        Ok((begun.verdict() == TurnVerdict::Granted).then_some(begun))
     }
 
-    /// Looks up a turn in all groups but one. Returns `None` if every group reports that it does not
-    /// have the turn.
+    /// Looks up a turn in all groups but one. Returns the group that has it, or `None` if every group
+    /// reports that it does not.
     async fn find_in_other_groups(
         &self,
         own_group: u32,
@@ -257,12 +280,14 @@
         team: &str,
         turn: &str,
         deadline: Instant,
-    ) -> Result<Option<Bytes>, Refusal> {
+    ) -> Result<Option<(u32, peer::TurnBegun)>, Refusal> {
         let others = (0..groups).filter(|g| *g != own_group);
+        let read =
+            async |group| (group, self.history(group, team, turn, PART_BYTES, deadline).await);
         let mut unanswered = None;
-        for answer in join_all(others.map(|g| self.history(g, team, turn, deadline))).await {
+        for (group, answer) in join_all(others.map(read)).await {
             match answer {
-                Ok(Some(history)) => return Ok(Some(history)),
+                Ok(Some(begun)) => return Ok(Some((group, begun))),
                 Ok(None) => {}
                 Err(refusal) => unanswered = Some(refusal),
             }
@@ -282,6 +307,19 @@
         }
     }
 
+    /// Like [`Programs::call`], for a call that carries a part of a long history or turn. Waits until
+    /// few others are under way.
+    async fn transfer(
+        &self,
+        group: u32,
+        body: impl Fn() -> request::Body,
+        deadline: Instant,
+    ) -> Option<response::Body> {
+        let permit = timeout_at(deadline, self.transfers.acquire()).await.ok()?;
+        let _permit = permit.expect("the semaphore is never closed");
+        self.call(group, body, deadline).await
+    }
+
     /// Calls the leader of a store group, retrying until `deadline`.
     async fn call(
         &self,
@@ -356,7 +394,7 @@
 pub(crate) struct KeptTurn {
     pub(crate) previous: Option<Name>,
     /// Inputs and outputs of the turns before it.
-    pub(crate) history: Bytes,
+    pub(crate) history: History,
     pub(crate) input: Bytes,
     pub(crate) output: Bytes,
     pub(crate) retain: Duration,
@@ -387,17 +425,27 @@
         if is_kept == Some(false) {
             let (turn, bytes) = (&*self.name.turn, kept.history.len());
             log::info!(turn, bytes; "turn is kept with the history before it");
-            let input = concat(&[&kept.history, &kept.input]);
-            is_kept = self.store(&kept, None, input, deadline).await;
+            let parts = kept.history.parts(deadline).chain(stream::iter([Ok(kept.input.clone())]));
+            is_kept = match parts.try_collect::<Vec<_>>().await {
+                Ok(parts) => {
+                    let input = concat(&parts.iter().collect::<Vec<_>>());
+                    self.store(&kept, None, input, deadline).await
+                }
+                Err(_) => None,
+            };
         }
         if is_kept != Some(true) {
             let message = "the turn could not be kept in time";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, "not_kept", message));
         }
-        let combined = concat(&[&kept.history, &kept.input, &kept.output]);
-        let (name, programs) = (&self.name, &self.programs);
-        let now = programs.clock.now();
-        programs.history_cache().put(self.group, &name.team, &name.turn, combined, now);
+        if let Some(history) = kept.history.as_held()
+            && history.len() + kept.input.len() + kept.output.len() <= PART_BYTES
+        {
+            let combined = concat(&[history, &kept.input, &kept.output]);
+            let (name, programs) = (&self.name, &self.programs);
+            let now = programs.clock.now();
+            programs.history_cache().put(self.group, &name.team, &name.turn, combined, now);
+        }
         Ok(())
     }
 
@@ -450,6 +498,11 @@
     while programs.call(group, body, Instant::now() + 4 * CALL_TIMEOUT).await.is_none() {}
 }
 
+/// Time left until `deadline`, in milliseconds.
+fn millis_until(deadline: Instant) -> u64 {
+    deadline.saturating_duration_since(Instant::now()).as_millis() as u64
+}
+
 fn concat(parts: &[&Bytes]) -> Bytes {
     let mut combined = BytesMut::with_capacity(parts.iter().map(|p| p.len()).sum());
     for part in parts {
--- a/crates/relay/src/front/programs/outputs.rs
+++ b/crates/relay/src/front/programs/outputs.rs
@@ -113,11 +113,11 @@
         let mut record = Self::begin(programs, attempt, deadline).await?;
         let StreamAttempt { team, stream, id, .. } = &record.attempt;
         let latest = latest_key(stream);
-        let before = programs.history(record.group, team, &latest, deadline).await?;
-        let before = before.as_deref().unwrap_or(stream.as_bytes());
+        let before = programs.history(record.group, team, &latest, 0, deadline).await?;
+        let before = before.as_ref().map_or(stream.as_bytes(), |begun| &begun.history);
         let resumed = event_key(&String::from_utf8_lossy(before), last_event);
-        let output = programs.history(record.group, team, &resumed, deadline).await?;
-        let output = output.ok_or_else(unknown_output)?;
+        let output = programs.history(record.group, team, &resumed, 0, deadline).await?;
+        let output = output.ok_or_else(unknown_output)?.history;
         let key = event_key(id, last_event);
         if key != resumed {
             let start =
--- a/crates/relay/src/front/recording.rs
+++ b/crates/relay/src/front/recording.rs
@@ -8,13 +8,13 @@
 
 use super::{
     events::Event,
-    programs::{KeptTurn, outputs::OutputRecord},
+    programs::{KeptTurn, history::History, outputs::OutputRecord},
 };
 
 /// Data of a turn that is to be kept.
 pub(crate) struct TurnRecording {
     /// Inputs and outputs of the turns before.
-    history: Bytes,
+    history: History,
     input: Bytes,
     previous: Option<Name>,
     output: BytesMut,
@@ -23,7 +23,7 @@
 }
 
 impl TurnRecording {
-    pub(crate) fn new(history: Bytes, input: Bytes, previous: Option<Name>) -> Self {
+    pub(crate) fn new(history: History, input: Bytes, previous: Option<Name>) -> Self {
         Self { history, input, previous, output: BytesMut::new(), record: None }
     }
 
--- a/crates/relay/src/front/turn.rs
+++ b/crates/relay/src/front/turn.rs
@@ -1,11 +1,12 @@
 //! Begins the turns of programs.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use poplarspan_policy::Name;
 use tokio::time::Instant;
 
 use super::{
     Front,
+    call::CallBody,
     programs::{
         OpenTurn, TurnName, TurnRequirements,
         outputs::{OutputRecord, StreamAttempt},
@@ -24,14 +25,14 @@
         team: Option<&Team>,
         body: Bytes,
         deadline: Instant,
-    ) -> Result<(Option<OpenTurn>, Option<TurnRecording>, Bytes), Refusal> {
+    ) -> Result<(Option<OpenTurn>, Option<TurnRecording>, CallBody), Refusal> {
         let is_stream = matches!(route.kind, RouteKind::Stream { .. });
         let Some(program) = head.program.as_ref().filter(|_| is_stream) else {
-            return Ok((None, None, body));
+            return Ok((None, None, body.into()));
         };
         let previous = program.previous_turn.as_ref().filter(|_| route.retain.is_some());
         if program.token_budget.is_none() && route.retain.is_none() {
-            return Ok((None, None, body));
+            return Ok((None, None, body.into()));
         }
         let name = TurnName {
             team: team.map_or_else(|| "".into(), |t| t.name.clone()),
@@ -54,14 +55,7 @@
             }
             None => None,
         };
-        let body = if history.is_empty() {
-            body
-        } else {
-            let mut combined = BytesMut::with_capacity(history.len() + body.len());
-            combined.put(history);
-            combined.put(body);
-            combined.freeze()
-        };
+        let body = CallBody::new(history, body);
         Ok((Some(turn), recording, body))
     }
 
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -81,9 +81,8 @@
         let replica = self.replica(begin.group)?;
         let verdict = |verdict: TurnVerdict, remaining| peer::TurnBegun {
             verdict: verdict.into(),
-            history: bytes::Bytes::new(),
             remaining,
-            amount: 0,
+            ..Default::default()
         };
         if begin.keeps {
             if replica.leads().is_none() {
@@ -96,13 +95,20 @@
             }
         }
         let mut begun = verdict(TurnVerdict::Granted, 0);
-        if let Some(previous) = begin.previous.clone() {
-            let team = begin.team.clone();
-            let read =
-                replica.query(move |turns: &TurnState| turns.history(&team, &previous)).await;
-            match read.ok_or_else(|| replica.not_leader())? {
-                Some(history) => begun.history = read_history(history).await?,
-                None => return Ok(verdict(TurnVerdict::UnknownTurn, 0)),
+        if let Some(previous) = &begin.previous {
+            let Some(history) = history(&replica, &begin.team, previous).await? else {
+                return Ok(verdict(TurnVerdict::UnknownTurn, 0));
+            };
+            if begin.max_history == 0 || history.len() <= begin.max_history as usize {
+                begun.history = read(move || history.read()).await?;
+            } else {
+                if !hold(&replica, &begin.team, previous, begin.hold_ms).await? {
+                    return Ok(verdict(TurnVerdict::UnknownTurn, 0));
+                }
+                let max = begin.max_history as usize;
+                begun.history_len = history.len() as u64;
+                (begun.history, begun.history_crc) =
+                    read(move || Ok((history.read_part(0, max)?, history.checksum()))).await?;
             }
         }
         let peer::TurnBegin { team, program, name, most, least, budget, .. } = begin;
@@ -119,6 +125,18 @@
         Ok(begun)
     }
 
+    async fn read_part(
+        &self,
+        request: peer::HistoryRead,
+    ) -> Result<peer::HistoryPart, peer::Failure> {
+        let replica = self.replica(request.group)?;
+        let history = history(&replica, &request.team, &request.turn).await?;
+        let Some(history) = history else { return Ok(peer::HistoryPart::default()) };
+        let max = request.max as usize;
+        let data = read(move || history.read_part(request.offset, max)).await?;
+        Ok(peer::HistoryPart { data: Some(data) })
+    }
+
     /// Lets expired turns be removed while no turn is accepted, because the time of the group
     /// advances only with its commands.
     fn expire(&self, replica: &Arc<Replica>) {
@@ -198,9 +216,44 @@
     }
 }
 
-/// Reads the bodies of a history outside the task of the replicated log.
-async fn read_history(history: History) -> Result<bytes::Bytes, peer::Failure> {
-    let read = tokio::task::spawn_blocking(move || history.read()).await;
+/// The history up to and including a kept turn; `None` if the team has no such turn.
+async fn history(
+    replica: &Replica,
+    team: &str,
+    turn: &str,
+) -> Result<Option<History>, peer::Failure> {
+    let (team, turn) = (team.to_owned(), turn.to_owned());
+    let found = replica.query(move |turns: &TurnState| turns.history(&team, &turn)).await;
+    found.ok_or_else(|| replica.not_leader())
+}
+
+/// Prevents a turn and those before it from expiring for some time. Returns false if they have
+/// expired already.
+async fn hold(
+    replica: &Replica,
+    team: &str,
+    turn: &str,
+    hold_ms: u64,
+) -> Result<bool, peer::Failure> {
+    // Turns do not expire before those that continue them. Replicas of older builds know no other
+    // way to extend the time.
+    let holder = pb::Turn {
+        team: team.to_owned(),
+        turn: format!("{turn}\n\nheld"),
+        previous: Some(turn.to_owned()),
+        expires_ms: now_ms().saturating_add(hold_ms),
+        ..Default::default()
+    };
+    let settle = pb::Settle { kept: Some(holder), ..Default::default() };
+    let command = pb::TurnCommand { settle: vec![settle], ..Default::default() };
+    Ok(commit(replica, command).await?.incomplete.is_empty())
+}
+
+/// Reads bodies outside the task of the replicated log.
+async fn read<T: Send + 'static>(
+    read: impl FnOnce() -> io::Result<T> + Send + 'static,
+) -> Result<T, peer::Failure> {
+    let read = tokio::task::spawn_blocking(read).await;
     read.unwrap_or_else(|e| Err(io::Error::other(e))).map_err(|e| {
         let error = e.to_string();
         log::error!(error = error.as_str(); "cannot read a kept turn");
@@ -248,6 +301,9 @@
                 request::Body::TurnBegin(begin) => {
                     self.begin(begin).await.map(response::Body::TurnBegun)
                 }
+                request::Body::HistoryRead(request) => {
+                    self.read_part(request).await.map(response::Body::HistoryPart)
+                }
                 request::Body::TurnEnds(ends) => {
                     self.end(ends).await.map(response::Body::TurnsEnded)
                 }
--- a/crates/relay/src/turns/bodies.rs
+++ b/crates/relay/src/turns/bodies.rs
@@ -8,6 +8,7 @@
 use std::{
     fs::{self, File, OpenOptions},
     io,
+    ops::Range,
     os::unix::fs::FileExt,
     path::{Path, PathBuf},
     sync::{
@@ -115,6 +116,32 @@
         }
     }
 
+    fn checksum(&self) -> u32 {
+        match self {
+            Self::Memory { input, output } => crc32c::crc32c_append(crc32c::crc32c(input), output),
+            Self::Stored(stored) => stored.crc,
+        }
+    }
+
+    /// Appends the bytes of a range, without a check of their content.
+    fn append_range(&self, range: Range<usize>, buf: &mut BytesMut) -> io::Result<()> {
+        match self {
+            Self::Memory { input, output } => {
+                let split = |at: usize| (at.min(input.len()), at.saturating_sub(input.len()));
+                let ((in_start, out_start), (in_end, out_end)) =
+                    (split(range.start), split(range.end));
+                buf.extend_from_slice(&input[in_start..in_end]);
+                buf.extend_from_slice(&output[out_start..out_end]);
+                Ok(())
+            }
+            Self::Stored(stored) => {
+                let filled = buf.len();
+                buf.resize(filled + range.len(), 0);
+                stored.read_part(range.start as u64, &mut buf[filled..])
+            }
+        }
+    }
+
     fn append_to(&self, buf: &mut BytesMut) -> io::Result<()> {
         match self {
             Self::Memory { input, output } => {
@@ -175,6 +202,35 @@
         }
         Ok(buf.freeze())
     }
+
+    /// Reads up to `max` bytes from `offset` on; fewer at the end. Blocks. The content is not
+    /// checked: a reader of all parts compares their checksum with [`History::checksum`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if a segment cannot be read.
+    pub fn read_part(&self, offset: u64, max: usize) -> io::Result<Bytes> {
+        let len = self.len();
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(len);
+        let end = start.saturating_add(max).min(len);
+        let mut buf = BytesMut::with_capacity(end - start);
+        let mut body_start = 0;
+        for body in &self.0 {
+            let body_end = body_start + body.len();
+            let (from, to) = (start.max(body_start), end.min(body_end));
+            if from < to {
+                body.append_range(from - body_start..to - body_start, &mut buf)?;
+            }
+            body_start = body_end;
+        }
+        Ok(buf.freeze())
+    }
+
+    /// Returns the CRC-32C of all bodies together. Reads no file.
+    pub fn checksum(&self) -> u32 {
+        let append = |crc, body: &Body| crc32c::crc32c_combine(crc, body.checksum(), body.len());
+        self.0.iter().fold(0, append)
+    }
 }
 
 /// The segment files of a replica.
--- a/crates/relay/tests/kept_turns.rs
+++ b/crates/relay/tests/kept_turns.rs
@@ -189,3 +189,28 @@
         }
     }
 }
+
+/// Any parts of a history together are the history, and their checksum is the one that is known
+/// without reading. Guards against histories that cannot be read because they are long.
+#[test]
+fn history_in_parts() {
+    let mut turns = TurnState::default();
+    keep(&mut turns, 0, "a", None, 1_000);
+    keep(&mut turns, 0, "b", Some("a"), 1_000);
+    keep(&mut turns, 0, "c", Some("b"), 1_000);
+    let history = turns.history("red", "c").expect("kept");
+    let whole = history.read().expect("readable");
+    assert_eq!(history.checksum(), crc32c::crc32c(&whole));
+    for max in 1..=whole.len() + 1 {
+        let mut parts = Vec::new();
+        while parts.len() < whole.len() {
+            let part = history.read_part(parts.len() as u64, max).expect("readable");
+            assert_eq!(part.len(), max.min(whole.len() - parts.len()), "parts of {max} bytes");
+            parts.extend_from_slice(&part);
+        }
+        assert_eq!(parts, whole, "parts of {max} bytes");
+    }
+    for offset in [whole.len() as u64, u64::MAX] {
+        assert!(history.read_part(offset, usize::MAX).expect("readable").is_empty());
+    }
+}
--- a/crates/relay/tests/turn_segments.rs
+++ b/crates/relay/tests/turn_segments.rs
@@ -11,6 +11,8 @@
 use tempfile::TempDir;
 
 const BODY_BYTES: usize = 17_000;
+/// Length of the parts in which histories are read.
+const PART_BYTES: usize = 5_000;
 const RETAIN_MS: u64 = 60_000;
 
 fn body(turn: u64) -> Vec<u8> {
@@ -46,6 +48,10 @@
         let mut expected = if turn % 3 == 1 { body(turn - 1) } else { Vec::new() };
         expected.extend(body(turn));
         assert!(history.read().expect("readable") == expected, "turn {turn} differs");
+        let offsets = (0..expected.len() as u64).step_by(PART_BYTES);
+        let parts = offsets.map(|at| history.read_part(at, PART_BYTES).expect("readable"));
+        assert!(parts.collect::<Vec<_>>().concat() == expected, "parts of turn {turn} differ");
+        assert_eq!(history.checksum(), crc32c::crc32c(&expected), "turn {turn}");
     }
 }
 
--- a/crates/server/src/control/service.rs
+++ b/crates/server/src/control/service.rs
@@ -99,6 +99,7 @@
             | Body::Suspects(_)
             | Body::StreamStarts(_)
             | Body::StreamLookup(_)
+            | Body::HistoryRead(_)
             | Body::Tunnel(_) => {
                 Err(failed(FailureCode::Invalid, "this instance is not part of a relay fleet"))
             }
