Store long turns as entries of at most 256 KiB

What callers saw: a program of another store group that continued a long conversation got a stream that was cut at its end (`not_kept`), each time. So did a turn with an input of nearly 16 MiB.

Cause: as for reading: a turn was one message to the stores. Where the program belongs to another group, or its previous turn has expired meanwhile, the message also holds the whole history. It met the 16 MiB of a frame after the server had run the turn. A turn just below that became one command of the replicated log, which delays the heartbeats and turns behind it on its stream.

Change: a front stores a long turn as a chain of entries of 256 KiB, each of which continues the one before it, and the turn itself last. The history of such a chain is the same bytes, so stores of an earlier build keep and return it too. A history for another group is copied part by part, as it is read. Turns up to 256 KiB are still one command.

`replaced_stores` failed once before, in a form that killed a store 0.15 s after the learner of the one before it was promoted, while its former replica still was a voter: two of four lost at once, where one is to be borne. The test now waits the 6 s that the platform allows for catching up.

--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -23,7 +23,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use futures::{StreamExt, TryStreamExt, future::join_all, stream};
+use futures::{StreamExt, future::join_all};
 use http::StatusCode;
 use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
@@ -417,29 +417,21 @@
     pub(crate) async fn keep(&mut self, kept: KeptTurn, deadline: Instant) -> Result<(), Refusal> {
         let mut is_kept = Some(false);
         if !self.continues_other_group {
-            let previous = kept.previous.as_ref().map(|p| p.to_string());
-            is_kept = self.store(&kept, previous, kept.input.clone(), deadline).await;
+            is_kept = self.store(&kept, false, deadline).await;
         }
         // The group does not have the previous turns, or they have expired while this turn ran. Their
-        // history becomes part of this turn's input.
+        // history is stored before this turn's input.
         if is_kept == Some(false) {
             let (turn, bytes) = (&*self.name.turn, kept.history.len());
             log::info!(turn, bytes; "turn is kept with the history before it");
-            let parts = kept.history.parts(deadline).chain(stream::iter([Ok(kept.input.clone())]));
-            is_kept = match parts.try_collect::<Vec<_>>().await {
-                Ok(parts) => {
-                    let input = concat(&parts.iter().collect::<Vec<_>>());
-                    self.store(&kept, None, input, deadline).await
-                }
-                Err(_) => None,
-            };
+            is_kept = self.store(&kept, true, deadline).await;
         }
         if is_kept != Some(true) {
             let message = "the turn could not be kept in time";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, "not_kept", message));
         }
         if let Some(history) = kept.history.as_held()
-            && history.len() + kept.input.len() + kept.output.len() <= PART_BYTES
+            && history.len() + kept.len() <= PART_BYTES
         {
             let combined = concat(&[history, &kept.input, &kept.output]);
             let (name, programs) = (&self.name, &self.programs);
@@ -451,31 +443,107 @@
 
     /// Stores the turn and settles its reservation. Returns whether the turn can be continued, or
     /// `None` if the stores do not answer in time.
+    ///
+    /// A long turn is stored as a chain of entries of at most [`PART_BYTES`], since an entry is one
+    /// command of the replicated log, which delays those behind it. If `with_history` is set, the
+    /// chain begins with the history instead of continuing the previous turn.
     async fn store(
         &mut self,
         kept: &KeptTurn,
-        previous: Option<String>,
-        input: Bytes,
+        with_history: bool,
         deadline: Instant,
     ) -> Option<bool> {
-        let (group, mut end) = (self.group, self.end());
-        end.kept = Some(peer::KeptTurn {
-            turn: self.name.turn.to_string(),
-            previous,
-            input,
-            output: kept.output.clone(),
-            retain_ms: kept.retain.as_millis() as u64,
-        });
+        let (mut input, mut output) = (kept.input.clone(), kept.output.clone());
+        let previous = kept.previous.as_ref().filter(|_| !with_history);
+        let mut previous = previous.map(|p| p.to_string());
+        let mut ahead = 0;
+        if with_history {
+            match kept.history.as_held() {
+                Some(history) if history.len() + kept.len() <= PART_BYTES => {
+                    input = concat(&[history, &input]);
+                }
+                _ => {
+                    let mut parts = std::pin::pin!(kept.history.parts(deadline));
+                    while let Some(part) = parts.next().await {
+                        let Ok(part) = part else { return None };
+                        if !self
+                            .store_ahead(kept, &mut previous, &mut ahead, part, deadline)
+                            .await?
+                        {
+                            return Some(false);
+                        }
+                    }
+                }
+            }
+        }
+        while input.len() + output.len() > PART_BYTES {
+            let longer = if input.is_empty() { &mut output } else { &mut input };
+            let part = longer.split_to(PART_BYTES.min(longer.len()));
+            if !self.store_ahead(kept, &mut previous, &mut ahead, part, deadline).await? {
+                return Some(false);
+            }
+        }
+        let mut end = self.end();
+        end.kept = Some(kept.entry(self.name.turn.to_string(), previous, input, output));
+        let is_complete = self.store_end(end, deadline, ahead > 0).await?;
+        self.is_reserved = false;
+        Some(is_complete)
+    }
+
+    /// Stores a part of a turn as an entry of its own, which becomes `previous`.
+    async fn store_ahead(
+        &self,
+        kept: &KeptTurn,
+        previous: &mut Option<String>,
+        ahead: &mut usize,
+        part: Bytes,
+        deadline: Instant,
+    ) -> Option<bool> {
+        // Callers cannot send a line feed in the name of a turn.
+        let key = format!("{}\n\n{ahead}", self.name.turn);
+        *ahead += 1;
+        let entry = kept.entry(key.clone(), previous.replace(key), part, Bytes::new());
+        let team = self.name.team.to_string();
+        let end = peer::TurnEnd { team, kept: Some(entry), ..Default::default() };
+        self.store_end(end, deadline, true).await
+    }
+
+    /// Returns whether the entry can be continued.
+    async fn store_end(
+        &self,
+        end: peer::TurnEnd,
+        deadline: Instant,
+        is_part: bool,
+    ) -> Option<bool> {
+        let (group, programs) = (self.group, &self.programs);
         let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()], group });
-        let response::Body::TurnsEnded(ended) = self.programs.call(group, body, deadline).await?
-        else {
-            return None;
+        let answer = match is_part {
+            true => programs.transfer(group, body, deadline).await?,
+            false => programs.call(group, body, deadline).await?,
         };
-        self.is_reserved = false;
+        let response::Body::TurnsEnded(ended) = answer else { return None };
         Some(ended.incomplete.is_empty())
     }
 }
 
+impl KeptTurn {
+    /// Bytes of the turn itself.
+    fn len(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+
+    fn entry(
+        &self,
+        turn: String,
+        previous: Option<String>,
+        input: Bytes,
+        output: Bytes,
+    ) -> peer::KeptTurn {
+        let retain_ms = self.retain.as_millis() as u64;
+        peer::KeptTurn { turn, previous, input, output, retain_ms }
+    }
+}
+
 impl Drop for OpenTurn {
     fn drop(&mut self) {
         if self.is_reserved {
--- a/tests/long_histories.rs
+++ b/tests/long_histories.rs
@@ -4,13 +4,18 @@
 #[path = "support/platform.rs"]
 mod platform;
 
-use platform::{Call, KEY, RelayFleet, config};
+use std::time::Duration;
+
+use platform::{Call, KEY, RelayFleet, config, eventually};
 use serde_json::Value;
+use tokio::time::sleep;
 
 /// The longest input that the callers of this fleet may send.
 const INPUT_BYTES: usize = 1 << 20;
 /// Turns after which a history exceeds a message between instances, which has 16 MiB at most.
 const TURNS: usize = 18;
+/// Time after the loss of a store until the next one may be lost.
+const CATCH_UP: Duration = Duration::from_secs(6);
 
 fn long_config() -> Value {
     let mut config = config(3, &[KEY]);
@@ -82,3 +87,62 @@
     let fleet = RelayFleet::start(&long_config()).await;
     keep_long(&fleet, "p").await;
 }
+
+/// Programs of other store groups continue a long conversation, and their own turns can be
+/// continued.
+#[tokio::test(flavor = "multi_thread")]
+async fn continued_elsewhere() {
+    // Four stores form two groups, and some of the programs belong to either.
+    let fleet = RelayFleet::start_stores(&long_config(), 4).await;
+    let (last, history) = keep_long(&fleet, "parent").await;
+    for n in 0..4 {
+        let program = format!("child{n}");
+        let (first, second) = (format!("{program}-first"), format!("{program}-second"));
+        assert_eq!(send(&fleet, 0, &program, &first, Some(&last), "hello;").await, 200, "{first}");
+        check(&fleet, &first, &format!("{history}hello;"));
+        assert_eq!(send(&fleet, 1, &program, &second, Some(&first), "more").await, 200, "{second}");
+        check(&fleet, &second, &format!("{history}hello;out1\nmore"));
+    }
+}
+
+/// A single input that is almost as long as a message between instances is kept, and the store
+/// group goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_long_input() {
+    const MESSAGE_BYTES: usize = 16 << 20;
+    let mut config = long_config();
+    config["limits"]["maxBodyBytes"] = MESSAGE_BYTES.into();
+    let fleet = RelayFleet::start(&config).await;
+    for (n, less) in [150, 100, 0].into_iter().enumerate() {
+        let (program, next) = (format!("long{n}"), format!("next{n}"));
+        let body = "i".repeat(MESSAGE_BYTES - less);
+        assert_eq!(send(&fleet, 0, &program, &program, None, &body).await, 200, "{program}");
+        assert_eq!(send(&fleet, 1, &program, &next, Some(&program), "more").await, 200, "{next}");
+        check(&fleet, &next, &format!("{body}out1\nmore"));
+    }
+    assert_eq!(send(&fleet, 0, "small", "small", None, "hello").await, 200);
+}
+
+/// Long histories are read again after each store has lost its disk and was replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_stores() {
+    let mut fleet = RelayFleet::start(&long_config()).await;
+    let (last, history) = keep_long(&fleet, "p").await;
+    for n in 0..fleet.stores.len() {
+        fleet.stores[n].kill();
+        fleet.stores[n].wipe();
+        fleet.stores[n].restart();
+        eventually("the store has the turns again", async || fleet.stores[n].data_mib() >= 16)
+            .await;
+        // Its former replica is still a voter for a moment.
+        sleep(CATCH_UP).await;
+        let id = format!("after-{n}");
+        eventually("the conversation goes on", async || {
+            let status = send(&fleet, (n % 2) as u8, "p", &id, Some(&last), "more").await;
+            assert!(matches!(status, 200 | 503), "{id}: {status}");
+            status == 200
+        })
+        .await;
+        check(&fleet, &id, &format!("{history}more"));
+    }
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -189,6 +189,23 @@
         std::fs::write(&self.settings, settings).expect("cannot access the settings file");
     }
 
+    /// Size of all files in the data folder, in MiB.
+    pub fn data_mib(&self) -> u64 {
+        let mut folders = vec![self.data.clone().expect("machine has no data folder")];
+        let mut bytes = 0;
+        while let Some(folder) = folders.pop() {
+            // Files and folders may be removed meanwhile.
+            for item in std::fs::read_dir(folder).into_iter().flatten().flatten() {
+                match item.metadata() {
+                    Ok(data) if data.is_dir() => folders.push(item.path()),
+                    Ok(data) => bytes += data.len(),
+                    Err(_) => {}
+                }
+            }
+        }
+        bytes >> 20
+    }
+
     /// Empties the data folder, as after the loss of a disk.
     pub fn wipe(&mut self) {
         let data = self.data.as_ref().expect("machine has no data folder");
