Refuse publications that do not fit in a heartbeat

What operators saw: a publication 150 bytes below 16 MiB was acknowledged (after five 503 in 5 s) and was not in force at any front after 60 s.

The bound on a publication was that of a frame, but it reaches each instance within the answer to a heartbeat, which holds more than the publication and has 1.5 s: 5.6 MB on a link of 30 Mbit/s. It is also one command of the replicated log.

Change: publications above 4 MiB are refused with 413, before they are proposed. 4 MiB takes 1.1 s on the slowest link and holds some 13,000 routes.

Not changed: an instance whose link is slower, or shared by many heartbeats at once, takes longer (docs/CAPACITY.md).

--- a/crates/relay/src/control/operator_api.rs
+++ b/crates/relay/src/control/operator_api.rs
@@ -6,7 +6,7 @@
 use anyhow::Result;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use poplarspan_agreement::ProposeError;
@@ -30,8 +30,11 @@
     replica::membership::MIN_VOTERS,
 };
 
-/// Maximum size of a publication, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum size of a publication, in bytes. It reaches each instance in the answer to a heartbeat,
+/// and one of this size takes 1.1 s on the slowest link of a front (30 Mbit/s), after which the
+/// heartbeat would time out. It is also one command of the replicated log, which delays the
+/// heartbeats of its leader.
+const MAX_BODY_BYTES: usize = 4 << 20;
 /// Time in which the body of a request must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -127,6 +130,10 @@
         let (parts, body) = req.into_parts();
         let body = match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                let message = format!("the body has more than {MAX_BODY_BYTES} bytes");
+                return Err(self.refuse(StatusCode::PAYLOAD_TOO_LARGE, &message));
+            }
             Ok(Err(e)) => return Err(self.refuse(StatusCode::BAD_REQUEST, &e.to_string())),
             Err(_) => return Err(self.refuse(StatusCode::REQUEST_TIMEOUT, "the body is late")),
         };
