Answer a peer whose response does not fit in a frame

What callers saw: such a response looked like a lost one.

Cause: the peer server dropped the stream when it could not write the response.

Change: it answers with a failure, `TOO_LARGE`, and the front does not ask again after one.

Test: `oversized_responses named_as_too_large` failed before (`stream finished early (0 bytes read)` in place of the failure) and passes now.

--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -134,11 +134,14 @@
         Ok(_) => failure(FailureCode::Invalid, "the request has no body known to this version"),
         Err(e) => failure(FailureCode::Invalid, &e.to_string()),
     };
-    let sent = frame::write(&mut tx, &peer::Response { body: Some(body) }).await;
+    let mut sent = frame::write(&mut tx, &peer::Response { body: Some(body) }).await;
     if let Err(e @ FrameError::TooLarge(_)) = &sent {
         metrics::counter!("poplarspan_peer_oversized_total").increment(1);
         let error = e.to_string();
         log::error!(error = error.as_str(); "cannot send the response to a peer");
+        // Silence would look like a lost response, after which the peer asks again.
+        let body = failure(FailureCode::TooLarge, &error);
+        sent = frame::write(&mut tx, &peer::Response { body: Some(body) }).await;
     }
     if sent.is_ok() {
         // Fails only if the stream is already stopped, and then the peer no longer waits for the
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -1184,6 +1184,9 @@
     Unavailable = 5,
     /// The incarnation was declared gone. The instance must continue with a new one.
     Fenced = 6,
+    /// The response is larger than a frame. The call may have been executed; it has the same result
+    /// when it is sent again.
+    TooLarge = 7,
 }
 impl FailureCode {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -1199,6 +1202,7 @@
             Self::UnknownOutcome => "FAILURE_CODE_UNKNOWN_OUTCOME",
             Self::Unavailable => "FAILURE_CODE_UNAVAILABLE",
             Self::Fenced => "FAILURE_CODE_FENCED",
+            Self::TooLarge => "FAILURE_CODE_TOO_LARGE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -1211,6 +1215,7 @@
             "FAILURE_CODE_UNKNOWN_OUTCOME" => Some(Self::UnknownOutcome),
             "FAILURE_CODE_UNAVAILABLE" => Some(Self::Unavailable),
             "FAILURE_CODE_FENCED" => Some(Self::Fenced),
+            "FAILURE_CODE_TOO_LARGE" => Some(Self::TooLarge),
             _ => None,
         }
     }
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -342,6 +342,9 @@
                 }
                 Ok(Err(CallError::Failed(failure))) => {
                     cause.clone_from(&failure.message);
+                    if failure.code() == FailureCode::TooLarge {
+                        break;
+                    }
                     attempt += usize::from(self.note_failure(group, address, &failure));
                     let is_busy = failure.code() == FailureCode::Unavailable;
                     sleep(if is_busy { OVERLOAD_PAUSE } else { RETRY_PAUSE }).await;
