Refuse commands that the replicated log cannot carry

Cause: the leader accepts a command that fits in the request, but the message to its followers is some 100 bytes longer and does not fit in a frame. The transport drops it each time, and all commands behind it wait, until another replica leads and the command is gone.

Change: `NodeConfig::max_command_bytes`, 15 MiB, within the 16 MiB of a frame. Larger commands are refused before they enter the log, and a store answers `TOO_LARGE`.

Test: `oversized_commands group_goes_on` fails with the bound taken out (the command of 16,776,916 bytes is executed, where it is to be refused) and passes in 5.6 s with it.

--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -173,6 +173,10 @@
     /// Maximum bytes of pending proposals per group, in units of 1 KiB. A larger proposal is
     /// accepted only while no other one with data is pending.
     pub max_proposal_bytes: usize,
+    /// Maximum bytes of a command; larger ones are refused. The transport must carry a message with
+    /// one command of this size: one that it drops each time would hold up the group until another
+    /// replica leads.
+    pub max_command_bytes: usize,
     /// Capacity of the node task's message queue and of its request queue. When the former is full,
     /// messages are dropped; when the latter is full, callers wait.
     pub queue_capacity: usize,
@@ -195,6 +199,7 @@
             trailing_bytes: 64 << 20,
             max_proposals: 4096,
             max_proposal_bytes: 64 << 20,
+            max_command_bytes: 15 << 20,
             queue_capacity: 4096,
             seed: rand::random(),
         }
--- a/crates/agreement/src/driver/handle.rs
+++ b/crates/agreement/src/driver/handle.rs
@@ -21,6 +21,10 @@
     /// Too many proposals are pending. The command was not executed and never will be.
     #[error("too many proposals are open")]
     Overloaded,
+    /// The command is larger than [`NodeConfig::max_command_bytes`](crate::NodeConfig::max_command_bytes). It was not
+    /// executed and never will be.
+    #[error("the command is larger than the replicated log carries")]
+    TooLarge,
     /// The membership change is not possible now and was not made.
     #[error(transparent)]
     Refused(#[from] MembershipChangeError),
@@ -122,21 +126,27 @@
     /// One permit per `PERMIT_BYTES`, because `acquire_many` takes a 32-bit count.
     bytes: Arc<Semaphore>,
     max_byte_permits: u32,
+    max_command_bytes: usize,
 }
 
 const PERMIT_BYTES: usize = 1024;
 
 impl ProposalLimits {
-    pub(crate) fn new(max_proposals: usize, max_bytes: usize) -> Self {
+    pub(crate) fn new(cfg: &crate::NodeConfig) -> Self {
+        let max_bytes = cfg.max_proposal_bytes;
         let max_byte_permits = u32::try_from(max_bytes / PERMIT_BYTES).unwrap_or(u32::MAX).max(1);
         Self {
-            count: Arc::new(Semaphore::new(max_proposals)),
+            count: Arc::new(Semaphore::new(cfg.max_proposals)),
             bytes: Arc::new(Semaphore::new(max_byte_permits as usize)),
             max_byte_permits,
+            max_command_bytes: cfg.max_command_bytes,
         }
     }
 
     fn acquire(&self, bytes: usize) -> Result<[OwnedSemaphorePermit; 2], ProposeError> {
+        if bytes > self.max_command_bytes {
+            return Err(ProposeError::TooLarge);
+        }
         let overloaded = |_| ProposeError::Overloaded;
         let permits = u32::try_from(bytes.div_ceil(PERMIT_BYTES)).unwrap_or(u32::MAX);
         let permits = permits.min(self.max_byte_permits);
--- a/crates/agreement/src/driver/node.rs
+++ b/crates/agreement/src/driver/node.rs
@@ -68,7 +68,7 @@
             let (group, leadership) =
                 Group::new(id, self.replica, machine, stored, transport, Arc::clone(&cfg))?;
             groups.push(group);
-            let limits = Arc::new(ProposalLimits::new(cfg.max_proposals, cfg.max_proposal_bytes));
+            let limits = Arc::new(ProposalLimits::new(&cfg));
             handles.push(GroupHandle { group: id, tx: request_tx.clone(), limits, leadership });
         }
         let (storage, state) = (self.storage, TaskState::default());
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -1184,8 +1184,8 @@
     Unavailable = 5,
     /// The incarnation was declared gone. The instance must continue with a new one.
     Fenced = 6,
-    /// The response is larger than a frame. The call may have been executed; it has the same result
-    /// when it is sent again.
+    /// The response is larger than a frame, or the command than the replicated log carries. Sending the
+    /// call again has the same result.
     TooLarge = 7,
 }
 impl FailureCode {
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -279,6 +279,13 @@
     let result = match timeout(COMMIT_TIMEOUT, proposed).await {
         Ok(Ok(result)) => result,
         Ok(Err(ProposeError::NotLeader { .. })) => return Err(replica.not_leader()),
+        Ok(Err(e @ ProposeError::TooLarge)) => {
+            return Err(peer::Failure {
+                code: FailureCode::TooLarge.into(),
+                message: e.to_string(),
+                leader_address: String::new(),
+            });
+        }
         Ok(Err(e)) => return Err(unknown(&e.to_string())),
         Err(_) => return Err(unknown("not committed in time")),
     };
--- a/crates/server/src/control/log_group.rs
+++ b/crates/server/src/control/log_group.rs
@@ -28,7 +28,9 @@
         LogError::NotLeader { .. } => ProposeError::NotLeader,
         LogError::Unknown => ProposeError::Unknown("the leader has changed".to_owned()),
         LogError::Stopped => ProposeError::Stopped,
-        LogError::Overloaded | LogError::Refused(_) => ProposeError::Refused(error.to_string()),
+        LogError::Overloaded | LogError::TooLarge | LogError::Refused(_) => {
+            ProposeError::Refused(error.to_string())
+        }
     }
 }
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -369,6 +369,11 @@
         SocketAddr::from((self.ip(10 + replica), PEER_PORT))
     }
 
+    /// Address at which instances reach a store.
+    pub fn store_address(&self, store: u8) -> SocketAddr {
+        SocketAddr::from((self.ip(20 + store), PEER_PORT + 1))
+    }
+
     /// Address of a machine that runs nothing, with a free port.
     pub fn spare_address(&self) -> SocketAddr {
         SocketAddr::from((self.ip(60), 0))
