Do not hold a server's slot while a long history waits

What callers saw: beside 300 programs with a history of 18 MiB each, small turns took up to 1.9 s; one store reached 117 MiB of the 114 that the smallest have.

Cause, found in trials: a long call took a slot at an endpoint and then waited for its parts. With four transfers at a front and 24 slots, the slots were held by calls that waited, and small turns waited for slots. Parts of 64 KiB and one transfer at a time change nothing (trial: at most 2.0 s with one transfer of 256 KiB, 2.4 s with one of 64 KiB), and no call to a store timed out there at 256 KiB, so it is not the link. The memory is that of up to 192 beginnings at once, each of which read the first part.

Change: a long call waits for its transfer before it takes a slot, for half of its time at most, and is then refused as not run. The beginning of a turn returns no part of a long history.

--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -999,12 +999,11 @@
     /// Whether the turn is to be kept when it ends.
     #[prost(bool, tag = "9")]
     pub keeps: bool,
-    /// Maximum length of `history` in the response, in bytes; 0 for no limit. The rest of a longer
-    /// history is read with `HistoryRead`.
+    /// Maximum length of `history` in the response, in bytes; 0 for no limit. A longer history is read
+    /// with `HistoryRead`.
     #[prost(uint32, tag = "10")]
     pub max_history: u32,
-    /// How long `previous` must not expire, in milliseconds, so that the rest of its history can be
-    /// read.
+    /// How long `previous` must not expire, in milliseconds, so that a longer history can be read.
     #[prost(uint64, tag = "11")]
     pub hold_ms: u64,
 }
@@ -1012,8 +1011,7 @@
 pub struct TurnBegun {
     #[prost(enumeration = "TurnVerdict", tag = "1")]
     pub verdict: i32,
-    /// Inputs and outputs of the preceding turns, oldest first. If `history_len` is set, only the first
-    /// part of them.
+    /// Inputs and outputs of the preceding turns, oldest first. Absent if `history_len` is set.
     #[prost(bytes = "bytes", tag = "2")]
     pub history: ::prost::bytes::Bytes,
     /// Tokens of the budget that remain.
@@ -1022,7 +1020,7 @@
     /// Reserved tokens.
     #[prost(uint64, tag = "4")]
     pub amount: u64,
-    /// Length of the whole history in bytes, and its CRC-32C. Only set if `history` is a part of it.
+    /// Length in bytes and CRC-32C of a history that is longer than `max_history`.
     #[prost(uint64, tag = "5")]
     pub history_len: u64,
     #[prost(uint32, tag = "6")]
--- a/crates/relay/src/front/attempt.rs
+++ b/crates/relay/src/front/attempt.rs
@@ -16,6 +16,7 @@
     call::Call,
     endpoints::{ChosenEndpoint, Outcome},
     placement::EndpointFilter,
+    programs::history::Transfer,
     quarantine::{Admission, ProbationRun},
     refusal::Refusal,
     rollouts::OpenCall,
@@ -91,6 +92,8 @@
             if self.front.quarantine.is_refused(&self.call) {
                 return Err(self.crashes_endpoints());
             }
+            // Before the call takes a slot, which it would keep while other histories are sent.
+            let transfer = self.begin_transfer().await?;
             let since = Instant::now();
             let placed = self.front.schedule.acquire(&self.call.placement, &self.filter).await;
             self.waited += since.elapsed();
@@ -111,7 +114,7 @@
                 Err(PlacementError::SoftwareGone) => return Err(self.software_gone()),
             };
             self.last = Some(slot.endpoint.clone());
-            match self.send(slot, last_event).await {
+            match self.send(slot, last_event, transfer).await {
                 Ok(started) => return Ok(started),
                 Err(AttemptError::NotRun) => {
                     self.unsent += 1;
@@ -132,6 +135,16 @@
         }
     }
 
+    /// Waits until the history of the call may be sent, if it is read from the stores.
+    async fn begin_transfer(&self) -> Result<Option<Transfer>, Refusal> {
+        let Some(history) = self.call.body.stored_history() else { return Ok(None) };
+        // The history and the answer need the rest of the time.
+        let until = Instant::now() + self.call.time_left() / 2;
+        let transfer = history.begin_transfer(until).await;
+        let message = "too many long histories are being sent";
+        transfer.map(Some).ok_or_else(|| self.refuse("no_transfer", message, RETRY_AFTER))
+    }
+
     /// Whether endpoints that refused the call may be asked again.
     fn may_retry_refused(&self) -> bool {
         self.unsent > 0 && self.ran == 0 && self.call.time_left() > 4 * REFUSED_PAUSE
@@ -165,6 +178,7 @@
         &mut self,
         mut slot: Slot,
         last_event: Option<&Name>,
+        transfer: Option<Transfer>,
     ) -> Result<StartedResponse, AttemptError> {
         let call = self.call.clone();
         let endpoint = slot.endpoint.clone();
@@ -187,7 +201,7 @@
                 return Err(AttemptError::Refused(self.refuse("on_trial", message, RETRY_AFTER)));
             }
         }
-        let request = self.request(&endpoint.name, last_event);
+        let request = self.request(&endpoint.name, last_event, transfer);
         let (front, claim) = (self.front.clone(), slot.claim(&self.filter));
         let may_send: SendPermission = Arc::new(move || front.may_send(&claim));
         let (address, deadline) = (endpoint.address, call.deadline);
@@ -244,7 +258,12 @@
         Ok(StartedResponse { parts, body, reuse, slot })
     }
 
-    fn request(&self, endpoint: &Name, last_event: Option<&Name>) -> Request<RequestBody> {
+    fn request(
+        &self,
+        endpoint: &Name,
+        last_event: Option<&Name>,
+        transfer: Option<Transfer>,
+    ) -> Request<RequestBody> {
         let call = &self.call;
         let forward = Forward {
             endpoint: endpoint.clone(),
@@ -253,7 +272,7 @@
             urgency: call.urgency,
             last_event: last_event.cloned(),
         };
-        let mut request = Request::new(call.body.to_request(call.deadline));
+        let mut request = Request::new(call.body.to_request(call.deadline, transfer));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = self.front.protocol.forward_headers(&call.headers, &forward);
--- a/crates/relay/src/front/call.rs
+++ b/crates/relay/src/front/call.rs
@@ -16,7 +16,7 @@
 use super::{
     memory::MemoryReservation,
     placement::PlacementRequest,
-    programs::history::{History, PART_BYTES},
+    programs::history::{History, StoredHistory, Transfer},
 };
 use crate::{CallHead, Route};
 
@@ -39,46 +39,56 @@
     pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
-/// Body of a call: the history of its conversation and its own input.
+/// Body of a call.
 pub(crate) struct CallBody {
-    /// Empty if the input contains it.
-    history: History,
+    /// History of the conversation that is sent before the input.
+    history: Option<Arc<StoredHistory>>,
+    /// Input of the call; with its history, if that is short.
     input: Bytes,
 }
 
 impl From<Bytes> for CallBody {
     fn from(input: Bytes) -> Self {
-        Self { history: History::default(), input }
+        Self { history: None, input }
     }
 }
 
 impl CallBody {
     pub(crate) fn new(history: History, input: Bytes) -> Self {
-        if history.is_empty() {
-            return input.into();
+        match history {
+            History::Held(history) if history.is_empty() => input.into(),
+            History::Held(history) => {
+                let mut combined = BytesMut::with_capacity(history.len() + input.len());
+                combined.put(history);
+                combined.put(input);
+                combined.freeze().into()
+            }
+            History::Stored(history) => Self { history: Some(history), input },
         }
-        let Some(held) = history.as_held() else { return Self { history, input } };
-        let mut combined = BytesMut::with_capacity(held.len() + input.len());
-        combined.put_slice(held);
-        combined.put(input);
-        combined.freeze().into()
     }
 
-    /// Bytes in memory while the call is sent.
+    /// Bytes in memory while the call waits. The few that are being sent hold a part more each.
     pub(crate) fn memory(&self) -> usize {
-        let parts = if self.history.is_empty() { 0 } else { 2 * PART_BYTES };
-        parts + self.input.len()
+        self.input.len()
     }
 
-    /// The body of a request to an endpoint. What is not in memory is read until `deadline`.
-    pub(crate) fn to_request(&self, deadline: Instant) -> RequestBody {
-        if self.history.is_empty() {
-            return Full::new(self.input.clone()).into();
-        }
+    /// The history that is read while it is sent, if there is one.
+    pub(crate) fn stored_history(&self) -> Option<&Arc<StoredHistory>> {
+        self.history.as_ref()
+    }
+
+    /// The body of a request to an endpoint. A stored history is read until `deadline`; `transfer`
+    /// ends with it.
+    pub(crate) fn to_request(&self, deadline: Instant, transfer: Option<Transfer>) -> RequestBody {
+        let Some(history) = &self.history else { return Full::new(self.input.clone()).into() };
         let input = stream::iter([Ok(self.input.clone())]);
+        let parts = History::Stored(history.clone()).parts(deadline).map(move |part| {
+            let _ = &transfer;
+            part
+        });
         RequestBody::Streamed {
-            parts: self.history.parts(deadline).chain(input).boxed(),
-            left: self.history.len() + self.input.len() as u64,
+            parts: parts.chain(input).boxed(),
+            left: history.digest().0 + self.input.len() as u64,
         }
     }
 }
@@ -89,13 +99,13 @@
         *self.fingerprint.get_or_init(|| {
             let team = self.team.as_deref().unwrap_or("");
             let mut place = format!("{team}\n{} {} {}", self.method, self.head.host, self.uri);
-            let CallBody { history, input } = &self.body;
-            if let Some(checksum) = history.checksum() {
+            if let Some(history) = &self.body.history {
                 // Whether a history is held depends only on its length, so the digest is the same
                 // at all fronts.
-                place.push_str(&format!("\n{} {checksum:08x}", history.len()));
+                let (len, checksum) = history.digest();
+                place.push_str(&format!("\n{len} {checksum:08x}"));
             }
-            Fingerprint::new(&place, input)
+            Fingerprint::new(&place, &self.body.input)
         })
     }
 
--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -84,8 +84,8 @@
     leaders: Mutex<Vec<Option<SocketAddr>>>,
     history_cache: Mutex<HistoryCache>,
     room: RoomCache,
-    /// One permit for each part of a long history or turn that may be under way.
-    transfers: Semaphore,
+    /// One permit for each long history or turn that may be moved.
+    transfers: Arc<Semaphore>,
     /// Ends of turns for the groups of their programs.
     ends: mpsc::Sender<(u32, peer::TurnEnd)>,
 }
@@ -124,7 +124,7 @@
             leaders: Mutex::default(),
             history_cache: Mutex::default(),
             room: RoomCache::default(),
-            transfers: Semaphore::new(MAX_TRANSFERS),
+            transfers: Arc::new(Semaphore::new(MAX_TRANSFERS)),
             ends,
         });
         let batches = GroupBatches::new(rx, MAX_UNSETTLED, BATCH_INTERVAL, MAX_BATCH);
@@ -159,7 +159,7 @@
         // Without room for new conversations, the store decides about each turn that continues one.
         let unread = if has_room { unread } else { needs.previous };
         if needs.budget.is_none() && unread.is_none() {
-            return Ok((open, known.map(History::held).unwrap_or_default()));
+            return Ok((open, known.map(History::Held).unwrap_or_default()));
         }
         let mut begin = peer::TurnBegin {
             group: open.group,
@@ -199,7 +199,7 @@
         match begun.verdict() {
             TurnVerdict::Granted => {
                 let history = match (known, needs.previous) {
-                    (Some(known), _) => History::held(known),
+                    (Some(known), _) => History::Held(known),
                     (None, Some(previous)) => {
                         History::begun(self, history_group, &name.team, previous, begun)
                     }
@@ -249,8 +249,8 @@
         }
     }
 
-    /// Inputs and outputs up to and including a kept turn; the first `max` bytes if they are longer
-    /// and `max` is not 0. `None` if the group has no such turn.
+    /// Inputs and outputs up to and including a kept turn; only their length if it exceeds `max` and
+    /// `max` is not 0. `None` if the group has no such turn.
     async fn history(
         &self,
         group: u32,
@@ -307,19 +307,6 @@
         }
     }
 
-    /// Like [`Programs::call`], for a call that carries a part of a long history or turn. Waits until
-    /// few others are under way.
-    async fn transfer(
-        &self,
-        group: u32,
-        body: impl Fn() -> request::Body,
-        deadline: Instant,
-    ) -> Option<response::Body> {
-        let permit = timeout_at(deadline, self.transfers.acquire()).await.ok()?;
-        let _permit = permit.expect("the semaphore is never closed");
-        self.call(group, body, deadline).await
-    }
-
     /// Calls the leader of a store group, retrying until `deadline`.
     async fn call(
         &self,
@@ -433,7 +420,7 @@
             let message = "the turn could not be kept in time";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, "not_kept", message));
         }
-        if let Some(history) = kept.history.as_held()
+        if let History::Held(history) = &kept.history
             && history.len() + kept.len() <= PART_BYTES
         {
             let combined = concat(&[history, &kept.input, &kept.output]);
@@ -460,13 +447,18 @@
         let previous = kept.previous.as_ref().filter(|_| !with_history);
         let mut previous = previous.map(|p| p.to_string());
         let mut ahead = 0;
+        let bytes = kept.len() as u64 + if with_history { kept.history.len() } else { 0 };
+        let _transfer = match bytes > PART_BYTES as u64 {
+            true => Some(self.programs.begin_transfer(deadline).await?),
+            false => None,
+        };
         if with_history {
-            match kept.history.as_held() {
-                Some(history) if history.len() + kept.len() <= PART_BYTES => {
+            match &kept.history {
+                History::Held(history) if history.len() + kept.len() <= PART_BYTES => {
                     input = concat(&[history, &input]);
                 }
                 _ => {
-                    let mut parts = std::pin::pin!(kept.history.parts(deadline));
+                    let mut parts = kept.history.parts(deadline);
                     while let Some(part) = parts.next().await {
                         let Ok(part) = part else { return None };
                         if !self
@@ -488,7 +480,7 @@
         }
         let mut end = self.end();
         end.kept = Some(kept.entry(self.name.turn.to_string(), previous, input, output));
-        let is_complete = self.store_end(end, deadline, ahead > 0).await?;
+        let is_complete = self.store_end(end, deadline).await?;
         self.is_reserved = false;
         Some(is_complete)
     }
@@ -508,23 +500,17 @@
         let entry = kept.entry(key.clone(), previous.replace(key), part, Bytes::new());
         let team = self.name.team.to_string();
         let end = peer::TurnEnd { team, kept: Some(entry), ..Default::default() };
-        self.store_end(end, deadline, true).await
+        self.store_end(end, deadline).await
     }
 
     /// Returns whether the entry can be continued.
-    async fn store_end(
-        &self,
-        end: peer::TurnEnd,
-        deadline: Instant,
-        is_part: bool,
-    ) -> Option<bool> {
-        let (group, programs) = (self.group, &self.programs);
+    async fn store_end(&self, end: peer::TurnEnd, deadline: Instant) -> Option<bool> {
+        let group = self.group;
         let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()], group });
-        let answer = match is_part {
-            true => programs.transfer(group, body, deadline).await?,
-            false => programs.call(group, body, deadline).await?,
+        let response::Body::TurnsEnded(ended) = self.programs.call(group, body, deadline).await?
+        else {
+            return None;
         };
-        let response::Body::TurnsEnded(ended) = answer else { return None };
         Some(ended.incomplete.is_empty())
     }
 }
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -105,10 +105,8 @@
                 if !hold(&replica, &begin.team, previous, begin.hold_ms).await? {
                     return Ok(verdict(TurnVerdict::UnknownTurn, 0));
                 }
-                let max = begin.max_history as usize;
                 begun.history_len = history.len() as u64;
-                (begun.history, begun.history_crc) =
-                    read(move || Ok((history.read_part(0, max)?, history.checksum()))).await?;
+                begun.history_crc = read(move || Ok(history.checksum())).await?;
             }
         }
         let peer::TurnBegin { team, program, name, most, least, budget, .. } = begin;
--- a/tests/long_histories.rs
+++ b/tests/long_histories.rs
@@ -4,8 +4,12 @@
 #[path = "support/platform.rs"]
 mod platform;
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::{Duration, Instant},
+};
 
+use futures::future::join_all;
 use platform::{Call, KEY, RelayFleet, config, eventually};
 use serde_json::Value;
 use tokio::time::sleep;
@@ -14,6 +18,9 @@
 const INPUT_BYTES: usize = 1 << 20;
 /// Turns after which a history exceeds a message between instances, which has 16 MiB at most.
 const TURNS: usize = 18;
+/// Memory of the smallest fronts and stores of the platform.
+const FRONT_MIB: u64 = 88_000_000 >> 20;
+const STORE_MIB: u64 = 120_000_000 >> 20;
 /// Time after the loss of a store until the next one may be lost.
 const CATCH_UP: Duration = Duration::from_secs(6);
 
@@ -45,11 +52,23 @@
     id: &str,
     previous: Option<&str>,
     body: &str,
+) -> u16 {
+    send_to(fleet, "/kept/events/1", front, program, id, previous, body).await
+}
+
+async fn send_to(
+    fleet: &RelayFleet,
+    path: &str,
+    front: u8,
+    program: &str,
+    id: &str,
+    previous: Option<&str>,
+    body: &str,
 ) -> u16 {
     let mut headers = vec![("program-id", program), ("token-count", "5,100")];
     headers.extend(previous.map(|p| ("previous-turn", p)));
     let call = Call { headers: &headers, body, ..Call::default() };
-    let answer = fleet.call(front, "/kept/events/1", id, call).await;
+    let answer = fleet.call(front, path, id, call).await;
     if answer.status == 200 && answer.body.is_err() { 0 } else { answer.status }
 }
 
@@ -146,3 +165,83 @@
         check(&fleet, &id, &format!("{history}more"));
     }
 }
+
+/// Latencies of small turns that are sent one after the other until `is_done`.
+async fn small_turns(fleet: &RelayFleet, name: &str, is_done: &AtomicBool) -> Vec<Duration> {
+    let mut latencies = Vec::new();
+    while !is_done.load(Ordering::Relaxed) {
+        let id = format!("{name}-{}", latencies.len());
+        let started = Instant::now();
+        assert_eq!(
+            send(fleet, (latencies.len() % 2) as u8, &id, &id, None, "in").await,
+            200,
+            "{id}"
+        );
+        latencies.push(started.elapsed());
+        sleep(Duration::from_millis(5)).await;
+    }
+    latencies.sort();
+    latencies
+}
+
+fn print_latencies(name: &str, latencies: &[Duration]) {
+    let at = |percent: usize| latencies[(latencies.len() - 1) * percent / 100];
+    let (p50, p99, max) = (at(50), at(99), at(100));
+    println!(
+        "small turns {name}: {} in all, p50 {p50:.1?}, p99 {p99:.1?}, max {max:.1?}",
+        latencies.len()
+    );
+}
+
+/// Many programs with a long history at once stay within the memory of the machines, and small
+/// turns are served beside them. `LONG_CALLERS` sets the number of programs.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_at_once() {
+    let callers = std::env::var("LONG_CALLERS").map_or(8, |n| n.parse().expect("a number"));
+    let fleet = RelayFleet::start(&long_config()).await;
+    let (last, history) = keep_long(&fleet, "p").await;
+    let is_done = AtomicBool::new(false);
+    let pause = async {
+        sleep(Duration::from_secs(2)).await;
+        is_done.store(true, Ordering::Relaxed);
+    };
+    let (before, ()) = tokio::join!(small_turns(&fleet, "before", &is_done), pause);
+    print_latencies("before", &before);
+    is_done.store(false, Ordering::Relaxed);
+    let started = Instant::now();
+    let long = async {
+        let turn = async |n: usize| {
+            let program = format!("long{n}");
+            // A refused caller comes back.
+            for attempt in 0.. {
+                let (id, front) = (format!("{program}-{attempt}"), ((n + attempt) % 2) as u8);
+                let path = "/kept/counted/events/1";
+                match send_to(&fleet, path, front, &program, &id, Some(&last), "more").await {
+                    200 => {
+                        let expected = (history.len() + "more".len()).to_string();
+                        assert_eq!(fleet.servers.runs_of(&id)[0].body, expected, "{id}");
+                        return attempt;
+                    }
+                    status => assert_eq!(status, 503, "{id}"),
+                }
+                sleep(Duration::from_millis(400)).await;
+            }
+            unreachable!("the loop only ends by returning")
+        };
+        let refused = join_all((0..callers).map(turn)).await;
+        is_done.store(true, Ordering::Relaxed);
+        refused.into_iter().sum::<usize>()
+    };
+    let (refused, beside) = tokio::join!(long, small_turns(&fleet, "beside", &is_done));
+    println!("{callers} programs took {:.1?}, {refused} refusals", started.elapsed());
+    print_latencies("beside", &beside);
+    for (name, machines, limit) in
+        [("front", &fleet.fronts, FRONT_MIB), ("store", &fleet.stores, STORE_MIB)]
+    {
+        for machine in machines {
+            let mib = machine.peak_memory_mib();
+            println!("{name}: at most {mib} MiB");
+            assert!(mib <= limit, "a {name} has used {mib} MiB");
+        }
+    }
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -114,12 +114,21 @@
         let _ = kill(pid, signal);
     }
 
-    /// Resident memory of the process in MiB (`VmRSS`).
+    /// Resident memory of the process in MiB.
     pub fn memory_mib(&self) -> u64 {
+        self.status_mib("VmRSS:")
+    }
+
+    /// Largest resident memory of the process so far, in MiB.
+    pub fn peak_memory_mib(&self) -> u64 {
+        self.status_mib("VmHWM:")
+    }
+
+    fn status_mib(&self, field: &str) -> u64 {
         let child = self.child.as_ref().expect("process is not running");
         let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
         let status = status.expect("cannot read the process status");
-        let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("no VmRSS line");
+        let line = status.lines().find(|line| line.starts_with(field)).expect("no such line");
         let kib: u64 =
             line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("no size in KiB");
         kib >> 10
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -201,7 +201,18 @@
             full.headers_mut().insert("not-run", "1".parse().expect("invalid header value"));
             return Ok(full);
         }
-        let body = req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+        // On this path only the number of bytes is recorded, so that many long bodies can be.
+        let body = if path.contains("/counted") {
+            let mut body = req.into_body();
+            let mut bytes = 0;
+            while let Some(frame) = body.frame().await {
+                let frame = frame.map_err(std::io::Error::other)?;
+                bytes += frame.data_ref().map_or(0, Bytes::len);
+            }
+            Bytes::from(bytes.to_string())
+        } else {
+            req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes()
+        };
         let run = Run {
             at: Instant::now(),
             server,
