--- a/crates/relay/src/front/programs.rs
+++ b/crates/relay/src/front/programs.rs
@@ -12,6 +12,7 @@
 mod batches;
 pub(crate) mod history;
 mod history_cache;
+pub(crate) mod kept;
 pub(crate) mod origins;
 pub(crate) mod outputs;
 mod room;
@@ -22,8 +23,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
-use futures::{StreamExt, future::join_all};
+use futures::future::join_all;
 use http::StatusCode;
 use poplarspan_agreement::Clock;
 use poplarspan_node::{CallError, PeerClient};
@@ -380,16 +380,6 @@
     }
 }
 
-/// A turn to be kept.
-pub(crate) struct KeptTurn {
-    pub(crate) previous: Option<Name>,
-    /// Inputs and outputs of the turns before it.
-    pub(crate) history: History,
-    pub(crate) input: Bytes,
-    pub(crate) output: Bytes,
-    pub(crate) retain: Duration,
-}
-
 impl OpenTurn {
     fn end(&self) -> peer::TurnEnd {
         peer::TurnEnd {
@@ -400,137 +390,6 @@
             kept: None,
         }
     }
-
-    /// Keeps the turn and returns once it is durable.
-    ///
-    /// Fails if the stores do not answer in time. The turn may have been kept nevertheless.
-    pub(crate) async fn keep(&mut self, kept: KeptTurn, deadline: Instant) -> Result<(), Refusal> {
-        let mut is_kept = Some(false);
-        if !self.continues_other_group {
-            is_kept = self.store(&kept, false, deadline).await;
-        }
-        // The group does not have the previous turns, or they have expired while this turn ran. Their
-        // history is stored before this turn's input.
-        if is_kept == Some(false) {
-            let (turn, bytes) = (&*self.name.turn, kept.history.len());
-            log::info!(turn, bytes; "turn is kept with the history before it");
-            is_kept = self.store(&kept, true, deadline).await;
-        }
-        if is_kept != Some(true) {
-            let message = "the turn could not be kept in time";
-            return Err(Refusal::new(StatusCode::BAD_GATEWAY, "not_kept", message));
-        }
-        if let History::Held(history) = &kept.history
-            && history.len() + kept.len() <= PART_BYTES
-        {
-            let combined = concat(&[history, &kept.input, &kept.output]);
-            let (name, programs) = (&self.name, &self.programs);
-            let now = programs.clock.now();
-            programs.history_cache().put(self.group, &name.team, &name.turn, combined, now);
-        }
-        Ok(())
-    }
-
-    /// Stores the turn and settles its reservation. Returns whether the turn can be continued, or
-    /// `None` if the stores do not answer in time.
-    ///
-    /// A long turn is stored as a chain of entries of at most [`PART_BYTES`], since an entry is one
-    /// command of the replicated log, which delays those behind it. If `with_history` is set, the
-    /// chain begins with the history instead of continuing the previous turn.
-    async fn store(
-        &mut self,
-        kept: &KeptTurn,
-        with_history: bool,
-        deadline: Instant,
-    ) -> Option<bool> {
-        let (mut input, mut output) = (kept.input.clone(), kept.output.clone());
-        let previous = kept.previous.as_ref().filter(|_| !with_history);
-        let mut previous = previous.map(|p| p.to_string());
-        let mut ahead = 0;
-        let bytes = kept.len() as u64 + if with_history { kept.history.len() } else { 0 };
-        let _transfer = match bytes > PART_BYTES as u64 {
-            true => Some(self.programs.begin_transfer(deadline).await?),
-            false => None,
-        };
-        if with_history {
-            match &kept.history {
-                History::Held(history) if history.len() + kept.len() <= PART_BYTES => {
-                    input = concat(&[history, &input]);
-                }
-                _ => {
-                    let mut parts = kept.history.parts(deadline);
-                    while let Some(part) = parts.next().await {
-                        let Ok(part) = part else { return None };
-                        if !self
-                            .store_ahead(kept, &mut previous, &mut ahead, part, deadline)
-                            .await?
-                        {
-                            return Some(false);
-                        }
-                    }
-                }
-            }
-        }
-        while input.len() + output.len() > PART_BYTES {
-            let longer = if input.is_empty() { &mut output } else { &mut input };
-            let part = longer.split_to(PART_BYTES.min(longer.len()));
-            if !self.store_ahead(kept, &mut previous, &mut ahead, part, deadline).await? {
-                return Some(false);
-            }
-        }
-        let mut end = self.end();
-        end.kept = Some(kept.entry(self.name.turn.to_string(), previous, input, output));
-        let is_complete = self.store_end(end, deadline).await?;
-        self.is_reserved = false;
-        Some(is_complete)
-    }
-
-    /// Stores a part of a turn as an entry of its own, which becomes `previous`.
-    async fn store_ahead(
-        &self,
-        kept: &KeptTurn,
-        previous: &mut Option<String>,
-        ahead: &mut usize,
-        part: Bytes,
-        deadline: Instant,
-    ) -> Option<bool> {
-        // Callers cannot send a line feed in the name of a turn.
-        let key = format!("{}\n\n{ahead}", self.name.turn);
-        *ahead += 1;
-        let entry = kept.entry(key.clone(), previous.replace(key), part, Bytes::new());
-        let team = self.name.team.to_string();
-        let end = peer::TurnEnd { team, kept: Some(entry), ..Default::default() };
-        self.store_end(end, deadline).await
-    }
-
-    /// Returns whether the entry can be continued.
-    async fn store_end(&self, end: peer::TurnEnd, deadline: Instant) -> Option<bool> {
-        let group = self.group;
-        let body = || request::Body::TurnEnds(peer::TurnEnds { ends: vec![end.clone()], group });
-        let response::Body::TurnsEnded(ended) = self.programs.call(group, body, deadline).await?
-        else {
-            return None;
-        };
-        Some(ended.incomplete.is_empty())
-    }
-}
-
-impl KeptTurn {
-    /// Bytes of the turn itself.
-    fn len(&self) -> usize {
-        self.input.len() + self.output.len()
-    }
-
-    fn entry(
-        &self,
-        turn: String,
-        previous: Option<String>,
-        input: Bytes,
-        output: Bytes,
-    ) -> peer::KeptTurn {
-        let retain_ms = self.retain.as_millis() as u64;
-        peer::KeptTurn { turn, previous, input, output, retain_ms }
-    }
 }
 
 impl Drop for OpenTurn {
@@ -560,14 +419,6 @@
     deadline.saturating_duration_since(Instant::now()).as_millis() as u64
 }
 
-fn concat(parts: &[&Bytes]) -> Bytes {
-    let mut combined = BytesMut::with_capacity(parts.iter().map(|p| p.len()).sum());
-    for part in parts {
-        combined.extend_from_slice(part);
-    }
-    combined.freeze()
-}
-
 fn stores_unavailable(message: &'static str) -> Refusal {
     Refusal::retry_later("stores_away", message, RETRY_AFTER)
 }
--- a/crates/relay/src/front/recording.rs
+++ b/crates/relay/src/front/recording.rs
@@ -8,7 +8,7 @@
 
 use super::{
     events::Event,
-    programs::{KeptTurn, history::History, outputs::OutputRecord},
+    programs::{history::History, kept::KeptTurn, outputs::OutputRecord},
 };
 
 /// Data of a turn that is to be kept.
