--- a/crates/agreement/tests/core_rules.rs
+++ b/crates/agreement/tests/core_rules.rs
@@ -335,3 +335,44 @@
     });
     assert_eq!(chunk, Some((position(10, 1), true)));
 }
+
+/// Guards against a large entry that is sent again with each heartbeat, faster than a peer can take
+/// it: probes contain small entries only.
+#[test]
+fn probes_stay_small() {
+    let large = Bytes::from(vec![0; 1 << 20]);
+    let initial = InitialState {
+        hard_state: HardState { term: 1, vote: None },
+        membership: Membership { voters: vec![ReplicaId(1), A, B], learners: Vec::new() },
+        entries: vec![
+            entry(1, 1),
+            Entry { position: position(2, 1), payload: Payload::Command(large) },
+        ],
+        ..InitialState::default()
+    };
+    let mut core = Core::new(CoreConfig::new(ReplicaId(1), 7), initial);
+    let term = lead(&mut core);
+    let entries_to_a = |out: &Output| -> usize {
+        let entries = out.messages.iter().map(|(to, m)| match m {
+            Message::Append { entries, .. } if *to == A => entries.len(),
+            _ => 0,
+        });
+        entries.sum()
+    };
+    let result = AppendResult::Mismatch { rejected: 2, hint: position(1, 1) };
+    let out = receive(&mut core, 1000, A, Message::AppendAnswer { term, result });
+    assert_eq!(entries_to_a(&out), 0, "a probe contains the large entry");
+    for round in 1..=20 {
+        let now = 1000 + 50 * round;
+        core.step(ms(now), Input::Tick);
+        let heartbeat = Message::HeartbeatAnswer { term, round };
+        let out = receive(&mut core, now, A, heartbeat.clone());
+        assert!(!out.messages.is_empty(), "a lost probe is not repeated");
+        assert_eq!(entries_to_a(&out), 0, "a probe contains the large entry");
+        receive(&mut core, now, B, heartbeat);
+    }
+    // Once the position is known, the large entry and the first one of the term are sent once.
+    assert_eq!(entries_to_a(&matched(&mut core, 2000, A, term, 1)), 2);
+    let heartbeat = Message::HeartbeatAnswer { term, round: 20 };
+    assert_eq!(entries_to_a(&receive(&mut core, 2000, A, heartbeat)), 0);
+}
