tests: fleets of several processes never share addresses

Cause: the addresses of a fleet come from the id of the test process, and repeat for ids 512 apart.

Each fleet now holds a socket on an address of its own while it runs, and takes the next addresses if another fleet holds them. No check is changed.

--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -5,6 +5,7 @@
 
 use std::{
     convert::Infallible,
+    io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -49,6 +50,9 @@
 const FRONT_PORT: u16 = 8368;
 const READY_PORT: u16 = 8369;
 const SERVER_PORT: u16 = 8080;
+/// Machine and port that nothing in a fleet uses. While they are taken, so is the subnet.
+const GUARD: u8 = 250;
+const GUARD_PORT: u16 = 7999;
 /// Upper bound on waits for an expected state, long enough for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -241,6 +245,7 @@
     pub fronts: Vec<Machine>,
     pub servers: Servers,
     subnet: [u8; 3],
+    _guard: std::net::TcpListener,
     /// Links to the two fronts and then to the servers; empty if connections are direct.
     pub links: Vec<Arc<Link>>,
     logs: Option<PathBuf>,
@@ -250,14 +255,23 @@
     _dir: tempfile::TempDir,
 }
 
-/// First three bytes of the addresses of one fleet. They differ from those of other tests, also in
-/// other processes.
-fn unique_subnet() -> [u8; 3] {
+/// First three bytes of the addresses of one fleet, and a socket that keeps other fleets from using
+/// them: processes whose ids are 512 apart would choose the same ones.
+fn unique_subnet() -> ([u8; 3], std::net::TcpListener) {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let pid = std::process::id();
-    // Long runs reuse the addresses of fleets that have stopped.
-    let fleet = NEXT.fetch_add(1, Ordering::Relaxed) % MAX_FLEETS;
-    [127, 64 + (pid % 128) as u8, ((pid / 128) % 4) as u8 * MAX_FLEETS + fleet]
+    for _ in 0..MAX_FLEETS {
+        // Long runs reuse the addresses of fleets that have stopped.
+        let fleet = NEXT.fetch_add(1, Ordering::Relaxed) % MAX_FLEETS;
+        let subnet = [127, 64 + (pid % 128) as u8, ((pid / 128) % 4) as u8 * MAX_FLEETS + fleet];
+        let [a, b, c] = subnet;
+        match std::net::TcpListener::bind((Ipv4Addr::new(a, b, c, GUARD), GUARD_PORT)) {
+            Ok(guard) => return (subnet, guard),
+            Err(e) if e.kind() == ErrorKind::AddrInUse => {}
+            Err(e) => panic!("cannot reserve the addresses of a fleet: {e}"),
+        }
+    }
+    panic!("no addresses are left for a fleet");
 }
 
 impl RelayFleet {
@@ -304,12 +318,14 @@
         let tls = dir.path().join("tls");
         let made = Command::new(PROGRAM).args(["certs", "--out"]).arg(&tls).output();
         assert!(made.expect("failed to run the program").status.success());
+        let (subnet, guard) = unique_subnet();
         let mut fleet = Self {
             control_replicas: Vec::new(),
             stores: Vec::new(),
             fronts: Vec::new(),
             servers: Servers::default(),
-            subnet: unique_subnet(),
+            subnet,
+            _guard: guard,
             links: Vec::new(),
             logs,
             bounds,
