--- a/crates/node/src/peer/agreement.rs
+++ b/crates/node/src/peer/agreement.rs
@@ -28,7 +28,7 @@
 /// size. After it, the batch is dropped and the next message opens a new stream.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Rate that a link is assumed to carry at least, in bytes per second: a quarter of 30 Mbit/s, the
-/// slowest link to a store, which other groups use as well.
+/// slowest link of an instance, which other groups use as well.
 const MIN_SEND_RATE: u32 = 30_000_000 / 8 / 4;
 
 /// Returns the peer address of a replica, given its number, if it is known.
