--- a/crates/agreement/src/core/memory_log.rs
+++ b/crates/agreement/src/core/memory_log.rs
@@ -77,25 +77,17 @@
     /// Returns entries from `from` on with a total size of at most `max_bytes`, but at least one if
     /// there is any.
     pub(super) fn batch(&self, from: u64, max_bytes: usize) -> Vec<Entry> {
-        let mut batch = self.entries_within(from, max_bytes);
-        if batch.is_empty() {
-            batch.extend(self.entries_from(from).next().cloned());
-        }
-        batch
-    }
-
-    /// Returns the entries from `from` on that have at most `max_bytes` together.
-    pub(super) fn entries_within(&self, from: u64, max_bytes: usize) -> Vec<Entry> {
+        let skip = from.saturating_sub(self.base.index + 1) as usize;
         let mut bytes = 0;
-        let fits = |e: &&Entry| {
+        let mut batch = Vec::new();
+        for e in self.entries.iter().skip(skip) {
             bytes += ENTRY_OVERHEAD_BYTES + payload_bytes(&e.payload);
-            bytes <= max_bytes
-        };
-        self.entries_from(from).take_while(fits).cloned().collect()
-    }
-
-    fn entries_from(&self, from: u64) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().skip(from.saturating_sub(self.base.index + 1) as usize)
+            if bytes > max_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(e.clone());
+        }
+        batch
     }
 
     pub(super) fn append(&mut self, entry: Entry) {
--- a/crates/agreement/src/core/replication.rs
+++ b/crates/agreement/src/core/replication.rs
@@ -7,10 +7,6 @@
 use super::api::{ProposalResult, Role};
 use super::progress::{ProgressState, quorum_value};
 
-/// Maximum bytes of the entries in a probe. A probe is repeated with each heartbeat until the peer
-/// answers, so larger entries would be sent many times over.
-const MAX_PROBE_BYTES: usize = 4 * 1024;
-
 impl Core {
     /// Appends an entry to the leader's log.
     pub(super) fn append(&mut self, payload: Payload) -> LogPosition {
@@ -68,13 +64,7 @@
     }
 
     fn send_append(&mut self, i: usize) {
-        let (p, max_bytes) = (&self.leader_state.peers[i], self.cfg.max_append_bytes);
-        let entries = match p.state {
-            ProgressState::Probe { .. } => {
-                self.log.entries_within(p.next, max_bytes.min(MAX_PROBE_BYTES))
-            }
-            _ => self.log.batch(p.next, max_bytes),
-        };
+        let entries = self.log.batch(self.leader_state.peers[i].next, self.cfg.max_append_bytes);
         let last = entries.last().map(|e| e.position.index);
         self.send_entries(i, entries);
         let p = &mut self.leader_state.peers[i];
