node: take the second stream of a group out again

Suspected, not traced: a leader that is too slow to commit now keeps its followers, since heartbeats pass; before, it lost them and another one led.

--- a/crates/node/src/peer/agreement.rs
+++ b/crates/node/src/peer/agreement.rs
@@ -1,6 +1,4 @@
-//! Transport for messages of the replicated log, with two streams per peer and group: heartbeats,
-//! votes and answers do not wait behind entries, which may be larger than a link carries within an
-//! election timeout.
+//! Transport for messages of the replicated log, with one stream per peer and group.
 
 use std::{
     net::SocketAddr,
@@ -10,13 +8,13 @@
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use poplarspan_agreement::{FolderId, GroupId, Message, PeerMessage, ReplicaId, Transport};
+use poplarspan_agreement::{FolderId, GroupId, PeerMessage, ReplicaId, Transport};
 use poplarspan_proto::peer::AgreementBatch;
 use tokio::{sync::mpsc, time::timeout};
 
 use super::{client::PeerClient, frame};
 
-/// Maximum number of messages in one queue. Further ones are dropped; the
+/// Maximum number of messages queued for one peer and group. Further ones are dropped; the
 /// replicated log tolerates lost messages.
 const QUEUE_CAPACITY: usize = 1024;
 /// Maximum number of messages that are sent together.
@@ -24,43 +22,14 @@
 /// Maximum size of a frame that holds several messages, in bytes. A larger message gets a frame of
 /// its own.
 const MAX_BATCH_BYTES: usize = frame::MAX_FRAME_BYTES / 2;
-/// Time limit for the connection setup, and for sending a frame in addition to the time for its
-/// size. After it, the batch is dropped and the next message opens a new stream.
+/// Time limit for sending a batch, including the connection setup. After it, the batch is dropped
+/// and the next message opens a new stream.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
-/// Rate that a link is assumed to carry at least, in bytes per second: a quarter of 30 Mbit/s, the
-/// slowest link of an instance, which other groups use as well.
-const MIN_SEND_RATE: u32 = 30_000_000 / 8 / 4;
 
 /// Returns the peer address of a replica, given its number, if it is known.
 pub type ReplicaLookup = Arc<dyn Fn(u64) -> Option<SocketAddr> + Send + Sync>;
 
-type QueueKey = (ReplicaId, GroupId, Lane);
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Lane {
-    /// Small messages that must arrive within an election timeout.
-    Control,
-    /// Entries and snapshots. They stay in order: a follower rejects entries that arrive before
-    /// those that they follow.
-    Log,
-}
-
-impl Lane {
-    fn of(message: &Message) -> Self {
-        match message {
-            Message::Append { .. } | Message::SnapshotChunk { .. } => Self::Log,
-            _ => Self::Control,
-        }
-    }
-
-    /// Priority of the stream. Calls on the same connection have priority 0.
-    fn priority(self) -> i32 {
-        match self {
-            Self::Control => 1,
-            Self::Log => 0,
-        }
-    }
-}
+type QueueKey = (ReplicaId, GroupId);
 
 /// Sends messages to the other replicas. Sending never blocks, and messages may be lost.
 pub struct AgreementTransport {
@@ -96,12 +65,11 @@
 
 impl Transport for AgreementTransport {
     fn send(&self, to: ReplicaId, message: PeerMessage) {
-        let lane = Lane::of(&message.message);
-        let key = (to, message.group, lane);
+        let key = (to, message.group);
         let mut queues = self.queues.lock().expect("mutex is not poisoned");
         let i = queues.binary_search_by_key(&key, |(k, _)| *k).unwrap_or_else(|i| {
             let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
-            tokio::spawn(run_sender(self.cfg.clone(), to, lane, rx));
+            tokio::spawn(run_sender(self.cfg.clone(), to, rx));
             queues.insert(i, (key, tx));
             i
         });
@@ -111,17 +79,13 @@
     }
 }
 
-/// Sends the messages of one queue until the transport is dropped.
-async fn run_sender(
-    cfg: Arc<SenderConfig>,
-    to: ReplicaId,
-    lane: Lane,
-    mut rx: mpsc::Receiver<PeerMessage>,
-) {
+/// Sends the queued messages for one peer and group until the transport is dropped.
+async fn run_sender(cfg: Arc<SenderConfig>, to: ReplicaId, mut rx: mpsc::Receiver<PeerMessage>) {
     let mut stream = None;
     let mut batch = Vec::with_capacity(MAX_BATCH_MESSAGES);
     while rx.recv_many(&mut batch, MAX_BATCH_MESSAGES).await > 0 {
-        if send_batch(&cfg, to, lane, &mut stream, &batch).await.is_err() {
+        let sent = timeout(SEND_TIMEOUT, send_batch(&cfg, to, &mut stream, &batch)).await;
+        if !matches!(sent, Ok(Ok(()))) {
             // The next message opens a new stream. The replicated log resends lost messages.
             stream = None;
             metrics::counter!("poplarspan_agreement_dropped_total").increment(batch.len() as u64);
@@ -139,13 +103,16 @@
 async fn send_batch(
     cfg: &SenderConfig,
     to: ReplicaId,
-    lane: Lane,
     stream: &mut Option<quinn::SendStream>,
     batch: &[PeerMessage],
 ) -> Result<()> {
     let tx = match stream {
         Some(tx) => tx,
-        None => stream.insert(timeout(SEND_TIMEOUT, open_stream(cfg, to, lane)).await??),
+        None => {
+            let address = (cfg.lookup)(to.0).context("address of the replica is unknown")?;
+            let connection = cfg.client.connection(address).await?;
+            stream.insert(connection.open_uni().await?)
+        }
     };
     metrics::counter!("poplarspan_agreement_messages_total").increment(batch.len() as u64);
     let mut frame = empty_batch(cfg);
@@ -153,25 +120,11 @@
     for message in batch.iter().map(PeerMessage::encode) {
         // Several large messages together can exceed the maximum frame size.
         if bytes + message.len() > MAX_BATCH_BYTES && !frame.messages.is_empty() {
-            send_frame(tx, &std::mem::replace(&mut frame, empty_batch(cfg))).await?;
+            frame::write(tx, &std::mem::replace(&mut frame, empty_batch(cfg))).await?;
             bytes = 0;
         }
         bytes += message.len();
         frame.messages.push(message);
     }
-    send_frame(tx, &frame).await
-}
-
-async fn open_stream(cfg: &SenderConfig, to: ReplicaId, lane: Lane) -> Result<quinn::SendStream> {
-    let address = (cfg.lookup)(to.0).context("address of the replica is unknown")?;
-    let connection = cfg.client.connection(address).await?;
-    let tx = connection.open_uni().await?;
-    tx.set_priority(lane.priority())?;
-    Ok(tx)
-}
-
-async fn send_frame(tx: &mut quinn::SendStream, batch: &AgreementBatch) -> Result<()> {
-    let bytes: usize = batch.messages.iter().map(Bytes::len).sum();
-    let transfer_time = Duration::from_secs(1).mul_f64(bytes as f64 / f64::from(MIN_SEND_RATE));
-    Ok(timeout(SEND_TIMEOUT + transfer_time, frame::write(tx, batch)).await??)
+    Ok(frame::write(tx, &frame).await?)
 }
--- a/crates/node/src/peer/tls.rs
+++ b/crates/node/src/peer/tls.rs
@@ -23,7 +23,7 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(800);
 /// Maximum number of calls that a peer may have open on one connection.
 const MAX_BIDI_STREAMS: u32 = 1024;
-/// Maximum number of streams for the replicated log on one connection; there are two per group.
+/// Maximum number of streams for the replicated log on one connection; there is one per group.
 const MAX_UNI_STREAMS: u32 = 256;
 
 /// PEM files of one side of a mutual TLS connection.
