--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -109,6 +109,14 @@
         fs::create_dir(data).expect("data folder");
     }
 
+    /// When the process became the leader of a group for the last time, by its log.
+    pub fn led_at(&self) -> Option<u64> {
+        let log = fs::read_to_string(&self.log).ok()?;
+        let line = log.lines().rfind(|line| line.contains("changed to role Leader"))?;
+        let (_, after) = line.split_once("\"timestamp\":")?;
+        after.chars().take_while(char::is_ascii_digit).collect::<String>().parse().ok()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -10,6 +10,7 @@
 mod shrunk_core;
 mod stuck_lead;
 mod swept_turns;
+mod wiped_in_turn;
 
 use std::{env, path::Path, process::ExitCode, sync::Arc};
 
@@ -39,6 +40,7 @@
         "shrunk-core" => shrunk_core::run(root, &record, has_trouble),
         "stuck-lead" => stuck_lead::run(root, &record, has_trouble),
         "swept-turns" => swept_turns::run(root, &record, has_trouble),
+        "wiped-in-turn" => wiped_in_turn::run(root, &record, has_trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
