replica: silence is no proof of a lost disk

Cause: a voter was removed after 3 s of silence while three others responded, whatever number of losses is tolerated. Four of five voters were left, which need three; the frozen machine had its disk, but no vote.

A spare that is a learner is removed when the voter that it was added for is back: it would only raise the quorum.

Why it works: 2f + 1 voters keep a majority without f of them, and the silent voter that was removed is not needed for it. Until then it keeps its vote.

--- a/crates/relay/src/replica/membership.rs
+++ b/crates/relay/src/replica/membership.rs
@@ -2,18 +2,27 @@
 //!
 //! Changes are made one at a time, and none leaves the responsive voters without a majority. A
 //! replica that lost its disk returns with a new id on the same machine, and its old id is removed
-//! once the new one votes. A voter that has been silent for long is removed while enough others
-//! respond, so that the group can tolerate a further loss. It rejoins when it is back.
+//! once the new one votes.
+//!
+//! Silence does not prove that a disk is lost: a silent voter may return with everything that it
+//! acknowledged. It is removed only if the voters that remain, responsive or not, keep a majority
+//! without as many disks as the settings allow to be lost. A group of the smallest such size first
+//! needs a spare that votes; without one, the silent voter stays. It rejoins when it is back.
+//!
+//! The spare is not put in the place of a silent voter in one step: a majority that includes the
+//! silent voter would not overlap with one that includes the spare. The number of voters is even in
+//! between, which raises the quorum by one, as it does the number of voters that can form it.
 
 use std::{net::Ipv4Addr, time::Duration};
 
 use poplarspan_agreement::ReplicaId;
 
-/// A voter that has been silent for this long may be removed. This is longer than an election or a
-/// restart, and short enough that a replaced machine is removed before the next one may be lost.
+/// A voter that has been silent for this long may be removed if the others bear it. This is longer
+/// than an election or a restart, and short enough that a replaced machine is removed before the
+/// next one may be lost.
 const SILENT_VOTER_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// The old id of a machine that has a new one is removed after this much silence.
-const REPLACED_VOTER_TIMEOUT: Duration = Duration::from_millis(500);
+/// A member that has not responded for this long counts as unresponsive; several heartbeats.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Minimum time that a leader keeps its role before leadership returns to the preferred machine;
 /// several times the length of an election.
 const LEADER_RETURN_DELAY: Duration = Duration::from_secs(5);
@@ -37,6 +46,8 @@
     pub joining: Vec<ReplicaId>,
     /// Replicas that are being drained.
     pub retiring: Vec<ReplicaId>,
+    /// Number of disks whose loss the group must bear at any time.
+    pub tolerated_losses: usize,
     /// Learners whose last promotion failed because their log lagged behind.
     pub lagging: Vec<ReplicaId>,
     /// Machine whose replica should lead while it is a voter.
@@ -80,7 +91,7 @@
     }
 
     fn is_responsive(&self, id: ReplicaId) -> bool {
-        self.time_since_contact(id) < REPLACED_VOTER_TIMEOUT
+        self.time_since_contact(id) < RESPONSE_TIMEOUT
     }
 
     fn responsive_voters(&self) -> usize {
@@ -93,19 +104,45 @@
         self.voters.iter().filter(stays).count()
     }
 
+    /// Whether so many voters keep a majority without the disks whose loss is tolerated.
+    fn bear_losses(&self, voters: usize) -> bool {
+        voters >= MIN_VOTERS.max(2 * self.tolerated_losses + 1)
+    }
+
+    /// Voters whose disk is not known to be lost.
+    fn intact_voters(&self) -> impl Iterator<Item = ReplicaId> {
+        let is_lost = |id: ReplicaId| {
+            let mut members = self.voters.iter().chain(&self.learners);
+            !self.is_responsive(id) && members.any(|m| *m != id && machine(*m) == machine(id))
+        };
+        self.voters.iter().copied().filter(move |id| !is_lost(*id))
+    }
+
+    /// The voter whose disk was lost with the former folder of a replica's machine.
+    fn predecessor(&self, id: ReplicaId) -> Option<ReplicaId> {
+        let is_former = |v: &&ReplicaId| **v != id && machine(**v) == machine(id);
+        self.voters.iter().find(is_former).copied()
+    }
+
+    /// Promotes a learner that replaces a lost disk, or a spare while a voter is missing. A spare
+    /// that is no longer needed, because the voter is back, is removed: a further voter would only
+    /// raise the quorum.
     fn promotion(&self) -> Option<MembershipChange> {
         let ready = |id: &&ReplicaId| self.is_responsive(**id) && !self.lagging.contains(id);
-        self.learners.iter().find(ready).map(|id| MembershipChange::Promote(*id))
+        let learner = *self.learners.iter().find(ready)?;
+        if self.predecessor(learner).is_some() || self.remaining_voters() < TARGET_VOTERS {
+            Some(MembershipChange::Promote(learner))
+        } else {
+            Some(MembershipChange::Remove(learner))
+        }
     }
 
     fn removal(&self) -> Option<MembershipChange> {
-        let is_replaced = |id: ReplicaId| {
-            let same = |other: &ReplicaId| *other != id && machine(*other) == machine(id);
-            self.time_since_contact(id) >= REPLACED_VOTER_TIMEOUT && self.voters.iter().any(same)
-        };
+        let is_replaced = |id: ReplicaId| !self.is_responsive(id) && self.predecessor(id).is_some();
         let is_silent = |id: ReplicaId| {
             self.time_since_contact(id) >= SILENT_VOTER_TIMEOUT
                 && self.responsive_voters() >= MIN_VOTERS
+                && self.bear_losses(self.intact_voters().filter(|v| *v != id).count())
         };
         let gone = self.voters.iter().find(|id| is_replaced(**id) || is_silent(**id));
         let idle = |id: &&ReplicaId| {
@@ -143,6 +180,10 @@
         if remaining.len() < MIN_VOTERS || !is_majority || !self.learners.is_empty() {
             return None;
         }
+        let staying = self.intact_voters().filter(|v| !self.retiring.contains(v));
+        if !self.bear_losses(staying.count()) {
+            return None;
+        }
         if *retiring != self.self_id {
             return Some(MembershipChange::Remove(*retiring));
         }
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -33,7 +33,7 @@
 use poplarspan_proto::peer::{self, FailureCode, request, response};
 use tokio::time::{Instant, sleep};
 
-use crate::LostSegment;
+use crate::{LostSegment, Settings};
 use membership::{Members, MembershipChange, TARGET_VOTERS, machine};
 
 /// How long a join request is valid. Replicas repeat it more often than that.
@@ -259,6 +259,8 @@
     /// Replicas that asked to join, with the time of their last request.
     joining: Mutex<Vec<(ReplicaId, Instant)>>,
     goals: Mutex<MembershipGoals>,
+    /// Number of lost disks that the group must bear at any time.
+    tolerated_losses: usize,
     /// Holds the lock on the folder.
     _dir: Arc<DataDir>,
 }
@@ -273,14 +275,16 @@
 }
 
 impl Replica {
-    /// Starts the replicas of all groups in a folder. All members listen on `peer_port`.
+    /// Starts the replicas of all groups in a folder. All members listen on the peer port of the
+    /// settings.
     pub(crate) async fn start(
         folder: ReplicaFolder,
         groups: Vec<GroupStart>,
-        peer_port: u16,
+        settings: &Settings,
         client: PeerClient,
         clock: Arc<dyn Clock>,
     ) -> Result<Vec<Arc<Self>>> {
+        let peer_port = settings.peer_address().port();
         let (initial_voters, states): (Vec<_>, Vec<_>) =
             groups.into_iter().map(|g| (g.initial_voters, g.state)).unzip();
         let store = folder.open_log_when_space(&initial_voters).await?;
@@ -322,6 +326,7 @@
                 handle,
                 joining: Mutex::default(),
                 goals: Mutex::default(),
+                tolerated_losses: settings.tolerated_losses,
                 _dir: dir.clone(),
             }))
         };
@@ -462,6 +467,7 @@
             last_contact: core.last_contact,
             joining: joining.map(|(id, _)| *id).collect(),
             retiring: goals.retiring,
+            tolerated_losses: self.tolerated_losses,
             lagging: lagging.iter().map(|(id, _)| *id).collect(),
             preferred_leader: goals.preferred_leader,
             time_as_leader,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -142,10 +142,6 @@
         ReplicaFolder::open_when_space(path, self.settings.ip, is_bootstrap_member).await
     }
 
-    fn peer_port(&self) -> u16 {
-        self.settings.peer_address().port()
-    }
-
     async fn start_control(mut self) -> Result<RunningInstance> {
         let settings = self.settings.clone();
         let is_bootstrap_member = settings.is_bootstrap && settings.seeds.contains(&settings.ip);
@@ -155,7 +151,7 @@
         let initial_voters = if is_bootstrap_member { initial_voters } else { Vec::new() };
         let group = GroupStart { initial_voters, state: Box::<ControlState>::default() };
         let (client, clock) = (self.client.clone(), self.clock.clone());
-        let replicas = Replica::start(folder, vec![group], self.peer_port(), client, clock).await?;
+        let replicas = Replica::start(folder, vec![group], &settings, client, clock).await?;
         let replica = replicas.into_iter().next().context("control group has no replica")?;
         let control = Control::new(
             settings.clone(),
@@ -370,9 +366,8 @@
 impl StoreMember {
     async fn run(self, folder: ReplicaFolder, stop: CancellationToken) -> Result<()> {
         let groups = self.groups(&folder).await?;
-        let port = self.settings.peer_address().port();
         let (client, clock) = (self.client.clone(), self.clock.clone());
-        let replicas = Replica::start(folder, groups, port, client, clock).await?;
+        let replicas = Replica::start(folder, groups, &self.settings, client, clock).await?;
         self.store.set_replicas(replicas.clone());
         let mut supervisor = Supervisor::new(stop);
         for replica in &replicas {
--- a/crates/relay/tests/member_changes.rs
+++ b/crates/relay/tests/member_changes.rs
@@ -21,6 +21,7 @@
         last_contact: Vec::new(),
         joining: Vec::new(),
         retiring: Vec::new(),
+        tolerated_losses: 1,
         lagging: Vec::new(),
         preferred_leader: None,
         time_as_leader: LONG,
