agreement: a leader whose successor does not take over ends its term

Cause: a leader releases its lease for the rest of its term when it orders its successor to campaign. The successor had just been killed; the transfer was abandoned after 600 ms, and the leader went on in the same term without a lease. Its heartbeats kept the others from campaigning.

Change: a transfer that is not completed by its deadline ends the term. The leader asks for votes in the next one; voters grant them at once, because the lease that they would wait for is the released one. The order is sent only to a voter that has answered a heartbeat sent after the transfer began, a planned stop and a stalled disk prefer voters that respond, and leadership returns to the preferred machine only after it has responded for 5 s. Time without a leader that may serve is counted and logged with its reason.

Why it works: the lease stays released, since a delayed order may still make a leader in that term, but the term has a bound. In the next term at most one replica leads, with a lease of its own.

Tests: each play of `core_interleavings` now ends with a leader that holds a lease. `lost_successor` and `successor_answers_first` play the order of events. `lease_limits` asked for the order to campaign at once, before any answer, which is a part of the fault; it now asks for the lease until the answer, the order with it, and no lease after it, whoever answers.

--- a/crates/agreement/src/core/election.rs
+++ b/crates/agreement/src/core/election.rs
@@ -134,7 +134,9 @@
         self.count_pre_vote(self.cfg.id, true);
     }
 
-    fn campaign(&mut self, transfer: bool) {
+    /// Asks for votes in the next term. With `transfer`, voters do not wait for the lease of the
+    /// leader that they know, which has released it.
+    pub(super) fn campaign(&mut self, transfer: bool) {
         self.reset_election_timer();
         self.role = Role::Candidate;
         self.leader = None;
@@ -244,7 +246,10 @@
             return;
         }
         if self.leader_state.transfer.as_ref().is_some_and(|t| self.now >= t.deadline) {
-            self.leader_state.transfer = None;
+            self.abandon_transfer();
+            if self.role != Role::Leader {
+                return;
+            }
         }
         self.leader_state.drop_removed_peers(self.now.checked_sub(self.cfg.election_timeout_max));
         if self.now >= self.leader_state.next_heartbeat {
--- a/crates/agreement/src/core/membership.rs
+++ b/crates/agreement/src/core/membership.rs
@@ -1,13 +1,13 @@
 //! Membership changes and leadership transfers.
 
-use log::info;
+use log::{info, warn};
 
 use crate::message::Message;
 use crate::types::{Membership, Payload, ReplicaId};
 
 use super::Core;
 use super::api::{MembershipChange, MembershipChangeError, ProposalResult, Role};
-use super::progress::LeadershipTransfer;
+use super::progress::{LeadershipTransfer, Progress};
 
 impl Core {
     pub(super) fn change_membership(&mut self, change: MembershipChange, request_id: u64) {
@@ -92,24 +92,42 @@
             && self.voters().contains(&to);
         if possible {
             let deadline = self.now + self.cfg.election_timeout_max;
-            self.leader_state.transfer = Some(LeadershipTransfer { to, deadline, sent: false });
-            self.continue_transfer();
+            let round = self.leader_state.round + 1;
+            self.leader_state.transfer =
+                Some(LeadershipTransfer { to, round, deadline, sent: false });
+            self.broadcast_heartbeat();
         }
     }
 
-    /// Tells the target of a transfer to campaign once it has the whole log. The lease is released
-    /// first, because voters may elect the target although they have just heard from this leader.
+    /// Tells the target of a transfer to campaign once it has answered and has the whole log. The
+    /// lease is released first, because voters may elect the target although they have just heard
+    /// from this leader.
     pub(super) fn continue_transfer(&mut self) {
         let last = self.log.last().index;
         let Some(t) = &mut self.leader_state.transfer else { return };
-        let to = t.to;
-        if t.sent || self.leader_state.peers.iter().all(|p| p.id != to || p.matched < last) {
+        let (to, round) = (t.to, t.round);
+        let is_ready = |p: &Progress| p.id == to && p.acked_round >= round && p.matched >= last;
+        if t.sent || !self.leader_state.peers.iter().any(is_ready) {
             return;
         }
         t.sent = true;
         self.leader_state.lease_released = true;
         self.send(to, Message::TimeoutNow { term: self.hard_state.term });
     }
+
+    /// Abandons a transfer that is not completed in time. If the target was told to campaign, this
+    /// replica cannot serve in its term any more. It asks for votes in the next one, at once: the
+    /// lease that voters would wait for is its own, and it has been released.
+    pub(super) fn abandon_transfer(&mut self) {
+        let Some(t) = self.leader_state.transfer.take() else { return };
+        if !t.sent {
+            return;
+        }
+        let (id, term) = (self.cfg.id.0, self.hard_state.term);
+        warn!("replica {id}: replica {} did not take over; ending term {term}", t.to.0);
+        self.become_follower(term, None);
+        self.campaign(true);
+    }
 }
 
 fn insert(ids: &mut Vec<ReplicaId>, id: ReplicaId) -> bool {
--- a/crates/agreement/src/core/progress.rs
+++ b/crates/agreement/src/core/progress.rs
@@ -112,6 +112,9 @@
 #[derive(Debug)]
 pub(super) struct LeadershipTransfer {
     pub(super) to: ReplicaId,
+    /// Heartbeat round that the target must answer first. An earlier answer may be the last one of a
+    /// process that has ended.
+    pub(super) round: u64,
     /// When the transfer is abandoned.
     pub(super) deadline: Duration,
     /// Whether `TimeoutNow` has been sent.
@@ -136,7 +139,8 @@
     pub(super) pending_reads: VecDeque<PendingRead>,
     pub(super) transfer: Option<LeadershipTransfer>,
     /// Set for the rest of the term once `TimeoutNow` has been sent: a delayed or duplicated copy
-    /// of it may let another replica win an election at any time.
+    /// of it may let another replica win an election at any time. The term ends with the transfer's
+    /// deadline.
     pub(super) lease_released: bool,
 }
 
--- a/crates/agreement/src/core/replication.rs
+++ b/crates/agreement/src/core/replication.rs
@@ -238,5 +238,6 @@
         }
         self.leader_state.drop_removed_peers(None);
         self.complete_reads();
+        self.continue_transfer();
     }
 }
--- a/crates/agreement/src/driver/group.rs
+++ b/crates/agreement/src/driver/group.rs
@@ -13,7 +13,7 @@
 use crate::{
     Core, CoreConfig, Entry, GroupId, InitialState, Input, LogPosition, Membership, Message,
     Output, Payload, PeerMessage, PersistRequest, ProposalResult, ReadResult, ReplicaId, Role,
-    SavedState, Snapshot, SnapshotSource, StoredGroup, SyncFiles,
+    SavedState, Snapshot, SnapshotSource, Status, StoredGroup, SyncFiles,
 };
 
 /// Pause after a snapshot that could not be taken, usually because the disk is full.
@@ -245,18 +245,26 @@
         Ok(())
     }
 
-    /// Transfers leadership to the voter with the most complete log.
+    /// The voter to which leadership is best transferred, with its last matching index: the one
+    /// with the most complete log among those that respond, or among all if none does.
+    fn heir(&self, status: &Status) -> Option<(ReplicaId, u64)> {
+        let responds = |id: ReplicaId| {
+            let contact = status.last_contact.iter().find(|(peer, _)| *peer == id);
+            contact.is_some_and(|(_, elapsed)| *elapsed < self.cfg.election_timeout_min)
+        };
+        let voters = status.peers.iter().filter(|(id, _)| status.membership.voters.contains(id));
+        voters.max_by_key(|(id, matched)| (responds(*id), *matched)).copied()
+    }
+
+    /// Transfers leadership to the responsive voter with the most complete log.
     pub(crate) fn transfer_to_most_complete(
         &mut self,
         now: Duration,
         work: &mut StorageWork,
     ) -> Result<(), NodeError> {
         let status = self.core.status();
-        let voters = &status.membership.voters;
-        let best = status.peers.iter().filter(|(id, _)| voters.contains(id)).max_by_key(|p| p.1);
-        let Some(&(to, _)) = best.filter(|_| status.role.role == Role::Leader) else {
-            return Ok(());
-        };
+        let heir = self.heir(&status).filter(|_| status.role.role == Role::Leader);
+        let Some((to, _)) = heir else { return Ok(()) };
         self.step(now, Input::TransferLeadership { to }, work)
     }
 
@@ -273,9 +281,7 @@
             return Ok(());
         }
         let is_synced = status.stable == status.last.index;
-        let voters = &status.membership.voters;
-        let voters = status.peers.iter().filter(|(id, _)| voters.contains(id));
-        let Some(&(to, matched)) = voters.max_by_key(|p| p.1) else { return Ok(()) };
+        let Some((to, matched)) = self.heir(&status) else { return Ok(()) };
         if matched < status.stable || (matched == status.stable && !is_synced) {
             return Ok(());
         }
--- a/crates/agreement/tests/core_rules.rs
+++ b/crates/agreement/tests/core_rules.rs
@@ -195,9 +195,13 @@
     let ready = core.step(ms(1249), Input::Read { request_id: 1 });
     assert_eq!(ready.reads, [(1, ReadResult::Ready { index: 1 })]);
     let out = core.step(ms(1249), Input::TransferLeadership { to: A });
+    assert!(!orders_campaign(&out));
+    assert!(core.lease_valid(ms(1249)));
+    let out = receive(&mut core, 1249, A, Message::HeartbeatAnswer { term, round: 2 });
     assert_eq!(out.messages, [(A, Message::TimeoutNow { term })]);
     assert!(!core.lease_valid(ms(1249)));
-    receive(&mut core, 1250, A, Message::HeartbeatAnswer { term, round: 1 });
+    receive(&mut core, 1250, A, Message::HeartbeatAnswer { term, round: 2 });
+    receive(&mut core, 1250, B, Message::HeartbeatAnswer { term, round: 2 });
     assert!(!core.lease_valid(ms(1250)));
 }
 
@@ -376,3 +380,67 @@
     let heartbeat = Message::HeartbeatAnswer { term, round: 20 };
     assert_eq!(entries_to_a(&receive(&mut core, 2000, A, heartbeat)), 0);
 }
+
+/// Answers the last heartbeat round of a leader from `from`.
+fn heartbeat_answered(core: &mut Core, now: u64, from: ReplicaId, out: &Output) -> Output {
+    let round = out.messages.iter().find_map(|(to, message)| match message {
+        Message::Heartbeat { term, round, .. } if *to == from => Some((*term, *round)),
+        _ => None,
+    });
+    let (term, round) = round.expect("a heartbeat");
+    receive(core, now, from, Message::HeartbeatAnswer { term, round })
+}
+
+fn orders_campaign(out: &Output) -> bool {
+    answers(out).iter().any(|m| matches!(m, Message::TimeoutNow { .. }))
+}
+
+/// Guards against a leader that gives its lease up for a process that has ended: the target must
+/// answer a heartbeat that was sent after the transfer began.
+#[test]
+fn successor_answers_first() {
+    let mut core = replica(3, 1, &[1]);
+    let term = lead(&mut core);
+    matched(&mut core, 1001, A, term, 2);
+    let out = core.step(ms(1002), Input::TransferLeadership { to: A });
+    assert!(!orders_campaign(&out), "A has not answered since");
+    let out = heartbeat_answered(&mut core, 1003, A, &out);
+    assert!(orders_campaign(&out));
+}
+
+/// Guards against a leader that stays in its term without a lease, so that nobody serves, because
+/// its successor ended after it had been told to campaign.
+#[test]
+fn lost_successor() {
+    let mut core = replica(3, 1, &[1]);
+    let term = lead(&mut core);
+    matched(&mut core, 1001, A, term, 2);
+    let out = core.step(ms(1002), Input::TransferLeadership { to: A });
+    heartbeat_answered(&mut core, 1002, B, &out);
+    assert!(orders_campaign(&heartbeat_answered(&mut core, 1003, A, &out)));
+    let limit = 1002 + CoreConfig::new(A, 7).election_timeout_max.as_millis() as u64;
+    for now in (1010..=limit).step_by(10) {
+        let out = core.step(ms(now), Input::Tick);
+        if answers(&out).iter().any(|m| matches!(m, Message::Heartbeat { .. })) {
+            heartbeat_answered(&mut core, now, B, &out);
+        }
+        assert!(!core.lease_valid(ms(now)), "A may lead");
+    }
+    let mut out = core.step(ms(limit + 10), Input::Tick);
+    assert_eq!(core.status().role.term, term + 1, "the leader goes on without a lease");
+    while let Some(persist) = out.persist.take() {
+        out = core.step(ms(limit + 10), Input::Synced { sequence: persist.sequence });
+    }
+    let asks = |m: &Message| matches!(m, Message::Vote { transfer: true, .. });
+    assert!(answers(&out).iter().any(|m| asks(m)), "votes are asked for at once");
+    let mut out =
+        receive(&mut core, limit + 11, B, Message::VoteAnswer { term: term + 1, granted: true });
+    assert_eq!(core.status().role.role, Role::Leader);
+    while let Some(persist) = out.persist.take() {
+        core.step(ms(limit + 11), Input::Synced { sequence: persist.sequence });
+    }
+    matched(&mut core, limit + 12, B, term + 1, 3);
+    let out = core.step(ms(limit + 100), Input::Tick);
+    heartbeat_answered(&mut core, limit + 101, B, &out);
+    assert!(core.lease_valid(ms(limit + 102)));
+}
--- a/crates/agreement/tests/harness/mod.rs
+++ b/crates/agreement/tests/harness/mod.rs
@@ -372,7 +372,10 @@
                 self.propose(leader);
                 let acked = self.oracle.acked_index();
                 self.run_without_faults(ms(100));
-                if self.oracle.acked_index() > acked && self.all_caught_up(leader) {
+                if self.oracle.acked_index() > acked
+                    && self.all_caught_up(leader)
+                    && self.may_serve(leader)
+                {
                     return self.check_stable(leader);
                 }
             }
@@ -380,6 +383,14 @@
         panic!("the group did not recover: {:#?}", self.statuses());
     }
 
+    /// Whether a leader serves reads by its lease, if the configuration has leases.
+    fn may_serve(&self, leader: usize) -> bool {
+        let sim = &self.replicas[leader];
+        let has_leases = sim.cfg.drift_margin < sim.cfg.election_timeout_min;
+        let now = self.clock(leader);
+        !has_leases || sim.core.as_ref().is_some_and(|core| core.lease_valid(now))
+    }
+
     /// Checks that a leader stays in office without faults; removed replicas must not disturb it.
     fn check_stable(&mut self, leader: usize) {
         let role = |c: &Self| c.replicas[leader].core.as_ref().map(|core| core.status().role);
--- a/crates/relay/src/replica/membership.rs
+++ b/crates/relay/src/replica/membership.rs
@@ -23,8 +23,9 @@
 const SILENT_VOTER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// A member that has not responded for this long counts as unresponsive; several heartbeats.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Minimum time that a leader keeps its role before leadership returns to the preferred machine;
-/// several times the length of an election.
+/// Minimum time that a leader keeps its role before leadership returns to the preferred machine,
+/// and that this machine has responded without a pause: one that has just started may end again.
+/// Several times the length of an election.
 const LEADER_RETURN_DELAY: Duration = Duration::from_secs(5);
 /// Number of voters that a group aims for, so that it tolerates the loss of two.
 pub(crate) const TARGET_VOTERS: usize = 5;
@@ -42,6 +43,8 @@
     pub learners: Vec<ReplicaId>,
     /// Time since each other member last responded.
     pub last_contact: Vec<(ReplicaId, Duration)>,
+    /// How long other members have responded without a pause. Empty for those that do not.
+    pub responsive_for: Vec<(ReplicaId, Duration)>,
     /// Replicas that recently asked to become voters.
     pub joining: Vec<ReplicaId>,
     /// Replicas that are being drained.
@@ -90,10 +93,14 @@
         found.map_or(Duration::ZERO, |(_, elapsed)| *elapsed)
     }
 
-    fn is_responsive(&self, id: ReplicaId) -> bool {
+    pub(crate) fn is_responsive(&self, id: ReplicaId) -> bool {
         self.time_since_contact(id) < RESPONSE_TIMEOUT
     }
 
+    fn has_been_responsive(&self, id: ReplicaId, time: Duration) -> bool {
+        self.responsive_for.iter().any(|(r, elapsed)| *r == id && *elapsed >= time)
+    }
+
     fn responsive_voters(&self) -> usize {
         self.voters.iter().filter(|id| self.is_responsive(**id)).count()
     }
@@ -203,7 +210,9 @@
             return None;
         }
         let is_preferred = |id: &&ReplicaId| {
-            machine(**id) == preferred && self.is_responsive(**id) && !self.retiring.contains(id)
+            machine(**id) == preferred
+                && self.has_been_responsive(**id, LEADER_RETURN_DELAY)
+                && !self.retiring.contains(id)
         };
         self.voters.iter().find(is_preferred).map(|id| MembershipChange::HandOver(*id))
     }
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -8,6 +8,7 @@
 //! The durable state is the folder with the replicated logs. Join requests are only kept in the
 //! leader's memory; replicas repeat them.
 
+mod gap;
 pub(crate) mod membership;
 
 use std::{
@@ -34,6 +35,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{LostSegment, Settings};
+use gap::ServiceGap;
 use membership::{Members, MembershipChange, TARGET_VOTERS, machine};
 
 /// How long a join request is valid. Replicas repeat it more often than that.
@@ -415,17 +417,28 @@
     /// Adds, promotes and removes members while this replica leads.
     pub(crate) async fn run_membership(self: Arc<Self>) -> Result<()> {
         let mut lagging: Vec<(ReplicaId, Instant)> = Vec::new();
+        let mut responsive: Vec<(ReplicaId, Instant)> = Vec::new();
         let mut leader_since = None;
+        let mut gap = ServiceGap::new(self.group.0);
         loop {
             sleep(MEMBERSHIP_INTERVAL).await;
+            gap.check(*self.handle.watch().borrow());
             if self.leads().is_none() {
                 leader_since = None;
+                responsive.clear();
                 continue;
             }
             let now = Instant::now();
             lagging.retain(|(_, until)| now < *until);
             let time_as_leader = now - *leader_since.get_or_insert(now);
-            let Some(members) = self.members(&lagging, time_as_leader).await else { continue };
+            let Some(mut members) = self.members(&lagging, time_as_leader).await else { continue };
+            responsive.retain(|(id, _)| members.is_responsive(*id));
+            for (id, _) in &members.last_contact {
+                if members.is_responsive(*id) && responsive.iter().all(|(r, _)| r != id) {
+                    responsive.push((*id, now));
+                }
+            }
+            members.responsive_for = responsive.iter().map(|(id, at)| (*id, now - *at)).collect();
             let Some(change) = members.next_change() else { continue };
             let (group, name) = (self.group.0, format!("{change:?}"));
             match self.apply(change).await {
@@ -465,6 +478,7 @@
             voters: core.membership.voters,
             learners: core.membership.learners,
             last_contact: core.last_contact,
+            responsive_for: Vec::new(),
             joining: joining.map(|(id, _)| *id).collect(),
             retiring: goals.retiring,
             tolerated_losses: self.tolerated_losses,
--- a/crates/relay/tests/member_changes.rs
+++ b/crates/relay/tests/member_changes.rs
@@ -19,6 +19,7 @@
         voters: voters.to_vec(),
         learners: Vec::new(),
         last_contact: Vec::new(),
+        responsive_for: Vec::new(),
         joining: Vec::new(),
         retiring: Vec::new(),
         tolerated_losses: 1,
@@ -110,19 +111,27 @@
 }
 
 /// Leadership returns to the preferred machine, but not soon after an election and not to a machine
-/// that is unresponsive or being drained.
+/// that is unresponsive, has just started or is being drained.
 #[test]
 fn back_home() {
     let voters: Vec<_> = (1..=5).map(|n| id(n, 0)).collect();
     let mut m = members(&voters);
     m.preferred_leader = Some(Ipv4Addr::new(10, 0, 0, 2));
+    m.responsive_for = vec![(voters[1], Duration::from_secs(1))];
+    assert_eq!(m.next_change(), None, "it may end again");
+    m.responsive_for = vec![(voters[1], LONG)];
     assert_eq!(m.next_change(), Some(MembershipChange::HandOver(voters[1])));
     m.time_as_leader = Duration::from_millis(500);
     assert_eq!(m.next_change(), None);
     m.time_as_leader = LONG;
     m.last_contact = vec![(voters[1], Duration::from_secs(1))];
+    m.responsive_for.clear();
     assert_eq!(m.next_change(), None);
     m.last_contact.clear();
+    m.responsive_for = vec![(voters[1], LONG)];
+    m.retiring = vec![voters[1]];
+    assert_ne!(m.next_change(), Some(MembershipChange::HandOver(voters[1])));
+    m.retiring.clear();
     m.self_id = voters[1];
     assert_eq!(m.next_change(), None);
 }
--- a/crates/relay/tests/tolerated_losses.rs
+++ b/crates/relay/tests/tolerated_losses.rs
@@ -131,6 +131,7 @@
             voters: self.voters.clone(),
             learners: self.learners.clone(),
             last_contact: voters.map(contact).collect(),
+            responsive_for: Vec::new(),
             joining: self.machines.iter().filter(asks).map(|m| m.id).collect(),
             retiring: self.retiring.clone(),
             tolerated_losses: self.tolerated,
