stores: entries expire by the group's time, not when they are removed

A command that continued an expired turn found it at the leader and not at the others; the caller got the leader's answer. Accounts with their budgets and origins of streams had the same fault.

Change: an entry is gone once the group's time has passed its expiry, whether or not it has been removed. A removal only frees memory.

Replicas of the former and of this build would differ while an expired entry has not been removed at the former. Once a minute, replicas compare digests of their states, and count and log differences.

--- a/crates/agreement/src/driver/node.rs
+++ b/crates/agreement/src/driver/node.rs
@@ -78,6 +78,7 @@
             replica: self.replica,
             handles,
             inbox: Inbox::new(self.peers, message_tx),
+            peer_rules: Mutex::default(),
             stop: stop_tx,
             failure,
         })
@@ -90,6 +91,8 @@
     /// Sorted by group.
     handles: Vec<GroupHandle>,
     inbox: Arc<Inbox>,
+    /// Versions of the rules for commands that peers last announced, sorted by peer.
+    peer_rules: Mutex<Vec<(ReplicaId, u32)>>,
     stop: mpsc::Sender<StopRequest>,
     failure: watch::Receiver<Option<NodeError>>,
 }
@@ -123,6 +126,22 @@
         self.inbox.deliver(from, from_folder, message);
     }
 
+    /// Records the highest version of the rules for commands that a peer's build knows.
+    pub fn record_rules(&self, from: ReplicaId, rules: u32) {
+        let mut known = lock(&self.peer_rules);
+        match known.binary_search_by_key(&from, |(id, _)| *id) {
+            Ok(i) => known[i].1 = rules,
+            Err(i) => known.insert(i, (from, rules)),
+        }
+    }
+
+    /// Returns the version that `record_rules` last recorded for a peer, or `None` if the peer has
+    /// not been heard of since the start.
+    pub fn rules_of(&self, id: ReplicaId) -> Option<u32> {
+        let known = lock(&self.peer_rules);
+        known.binary_search_by_key(&id, |(peer, _)| *peer).ok().map(|i| known[i].1)
+    }
+
     /// Waits until the node has failed or stopped.
     pub async fn failed(&self) -> NodeError {
         let mut failure = self.failure.clone();
--- a/crates/node/src/peer/agreement.rs
+++ b/crates/node/src/peer/agreement.rs
@@ -43,22 +43,26 @@
     folder: FolderId,
     /// Peer address of `replica`, for peers that do not know it yet. Empty if it is not announced.
     address: String,
+    /// Announced in each batch.
+    rules: u32,
     client: PeerClient,
     lookup: ReplicaLookup,
 }
 
 impl AgreementTransport {
     /// Returns a transport for `replica`, whose data folder is `folder`. If `address` is set, each
-    /// batch announces it as the peer address of the replica.
+    /// batch announces it as the peer address of the replica. `rules` is the highest version of the
+    /// rules for commands that this build knows; 0 if it has only one.
     pub fn new(
         replica: ReplicaId,
         folder: FolderId,
         address: Option<SocketAddr>,
+        rules: u32,
         client: PeerClient,
         lookup: ReplicaLookup,
     ) -> Arc<Self> {
         let address = address.map(|a| a.to_string()).unwrap_or_default();
-        let cfg = Arc::new(SenderConfig { replica, folder, address, client, lookup });
+        let cfg = Arc::new(SenderConfig { replica, folder, address, rules, client, lookup });
         Arc::new(Self { cfg, queues: Mutex::default() })
     }
 }
@@ -97,7 +101,8 @@
 fn empty_batch(cfg: &SenderConfig) -> AgreementBatch {
     let folder = Bytes::copy_from_slice(&cfg.folder.0.to_be_bytes());
     let address = cfg.address.clone();
-    AgreementBatch { from: cfg.replica.0, folder, messages: Vec::new(), address }
+    let (from, rules) = (cfg.replica.0, cfg.rules);
+    AgreementBatch { from, folder, messages: Vec::new(), address, rules }
 }
 
 async fn send_batch(
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -57,6 +57,7 @@
     fn deliver(&self, batch: AgreementBatch) {
         let Ok(folder) = <[u8; 16]>::try_from(&batch.folder[..]) else { return };
         let folder = FolderId(u128::from_be_bytes(folder));
+        self.record_rules(ReplicaId(batch.from), batch.rules);
         for message in batch.messages {
             match PeerMessage::decode(message) {
                 Ok(message) => Self::deliver(self, ReplicaId(batch.from), folder, message),
--- a/crates/proto/src/gen/poplarspan.peer.v1.rs
+++ b/crates/proto/src/gen/poplarspan.peer.v1.rs
@@ -529,6 +529,9 @@
     /// Peer address of the sender. Empty if the receivers derive it from the replica number.
     #[prost(string, tag = "4")]
     pub address: ::prost::alloc::string::String,
+    /// Highest version of the rules for commands that the sender knows.
+    #[prost(uint32, tag = "5")]
+    pub rules: u32,
 }
 /// Sent by the leader of group 0 to the leader of another group, to replace one of its voters.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -936,6 +939,9 @@
     pub replica: u64,
     #[prost(uint32, tag = "2")]
     pub group: u32,
+    /// Highest version of the rules for commands that the replica knows.
+    #[prost(uint32, tag = "3")]
+    pub rules: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Joined {
--- a/crates/proto/src/gen/poplarspan.relay.v1.rs
+++ b/crates/proto/src/gen/poplarspan.relay.v1.rs
@@ -174,6 +174,22 @@
     pub settle: ::prost::alloc::vec::Vec<Settle>,
     #[prost(message, repeated, tag = "4")]
     pub streams: ::prost::alloc::vec::Vec<StreamOrigin>,
+    /// Version of the rules by which this command and all later ones are applied. A lower version than
+    /// an earlier command's changes nothing. Set once all members of the group know the version.
+    #[prost(uint32, tag = "5")]
+    pub rules: u32,
+    /// Digest of the state for comparison by the other replicas.
+    #[prost(message, optional, tag = "6")]
+    pub digest: ::core::option::Option<StateDigest>,
+}
+/// Digest of the state of a group.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StateDigest {
+    /// Index of the command after which it was computed.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub digest: ::prost::bytes::Bytes,
 }
 /// Reserves tokens of the budget of a program.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -275,6 +291,9 @@
     pub turns: ::prost::alloc::vec::Vec<Turn>,
     #[prost(message, repeated, tag = "4")]
     pub streams: ::prost::alloc::vec::Vec<StreamOrigin>,
+    /// Version of the rules in force.
+    #[prost(uint32, tag = "5")]
+    pub rules: u32,
 }
 /// Token account of a program.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -16,7 +16,10 @@
     io::Write,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -34,7 +37,7 @@
 use poplarspan_proto::peer::{self, FailureCode, request, response};
 use tokio::time::{Instant, sleep};
 
-use crate::{LostSegment, Settings};
+use crate::{LostSegment, Settings, turns::COMMAND_RULES};
 use gap::ServiceGap;
 use membership::{Members, MembershipChange, TARGET_VOTERS, machine};
 
@@ -258,8 +261,10 @@
     peer_port: u16,
     node: Arc<Node>,
     handle: GroupHandle,
-    /// Replicas that asked to join, with the time of their last request.
-    joining: Mutex<Vec<(ReplicaId, Instant)>>,
+    /// Replicas that asked to join.
+    joining: Mutex<Vec<JoinRequest>>,
+    /// Version of the rules for commands that all members know, while this replica leads.
+    common_rules: AtomicU32,
     goals: Mutex<MembershipGoals>,
     /// Number of lost disks that the group must bear at any time.
     tolerated_losses: usize,
@@ -267,6 +272,15 @@
     _dir: Arc<DataDir>,
 }
 
+/// The last request of a replica to join.
+#[derive(Clone, Copy, Debug)]
+struct JoinRequest {
+    replica: ReplicaId,
+    /// Highest version of the rules for commands that the replica knows.
+    rules: u32,
+    at: Instant,
+}
+
 /// Desired membership of a group.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct MembershipGoals {
@@ -294,7 +308,8 @@
         let id = folder.replica();
         let find: ReplicaLookup =
             Arc::new(move |id| Some(SocketAddr::from((machine(ReplicaId(id)), peer_port))));
-        let transport = AgreementTransport::new(id, folder.dir.folder(), None, client, find);
+        let transport =
+            AgreementTransport::new(id, folder.dir.folder(), None, COMMAND_RULES, client, find);
         let mut builder = Node::builder(id, Box::new(store), transport)
             .peers(folder.dir.peers()?)
             .config(node_config(clock));
@@ -327,6 +342,7 @@
                 node: node.clone(),
                 handle,
                 joining: Mutex::default(),
+                common_rules: AtomicU32::new(0),
                 goals: Mutex::default(),
                 tolerated_losses: settings.tolerated_losses,
                 _dir: dir.clone(),
@@ -404,8 +420,8 @@
         {
             let now = Instant::now();
             let mut joining = self.joining.lock().expect("no panic while locked");
-            joining.retain(|(other, at)| *other != id && now < *at + JOIN_REQUEST_TTL);
-            joining.push((id, now));
+            joining.retain(|j| j.replica != id && now < j.at + JOIN_REQUEST_TTL);
+            joining.push(JoinRequest { replica: id, rules: join.rules, at: now });
         }
         let Some(members) = self.members(&[], Duration::ZERO).await else {
             return Err(self.not_leader());
@@ -426,12 +442,14 @@
             if self.leads().is_none() {
                 leader_since = None;
                 responsive.clear();
+                self.common_rules.store(0, Ordering::Relaxed);
                 continue;
             }
             let now = Instant::now();
             lagging.retain(|(_, until)| now < *until);
             let time_as_leader = now - *leader_since.get_or_insert(now);
             let Some(mut members) = self.members(&lagging, time_as_leader).await else { continue };
+            self.update_common_rules(&members);
             responsive.retain(|(id, _)| members.is_responsive(*id));
             for (id, _) in &members.last_contact {
                 if members.is_responsive(*id) && responsive.iter().all(|(r, _)| r != id) {
@@ -463,6 +481,20 @@
         }
     }
 
+    fn update_common_rules(&self, members: &Members) {
+        let others = members.voters.iter().chain(&members.learners).filter(|id| **id != self.id);
+        let known = others.map(|id| self.node.rules_of(*id).unwrap_or(0)).min();
+        let rules = known.unwrap_or(COMMAND_RULES).min(COMMAND_RULES);
+        if self.common_rules.swap(rules, Ordering::Relaxed) != rules {
+            log::info!(group = self.group.0, rules; "all members know the rules for commands");
+        }
+    }
+
+    /// Version of the rules for commands that all members know. 0 unless this replica leads.
+    pub(crate) fn common_rules(&self) -> u32 {
+        self.common_rules.load(Ordering::Relaxed)
+    }
+
     async fn members(
         &self,
         lagging: &[(ReplicaId, Instant)],
@@ -472,14 +504,16 @@
         let now = Instant::now();
         let goals = self.goals.lock().expect("no panic while locked").clone();
         let joining = self.joining.lock().expect("no panic while locked");
-        let joining = joining.iter().filter(|(_, at)| now < *at + JOIN_REQUEST_TTL);
+        // A replica that does not know the rules in force would come to another state.
+        let rules = self.common_rules();
+        let joining = joining.iter().filter(|j| now < j.at + JOIN_REQUEST_TTL && j.rules >= rules);
         Some(Members {
             self_id: self.id,
             voters: core.membership.voters,
             learners: core.membership.learners,
             last_contact: core.last_contact,
             responsive_for: Vec::new(),
-            joining: joining.map(|(id, _)| *id).collect(),
+            joining: joining.map(|j| j.replica).collect(),
             retiring: goals.retiring,
             tolerated_losses: self.tolerated_losses,
             lagging: lagging.iter().map(|(id, _)| *id).collect(),
@@ -525,7 +559,7 @@
             next_peer = next_peer.wrapping_add(1);
             let next = || peers.get(next_peer % peers.len().max(1)).copied();
             let Some(address) = hint.take().or_else(next) else { continue };
-            let join = peer::Join { replica: self.id.0, group: self.group.0 };
+            let join = peer::Join { replica: self.id.0, group: self.group.0, rules: COMMAND_RULES };
             match client.call(address, request::Body::Join(join), JOIN_TIMEOUT).await {
                 Ok(response::Body::Joined(joined)) => {
                     hint = Some(address);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -43,6 +43,8 @@
 /// Part of the grace period that is reserved for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How often a store looks for a digest that it has not sent yet; they are taken once a minute.
+const COMPARISON_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Configuration of an instance that is to be started.
 pub struct Relay {
@@ -380,6 +382,8 @@
                 joiner.run_join(client.clone(), move || fleet.view().stores.clone())
             });
         }
+        let store = self.store.clone();
+        supervisor.start("comparison", move || compare_states(store.clone()));
         let (watched, fleet) = (replicas.clone(), self.fleet.clone());
         supervisor.start("wishes", move || follow_goals(watched.clone(), fleet.clone()));
         let error = replicas.first().context("the store has no groups")?.failed().await;
@@ -431,6 +435,15 @@
     }
 }
 
+/// Lets the replicas of the groups that a store leads compare their states.
+async fn compare_states(store: Arc<Store>) -> Result<()> {
+    let mut sent = Vec::new();
+    loop {
+        sleep(COMPARISON_INTERVAL).await;
+        store.compare_states(&mut sent).await;
+    }
+}
+
 /// Adds a store's state to its heartbeats.
 struct StoreReport {
     store: Arc<Store>,
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -123,6 +123,41 @@
         Ok(begun)
     }
 
+    /// Records a request to join. A replica that does not know the rules in force would come to
+    /// another state than the others.
+    async fn join(&self, join: peer::Join) -> Result<peer::Joined, peer::Failure> {
+        let replica = self.replica(join.group)?;
+        let rules = replica.query(TurnState::rules).await.ok_or_else(|| replica.not_leader())?;
+        if join.rules < rules {
+            log::warn!(replica = join.replica, rules; "an older build asks to join");
+            return Err(invalid("the group has rules that the replica does not know"));
+        }
+        replica.join(join).await
+    }
+
+    /// Sends the digests of the states of the groups that this store leads to their other replicas.
+    pub(crate) async fn compare_states(&self, sent: &mut Vec<(u32, u64)>) {
+        for replica in self.replicas().iter().filter(|r| r.leads().is_some()) {
+            let read = replica.query(|turns: &TurnState| turns.last_digest().cloned()).await;
+            let Some(digest) = read.flatten() else { continue };
+            let key = (replica.group(), digest.index);
+            if sent.contains(&key) {
+                continue;
+            }
+            let command = pb::TurnCommand { digest: Some(digest), ..Default::default() };
+            match commit(replica, command).await {
+                Ok(_) => {
+                    sent.retain(|(group, _)| *group != key.0);
+                    sent.push(key);
+                }
+                Err(failure) => {
+                    let (group, error) = (key.0, failure.message);
+                    log::info!(group, error = error.as_str(); "states are not compared yet");
+                }
+            }
+        }
+    }
+
     async fn read_part(
         &self,
         request: peer::HistoryRead,
@@ -268,6 +303,7 @@
     mut command: pb::TurnCommand,
 ) -> Result<pb::TurnResult, peer::Failure> {
     command.now_ms = now_ms();
+    command.rules = replica.common_rules();
     let proposed = replica.propose(command.encode_to_vec().into());
     let unknown = |message: &str| peer::Failure {
         code: FailureCode::UnknownOutcome.into(),
@@ -318,10 +354,7 @@
                 request::Body::StreamLookup(lookup) => {
                     self.find_stream(lookup).await.map(response::Body::StreamLookup)
                 }
-                request::Body::Join(join) => match self.replica(join.group) {
-                    Ok(replica) => replica.join(join).await.map(response::Body::Joined),
-                    Err(failure) => Err(failure),
-                },
+                request::Body::Join(join) => self.join(join).await.map(response::Body::Joined),
                 _ => Err(invalid("a store does not carry out this call")),
             };
             answer.unwrap_or_else(response::Body::Failure)
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -5,8 +5,13 @@
 //! budget before it passes any on to the caller, and later settles the number it did pass on. If
 //! the front dies first, the reservation stays open until the account expires, because nobody knows
 //! how many of its tokens were used. All commands are idempotent.
+//!
+//! What a command does depends on the earlier commands only, and a state restored from a snapshot
+//! behaves like one that has applied them. An entry therefore expires at the group's time, whether or
+//! not it has been removed by then: `rules.rs`.
 
 mod bodies;
+mod rules;
 mod saved;
 mod transfer;
 
@@ -19,9 +24,11 @@
 use prost::Message;
 
 pub use bodies::{History, TurnUsage};
+pub(crate) use rules::COMMAND_RULES;
 pub use saved::LostSegment;
 
 use bodies::{Bodies, Body};
+use rules::{Comparison, has_expired};
 use saved::Files;
 
 /// How long the account of a program is kept after its last turn, in milliseconds. The pauses
@@ -49,6 +56,10 @@
 }
 
 impl Account {
+    fn has_expired(&self, now_ms: u64) -> bool {
+        now_ms >= self.touched_ms + ACCOUNT_TTL_MS
+    }
+
     fn committed(&self) -> u64 {
         self.used + self.reservations.iter().map(|(_, amount)| amount).sum::<u64>()
     }
@@ -75,6 +86,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TurnState {
     now_ms: u64,
+    /// Version of the rules in force.
+    rules: u32,
+    /// When expired entries were last removed. Not part of a snapshot.
     swept_ms: u64,
     // Sorted by key.
     accounts: Vec<(Key, Account)>,
@@ -82,6 +96,7 @@
     turns: Vec<(Key, KeptTurn)>,
     // Sorted by key.
     streams: Vec<(Key, StreamOrigin)>,
+    comparison: Comparison,
     files: Files,
 }
 
@@ -106,15 +121,17 @@
 
     /// Tokens that a program has used or reserved.
     pub fn committed(&self, team: &str, program: &str) -> u64 {
-        find(&self.accounts, team, program).map_or(0, |at| self.accounts[at].1.committed())
+        self.find_account(team, program).map_or(0, |at| self.accounts[at].1.committed())
     }
 
     /// Where a stream of the team began, if that is recorded.
     pub fn stream_origin(&self, team: &str, stream: &str) -> Option<&StreamOrigin> {
-        find(&self.streams, team, stream).ok().map(|at| &self.streams[at].1)
+        let at = find(&self.streams, team, stream).ok()?;
+        let origin = &self.streams[at].1;
+        self.is_live(origin.expires_ms).then_some(origin)
     }
 
-    /// Number of kept turns.
+    /// Number of kept turns, with expired ones that have not been removed yet.
     pub fn len(&self) -> usize {
         self.turns.len()
     }
@@ -130,7 +147,7 @@
         let mut chain = Vec::new();
         let mut next = Some(turn);
         while let Some(turn) = next {
-            let kept = &self.turns[find(&self.turns, team, turn).ok()?].1;
+            let kept = &self.turns[self.find_turn(team, turn)?].1;
             if chain.len() == self.turns.len() {
                 return None;
             }
@@ -143,7 +160,11 @@
     fn reserve(&mut self, reserve: pb::Reserve) -> pb::Reserved {
         let now_ms = self.now_ms;
         let pb::Reserve { team, program, name, most, budget, least } = reserve;
+        let is_known = self.find_account(&team, &program).is_some();
         let account = entry(&mut self.accounts, (team.into(), program.into()));
+        if !is_known {
+            *account = Account::default();
+        }
         account.touched_ms = now_ms;
         let name = Name::from(name);
         let remaining = budget.saturating_sub(account.committed());
@@ -161,7 +182,7 @@
     /// Returns the name of the turn to keep if it cannot be continued.
     fn settle(&mut self, settle: pb::Settle) -> Option<String> {
         let pb::Settle { team, program, name, used, kept } = settle;
-        if let Ok(at) = find(&self.accounts, &team, &program) {
+        if let Some(at) = self.find_account(&team, &program) {
             let account = &mut self.accounts[at].1;
             account.touched_ms = self.now_ms;
             // A reservation that is not open has already been settled.
@@ -180,10 +201,10 @@
     fn keep(&mut self, turn: pb::Turn) -> bool {
         let pb::Turn { team, turn, previous, input, output, expires_ms } = turn;
         let (team, turn) = (Name::from(team), Name::from(turn));
-        let is_complete = previous.as_ref().is_none_or(|p| find(&self.turns, &team, p).is_ok());
+        let is_complete = previous.as_ref().is_none_or(|p| self.find_turn(&team, p).is_some());
         let mut next = previous.clone();
         while let Some(previous) = next {
-            let Ok(at) = find(&self.turns, &team, &previous) else { break };
+            let Some(at) = self.find_turn(&team, &previous) else { break };
             let kept = &mut self.turns[at].1;
             if kept.expires_ms >= expires_ms {
                 break;
@@ -202,23 +223,26 @@
 
     fn record_stream(&mut self, origin: pb::StreamOrigin) {
         let pb::StreamOrigin { team, stream, service, software, expires_ms } = origin;
-        if let Err(at) = find(&self.streams, &team, &stream) {
-            let origin =
-                StreamOrigin { service: service.into(), software: software.into(), expires_ms };
-            self.streams.insert(at, ((team.into(), stream.into()), origin));
+        let origin =
+            StreamOrigin { service: service.into(), software: software.into(), expires_ms };
+        match find(&self.streams, &team, &stream) {
+            Ok(at) if self.is_live(self.streams[at].1.expires_ms) => {}
+            Ok(at) => self.streams[at].1 = origin,
+            Err(at) => self.streams.insert(at, ((team.into(), stream.into()), origin)),
         }
     }
 
+    /// Removes expired entries.
     fn sweep(&mut self) {
         if self.now_ms < self.swept_ms + SWEEP_INTERVAL_MS {
             return;
         }
         let now_ms = self.now_ms;
         self.swept_ms = now_ms;
-        self.turns.retain(|(_, kept)| now_ms < kept.expires_ms + RETAIN_MARGIN_MS);
+        self.turns.retain(|(_, kept)| !has_expired(now_ms, kept.expires_ms));
         self.files.swept();
-        self.streams.retain(|(_, origin)| now_ms < origin.expires_ms + RETAIN_MARGIN_MS);
-        self.accounts.retain(|(_, account)| now_ms < account.touched_ms + ACCOUNT_TTL_MS);
+        self.streams.retain(|(_, origin)| !has_expired(now_ms, origin.expires_ms));
+        self.accounts.retain(|(_, account)| !account.has_expired(now_ms));
     }
 
     /// Updates the bytes in memory for the store's budget.
@@ -227,14 +251,20 @@
         self.files.set_memory(entries as u64 * ENTRY_MEMORY_BYTES);
     }
 
-    fn execute(&mut self, command: pb::TurnCommand) -> pb::TurnResult {
+    fn execute(&mut self, index: u64, command: pb::TurnCommand) -> pb::TurnResult {
+        let before_ms = self.now_ms;
         self.now_ms = self.now_ms.max(command.now_ms);
+        self.adopt_rules(command.rules);
+        if let Some(digest) = &command.digest {
+            self.comparison.compare(digest);
+        }
         let incomplete = command.settle.into_iter().filter_map(|s| self.settle(s)).collect();
         for origin in command.streams {
             self.record_stream(origin);
         }
         let reserved = command.reserve.into_iter().map(|r| self.reserve(r)).collect();
         self.sweep();
+        self.compute_digest(index, before_ms);
         pb::TurnResult { reserved, incomplete }
     }
 }
@@ -261,7 +291,7 @@
 
     fn apply_shared(&mut self, index: u64, data: &Bytes) -> Bytes {
         let result = match pb::TurnCommand::decode(data.clone()) {
-            Ok(command) => self.execute(command),
+            Ok(command) => self.execute(index, command),
             Err(e) => {
                 let error = e.to_string();
                 log::error!(index, error = error.as_str(); "ignored a malformed command");
--- a/crates/relay/src/turns/saved.rs
+++ b/crates/relay/src/turns/saved.rs
@@ -13,6 +13,7 @@
 use super::{
     Account, KeptTurn, Key, StreamOrigin, TurnState,
     bodies::{Bodies, Body, Segment, StoredBody},
+    rules::Comparison,
     transfer::{EncodedSnapshot, Record, RecordReader},
 };
 
@@ -163,6 +164,7 @@
             let state = &mut incoming.state;
             match record {
                 Record::Now(now_ms) => (state.now_ms, state.swept_ms) = (now_ms, now_ms),
+                Record::Rules(rules) => state.adopt_rules(rules),
                 Record::Account(account) => state.accounts.push(read_account(account)),
                 Record::Stream(origin) => state.streams.push(read_stream(origin)),
                 Record::Turn(turn) => {
@@ -200,7 +202,7 @@
     /// Replaces everything except the files.
     pub(super) fn replace(&mut self, state: Self) {
         let files = std::mem::take(&mut self.files);
-        *self = Self { files, ..state };
+        *self = Self { files, comparison: Comparison::default(), ..state };
         self.report_memory();
     }
 
@@ -208,11 +210,11 @@
     pub(super) fn from_proto(snapshot: pb::TurnSnapshot) -> Self {
         Self {
             now_ms: snapshot.now_ms,
+            rules: snapshot.rules,
             swept_ms: snapshot.now_ms,
             accounts: snapshot.accounts.into_iter().map(read_account).collect(),
-            turns: Vec::new(),
             streams: snapshot.streams.into_iter().map(read_stream).collect(),
-            files: Files::default(),
+            ..Self::default()
         }
     }
 
@@ -220,7 +222,8 @@
     pub(super) fn encode(&self) -> EncodedSnapshot {
         let mut encoded = EncodedSnapshot::default();
         let accounts = self.accounts.iter().map(write_account).collect();
-        let head = pb::TurnSnapshot { now_ms: self.now_ms, accounts, ..Default::default() };
+        let (now_ms, rules) = (self.now_ms, self.rules);
+        let head = pb::TurnSnapshot { now_ms, rules, accounts, ..Default::default() };
         encoded.push(head.encode_to_vec().into());
         for turn in &self.turns {
             encoded.push_turn(&write_turn(turn), &turn.1.body);
@@ -235,6 +238,7 @@
     pub(super) fn encode_references(&self) -> Bytes {
         let head = pb::TurnSnapshot {
             now_ms: self.now_ms,
+            rules: self.rules,
             accounts: self.accounts.iter().map(write_account).collect(),
             turns: self.turns.iter().map(write_turn).collect(),
             streams: self.streams.iter().map(write_stream).collect(),
@@ -294,7 +298,7 @@
     ((team.into(), program.into()), Account { used, reservations, touched_ms })
 }
 
-fn write_account(((team, program), account): &(Key, Account)) -> pb::Account {
+pub(super) fn write_account(((team, program), account): &(Key, Account)) -> pb::Account {
     let open = account.reservations.iter();
     let open =
         open.map(|(name, amount)| pb::Reservation { name: name.to_string(), amount: *amount });
@@ -308,7 +312,7 @@
 }
 
 /// Returns the turn without its body.
-fn write_turn(((team, turn), kept): &(Key, KeptTurn)) -> pb::Turn {
+pub(super) fn write_turn(((team, turn), kept): &(Key, KeptTurn)) -> pb::Turn {
     pb::Turn {
         team: team.to_string(),
         turn: turn.to_string(),
@@ -324,7 +328,7 @@
     ((team.into(), stream.into()), StreamOrigin { service, software, expires_ms })
 }
 
-fn write_stream(((team, stream), origin): &(Key, StreamOrigin)) -> pb::StreamOrigin {
+pub(super) fn write_stream(((team, stream), origin): &(Key, StreamOrigin)) -> pb::StreamOrigin {
     pb::StreamOrigin {
         team: team.to_string(),
         stream: stream.to_string(),
--- a/crates/relay/src/turns/transfer.rs
+++ b/crates/relay/src/turns/transfer.rs
@@ -18,6 +18,7 @@
 const ACCOUNT_FIELD: u32 = 2;
 const TURN_FIELD: u32 = 3;
 const STREAM_FIELD: u32 = 4;
+const RULES_FIELD: u32 = 5;
 /// Numbers of the fields of `Turn` with its body.
 const INPUT_FIELD: u32 = 4;
 const OUTPUT_FIELD: u32 = 5;
@@ -125,6 +126,7 @@
 /// A record of a snapshot.
 pub(super) enum Record {
     Now(u64),
+    Rules(u32),
     Account(pb::Account),
     Turn(pb::Turn),
     Stream(pb::StreamOrigin),
@@ -160,7 +162,11 @@
             let record = match wire {
                 WireType::Varint => {
                     self.buf.advance(header_len);
-                    (field == NOW_FIELD).then_some(Record::Now(value))
+                    match field {
+                        NOW_FIELD => Some(Record::Now(value)),
+                        RULES_FIELD => Some(Record::Rules(u32::try_from(value)?)),
+                        _ => None,
+                    }
                 }
                 WireType::LengthDelimited => {
                     if (rest.len() as u64) < value {
--- a/crates/relay/tests/build_compat.rs
+++ b/crates/relay/tests/build_compat.rs
@@ -88,6 +88,7 @@
             settle: (0..self.below(4)).map(|_| self.settle(now_ms)).collect(),
             reserve: (0..self.below(2)).map(|_| self.reserve()).collect(),
             streams: (0..self.below(2)).map(|_| self.origin(now_ms)).collect(),
+            ..Default::default()
         }
     }
 }
--- a/crates/server/src/control/start.rs
+++ b/crates/server/src/control/start.rs
@@ -96,6 +96,7 @@
         dir.replica(),
         dir.folder(),
         Some(address),
+        0,
         client,
         Arc::new(move |replica| addresses.address(replica)),
     );
