replica: the control group takes in replicas of the former build

The check of rules for commands, which the commit before brought, applied to the control group too, whose commands have one version only: its leader would have refused replicas of the former build during a release. Found by reading; the version is now given with each group's state machine.

--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -37,7 +37,7 @@
 use poplarspan_proto::peer::{self, FailureCode, request, response};
 use tokio::time::{Instant, sleep};
 
-use crate::{LostSegment, Settings, turns::COMMAND_RULES};
+use crate::{LostSegment, Settings};
 use gap::ServiceGap;
 use membership::{Members, MembershipChange, TARGET_VOTERS, machine};
 
@@ -222,6 +222,9 @@
     /// Initial voters of a new group. May be empty if this replica is not one of them.
     pub(crate) initial_voters: Vec<ReplicaId>,
     pub(crate) state: Box<dyn StateMachine>,
+    /// Highest version of the rules for commands that the state machine knows. The same for all
+    /// groups of a folder.
+    pub(crate) rules: u32,
 }
 
 /// Ids of the groups of a folder, in order.
@@ -265,6 +268,8 @@
     joining: Mutex<Vec<JoinRequest>>,
     /// Version of the rules for commands that all members know, while this replica leads.
     common_rules: AtomicU32,
+    /// Highest version that this build knows.
+    known_rules: u32,
     goals: Mutex<MembershipGoals>,
     /// Number of lost disks that the group must bear at any time.
     tolerated_losses: usize,
@@ -301,6 +306,7 @@
         clock: Arc<dyn Clock>,
     ) -> Result<Vec<Arc<Self>>> {
         let peer_port = settings.peer_address().port();
+        let rules = groups.first().map_or(0, |g| g.rules);
         let (initial_voters, states): (Vec<_>, Vec<_>) =
             groups.into_iter().map(|g| (g.initial_voters, g.state)).unzip();
         let store = folder.open_log_when_space(&initial_voters).await?;
@@ -308,8 +314,7 @@
         let id = folder.replica();
         let find: ReplicaLookup =
             Arc::new(move |id| Some(SocketAddr::from((machine(ReplicaId(id)), peer_port))));
-        let transport =
-            AgreementTransport::new(id, folder.dir.folder(), None, COMMAND_RULES, client, find);
+        let transport = AgreementTransport::new(id, folder.dir.folder(), None, rules, client, find);
         let mut builder = Node::builder(id, Box::new(store), transport)
             .peers(folder.dir.peers()?)
             .config(node_config(clock));
@@ -343,6 +348,7 @@
                 handle,
                 joining: Mutex::default(),
                 common_rules: AtomicU32::new(0),
+                known_rules: rules,
                 goals: Mutex::default(),
                 tolerated_losses: settings.tolerated_losses,
                 _dir: dir.clone(),
@@ -484,7 +490,7 @@
     fn update_common_rules(&self, members: &Members) {
         let others = members.voters.iter().chain(&members.learners).filter(|id| **id != self.id);
         let known = others.map(|id| self.node.rules_of(*id).unwrap_or(0)).min();
-        let rules = known.unwrap_or(COMMAND_RULES).min(COMMAND_RULES);
+        let rules = known.unwrap_or(self.known_rules).min(self.known_rules);
         if self.common_rules.swap(rules, Ordering::Relaxed) != rules {
             log::info!(group = self.group.0, rules; "all members know the rules for commands");
         }
@@ -559,7 +565,8 @@
             next_peer = next_peer.wrapping_add(1);
             let next = || peers.get(next_peer % peers.len().max(1)).copied();
             let Some(address) = hint.take().or_else(next) else { continue };
-            let join = peer::Join { replica: self.id.0, group: self.group.0, rules: COMMAND_RULES };
+            let join =
+                peer::Join { replica: self.id.0, group: self.group.0, rules: self.known_rules };
             match client.call(address, request::Body::Join(join), JOIN_TIMEOUT).await {
                 Ok(response::Body::Joined(joined)) => {
                     hint = Some(address);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -36,6 +36,7 @@
     groups,
     replica::{self, GroupStart, MembershipGoals, Replica, ReplicaFolder},
     store::Store,
+    turns::COMMAND_RULES,
 };
 
 /// Time after SIGTERM until the platform has stopped routing new connections to the instance.
@@ -151,7 +152,7 @@
         let initial_voters: Vec<ReplicaId> =
             settings.seeds.iter().map(|ip| replica::bootstrap_id(*ip)).collect();
         let initial_voters = if is_bootstrap_member { initial_voters } else { Vec::new() };
-        let group = GroupStart { initial_voters, state: Box::<ControlState>::default() };
+        let group = GroupStart { initial_voters, state: Box::<ControlState>::default(), rules: 0 };
         let (client, clock) = (self.client.clone(), self.clock.clone());
         let replicas = Replica::start(folder, vec![group], &settings, client, clock).await?;
         let replica = replicas.into_iter().next().context("control group has no replica")?;
@@ -401,7 +402,7 @@
             let group = |((group, initial_voters), usage)| {
                 let state = TurnState::with_segments(&folder.bodies_folder(), group, usage);
                 let state = state.context("cannot open the segments of kept turns")?;
-                Ok(GroupStart { initial_voters, state: Box::new(state) })
+                Ok(GroupStart { initial_voters, state: Box::new(state), rules: COMMAND_RULES })
             };
             (0..).zip(initial_voters).zip(usages).map(group).collect()
         };
