--- a/crates/relay/src/replica/gap.rs
+++ b/crates/relay/src/replica/gap.rs
@@ -1,4 +1,4 @@
-//! How long a group has had no leader that may serve, as one replica sees it, and why.
+//! How long a group has had no leader that may serve, as one voter sees it, and why.
 
 use std::time::Duration;
 
@@ -34,12 +34,12 @@
         Self { group, current: None, checked_at: Instant::now() }
     }
 
-    /// Records the state of the group at this time.
-    pub(super) fn check(&mut self, view: Leadership) {
+    /// Records the state of the group at this time. A replica that is no voter hears of no leader.
+    pub(super) fn check(&mut self, view: Leadership, is_voter: bool) {
         let now = Instant::now();
         let elapsed = now - std::mem::replace(&mut self.checked_at, now);
         let group = self.group;
-        let Some(reason) = reason(view) else {
+        let Some(reason) = reason(view).filter(|_| is_voter) else {
             if let Some((since, reason, true)) = self.current.take() {
                 let ms = (now - since).as_millis() as u64;
                 log::info!(group, ms, reason; "group has a leader that may serve again");
--- a/crates/relay/src/replica/mod.rs
+++ b/crates/relay/src/replica/mod.rs
@@ -456,13 +456,11 @@
         let mut lagging: Vec<(ReplicaId, Instant)> = Vec::new();
         let mut responsive: Vec<(ReplicaId, Instant)> = Vec::new();
         let mut leader_since = None;
-        let mut gap = ServiceGap::new(self.group.0);
         loop {
             tokio::select! {
                 () = sleep(MEMBERSHIP_INTERVAL) => {}
                 () = self.join_requested.notified() => {}
             }
-            gap.check(*self.handle.watch().borrow());
             if self.leads().is_none() {
                 leader_since = None;
                 responsive.clear();
@@ -568,15 +566,18 @@
         let mut hint = None;
         let mut pause = Duration::ZERO;
         let mut steps = JoinSteps::new(self.group.0);
+        let mut gap = ServiceGap::new(self.group.0);
         loop {
             sleep(pause).await;
             pause = JOIN_INTERVAL;
-            let is_led = self.handle.watch().borrow().leader.is_some();
+            let view = *self.handle.watch().borrow();
+            let is_led = view.leader.is_some();
             if is_led {
                 last_leader_at = Instant::now();
             }
             let is_voter = self.voters().await.contains(&self.id);
             steps.check(is_led, is_voter);
+            gap.check(view, is_voter);
             if last_leader_at.elapsed() < LEADERLESS_TIMEOUT && is_voter {
                 continue;
             }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,7 +7,7 @@
 use poplarspan_agreement::{Clock, ReplicaId};
 use poplarspan_node::{
     BootClock, Credentials, PeerClient, Readiness, Supervisor, TlsFiles,
-    peer::{self as peer_port, AgreementSink, PeerServer, PeerService},
+    peer::{AgreementSink, PeerServer, PeerService},
     probes,
 };
 use poplarspan_proto::peer;
@@ -91,7 +91,7 @@
         let settings = Arc::new(settings);
         let credentials = Credentials::load(&tls)?;
         let address = settings.peer_address();
-        let endpoint = peer_port::listen(&credentials, address)?;
+        let endpoint = poplarspan_node::peer::listen(&credentials, address)?;
         let client = PeerClient::with_endpoint(endpoint.clone(), &credentials)?;
         let stop = CancellationToken::new();
         let parts = Startup {
