agreement: a request that races with the end of its node is answered

A caller of `propose` waited for a node whose task had ended.

Cause: a sender of tokio's channel takes its permit first and enqueues the message after. When the receiver is dropped between the two, the message is enqueued after the channel was drained. It stays there until the last sender is dropped, and with it its reply channel; the caller that waits for the reply holds a sender itself.

Evidence: the new test `driver_faults requests_during_abort_are_answered` aborts 640 nodes while 24 tasks use each.

Change: callers wait for the end of the channel too (`handle::call`): proposals, membership changes, reads, status, transfers, and `Node::shutdown` and `abort`, whose channel has the same race. The groups of a task are dropped before its channel closes, so a request without an answer was not handled, and `Stopped` ("never executed") is true.

Related paths: the store's queue has one user, the node's task, which sends nothing after `Close`; by reading.

--- a/crates/agreement/src/driver/handle.rs
+++ b/crates/agreement/src/driver/handle.rs
@@ -156,6 +156,23 @@
     }
 }
 
+/// Sends a request to a node's task and waits for the reply. Returns `None` if the task ended
+/// without handling the request.
+pub(crate) async fn call<R, T>(
+    tx: &mpsc::Sender<R>,
+    request: R,
+    mut reply: oneshot::Receiver<T>,
+) -> Option<T> {
+    tx.send(request).await.ok()?;
+    // A message that is enqueued while the receiver is dropped stays in the channel, with its reply
+    // channel open, until the last sender is dropped. That may be this one.
+    tokio::select! {
+        biased;
+        reply = &mut reply => reply.ok(),
+        () = tx.closed() => reply.try_recv().ok(),
+    }
+}
+
 /// Access to one group of a node.
 #[derive(Clone, Debug)]
 pub struct GroupHandle {
@@ -230,8 +247,9 @@
         let (reply, result) = oneshot::channel();
         let request =
             request(Responder { reply: Some(reply), submitted: false, _permits: permits });
-        self.tx.send((self.group, request)).await.map_err(|_| ProposeError::Stopped)?;
-        result.await.unwrap_or(Err(ProposeError::Unknown))
+        // A request that the task handled is answered before the channel closes, by `Responder` if
+        // by nothing else.
+        call(&self.tx, (self.group, request), result).await.unwrap_or(Err(ProposeError::Stopped))
     }
 
     /// Waits until the state machine has applied everything that was acknowledged before the call,
@@ -274,15 +292,14 @@
         let query: Query = Box::new(move |machine| {
             let _ = reply.send(machine.and_then(f));
         });
-        self.tx.send((self.group, Request::Read(query))).await.map_err(|_| ReadError::Stopped)?;
-        result.await.unwrap_or(Err(ReadError::Stopped))
+        let request = (self.group, Request::Read(query));
+        call(&self.tx, request, result).await.unwrap_or(Err(ReadError::Stopped))
     }
 
     /// Returns the state of this replica, or `None` if the node has stopped.
     pub async fn status(&self) -> Option<GroupStatus> {
         let (reply, result) = oneshot::channel();
-        self.tx.send((self.group, Request::Status(reply))).await.ok()?;
-        result.await.ok()
+        call(&self.tx, (self.group, Request::Status(reply)), result).await
     }
 
     /// Returns a channel with the leadership of the group. Its lease is as of the last tick; use
@@ -301,8 +318,7 @@
     /// stopped, or with [`ProposeError::Unknown`] if the transfer was not completed in time.
     pub async fn transfer_leadership(&self, to: ReplicaId) -> Result<(), ProposeError> {
         let (reply, result) = oneshot::channel();
-        let request = Request::Transfer(to, reply);
-        self.tx.send((self.group, request)).await.map_err(|_| ProposeError::Stopped)?;
-        result.await.unwrap_or(Err(ProposeError::Stopped))
+        let request = (self.group, Request::Transfer(to, reply));
+        call(&self.tx, request, result).await.unwrap_or(Err(ProposeError::Stopped))
     }
 }
--- a/crates/agreement/src/driver/node.rs
+++ b/crates/agreement/src/driver/node.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::group::Group;
-use super::handle::{GroupHandle, ProposalLimits};
+use super::handle::{GroupHandle, ProposalLimits, call};
 use super::task::{NodeTask, StopRequest, TaskState};
 use super::{NodeConfig, NodeError, StateMachine, Transport};
 use crate::{
@@ -156,17 +156,14 @@
     /// immediately if the node has already stopped.
     pub async fn shutdown(&self) {
         let (reply, stopped) = oneshot::channel();
-        if self.stop.send(StopRequest::Shutdown(reply)).await.is_ok() {
-            let _ = stopped.await;
-        }
+        // Without a reply the node has stopped already.
+        let _ = call(&self.stop, StopRequest::Shutdown(reply), stopped).await;
     }
 
     /// Stops the node without transferring leadership, then closes the store.
     pub async fn abort(&self) {
         let (reply, stopped) = oneshot::channel();
-        if self.stop.send(StopRequest::Abort(reply)).await.is_ok() {
-            let _ = stopped.await;
-        }
+        let _ = call(&self.stop, StopRequest::Abort(reply), stopped).await;
     }
 }
 
--- a/crates/agreement/src/driver/task.rs
+++ b/crates/agreement/src/driver/task.rs
@@ -32,6 +32,8 @@
 type Synced = Result<Vec<(GroupId, u64)>, StoreError>;
 type Saved = Result<(GroupId, Snapshot), StoreError>;
 
+/// Fields are dropped in this order: groups answer their open requests before `requests` closes,
+/// and `stop`, the last one, closes when nothing of the node is left. `handle::call` relies on this.
 pub(crate) struct NodeTask {
     /// Sorted by group.
     pub(crate) groups: Vec<Group>,
@@ -39,9 +41,9 @@
     pub(crate) cfg: Arc<NodeConfig>,
     pub(crate) messages: mpsc::Receiver<(ReplicaId, PeerMessage)>,
     pub(crate) requests: mpsc::Receiver<(GroupId, Request)>,
-    pub(crate) stop: mpsc::Receiver<StopRequest>,
     pub(crate) failed: watch::Sender<Option<NodeError>>,
     pub(crate) state: TaskState,
+    pub(crate) stop: mpsc::Receiver<StopRequest>,
 }
 
 /// Storage work and shutdown in progress.
--- a/crates/agreement/tests/driver_faults.rs
+++ b/crates/agreement/tests/driver_faults.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::cluster::{GROUP, Journal, Network};
@@ -14,6 +15,16 @@
 
 const ID: ReplicaId = ReplicaId(1);
 
+/// Rounds of `requests_during_abort_are_answered`, and nodes that are aborted at once in each.
+const ABORT_ROUNDS: usize = 40;
+const NODES_PER_ROUND: usize = 16;
+
+/// Tasks that use a node while it is aborted.
+const CALLERS: usize = 24;
+
+/// Longest time to the answer of a request to a stopped node, in which nothing is waited for.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
 fn store(disk: &MemoryDisk) -> MemoryStore {
     MemoryStore::open(disk, StoreOptions::default()).expect("store")
 }
@@ -198,6 +209,38 @@
     assert_eq!(result, Err(ProposeError::NotLeader { leader: Some(new) }));
 }
 
+/// Guards against a caller that waits forever because its request reached the node's queue just
+/// as the node's task ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 32)]
+async fn requests_during_abort_are_answered() {
+    for round in 0..ABORT_ROUNDS {
+        let nodes = (0..NODES_PER_ROUND).map(|_| tokio::spawn(abort_while_in_use()));
+        for ended in futures::future::join_all(nodes).await {
+            assert!(ended.expect("no panic"), "round {round}: a request was not answered");
+        }
+    }
+}
+
+/// Aborts a node while many tasks use it. Returns whether each of them was told so.
+async fn abort_while_in_use() -> bool {
+    let (_disk, node, group) = start_single(&NodeConfig::default()).await;
+    let callers = (0..CALLERS).map(|i| {
+        let group = group.clone();
+        tokio::spawn(async move {
+            match i % 3 {
+                0 => while group.propose(Bytes::new()).await != Err(ProposeError::Stopped) {},
+                1 => while group.read_barrier().await != Err(ReadError::Stopped) {},
+                _ => while group.status().await.is_some() {},
+            }
+        })
+    });
+    let callers = futures::future::join_all(callers.collect::<Vec<_>>());
+    tokio::task::yield_now().await;
+    node.abort().await;
+    let ended = tokio::time::timeout(ANSWER_TIMEOUT, callers).await;
+    ended.is_ok_and(|callers| callers.iter().all(Result::is_ok))
+}
+
 /// State machine that panics on every command and cannot restore a snapshot.
 struct FaultyStateMachine;
 
