--- a/crates/agreement/src/core/snapshot.rs
+++ b/crates/agreement/src/core/snapshot.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use log::error;
+use log::{error, info};
 
 use crate::message::{AppendResult, Message};
 use crate::types::{LogPosition, Membership, ReplicaId, Snapshot, SnapshotSource};
@@ -84,6 +84,13 @@
             self.out.snapshot_wanted = true;
             return;
         };
+        info!(
+            "replica {}: sending snapshot at index {} ({} B) to replica {}",
+            self.cfg.id.0,
+            snapshot.last.index,
+            snapshot.source.len(),
+            self.leader_state.peers[i].id.0
+        );
         let transfer = SnapshotTransfer { snapshot, offset: 0, sent_at: self.now };
         self.leader_state.peers[i].state = ProgressState::Snapshot(transfer);
         self.send_chunk(i);
