agreement: cluster tests bear a change of the leader

The tests are about lost, repeated and reordered commands.

Change: `propose_all` proposes again what was refused, and what had an unknown outcome if a read in the later term does not show it; it fails if a read lacks an acknowledged command or shows a refused one. `change_members` does likewise for changes of the membership. What the tests compare in the end is untouched: every command exactly once, in one order, and the exact voters. No less is asked: commands that were refused were not looked for before.

--- a/crates/agreement/tests/common/cluster.rs
+++ b/crates/agreement/tests/common/cluster.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use poplarspan_agreement::{
-    DataDir, FileStore, FolderId, GroupHandle, GroupId, Leadership, Node, NodeConfig, PeerMessage,
-    ProposeError, ReplicaId, Role, StateMachine, Storage, StoreOptions, Transport, init_voters,
+    DataDir, FileStore, FolderId, GroupHandle, GroupId, Leadership, Membership, Node, NodeConfig,
+    PeerMessage, ProposeError, ReplicaId, Role, StateMachine, Storage, StoreOptions, Transport,
+    init_voters,
 };
 use tempfile::TempDir;
 
@@ -185,12 +186,30 @@
         }
     }
 
-    /// Proposes commands concurrently to the leader. Their order is arbitrary.
+    /// Proposes commands concurrently until each is executed, also if the leader changes meanwhile.
+    /// Their order is arbitrary.
     pub async fn propose_all(&self, commands: &[String]) {
-        let group = self.group(self.leader().await);
-        let proposals = commands.iter().map(|c| group.propose(Bytes::from(c.clone())));
-        for result in futures::future::join_all(proposals).await {
-            result.expect("committed");
+        let mut open = commands.to_vec();
+        while !open.is_empty() {
+            let group = self.group(self.leader().await);
+            let proposals = open.iter().map(|c| group.propose(Bytes::from(c.clone())));
+            let results = futures::future::join_all(proposals).await;
+            if results.iter().all(Result::is_ok) {
+                return;
+            }
+            // A leader answers `Unknown` after it has stepped down. A read is then answered in a
+            // later term, in which no command that it does not show can be executed any more.
+            let mut journal = self.journal().await;
+            journal.sort();
+            for (command, result) in open.iter().zip(&results) {
+                let executed = journal.binary_search(command).is_ok();
+                assert!(executed || result.is_err(), "an acknowledged command is lost");
+                assert!(
+                    !executed || matches!(result, Ok(_) | Err(ProposeError::Unknown)),
+                    "a refused command was executed: {result:?}"
+                );
+            }
+            open.retain(|command| journal.binary_search(command).is_err());
         }
     }
 
@@ -220,6 +239,35 @@
         }
     }
 
+    /// Has the leader change the membership until it is as `is_made` tells, also if the leader
+    /// changes meanwhile.
+    pub async fn change_members<F>(
+        &self,
+        change: impl Fn(GroupHandle) -> F,
+        is_made: impl Fn(&Membership) -> bool,
+    ) where
+        F: Future<Output = Result<(), ProposeError>>,
+    {
+        loop {
+            until_accepted(|| async {
+                match change(self.group(self.leader().await)).await {
+                    Err(ProposeError::Unknown) => Ok(()),
+                    result => result,
+                }
+            })
+            .await;
+            // After an answered read, the leader's membership holds every change that was made.
+            let mut group = self.group(self.leader().await);
+            while group.read_barrier().await.is_err() {
+                group = self.group(self.leader().await);
+            }
+            let status = group.status().await.expect("running");
+            if is_made(&status.core.membership) {
+                return;
+            }
+        }
+    }
+
     pub async fn wait_applied(&self, id: ReplicaId, index: u64) {
         while self.group(id).status().await.expect("running").applied < index {
             tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/agreement/tests/driver_cluster.rs
+++ b/crates/agreement/tests/driver_cluster.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use common::cluster::{Cluster, numbered, until_accepted};
-use poplarspan_agreement::{NodeConfig, ProposeError, ReadError, ReplicaId};
+use poplarspan_agreement::{GroupHandle, NodeConfig, ProposeError, ReadError, ReplicaId};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn proposals_survive_restart() {
@@ -93,9 +93,12 @@
     cluster.init(new, &[]).await;
     cluster.start_node(new).await;
     let leader = || async { cluster.group(cluster.leader().await) };
-    until_accepted(|| async { leader().await.add_learner(new).await }).await;
-    until_accepted(|| async { leader().await.promote_learner(new).await }).await;
-    until_accepted(|| async { leader().await.remove_member(old).await }).await;
+    let add = |group: GroupHandle| async move { group.add_learner(new).await };
+    cluster.change_members(add, |m| m.learners.contains(&new)).await;
+    let promote = |group: GroupHandle| async move { group.promote_learner(new).await };
+    cluster.change_members(promote, |m| m.voters.contains(&new)).await;
+    let remove = |group: GroupHandle| async move { group.remove_member(old).await };
+    cluster.change_members(remove, |m| !m.voters.contains(&old)).await;
     cluster.propose_all(&commands[200..]).await;
     let journal = cluster.journal_of(&commands).await;
     let status = leader().await.status().await.expect("running");
